--- /dev/null
+++ b/kcw-demo/main.go
@@ -0,0 +1,4 @@
+// Command kcw-demo is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/kcw-ledger/main.go
@@ -0,0 +1,4 @@
+// Command kcw-ledger is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/kcw-router/main.go
@@ -0,0 +1,4 @@
+// Command kcw-router is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/kcw-standin/main.go
@@ -0,0 +1,4 @@
+// Command kcw-standin is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/kcwctl/main.go
@@ -0,0 +1,4 @@
+// Command kcwctl is not built yet.
+package main
+
+func main() {}
