--- /dev/null
+++ b/kcw/kcwadmin/server.go
@@ -0,0 +1,160 @@
+// Package kcwadmin serves a process's operator address: health, readiness,
+// metrics and a dump of the process's state.
+package kcwadmin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rotisserie/eris"
+)
+
+// Paths that a Server answers.
+const (
+	HealthPath  = "/healthz"
+	ReadyPath   = "/readyz"
+	MetricsPath = "/metrics"
+	DumpPath    = "/dump"
+)
+
+// Config holds the settings of a Server.
+type Config struct {
+	// Address to listen at; port zero takes any free port.
+	Address netip.AddrPort
+	// OperatorKey admits the bearer to the state dump. If it is empty the dump
+	// is refused to all.
+	OperatorKey string
+	// Health and Ready return nil or why the process is not healthy or takes
+	// no work; nil functions always answer well.
+	Health, Ready func() error
+	// Metrics serves the metrics; nil for none.
+	Metrics http.Handler
+	// Dump returns the state, which is written as JSON; its structs carry
+	// field names in Pascal case. It must hold no key.
+	Dump func(ctx context.Context) any
+}
+
+// Kind classifies an Error.
+type Kind int
+
+// Kinds of errors.
+const (
+	// Listen means that the address cannot be listened at.
+	Listen Kind = iota + 1
+	// Serve means that the server stopped by a failure.
+	Serve
+)
+
+// Error is returned by this package.
+type Error struct {
+	Op      string
+	Kind    Kind
+	Address netip.AddrPort
+	Err     error
+}
+
+// Error describes the failure.
+func (e *Error) Error() string { return fmt.Sprintf("kcwadmin: %s %s: %v", e.Op, e.Address, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Server listens at the operator address. It is a kratos transport.Server.
+type Server struct {
+	cfg     Config
+	keyHash [sha256.Size]byte
+	address netip.AddrPort
+	server  *khttp.Server
+}
+
+// New listens at cfg.Address, so that a taken address is known at once; Start
+// begins to answer. The error is an *Error.
+func New(cfg Config) (*Server, error) {
+	listener, err := net.Listen("tcp", cfg.Address.String())
+	if err != nil {
+		return nil, &Error{Op: "new", Kind: Listen, Address: cfg.Address, Err: eris.Wrap(err, "listen")}
+	}
+	s := &Server{
+		cfg:     cfg,
+		keyHash: sha256.Sum256([]byte(cfg.OperatorKey)),
+		address: listener.Addr().(*net.TCPAddr).AddrPort(),
+		server:  khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0)),
+	}
+	s.server.HandleFunc(HealthPath, func(w http.ResponseWriter, _ *http.Request) { answerState(w, cfg.Health) })
+	s.server.HandleFunc(ReadyPath, func(w http.ResponseWriter, _ *http.Request) { answerState(w, cfg.Ready) })
+	s.server.HandleFunc(DumpPath, s.dump)
+	if cfg.Metrics != nil {
+		s.server.Handle(MetricsPath, cfg.Metrics)
+	}
+	return s, nil
+}
+
+// Address returns the address that the server listens at.
+func (s *Server) Address() netip.AddrPort { return s.address }
+
+// Start answers until Stop. The error is an *Error, or nil after Stop.
+func (s *Server) Start(ctx context.Context) error {
+	if err := s.server.Start(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return &Error{Op: "start", Kind: Serve, Address: s.address, Err: eris.Wrap(err, "serve")}
+	}
+	return nil
+}
+
+// Stop waits for the requests in progress until ctx ends. The error is an
+// *Error.
+func (s *Server) Stop(ctx context.Context) error {
+	if err := s.server.Stop(ctx); err != nil {
+		return &Error{Op: "stop", Kind: Serve, Address: s.address, Err: eris.Wrap(err, "shut down")}
+	}
+	return nil
+}
+
+func answerState(w http.ResponseWriter, check func() error) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if check != nil {
+		if err := check(); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			fmt.Fprintln(w, err)
+			return
+		}
+	}
+	fmt.Fprintln(w, "ok")
+}
+
+func (s *Server) dump(w http.ResponseWriter, r *http.Request) {
+	if !s.isOperator(r) {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		http.Error(w, "operator key required", http.StatusUnauthorized)
+		return
+	}
+	var state any
+	if s.cfg.Dump != nil {
+		state = s.cfg.Dump(r.Context())
+	}
+	body, err := json.MarshalIndent(state, "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the operator has gone.
+	_, _ = w.Write(append(body, '\n'))
+}
+
+// isOperator compares hashes in constant time, so that neither the key's
+// length nor its bytes show in the time taken.
+func (s *Server) isOperator(r *http.Request) bool {
+	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	hash := sha256.Sum256([]byte(key))
+	same := subtle.ConstantTimeCompare(hash[:], s.keyHash[:]) == 1
+	return found && same && s.cfg.OperatorKey != ""
+}
