--- /dev/null
+++ b/kcw/kcwpick/service.go
@@ -0,0 +1,146 @@
+package kcwpick
+
+import (
+	"container/list"
+	"slices"
+	"time"
+)
+
+// service is the upstreams of one service.
+type service struct {
+	all      []*upstream
+	near     []*upstream // in the router's zone
+	far      []*upstream
+	reported int     // upstreams with a report
+	sum      float64 // utilizations reported, of these
+	prefixes prefixes
+}
+
+// upstream is what is known of the load of one upstream.
+type upstream struct {
+	name     string
+	service  *service
+	near     bool
+	load     Load
+	inFlight int
+	started  []time.Time // own starts since the report was made
+	finished []time.Time // own ends since the report was made
+}
+
+func newService() *service {
+	return &service{prefixes: prefixes{places: make(map[uint64]*list.Element)}}
+}
+
+func (s *service) add(u *upstream) {
+	s.all = append(s.all, u)
+	if u.near {
+		s.near = append(s.near, u)
+	} else {
+		s.far = append(s.far, u)
+	}
+}
+
+func (s *service) remove(u *upstream) {
+	same := func(other *upstream) bool { return other == u }
+	s.all = slices.DeleteFunc(s.all, same)
+	s.near = slices.DeleteFunc(s.near, same)
+	s.far = slices.DeleteFunc(s.far, same)
+	if !u.load.At.IsZero() {
+		s.sum -= u.reported()
+		s.reported--
+	}
+	s.prefixes.drop(u)
+}
+
+// replace puts a newer report in the place of the last one.
+func (s *service) replace(u *upstream, load Load) {
+	if u.load.At.IsZero() {
+		s.reported++
+	} else {
+		s.sum -= u.reported()
+	}
+	u.load = load
+	s.sum += u.reported()
+	u.started = after(u.started, load.At)
+	u.finished = after(u.finished, load.At)
+}
+
+// mean returns the mean of the utilizations reported last.
+func (s *service) mean() float64 {
+	if s.reported == 0 {
+		return 0
+	}
+	return max(s.sum, 0) / float64(s.reported)
+}
+
+// reported returns the utilization in the newest report.
+func (u *upstream) reported() float64 {
+	return float64(u.load.Running+u.load.Waiting) / float64(u.load.Capacity)
+}
+
+// maxMarks bounds the starts and ends kept while no report comes.
+const maxMarks = 4096
+
+// trim drops the oldest starts and ends in pairs, which cancel each other, once
+// there are too many.
+func (u *upstream) trim() {
+	if len(u.started) <= maxMarks {
+		return
+	}
+	pairs := min(len(u.started), len(u.finished))
+	u.started = slices.Delete(u.started, 0, pairs)
+	u.finished = slices.Delete(u.finished, 0, pairs)
+}
+
+// after returns the times later than at, in the same slice.
+func after(times []time.Time, at time.Time) []time.Time {
+	return slices.DeleteFunc(times, func(t time.Time) bool { return !t.After(at) })
+}
+
+// prefixes is a bounded table from prefixes to upstreams, which forgets the
+// prefix that was used longest ago.
+type prefixes struct {
+	places map[uint64]*list.Element
+	order  list.List // of *place, the newest use first
+}
+
+// place is where a prefix was sent last.
+type place struct {
+	prefix   uint64
+	upstream *upstream
+}
+
+func (t *prefixes) get(prefix uint64) *upstream {
+	e := t.places[prefix]
+	if e == nil {
+		return nil
+	}
+	t.order.MoveToFront(e)
+	return e.Value.(*place).upstream
+}
+
+func (t *prefixes) put(prefix uint64, u *upstream, bound int) {
+	if e := t.places[prefix]; e != nil {
+		e.Value.(*place).upstream = u
+		t.order.MoveToFront(e)
+		return
+	}
+	t.places[prefix] = t.order.PushFront(&place{prefix: prefix, upstream: u})
+	for t.order.Len() > bound {
+		oldest := t.order.Back()
+		t.order.Remove(oldest)
+		delete(t.places, oldest.Value.(*place).prefix)
+	}
+}
+
+// drop forgets the prefixes of an upstream.
+func (t *prefixes) drop(u *upstream) {
+	for e := t.order.Front(); e != nil; {
+		next := e.Next()
+		if p := e.Value.(*place); p.upstream == u {
+			t.order.Remove(e)
+			delete(t.places, p.prefix)
+		}
+		e = next
+	}
+}
--- /dev/null
+++ b/kcw/kcwqueue/line.go
@@ -0,0 +1,180 @@
+package kcwqueue
+
+import (
+	"slices"
+	"time"
+)
+
+// entry is an item that waits.
+type entry struct {
+	item  Item
+	since time.Time
+	flow  *flow
+	index int // place in the heap of deadlines
+}
+
+// level returns the priority that the entry has risen to.
+func (e *entry) level(now time.Time, cfg *Config) int {
+	risen := int64(now.Sub(e.since) / cfg.Aging)
+	return int(min(int64(e.item.Priority)+max(risen, 0), int64(cfg.Priorities-1)))
+}
+
+// deadlines is a heap of the waiting entries, the earliest deadline first.
+type deadlines []*entry
+
+func (d deadlines) Len() int { return len(d) }
+
+func (d deadlines) Less(i, j int) bool { return d[i].item.Deadline.Before(d[j].item.Deadline) }
+
+func (d deadlines) Swap(i, j int) {
+	d[i], d[j] = d[j], d[i]
+	d[i].index, d[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (d *deadlines) Push(x any) {
+	e := x.(*entry)
+	e.index = len(*d)
+	*d = append(*d, e)
+}
+
+// Pop implements heap.Interface.
+func (d *deadlines) Pop() any {
+	last := len(*d) - 1
+	e := (*d)[last]
+	(*d)[last] = nil
+	*d = (*d)[:last]
+	return e
+}
+
+// shares is one step of fair queueing: the contracts of the queue, or the teams
+// of a contract.
+type shares struct {
+	nodes   map[string]*share
+	virtual float64 // virtual time: the start tag of the last item served
+}
+
+// share is one contract or team. For a contract, teams holds its teams; for a
+// team, flow holds its lines.
+type share struct {
+	weight  float64
+	tag     float64 // start tag of its next item
+	held    int     // items that wait or run
+	waiting []int   // waiting items by base priority
+	teams   shares
+	flow    *flow
+}
+
+// flow is the lines of one team of one contract.
+type flow struct {
+	contract *share
+	team     *share
+	lines    [][]*entry // by base priority, the oldest first
+}
+
+// flow returns the flow of an item and makes it if there is none.
+func (q *Queue) flow(item Item) *flow {
+	contract := q.contracts.node(item.Contract, item.ContractWeight, q.cfg.Priorities)
+	if contract.teams.nodes == nil {
+		contract.teams.nodes = make(map[string]*share)
+	}
+	team := contract.teams.node(item.Team, item.TeamWeight, q.cfg.Priorities)
+	if team.flow == nil {
+		team.flow = &flow{contract: contract, team: team, lines: make([][]*entry, q.cfg.Priorities)}
+	}
+	return team.flow
+}
+
+// node returns the share of a name, made if there is none, with its weight
+// brought up to date.
+func (s *shares) node(name string, weight float64, priorities int) *share {
+	n := s.nodes[name]
+	if n == nil {
+		n = &share{waiting: make([]int, priorities)}
+		s.nodes[name] = n
+	}
+	n.weight = weight
+	return n
+}
+
+// serve charges one item of the given cost to a share that starts it.
+func (s *shares) serve(n *share, cost float64) {
+	n.tag = max(n.tag, s.virtual)
+	s.virtual = n.tag
+	n.tag += cost / n.weight
+}
+
+// prune forgets a share that holds nothing and has no debt.
+func (s *shares) prune(name string, n *share) {
+	if n.held == 0 && n.tag <= s.virtual {
+		delete(s.nodes, name)
+	}
+}
+
+// charge counts an item that starts against its shares.
+func (q *Queue) charge(f *flow, item Item) {
+	q.contracts.serve(f.contract, item.Cost)
+	f.contract.teams.serve(f.team, item.Cost)
+	f.contract.held++
+	f.team.held++
+}
+
+// correct replaces the expected cost of an item that ended by its true one.
+func (q *Queue) correct(item Item, cost float64) {
+	f := q.flow(item)
+	f.contract.held--
+	f.team.held--
+	f.contract.tag += (cost - item.Cost) / f.contract.weight
+	f.team.tag += (cost - item.Cost) / f.team.weight
+}
+
+// sweep forgets the shares that hold nothing and have no debt, each time as many
+// requests have ended as there are contracts, and all of them in an idle queue.
+func (q *Queue) sweep() {
+	if len(q.running) == 0 && len(q.waiting) == 0 {
+		q.contracts = shares{nodes: make(map[string]*share)}
+		q.ended = 0
+		return
+	}
+	q.ended++
+	if q.ended < len(q.contracts.nodes) {
+		return
+	}
+	q.ended = 0
+	for name, contract := range q.contracts.nodes {
+		for team, n := range contract.teams.nodes {
+			contract.teams.prune(team, n)
+		}
+		q.contracts.prune(name, contract)
+	}
+}
+
+// push puts an entry at the end of its line.
+func (f *flow) push(e *entry) {
+	p := e.item.Priority
+	f.lines[p] = append(f.lines[p], e)
+	f.contract.waiting[p]++
+	f.contract.held++
+	f.team.waiting[p]++
+	f.team.held++
+}
+
+// pop takes an entry out of its line.
+func (f *flow) pop(e *entry) {
+	p := e.item.Priority
+	i := slices.Index(f.lines[p], e)
+	f.lines[p] = slices.Delete(f.lines[p], i, i+1)
+	f.contract.waiting[p]--
+	f.contract.held--
+	f.team.waiting[p]--
+	f.team.held--
+}
+
+// above returns how many items of the given base priority or a larger one wait.
+func (n *share) above(priority int) int {
+	sum := 0
+	for _, waiting := range n.waiting[priority:] {
+		sum += waiting
+	}
+	return sum
+}
--- /dev/null
+++ b/kcw/kcwqueue/order.go
@@ -0,0 +1,183 @@
+package kcwqueue
+
+import (
+	"math"
+	"time"
+)
+
+// first returns the entry that starts next: of the highest level, of the
+// contract with the smallest start tag there, of its team with the smallest,
+// and of that the one that has waited longest. Some item must be waiting.
+func (q *Queue) first(now time.Time) *entry {
+	top := -1
+	for _, contract := range q.contracts.nodes {
+		for _, team := range contract.teams.nodes {
+			if e := team.flow.head(now, &q.cfg, 0); e != nil {
+				top = max(top, e.level(now, &q.cfg))
+			}
+		}
+	}
+	var best *entry
+	for _, contract := range q.contracts.nodes {
+		e := q.firstOf(now, contract, top)
+		if e != nil && (best == nil || before(&q.contracts, e, best, e.flow.contract, best.flow.contract)) {
+			best = e
+		}
+	}
+	return best
+}
+
+// firstOf returns the entry of one contract that starts next, of those at the
+// level top, or nil.
+func (q *Queue) firstOf(now time.Time, contract *share, top int) *entry {
+	var best *entry
+	for _, team := range contract.teams.nodes {
+		e := team.flow.head(now, &q.cfg, top)
+		if e != nil && (best == nil || before(&contract.teams, e, best, e.flow.team, best.flow.team)) {
+			best = e
+		}
+	}
+	return best
+}
+
+// before reports whether entry a of share m starts before entry b of share n.
+// A share that was passed over for its priority keeps no claim to the past:
+// its tag counts from the virtual time.
+func before(s *shares, a, b *entry, m, n *share) bool {
+	tagA, tagB := max(m.tag, s.virtual), max(n.tag, s.virtual)
+	if tagA != tagB {
+		return tagA < tagB
+	}
+	return a.older(b)
+}
+
+// older orders entries by their time in the queue, then by identity.
+func (e *entry) older(other *entry) bool {
+	if !e.since.Equal(other.since) {
+		return e.since.Before(other.since)
+	}
+	return e.item.ID < other.item.ID
+}
+
+// head returns the flow's entry of the highest level, if that is at least
+// least, and of equal ones the oldest.
+func (f *flow) head(now time.Time, cfg *Config, least int) *entry {
+	var best *entry
+	for _, line := range f.lines {
+		if len(line) == 0 {
+			continue
+		}
+		e := line[0]
+		level := e.level(now, cfg)
+		if level < least {
+			continue
+		}
+		if best == nil || level > best.level(now, cfg) || (level == best.level(now, cfg) && e.older(best)) {
+			best = e
+		}
+	}
+	return best
+}
+
+// victim returns the waiting entry that gives up its place to item: the newest
+// of the lowest level, of the team and contract that wait most beyond their
+// weights. It returns nil if that entry goes before item.
+func (q *Queue) victim(now time.Time, item Item) *entry {
+	var worst *entry
+	for _, e := range q.waiting {
+		if worst == nil || q.worse(now, e, worst) {
+			worst = e
+		}
+	}
+	level := worst.level(now, &q.cfg)
+	if level != item.Priority {
+		if level < item.Priority {
+			return worst
+		}
+		return nil
+	}
+	mine := q.flow(item)
+	if mine.contract != worst.flow.contract {
+		if worst.flow.contract.excess(0) > mine.contract.excess(1) {
+			return worst
+		}
+		return nil
+	}
+	if mine.team != worst.flow.team && worst.flow.team.excess(0) > mine.team.excess(1) {
+		return worst
+	}
+	return nil
+}
+
+// worse reports whether a is evicted before b.
+func (q *Queue) worse(now time.Time, a, b *entry) bool {
+	if la, lb := a.level(now, &q.cfg), b.level(now, &q.cfg); la != lb {
+		return la < lb
+	}
+	if ea, eb := a.flow.contract.excess(0), b.flow.contract.excess(0); ea != eb {
+		return ea > eb
+	}
+	if ea, eb := a.flow.team.excess(0), b.flow.team.excess(0); ea != eb {
+		return ea > eb
+	}
+	return b.older(a)
+}
+
+// excess returns the waiting items and extra more over the share's weight.
+func (n *share) excess(extra int) float64 {
+	return float64(n.above(0)+extra) / n.weight
+}
+
+// expected returns when an item offered at now can be expected to start. The
+// items that go before it are at most all that wait with its priority or more,
+// and at most those which the other shares get while its own share works off
+// what is before it there.
+func (q *Queue) expected(now time.Time, item Item) time.Time {
+	if q.slots == 0 {
+		return now
+	}
+	contract := q.contracts.nodes[item.Contract]
+	inContract, inTeam := 0, 0
+	ahead := 0.0
+	if contract != nil {
+		inContract = contract.above(item.Priority)
+		if team := contract.teams.nodes[item.Team]; team != nil {
+			inTeam = team.above(item.Priority)
+		}
+		ahead = contract.teams.ahead(item.Team, item.TeamWeight, item.Priority, float64(inTeam))
+	}
+	ahead = min(ahead, float64(inContract))
+	ahead = q.contracts.ahead(item.Contract, item.ContractWeight, item.Priority, ahead)
+	wait := (ahead + 1) * float64(q.hold) / float64(q.slots)
+	return now.Add(time.Duration(min(wait, math.MaxInt64/4)))
+}
+
+// ahead returns how many items of all shares start before one that has own
+// items of its own share before it.
+func (s *shares) ahead(name string, weight float64, priority int, own float64) float64 {
+	total, weights := 0, weight
+	for other, n := range s.nodes {
+		waiting := n.above(priority)
+		total += waiting
+		if waiting > 0 && other != name {
+			weights += n.weight
+		}
+	}
+	return min(float64(total), (own+1)*weights/weight-1)
+}
+
+// learn takes the time that an ended request held its slot into the mean.
+func (q *Queue) learn(held time.Duration) {
+	const gain = 1.0 / 32
+	q.hold += time.Duration(gain * float64(max(held, 0)-q.hold))
+	q.hold = max(q.hold, 1)
+}
+
+// retryAt returns when an item like this one, with as long a time to its
+// deadline, can be expected to be admitted, with up to a half more as jitter.
+func (q *Queue) retryAt(now time.Time, item Item) time.Time {
+	slack := max(item.Deadline.Sub(now), 0)
+	wait := q.expected(now, item).Sub(now) - slack
+	wait = max(wait, q.hold/time.Duration(max(q.slots, 1)), 1)
+	return now.Add(wait + time.Duration(q.cfg.Rand.Int64N(int64(wait)/2+1)))
+}
