--- /dev/null
+++ b/kcw/kcwkeyring/keyring.go
@@ -0,0 +1,153 @@
+// Package kcwkeyring checks the keys of callers, operators and processes. A
+// Keyring holds only SHA-256 hashes and compares them in constant time.
+package kcwkeyring
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// minKeyBytes is the shortest key, in bytes, that a Keyring accepts.
+const minKeyBytes = 16
+
+// bearerPrefix opens the value of an Authorization header that holds a key.
+const bearerPrefix = "Bearer "
+
+// Kind says what was wrong with a key.
+type Kind int
+
+// The kinds of an Error.
+const (
+	// KindInvalid is a key or hash that cannot be used.
+	KindInvalid Kind = iota + 1
+	// KindRead is a key file that cannot be read.
+	KindRead
+)
+
+// Error is the error type of this package. It never holds a key.
+type Error struct {
+	Op   string
+	Kind Kind
+	Name string
+	Err  error
+}
+
+// Error returns the operation, the name of the key and the cause.
+func (e *Error) Error() string {
+	text := "kcwkeyring: " + e.Op
+	if e.Name != "" {
+		text += " " + e.Name
+	}
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Config lists the keys that a Keyring admits, by the name of their holder.
+type Config struct {
+	// Keys holds keys in clear text, which are hashed at once.
+	Keys map[string]string
+	// Hashes holds the SHA-256 of keys in hexadecimal.
+	Hashes map[string]string
+}
+
+// Keyring admits keys by their hash. It is immutable and safe for concurrent
+// use.
+type Keyring struct {
+	holders []holder
+}
+
+type holder struct {
+	name string
+	hash [sha256.Size]byte
+}
+
+// New returns a Keyring of the keys in cfg. It returns an *Error if a key is
+// shorter than 16 bytes or a hash is not 32 bytes in hexadecimal.
+func New(cfg Config) (*Keyring, error) {
+	k := &Keyring{}
+	for name, key := range cfg.Keys {
+		if len(key) < minKeyBytes {
+			return nil, &Error{Op: "new", Kind: KindInvalid, Name: name, Err: eris.Errorf("a key needs at least %d bytes", minKeyBytes)}
+		}
+		k.holders = append(k.holders, holder{name: name, hash: sha256.Sum256([]byte(key))})
+	}
+	for name, text := range cfg.Hashes {
+		raw, err := hex.DecodeString(text)
+		if err != nil || len(raw) != sha256.Size {
+			return nil, &Error{Op: "new", Kind: KindInvalid, Name: name, Err: eris.New("a hash needs 64 hexadecimal digits")}
+		}
+		k.holders = append(k.holders, holder{name: name, hash: [sha256.Size]byte(raw)})
+	}
+	return k, nil
+}
+
+// Holder returns the name of the holder of key, and whether there is one. The
+// time it takes does not depend on which hash matches.
+func (k *Keyring) Holder(key string) (string, bool) {
+	hash := sha256.Sum256([]byte(key))
+	found := -1
+	for i := range k.holders {
+		equal := subtle.ConstantTimeCompare(hash[:], k.holders[i].hash[:])
+		found = subtle.ConstantTimeSelect(equal, i, found)
+	}
+	if found < 0 {
+		return "", false
+	}
+	return k.holders[found].name, true
+}
+
+// Admits returns whether the bearer key in header belongs to a holder.
+func (k *Keyring) Admits(header http.Header) bool {
+	key, ok := Bearer(header)
+	if !ok {
+		return false
+	}
+	_, ok = k.Holder(key)
+	return ok
+}
+
+// Hash returns the SHA-256 of key, as contracts list it.
+func Hash(key string) []byte {
+	hash := sha256.Sum256([]byte(key))
+	return hash[:]
+}
+
+// Equal returns whether two hashes are the same, in constant time.
+func Equal(a, b []byte) bool {
+	return subtle.ConstantTimeCompare(a, b) == 1
+}
+
+// Bearer returns the key in the Authorization header, and whether there is one.
+func Bearer(header http.Header) (string, bool) {
+	value := header.Get("Authorization")
+	if len(value) <= len(bearerPrefix) || !strings.EqualFold(value[:len(bearerPrefix)], bearerPrefix) {
+		return "", false
+	}
+	return strings.TrimSpace(value[len(bearerPrefix):]), true
+}
+
+// ReadKey returns the key in the file at path: its first line, without spaces
+// at the ends. It returns an *Error if there is none.
+func ReadKey(path string) (string, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return "", &Error{Op: "read", Kind: KindRead, Err: eris.Wrap(err, "key file")}
+	}
+	line, _, _ := strings.Cut(string(raw), "\n")
+	key := strings.TrimSpace(line)
+	if len(key) < minKeyBytes {
+		return "", &Error{Op: "read", Kind: KindInvalid, Name: path, Err: eris.Errorf("a key needs at least %d bytes", minKeyBytes)}
+	}
+	return key, nil
+}
