--- /dev/null
+++ b/kcw/kcwbook/error.go
@@ -0,0 +1,26 @@
+package kcwbook
+
+import "fmt"
+
+// Kind says what sort of failure an Error is.
+type Kind int
+
+const (
+	// KindDamaged is a snapshot that cannot be read whole.
+	KindDamaged Kind = iota + 1
+	// KindInvariant is a state that breaks the budget invariant.
+	KindInvariant
+)
+
+// Error is a failure of a Book.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("kcwbook: %s: %v", e.Op, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
