--- /dev/null
+++ b/kcw/kcwtoken/admitted.go
@@ -0,0 +1,24 @@
+package kcwtoken
+
+// admitted lists the parameters of a chat request that reach an engine. None
+// of them makes the prompt longer than its bytes, or adds choices beyond n.
+var admitted = map[string]bool{
+	"messages": true, "model": true, "stream": true, "stream_options": true,
+	"max_tokens": true, "max_completion_tokens": true, "n": true,
+	"temperature": true, "top_p": true, "top_k": true, "min_p": true,
+	"frequency_penalty": true, "presence_penalty": true, "repetition_penalty": true,
+	"stop": true, "stop_token_ids": true, "seed": true, "user": true,
+	"logprobs": true, "top_logprobs": true, "logit_bias": true,
+	"response_format": true, "tools": true, "tool_choice": true,
+	"functions": true, "function_call": true, "parallel_tool_calls": true,
+	"metadata": true, "store": true, "service_tier": true,
+	"reasoning_effort": true, "min_tokens": true, "ignore_eos": true,
+	"skip_special_tokens": true, "prompt_cache_key": true, "safety_identifier": true,
+}
+
+// admittedInMessage lists the members of one message.
+var admittedInMessage = map[string]bool{
+	"role": true, "content": true, "name": true, "tool_calls": true,
+	"tool_call_id": true, "function_call": true, "refusal": true,
+	"reasoning_content": true,
+}
--- /dev/null
+++ b/kcw/kcwtoken/estimator.go
@@ -0,0 +1,230 @@
+// Package kcwtoken bounds the tokens of a chat request from above, before any
+// engine has seen it.
+//
+// A byte-level byte-pair encoding (Sennrich, Haddow and Birch, "Neural Machine
+// Translation of Rare Words with Subword Units", 2016) gives each token at
+// least one byte of text. So the bytes of a prompt bound its tokens, once the
+// text that a chat template adds is counted too. What has no such bound, such
+// as an image or a template of the caller's own, is refused.
+package kcwtoken
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"unicode/utf8"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// defaultRequestTokens and defaultItemTokens are what a chat template adds
+	// to a request, and to each message and tool, if Config leaves it open.
+	defaultRequestTokens = 256
+	defaultItemTokens    = 32
+	// defaultMaxChoices is the largest n if Config leaves it open.
+	defaultMaxChoices = 8
+	// maxBound is the largest bound, in tokens, that a request may have.
+	maxBound = math.MaxInt32
+	// escapeBytes is the length of a JSON escape such as \u00e9.
+	escapeBytes = 6
+	// indent is the widest indentation with which templates print tools.
+	indent = "    "
+)
+
+// Config sets up an Estimator.
+type Config struct {
+	// RequestTokens is what a chat template adds to each request, 256 if zero.
+	RequestTokens int64
+	// ItemTokens is what it adds to each message and tool, 32 if zero.
+	ItemTokens int64
+	// MaxChoices is the largest n of a request, 8 if zero.
+	MaxChoices int64
+}
+
+// Estimator bounds and normalizes chat requests. It is immutable and safe for
+// concurrent use.
+type Estimator struct {
+	cfg Config
+}
+
+// New returns an Estimator for cfg.
+func New(cfg Config) *Estimator {
+	if cfg.RequestTokens <= 0 {
+		cfg.RequestTokens = defaultRequestTokens
+	}
+	if cfg.ItemTokens <= 0 {
+		cfg.ItemTokens = defaultItemTokens
+	}
+	if cfg.MaxChoices <= 0 {
+		cfg.MaxChoices = defaultMaxChoices
+	}
+	return &Estimator{cfg: cfg}
+}
+
+// Prompt returns an upper bound of the tokens of the prompt in fields, the
+// members of a chat request. It rewrites the messages so that each member
+// stands in them once, and returns an *Error for content without a bound.
+func (e *Estimator) Prompt(fields map[string]json.RawMessage) (int64, error) {
+	total := e.cfg.RequestTokens
+	for name, value := range fields {
+		if !admitted[name] {
+			return 0, &Error{Op: "prompt", Kind: KindUnsupported, Param: name, Err: eris.New("parameter is not supported")}
+		}
+		total += int64(len(name) + len(value))
+	}
+	added, err := e.messages(fields)
+	if err != nil {
+		return 0, err
+	}
+	total += added
+	for _, name := range []string{"tools", "functions"} {
+		added, err := e.tools(name, fields[name])
+		if err != nil {
+			return 0, err
+		}
+		total += added
+	}
+	if total > maxBound {
+		return 0, &Error{Op: "prompt", Kind: KindTooLong, Param: "messages", Err: eris.New("prompt has too many tokens")}
+	}
+	return total, nil
+}
+
+// Completion returns how many tokens each choice of the request in fields may
+// have, and the number of choices. An unset limit of the request becomes
+// standard, one above most becomes most. Neither is applied if zero.
+func (e *Estimator) Completion(fields map[string]json.RawMessage, standard, most int64) (each, choices int64, err error) {
+	each, err = number(fields, "max_completion_tokens", 0)
+	if err != nil {
+		return 0, 0, err
+	}
+	if each == 0 {
+		each, err = number(fields, "max_tokens", 0)
+	}
+	if err != nil {
+		return 0, 0, err
+	}
+	if each == 0 {
+		each = standard
+	}
+	if each == 0 || (most > 0 && each > most) {
+		each = most
+	}
+	if each <= 0 || each > maxBound {
+		return 0, 0, &Error{Op: "completion", Kind: KindTooLong, Param: "max_tokens", Err: eris.New("neither request nor contract limits the completion")}
+	}
+	choices, err = number(fields, "n", 1)
+	if err != nil {
+		return 0, 0, err
+	}
+	if choices > e.cfg.MaxChoices {
+		return 0, 0, &Error{Op: "completion", Kind: KindTooLong, Param: "n", Err: eris.Errorf("more than %d choices", e.cfg.MaxChoices)}
+	}
+	return each, choices, nil
+}
+
+// number returns the positive whole number in a member, or absent if the
+// member is missing or null.
+func number(fields map[string]json.RawMessage, name string, absent int64) (int64, error) {
+	raw, ok := fields[name]
+	if !ok || bytes.Equal(raw, []byte("null")) {
+		return absent, nil
+	}
+	var n int64
+	if err := json.Unmarshal(raw, &n); err != nil || n < 1 {
+		return 0, &Error{Op: "number", Kind: KindMalformed, Param: name, Err: eris.New("must be a positive whole number")}
+	}
+	return n, nil
+}
+
+// messages bounds what a template adds to the messages, beyond their bytes.
+func (e *Estimator) messages(fields map[string]json.RawMessage) (int64, error) {
+	var list []map[string]json.RawMessage
+	if err := json.Unmarshal(fields["messages"], &list); err != nil || len(list) == 0 {
+		return 0, &Error{Op: "prompt", Kind: KindMalformed, Param: "messages", Err: eris.New("must be a list of at least one message")}
+	}
+	var total int64
+	for _, message := range list {
+		if err := checkContent(message); err != nil {
+			return 0, err
+		}
+		total += e.cfg.ItemTokens + printedBytes(message["tool_calls"]) + printedBytes(message["function_call"])
+	}
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(list); err != nil {
+		return 0, &Error{Op: "prompt", Kind: KindMalformed, Param: "messages", Err: eris.Wrap(err, "encode")}
+	}
+	fields["messages"] = bytes.TrimSpace(out.Bytes())
+	return total, nil
+}
+
+// tools bounds what a template prints for tools.
+func (e *Estimator) tools(name string, raw json.RawMessage) (int64, error) {
+	if raw == nil || bytes.Equal(raw, []byte("null")) {
+		return 0, nil
+	}
+	var list []json.RawMessage
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return 0, &Error{Op: "prompt", Kind: KindMalformed, Param: name, Err: eris.New("must be a list")}
+	}
+	return printedBytes(raw) + int64(len(list))*e.cfg.ItemTokens, nil
+}
+
+// checkContent refuses a message that holds more than text.
+func checkContent(message map[string]json.RawMessage) error {
+	for name := range message {
+		if !admittedInMessage[name] {
+			return &Error{Op: "prompt", Kind: KindUnsupported, Param: "messages." + name, Err: eris.New("member is not supported")}
+		}
+	}
+	content := message["content"]
+	if len(content) == 0 || content[0] != '[' {
+		return checkText(content)
+	}
+	var parts []map[string]json.RawMessage
+	if err := json.Unmarshal(content, &parts); err != nil {
+		return &Error{Op: "prompt", Kind: KindMalformed, Param: "messages.content", Err: eris.New("must be text or a list of parts")}
+	}
+	for _, part := range parts {
+		var kind string
+		if err := json.Unmarshal(part["type"], &kind); err != nil || kind != "text" || len(part) != 2 || part["text"] == nil {
+			return &Error{Op: "prompt", Kind: KindUnsupported, Param: "messages.content", Err: eris.New("only text parts are supported")}
+		}
+	}
+	rewritten, err := json.Marshal(parts)
+	if err != nil {
+		return &Error{Op: "prompt", Kind: KindMalformed, Param: "messages.content", Err: eris.Wrap(err, "encode")}
+	}
+	message["content"] = rewritten
+	return nil
+}
+
+// checkText refuses content that is neither text nor null nor absent.
+func checkText(content json.RawMessage) error {
+	if len(content) == 0 || content[0] == '"' || bytes.Equal(content, []byte("null")) {
+		return nil
+	}
+	return &Error{Op: "prompt", Kind: KindMalformed, Param: "messages.content", Err: eris.New("must be text or a list of parts")}
+}
+
+// printedBytes bounds the length of raw when a template prints it with
+// indentation and escapes.
+func printedBytes(raw json.RawMessage) int64 {
+	if len(raw) == 0 {
+		return 0
+	}
+	var out bytes.Buffer
+	if err := json.Indent(&out, raw, "", indent); err != nil {
+		return 0
+	}
+	total := int64(out.Len())
+	for _, b := range out.Bytes() {
+		if b >= utf8.RuneSelf || b == '<' || b == '>' || b == '&' || b == '\'' {
+			total += escapeBytes - 1
+		}
+	}
+	return total
+}
