--- /dev/null
+++ b/kcw/kcwledger/client.go
@@ -0,0 +1,219 @@
+// Package kcwledger holds the client of the ledger that routers and operator
+// tools use. The client finds the leader, sends commands in batches, and
+// resends a command until it is answered: every command of the ledger is
+// idempotent by an identity that it carries.
+package kcwledger
+
+import (
+	"context"
+	"crypto/rand"
+	"math/big"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// LeaderHeader names, in the answer of a follower, the address of the leader.
+const LeaderHeader = "Kcw-Leader"
+
+// Config configures a Client.
+type Config struct {
+	// Addresses are the replicas of the ledger. At least one is needed.
+	Addresses []netip.AddrPort
+	// Key is the bearer key that the replicas ask for.
+	Key string
+	// CallTimeout bounds one call to one replica; 500 ms if zero.
+	CallTimeout time.Duration
+	// SilenceTimeout bounds the time between two events of a watch; 3 s if zero.
+	SilenceTimeout time.Duration
+	// Senders is how many batches may be under way at once; 4 if zero.
+	Senders int
+	// BatchLimit is the most commands in one batch; 256 if zero.
+	BatchLimit int
+}
+
+// Client is a client of the ledger. It may be used by many goroutines at once.
+type Client struct {
+	cfg    Config
+	links  *links
+	queue  chan *call
+	closed chan struct{}
+	once   sync.Once
+	done   sync.WaitGroup
+}
+
+// call is one command on its way. Sent is whether a replica may have it; it is
+// written by the sender before done is closed.
+type call struct {
+	ctx    context.Context
+	cmd    *kcwpb.Command
+	result *kcwpb.Result
+	sent   bool
+	err    error
+	done   chan struct{}
+}
+
+// New returns a Client that has started its senders. It returns an Error of
+// kind Invalid if cfg has no address or no key.
+func New(cfg Config) (*Client, error) {
+	if len(cfg.Addresses) == 0 {
+		return nil, &Error{Op: "new", Kind: Invalid, Err: errNoAddress}
+	}
+	if cfg.Key == "" {
+		return nil, &Error{Op: "new", Kind: Invalid, Err: errNoKey}
+	}
+	cfg = withDefaults(cfg)
+	c := &Client{
+		cfg:    cfg,
+		links:  newLinks(cfg.Addresses, cfg.Key, cfg.CallTimeout),
+		queue:  make(chan *call, cfg.Senders*cfg.BatchLimit),
+		closed: make(chan struct{}),
+	}
+	c.done.Add(cfg.Senders)
+	for range cfg.Senders {
+		go c.send()
+	}
+	return c, nil
+}
+
+func withDefaults(cfg Config) Config {
+	if cfg.CallTimeout <= 0 {
+		cfg.CallTimeout = 500 * time.Millisecond
+	}
+	if cfg.SilenceTimeout <= 0 {
+		cfg.SilenceTimeout = 3 * time.Second
+	}
+	if cfg.Senders <= 0 {
+		cfg.Senders = 4
+	}
+	if cfg.BatchLimit <= 0 {
+		cfg.BatchLimit = 256
+	}
+	return cfg
+}
+
+// Close stops the senders and closes every connection. Commands not yet
+// answered end with kind NotSent or OutcomeUnknown.
+func (c *Client) Close() {
+	c.once.Do(func() { close(c.closed) })
+	c.done.Wait()
+	c.links.close()
+}
+
+// Submit has cmd carried out and returns its result. It resends until ctx ends.
+// The error is of kind NotSent when no replica can have received cmd, of kind
+// OutcomeUnknown when cmd may still be carried out, and of kind Refused when
+// the ledger refused it.
+func (c *Client) Submit(ctx context.Context, cmd *kcwpb.Command) (*kcwpb.Result, error) {
+	w := &call{ctx: ctx, cmd: cmd, done: make(chan struct{})}
+	select {
+	case c.queue <- w:
+	case <-ctx.Done():
+		return nil, &Error{Op: "submit", Kind: NotSent, Err: ctx.Err()}
+	case <-c.closed:
+		return nil, &Error{Op: "submit", Kind: Closed}
+	}
+	select {
+	case <-w.done:
+		return w.result, w.err
+	case <-ctx.Done():
+		// The sender owns w: it may be sending this very moment.
+		return nil, &Error{Op: "submit", Kind: OutcomeUnknown, Err: ctx.Err()}
+	case <-c.closed:
+		return nil, &Error{Op: "submit", Kind: OutcomeUnknown, Err: errClosed}
+	}
+}
+
+// send carries batches to the leader until the client is closed.
+func (c *Client) send() {
+	defer c.done.Done()
+	for {
+		select {
+		case <-c.closed:
+			return
+		case first := <-c.queue:
+			c.deliver(c.gather(first))
+		}
+	}
+}
+
+// gather returns first and the calls waiting behind it, up to the batch limit.
+func (c *Client) gather(first *call) []*call {
+	batch := []*call{first}
+	for len(batch) < c.cfg.BatchLimit {
+		select {
+		case w := <-c.queue:
+			batch = append(batch, w)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// deliver sends batch until each call is answered or given up by its caller.
+func (c *Client) deliver(batch []*call) {
+	for {
+		batch = dropEnded(batch)
+		if len(batch) == 0 {
+			return
+		}
+		if c.isClosed() {
+			failAll(batch, errClosed)
+			return
+		}
+		if c.attempt(batch) {
+			return
+		}
+		c.pause()
+	}
+}
+
+// attempt sends batch once. It reports whether all its calls are answered.
+func (c *Client) attempt(batch []*call) bool {
+	link := c.links.leader()
+	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.CallTimeout)
+	defer cancel()
+	response, err := link.ledger.Submit(ctx, connect.NewRequest(&kcwpb.SubmitRequest{Commands: commands(batch)}))
+	if err == nil && len(response.Msg.Results) == len(batch) {
+		answer(batch, response.Msg.Results)
+		return true
+	}
+	if isRefusal(err) {
+		refuseAll(batch, err)
+		return true
+	}
+	if !isNotLeader(err) {
+		markSent(batch)
+	}
+	c.links.failed(link, err)
+	return false
+}
+
+// pause waits a short random time, so that many clients don't resend together.
+func (c *Client) pause() {
+	const longest = 40 * time.Millisecond
+	n, err := rand.Int(rand.Reader, big.NewInt(int64(longest)))
+	if err != nil {
+		n = big.NewInt(int64(longest))
+	}
+	timer := time.NewTimer(time.Duration(n.Int64()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.closed:
+	}
+}
+
+func (c *Client) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
