Add the services of a ledger replica

Only the leader's own view marks an owner silent; what a caller writes there is overwritten. A call whose commands were all turned away for want of leadership is told from one whose fate is unknown. go test -race ./kcwservice passes.

--- /dev/null
+++ b/kcw/kcwservice/service.go
@@ -0,0 +1,105 @@
+// Package kcwservice holds the services that a ledger replica offers: to the
+// other replicas, to routers, and to operators.
+package kcwservice
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+)
+
+// Config configures a Service. Every field is needed.
+type Config struct {
+	Group group
+	Book  book
+	// Changed returns a channel that is closed at the next change of the
+	// contracts' revision.
+	Changed func() <-chan struct{}
+	// PeerKey admits replicas, RouterKey routers and OperatorKey operators.
+	PeerKey     string
+	RouterKey   string
+	OperatorKey string
+	// Beat is the time between two events of a watch at the most.
+	Beat time.Duration
+	// SilentAfter is how long a router's heartbeats may be missing before its
+	// repeatable claims may be adopted.
+	SilentAfter time.Duration
+	// Now returns the present time.
+	Now func() time.Time
+}
+
+// group is the replica that the services stand on.
+type group interface {
+	Propose(ctx context.Context, data []byte) ([]byte, error)
+	Confirm(ctx context.Context) error
+	Step(msgs []*kcwpb.Message)
+	Status() *kcwpb.GroupStatus
+	Fresh() bool
+	ChangeMembers(ctx context.Context, req *kcwpb.ChangeMembersRequest) (*kcwpb.Membership, error)
+}
+
+// book is the replicated state that the services read.
+type book interface {
+	Revision() uint64
+	Contract(customer string) *kcwpb.Contract
+	ContractByKey(hash []byte) *kcwpb.Contract
+	Since(revision uint64) ([]*kcwpb.Contract, uint64)
+	Budget(customer string) *kcwpb.Budget
+	Claim(customer, request string) *kcwpb.Claim
+	Contracts() []*kcwpb.Contract
+	Claims(customer string) []*kcwpb.Claim
+	Grants(customer string) []*kcwpb.Grant
+	Changes(customer string) []*kcwpb.Change
+	Routers() []*kcwpb.Router
+}
+
+// Service answers the calls to one replica.
+type Service struct {
+	cfg     Config
+	roster  *roster
+	recalls *recalls
+	stopped chan struct{}
+	once    sync.Once
+}
+
+// New returns a Service. It returns an Error of kind Invalid if a field of cfg
+// is missing or two roles share a key.
+func New(cfg Config) (*Service, error) {
+	if err := check(cfg); err != nil {
+		return nil, &Error{Op: "new", Kind: Invalid, Err: err}
+	}
+	return &Service{cfg: cfg, roster: newRoster(), recalls: newRecalls(), stopped: make(chan struct{})}, nil
+}
+
+func check(cfg Config) error {
+	switch {
+	case cfg.Group == nil, cfg.Book == nil, cfg.Changed == nil, cfg.Now == nil:
+		return errors.New("a part is missing")
+	case cfg.PeerKey == "", cfg.RouterKey == "", cfg.OperatorKey == "":
+		return errors.New("a key is missing")
+	case cfg.PeerKey == cfg.RouterKey, cfg.PeerKey == cfg.OperatorKey, cfg.RouterKey == cfg.OperatorKey:
+		return errors.New("two roles share a key")
+	case cfg.Beat <= 0, cfg.SilentAfter <= 0:
+		return errors.New("a time is not positive")
+	}
+	return nil
+}
+
+// Handler returns the handler of all services.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(kcwpbconnect.NewPeerHandler(&peerService{s}, admit(s.cfg.PeerKey)))
+	mux.Handle(kcwpbconnect.NewLedgerHandler(&ledgerService{s}, admit(s.cfg.RouterKey)))
+	mux.Handle(kcwpbconnect.NewOperatorHandler(&operatorService{s}, admit(s.cfg.OperatorKey)))
+	return mux
+}
+
+// Stop ends every watch, so that a server can shut down. Other calls go on.
+func (s *Service) Stop() {
+	s.once.Do(func() { close(s.stopped) })
+}
--- /dev/null
+++ b/kcw/kcwservice/service_test.go
@@ -0,0 +1,331 @@
+package kcwservice
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwgroup"
+	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+)
+
+// fakeGroup takes every proposal at once, unless it does not lead.
+type fakeGroup struct {
+	mu       sync.Mutex
+	follows  string
+	stale    bool
+	err      error
+	proposed []*kcwpb.Command
+	result   *kcwpb.Result
+}
+
+func (g *fakeGroup) Propose(_ context.Context, data []byte) ([]byte, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.follows != "" {
+		return nil, &kcwgroup.Error{Op: "propose", Kind: kcwgroup.NotLeader}
+	}
+	if g.err != nil {
+		return nil, g.err
+	}
+	cmd := &kcwpb.Command{}
+	if err := proto.Unmarshal(data, cmd); err != nil {
+		return nil, err
+	}
+	g.proposed = append(g.proposed, cmd)
+	return proto.Marshal(g.result)
+}
+
+func (g *fakeGroup) Confirm(context.Context) error {
+	if g.follows != "" {
+		return &kcwgroup.Error{Op: "confirm", Kind: kcwgroup.NotLeader}
+	}
+	return nil
+}
+
+func (g *fakeGroup) Step([]*kcwpb.Message) {}
+
+func (g *fakeGroup) Status() *kcwpb.GroupStatus {
+	if g.follows != "" {
+		return &kcwpb.GroupStatus{Id: 1, Leader: 2, LeaderAddress: g.follows}
+	}
+	return &kcwpb.GroupStatus{Id: 1, Leader: 1}
+}
+
+func (g *fakeGroup) Fresh() bool { return !g.stale }
+
+func (g *fakeGroup) ChangeMembers(context.Context, *kcwpb.ChangeMembersRequest) (*kcwpb.Membership, error) {
+	return &kcwpb.Membership{}, g.err
+}
+
+// fakeBook holds contracts in order of revision, and one claim.
+type fakeBook struct {
+	contracts []*kcwpb.Contract
+	claim     *kcwpb.Claim
+}
+
+func (b *fakeBook) Revision() uint64 { return uint64(len(b.contracts)) }
+
+func (b *fakeBook) Contract(customer string) *kcwpb.Contract {
+	for _, c := range b.contracts {
+		if c.Customer == customer {
+			return c
+		}
+	}
+	return nil
+}
+
+func (b *fakeBook) ContractByKey([]byte) *kcwpb.Contract { return nil }
+
+func (b *fakeBook) Since(revision uint64) ([]*kcwpb.Contract, uint64) {
+	return b.contracts[min(revision, b.Revision()):], b.Revision()
+}
+
+func (b *fakeBook) Budget(string) *kcwpb.Budget       { return nil }
+func (b *fakeBook) Claim(string, string) *kcwpb.Claim { return b.claim }
+func (b *fakeBook) Contracts() []*kcwpb.Contract      { return b.contracts }
+func (b *fakeBook) Claims(string) []*kcwpb.Claim      { return nil }
+func (b *fakeBook) Grants(string) []*kcwpb.Grant      { return nil }
+func (b *fakeBook) Changes(string) []*kcwpb.Change    { return nil }
+func (b *fakeBook) Routers() []*kcwpb.Router          { return nil }
+func contractAt(customer string, r int) *kcwpb.Contract {
+	return &kcwpb.Contract{Customer: customer, Revision: uint64(r)}
+}
+
+// bench is a service with its fakes, served on loopback.
+type bench struct {
+	group   *fakeGroup
+	book    *fakeBook
+	service *Service
+	url     string
+	now     time.Time
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{
+		group: &fakeGroup{result: &kcwpb.Result{Code: kcwpb.Code_CODE_OK}},
+		book:  &fakeBook{},
+		now:   time.Unix(1_800_000_000, 0),
+	}
+	service, err := New(Config{
+		Group:       b.group,
+		Book:        b.book,
+		Changed:     func() <-chan struct{} { return nil },
+		PeerKey:     "peer-key",
+		RouterKey:   "router-key",
+		OperatorKey: "operator-key",
+		Beat:        10 * time.Millisecond,
+		SilentAfter: 10 * time.Second,
+		Now:         func() time.Time { return b.now },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.service = service
+	server := httptest.NewServer(service.Handler())
+	t.Cleanup(func() {
+		service.Stop()
+		server.Close()
+	})
+	b.url = server.URL
+	return b
+}
+
+func request(msg *kcwpb.SubmitRequest, key string) *connect.Request[kcwpb.SubmitRequest] {
+	req := connect.NewRequest(msg)
+	if key != "" {
+		req.Header().Set("Authorization", "Bearer "+key)
+	}
+	return req
+}
+
+func TestEachRoleHasItsOwnKeyAndCommands(t *testing.T) {
+	open := &kcwpb.Command{Op: &kcwpb.Command_OpenClaim{OpenClaim: &kcwpb.OpenClaim{}}}
+	topUp := &kcwpb.Command{Op: &kcwpb.Command_TopUp{TopUp: &kcwpb.TopUp{}}}
+	resolve := &kcwpb.Command{Op: &kcwpb.Command_ResolveClaim{ResolveClaim: &kcwpb.ResolveClaim{}}}
+	for _, test := range []struct {
+		name     string
+		operator bool
+		key      string
+		cmd      *kcwpb.Command
+		want     connect.Code
+	}{
+		{"router opens", false, "router-key", open, 0},
+		{"router without a key", false, "", open, connect.CodeUnauthenticated},
+		{"router with another role's key", false, "operator-key", open, connect.CodeUnauthenticated},
+		{"router with a longer key", false, "router-key2", open, connect.CodeUnauthenticated},
+		{"router tops up", false, "router-key", topUp, connect.CodePermissionDenied},
+		{"router resolves", false, "router-key", resolve, connect.CodePermissionDenied},
+		{"router sends nothing known", false, "router-key", &kcwpb.Command{}, connect.CodePermissionDenied},
+		{"operator tops up", true, "operator-key", topUp, 0},
+		{"operator with the router's key", true, "router-key", topUp, connect.CodeUnauthenticated},
+		{"operator opens", true, "operator-key", open, connect.CodePermissionDenied},
+	} {
+		b := newBench(t)
+		submit := kcwpbconnect.NewLedgerClient(http.DefaultClient, b.url).Submit
+		if test.operator {
+			submit = kcwpbconnect.NewOperatorClient(http.DefaultClient, b.url).Submit
+		}
+		_, err := submit(t.Context(), request(&kcwpb.SubmitRequest{Commands: []*kcwpb.Command{test.cmd}}, test.key))
+		if test.want == 0 && err != nil || test.want != 0 && connect.CodeOf(err) != test.want {
+			t.Errorf("%s: got error %v, want code %v", test.name, err, test.want)
+		}
+		if taken := len(b.group.proposed); taken > 0 != (test.want == 0) {
+			t.Errorf("%s: %d commands reached the group", test.name, taken)
+		}
+	}
+}
+
+func TestReplicasNeedTheirKey(t *testing.T) {
+	b := newBench(t)
+	client := kcwpbconnect.NewPeerClient(http.DefaultClient, b.url)
+	req := connect.NewRequest(&kcwpb.ExchangeRequest{})
+	req.Header().Set("Authorization", "Bearer router-key")
+	if _, err := client.Exchange(t.Context(), req); connect.CodeOf(err) != connect.CodeUnauthenticated {
+		t.Errorf("got error %v, want code unauthenticated", err)
+	}
+}
+
+func TestOperatorCannotSubmitAnInvalidContract(t *testing.T) {
+	b := newBench(t)
+	client := kcwpbconnect.NewOperatorClient(http.DefaultClient, b.url)
+	put := &kcwpb.PutContract{Change: "c1", Contract: &kcwpb.Contract{Customer: "pew", Spec: []byte("{")}}
+	cmd := &kcwpb.Command{Op: &kcwpb.Command_PutContract{PutContract: put}}
+	_, err := client.Submit(t.Context(), request(&kcwpb.SubmitRequest{Commands: []*kcwpb.Command{cmd}}, "operator-key"))
+	if connect.CodeOf(err) != connect.CodeInvalidArgument || len(b.group.proposed) != 0 {
+		t.Errorf("got error %v and %d proposals, want invalid argument and none", err, len(b.group.proposed))
+	}
+}
+
+func TestSubmitTellsNothingTakenFromFateUnknown(t *testing.T) {
+	cmd := &kcwpb.Command{Op: &kcwpb.Command_OpenClaim{OpenClaim: &kcwpb.OpenClaim{}}}
+	for _, test := range []struct {
+		name    string
+		follows string
+		err     error
+		want    connect.Code
+	}{
+		{"follower", "127.0.0.1:7", nil, connect.CodeFailedPrecondition},
+		{"leadership lost", "", &kcwgroup.Error{Kind: kcwgroup.OutcomeUnknown}, connect.CodeUnavailable},
+		{"disk failed", "", errors.New("disk"), connect.CodeUnavailable},
+	} {
+		b := newBench(t)
+		b.group.follows, b.group.err = test.follows, test.err
+		client := kcwpbconnect.NewLedgerClient(http.DefaultClient, b.url)
+		_, err := client.Submit(t.Context(), request(&kcwpb.SubmitRequest{Commands: []*kcwpb.Command{cmd, cmd}}, "router-key"))
+		var e *connect.Error
+		if !errors.As(err, &e) || e.Code() != test.want {
+			t.Errorf("%s: got error %v, want code %v", test.name, err, test.want)
+			continue
+		}
+		if got := e.Meta().Get(kcwledger.LeaderHeader); got != test.follows {
+			t.Errorf("%s: named leader %q, want %q", test.name, got, test.follows)
+		}
+	}
+}
+
+func TestOnlyTheLeadersViewMarksASilentOwner(t *testing.T) {
+	b := newBench(t)
+	b.book.claim = &kcwpb.Claim{Router: "r1", Incarnation: 4}
+	// The caller's own word on silence must not count.
+	submit := func() *kcwpb.OpenClaim {
+		open := &kcwpb.OpenClaim{Router: "r2", SilentRouter: "r1", SilentIncarnation: 4}
+		_, err := b.service.submit(t.Context(), []*kcwpb.Command{{Op: &kcwpb.Command_OpenClaim{OpenClaim: open}}}, isRouterCommand)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b.group.proposed[len(b.group.proposed)-1].GetOpenClaim()
+	}
+	b.service.roster.note(&kcwpb.HeartbeatRequest{Router: "r1", Incarnation: 4}, b.now)
+	b.now = b.now.Add(10 * time.Second)
+	if got := submit(); got.SilentRouter != "" {
+		t.Errorf("a router heard within the limit was marked silent: %v", got)
+	}
+	b.now = b.now.Add(time.Second)
+	if got := submit(); got.SilentRouter != "r1" || got.SilentIncarnation != 4 {
+		t.Errorf("a silent router was not marked: %v", got)
+	}
+}
+
+func TestWatchSendsChangesInPartsAndBeats(t *testing.T) {
+	b := newBench(t)
+	const contracts = watchBatch + 10
+	for i := range contracts {
+		b.book.contracts = append(b.book.contracts, contractAt("pew", i+1))
+	}
+	client := kcwpbconnect.NewLedgerClient(http.DefaultClient, b.url)
+	req := connect.NewRequest(&kcwpb.WatchRequest{Revision: 5})
+	req.Header().Set("Authorization", "Bearer router-key")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	stream, err := client.Watch(ctx, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var revisions []uint64
+	received := 0
+	for len(revisions) < 3 && stream.Receive() {
+		received += len(stream.Msg().Contracts)
+		revisions = append(revisions, stream.Msg().Revision)
+	}
+	if received != contracts-5 {
+		t.Errorf("got %d contracts, want %d", received, contracts-5)
+	}
+	// The first part ends at its own last contract, the second is whole, and
+	// the third event is a beat.
+	want := []uint64{watchBatch + 5, contracts, contracts}
+	for i, revision := range revisions {
+		if revision != want[i] {
+			t.Errorf("event %d has revision %d, want %d", i, revision, want[i])
+		}
+	}
+}
+
+func TestAnIsolatedReplicaSaysSo(t *testing.T) {
+	b := newBench(t)
+	b.group.stale = true
+	client := kcwpbconnect.NewLedgerClient(http.DefaultClient, b.url)
+	lookup := connect.NewRequest(&kcwpb.LookupRequest{Customer: "pew"})
+	lookup.Header().Set("Authorization", "Bearer router-key")
+	if _, err := client.Lookup(t.Context(), lookup); connect.CodeOf(err) != connect.CodeUnavailable {
+		t.Errorf("a lookup got error %v, want unavailable", err)
+	}
+	beat := connect.NewRequest(&kcwpb.HeartbeatRequest{Router: "r1"})
+	beat.Header().Set("Authorization", "Bearer router-key")
+	if _, err := client.Heartbeat(t.Context(), beat); err == nil {
+		t.Error("a stale leader answered a heartbeat")
+	}
+	if event := (&ledgerService{b.service}).event(nil, 0); event.Fresh {
+		t.Error("a watch event of an isolated replica says it is fresh")
+	}
+}
+
+func TestRecallsEnd(t *testing.T) {
+	r := newRecalls()
+	now := time.Unix(0, 0)
+	r.add("pew", now)
+	r.add("kviitung", now.Add(recallFor))
+	for _, test := range []struct {
+		after time.Duration
+		want  int
+	}{
+		{0, 2},
+		{recallFor, 2},
+		{recallFor + 1, 1},
+		{2*recallFor + 1, 0},
+	} {
+		if got := r.list(now.Add(test.after)); len(got) != test.want {
+			t.Errorf("after %v: got recalls of %v, want %d", test.after, got, test.want)
+		}
+	}
+}
