--- /dev/null
+++ b/kcw/kcwbook/claim.go
@@ -0,0 +1,137 @@
+package kcwbook
+
+import (
+	"sync/atomic"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// claim is the record of one request. It is never changed once it is in a
+// table, apart from replaced: a new state is a new claim.
+type claim struct {
+	customer     string
+	request      string
+	router       string
+	upstream     string
+	tokens       int64
+	grantTokens  int64
+	incarnation  uint64
+	attempt      uint64
+	openedAt     int64
+	leaseUntil   int64
+	closedAt     int64
+	digest       [digestSize]byte
+	answerDigest [digestSize]byte
+	state        kcwpb.ClaimState
+	repeatable   bool
+	fromGrant    bool
+	hasDigest    bool
+	hasAnswer    bool
+	// replaced is the step that gave the request a new claim after this one was
+	// closed, zero if none did. It is read while an image is written.
+	replaced uint64
+}
+
+// with returns a copy of c that is in no table yet.
+func (c *claim) with() *claim {
+	return &claim{
+		customer: c.customer, request: c.request, router: c.router, upstream: c.upstream,
+		tokens: c.tokens, grantTokens: c.grantTokens, incarnation: c.incarnation, attempt: c.attempt,
+		openedAt: c.openedAt, leaseUntil: c.leaseUntil, closedAt: c.closedAt,
+		digest: c.digest, answerDigest: c.answerDigest, state: c.state,
+		repeatable: c.repeatable, fromGrant: c.fromGrant, hasDigest: c.hasDigest, hasAnswer: c.hasAnswer,
+	}
+}
+
+// replace dates the claim's end in its retention queue.
+func (c *claim) replace(step uint64) {
+	atomic.StoreUint64(&c.replaced, step)
+}
+
+// replacedBy says whether the claim was replaced at step or before.
+func (c *claim) replacedBy(step uint64) bool {
+	replaced := atomic.LoadUint64(&c.replaced)
+	return replaced != 0 && replaced <= step
+}
+
+// isClosed says whether the claim holds no tokens any more.
+func (c *claim) isClosed() bool {
+	return c.state == kcwpb.ClaimState_CLAIM_STATE_BILLED || c.state == kcwpb.ClaimState_CLAIM_STATE_NOT_RUN
+}
+
+// belongsTo says whether the incarnation of the router, or an older one of the
+// same router, owns the claim.
+func (c *claim) belongsTo(routerName string, incarnation uint64) bool {
+	return c.router == routerName && c.incarnation <= incarnation
+}
+
+// setDigest sets the digest of the request if there is one.
+func (c *claim) setDigest(digest []byte) {
+	if len(digest) == digestSize {
+		copy(c.digest[:], digest)
+		c.hasDigest = true
+	}
+}
+
+// setAnswer sets the digest of the answer if there is one.
+func (c *claim) setAnswer(digest []byte) {
+	if len(digest) == digestSize {
+		copy(c.answerDigest[:], digest)
+		c.hasAnswer = true
+	}
+}
+
+// differs says whether digest is that of another request.
+func (c *claim) differs(digest []byte) bool {
+	return c.hasDigest && len(digest) == digestSize && c.digest != [digestSize]byte(digest)
+}
+
+// message returns the claim as the ledger shows it.
+func (c *claim) message() *kcwpb.Claim {
+	m := &kcwpb.Claim{
+		Customer:    c.customer,
+		Request:     c.request,
+		State:       c.state,
+		Tokens:      c.tokens,
+		Router:      c.router,
+		Incarnation: c.incarnation,
+		Repeatable:  c.repeatable,
+		OpenedAt:    c.openedAt,
+		LeaseUntil:  c.leaseUntil,
+		ClosedAt:    c.closedAt,
+		Upstream:    c.upstream,
+		FromGrant:   c.fromGrant,
+		GrantTokens: c.grantTokens,
+		Attempt:     c.attempt,
+	}
+	if c.hasDigest {
+		m.Digest = append([]byte(nil), c.digest[:]...)
+	}
+	if c.hasAnswer {
+		m.AnswerDigest = append([]byte(nil), c.answerDigest[:]...)
+	}
+	return m
+}
+
+// claimOf returns the claim that message m shows.
+func claimOf(m *kcwpb.Claim) *claim {
+	c := &claim{
+		customer:    m.GetCustomer(),
+		request:     m.GetRequest(),
+		state:       m.GetState(),
+		tokens:      m.GetTokens(),
+		router:      m.GetRouter(),
+		incarnation: m.GetIncarnation(),
+		repeatable:  m.GetRepeatable(),
+		openedAt:    m.GetOpenedAt(),
+		leaseUntil:  m.GetLeaseUntil(),
+		closedAt:    m.GetClosedAt(),
+		upstream:    m.GetUpstream(),
+		fromGrant:   m.GetFromGrant(),
+		grantTokens: m.GetGrantTokens(),
+		attempt:     m.GetAttempt(),
+	}
+	c.setDigest(m.GetDigest())
+	c.setAnswer(m.GetAnswerDigest())
+	return c
+}
--- a/kcw/kcwbook/error.go
+++ b/kcw/kcwbook/error.go
@@ -8,6 +8,8 @@
 const (
 	// KindDamaged is a snapshot that cannot be read whole.
 	KindDamaged Kind = iota + 1
+	// KindWrite is a snapshot that could not be written.
+	KindWrite
 	// KindInvariant is a state that breaks the budget invariant.
 	KindInvariant
 )
--- /dev/null
+++ b/kcw/kcwbook/granted.go
@@ -0,0 +1,100 @@
+package kcwbook
+
+import "kingcupwick.example/kcw/kcwpb"
+
+// settleGranted closes a claim that a router opened away from the ledger. The
+// ledger may hold a claim for the same request, by the same router whose
+// opening timed out or by another that a retry reached: whatever ran first, the
+// request has one bill.
+func (s *state) settleGranted(a *account, old *claim, op *kcwpb.SettleClaim) *kcwpb.Result {
+	if old != nil {
+		if result := contestGranted(old, op); result != nil {
+			result.Grant = a.grantOf(op.GetRouter(), op.GetIncarnation()).message(a.customer)
+			return result
+		}
+	}
+	next := a.budget
+	if old != nil && !old.isClosed() {
+		next.reserved -= old.tokens
+	}
+	drafts, next, ok := a.draft(op, next)
+	if !ok {
+		result := refused(kcwpb.Code_CODE_EXHAUSTED, "neither the grant nor the budget holds the tokens")
+		result.Grant = a.grantOf(op.GetRouter(), op.GetIncarnation()).message(a.customer)
+		return result
+	}
+	if op.GetOutcome() == kcwpb.Outcome_OUTCOME_RAN {
+		next.billed += op.GetTokens()
+	} else {
+		next.reserved += op.GetTokens()
+	}
+	next = next.absorb()
+	if !next.valid() {
+		return broken()
+	}
+	a = s.owned(a)
+	c := s.settled(nil, op)
+	c.fromGrant = true
+	if old != nil && old.belongsTo(op.GetRouter(), op.GetIncarnation()) {
+		c.grantTokens = old.grantTokens
+	}
+	for _, g := range drafts {
+		c.grantTokens += a.grantOf(g.router, g.incarnation).tokens - g.tokens
+		a.putGrant(g)
+	}
+	a.budget = next
+	s.close(a, old, c)
+	result := showing(kcwpb.Code_CODE_OK, "", c)
+	result.Budget = a.message()
+	result.Grant = a.grantOf(op.GetRouter(), op.GetIncarnation()).message(a.customer)
+	return result
+}
+
+// contestGranted returns the result of settling out of a grant a request that
+// has the claim old, nil if op decides its outcome.
+func contestGranted(old *claim, op *kcwpb.SettleClaim) *kcwpb.Result {
+	own := old.belongsTo(op.GetRouter(), op.GetIncarnation())
+	ran := op.GetOutcome() == kcwpb.Outcome_OUTCOME_RAN
+	switch {
+	case old.state == kcwpb.ClaimState_CLAIM_STATE_BILLED:
+		if own && ran && op.GetTokens() == old.tokens {
+			return showing(kcwpb.Code_CODE_REPEATED, "", old)
+		}
+		return showing(kcwpb.Code_CODE_BILLED, "the request is billed", old)
+	case !ran && !old.isClosed() && !own:
+		return showing(kcwpb.Code_CODE_FENCED, "the claim belongs to another router incarnation", old)
+	case !ran && old.state == kcwpb.ClaimState_CLAIM_STATE_UNKNOWN && old.fromGrant && op.GetTokens() == old.tokens:
+		return showing(kcwpb.Code_CODE_REPEATED, "", old)
+	}
+	return nil
+}
+
+// draft takes the tokens of op out of the grant of its incarnation, then out of
+// what is free in next, then out of the orphaned grants of the same router. It
+// returns the changed grants and the budget without their part.
+func (a *account) draft(op *kcwpb.SettleClaim, next budget) ([]grant, budget, bool) {
+	var drafts []grant
+	need := op.GetTokens()
+	own := a.grantOf(op.GetRouter(), op.GetIncarnation())
+	if taken := min(need, own.tokens); taken > 0 {
+		own.tokens -= taken
+		next.granted -= taken
+		need -= taken
+		drafts = append(drafts, own)
+	}
+	need -= min(need, max(0, next.free()-(op.GetTokens()-need)))
+	for _, g := range a.grants {
+		if need == 0 {
+			break
+		}
+		if g.router != op.GetRouter() || g.incarnation >= op.GetIncarnation() || g.tokens == 0 {
+			continue
+		}
+		taken := min(need, g.tokens)
+		g.tokens -= taken
+		next.granted -= taken
+		need -= taken
+		drafts = append(drafts, g)
+	}
+	return drafts, next, need == 0
+}
--- /dev/null
+++ b/kcw/kcwbook/image.go
@@ -0,0 +1,175 @@
+package kcwbook
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/binary"
+	"hash/crc32"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// imageBuffer is the size of the buffer in front of a snapshot's writer, in
+// bytes.
+const imageBuffer = 256 << 10
+
+// castagnoli is the table of the snapshot's checksum.
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// image is the state at one step. Its accounts and claims are shared with the
+// book, which copies an account before it changes it.
+type image struct {
+	at       int64
+	steps    uint64
+	revision uint64
+	accounts []*account
+	routers  []*kcwpb.Router
+	changes  []*kcwpb.Change
+	closed   [][]*claim
+}
+
+// Freeze returns a function that writes the state as of the call as a stream
+// of length-delimited kcwpb.SnapshotRecord. The function may be called from
+// any goroutine while the book goes on applying commands, and returns an
+// *Error if w fails. Books in the same state write the same bytes.
+func (b *Book) Freeze() func(io.Writer) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := b.state.image()
+	return i.write
+}
+
+// image returns the state of now.
+func (s *state) image() *image {
+	s.generation++
+	i := &image{
+		at:       s.at,
+		steps:    s.steps,
+		revision: s.revision,
+		accounts: slices.Clone(s.order),
+		changes:  slices.Clone(s.routerChanges),
+		closed:   append(s.repeatables.image(), s.onces.image()...),
+	}
+	for _, r := range s.routers {
+		i.routers = append(i.routers, r.message())
+	}
+	return i
+}
+
+// write writes the image to w.
+func (i *image) write(w io.Writer) error {
+	buffer := bufio.NewWriterSize(w, imageBuffer)
+	out := &recordWriter{w: buffer}
+	i.writeState(out)
+	out.write(&kcwpb.SnapshotRecord{Record: &kcwpb.SnapshotRecord_Footer{Footer: &kcwpb.SnapshotFooter{
+		Records:  out.records,
+		Checksum: out.checksum,
+	}}})
+	if out.err == nil {
+		out.err = buffer.Flush()
+	}
+	if out.err != nil {
+		return &Error{Op: "Freeze", Kind: KindWrite, Err: eris.Wrap(out.err, "write a snapshot record")}
+	}
+	return nil
+}
+
+// writeState writes all records but the footer, each sort in its order.
+func (i *image) writeState(out *recordWriter) {
+	out.write(&kcwpb.SnapshotRecord{Record: &kcwpb.SnapshotRecord_Header{Header: &kcwpb.SnapshotHeader{
+		Revision: i.revision,
+		At:       i.at,
+	}}})
+	slices.SortFunc(i.routers, func(x, y *kcwpb.Router) int { return strings.Compare(x.GetName(), y.GetName()) })
+	for _, r := range i.routers {
+		out.write(&kcwpb.SnapshotRecord{Record: &kcwpb.SnapshotRecord_Router{Router: r}})
+	}
+	out.writeChanges(i.changes)
+	accounts := make(map[string]*account, len(i.accounts))
+	for _, a := range sorted(i.accounts) {
+		accounts[a.customer] = a
+		out.writeAccount(a)
+	}
+	for _, c := range i.kept(accounts) {
+		out.writeClaim(c)
+	}
+}
+
+// kept returns the closed claims of the image by the time of their closing.
+func (i *image) kept(accounts map[string]*account) []*claim {
+	var list []*claim
+	for _, chunk := range i.closed {
+		for _, c := range chunk {
+			if !c.replacedBy(i.steps) && !expired(accounts[c.customer], c, i.at) {
+				list = append(list, c)
+			}
+		}
+	}
+	slices.SortFunc(list, func(x, y *claim) int {
+		return cmp.Or(cmp.Compare(x.closedAt, y.closedAt),
+			strings.Compare(x.customer, y.customer), strings.Compare(x.request, y.request))
+	})
+	return list
+}
+
+// recordWriter writes length-delimited records until the first failure.
+type recordWriter struct {
+	w        io.Writer
+	records  uint64
+	checksum uint32
+	scratch  []byte
+	err      error
+}
+
+// write writes one record.
+func (out *recordWriter) write(record *kcwpb.SnapshotRecord) {
+	if out.err != nil {
+		return
+	}
+	options := proto.MarshalOptions{Deterministic: true}
+	out.scratch = binary.AppendUvarint(out.scratch[:0], uint64(options.Size(record)))
+	out.scratch, out.err = options.MarshalAppend(out.scratch, record)
+	if out.err != nil {
+		return
+	}
+	out.records++
+	out.checksum = crc32.Update(out.checksum, castagnoli, out.scratch)
+	_, out.err = out.w.Write(out.scratch)
+}
+
+// writeAccount writes the contract, budget, grants, changes and open claims of
+// a.
+func (out *recordWriter) writeAccount(a *account) {
+	out.write(&kcwpb.SnapshotRecord{Record: &kcwpb.SnapshotRecord_Contract{Contract: a.contract}})
+	out.write(&kcwpb.SnapshotRecord{Record: &kcwpb.SnapshotRecord_Budget{Budget: a.message()}})
+	for _, g := range a.grants {
+		out.write(&kcwpb.SnapshotRecord{Record: &kcwpb.SnapshotRecord_Grant{Grant: g.message(a.customer)}})
+	}
+	out.writeChanges(a.changes)
+	open := make([]*claim, 0, len(a.open))
+	for _, c := range a.open {
+		open = append(open, c)
+	}
+	slices.SortFunc(open, func(x, y *claim) int { return strings.Compare(x.request, y.request) })
+	for _, c := range open {
+		out.writeClaim(c)
+	}
+}
+
+// writeChanges writes changes in their order.
+func (out *recordWriter) writeChanges(changes []*kcwpb.Change) {
+	for _, change := range changes {
+		out.write(&kcwpb.SnapshotRecord{Record: &kcwpb.SnapshotRecord_Change{Change: change}})
+	}
+}
+
+// writeClaim writes c.
+func (out *recordWriter) writeClaim(c *claim) {
+	out.write(&kcwpb.SnapshotRecord{Record: &kcwpb.SnapshotRecord_Claim{Claim: c.message()}})
+}
