--- a/kcw/kcwcontract/contract.go
+++ b/kcw/kcwcontract/contract.go
@@ -3,11 +3,7 @@
 // file format, its complete validation and its canonical form.
 package kcwcontract
 
-import (
-	"time"
-
-	"kingcupwick.example/kcw/kcwpb"
-)
+import "time"
 
 // Contract is one customer's contract. Lists are ordered by name in the
 // canonical form.
@@ -16,10 +12,10 @@
 	Customer string `required:"true"`
 	// PrepaidTokens is the prepaid budget.
 	PrepaidTokens int64 `required:"true"`
-	// Priority orders customers in queues; a larger one goes first.
-	Priority int
-	// Weight is the customer's share among equal priorities.
-	Weight int
+	// Priority orders customers in queues, from 0 to 9; a larger one goes first.
+	Priority int64
+	// Weight is the customer's share among equal priorities, 1 if it is left out.
+	Weight int64
 	// Limits bounds what the customer may ask for.
 	Limits Limits `required:"true"`
 	// AnswerRetention is how long a finished answer is kept for a retry. Zero
@@ -60,9 +56,10 @@
 // Team is one team of the customer. Weight and Priority count among the
 // customer's teams.
 type Team struct {
-	Name     string `required:"true"`
-	Weight   int
-	Priority int
+	Name string `required:"true"`
+	// Weight is the team's share among equal priorities, 1 if it is left out.
+	Weight   int64
+	Priority int64
 }
 
 // Model is one model that the contract admits. Upstream is the service that
@@ -86,37 +83,3 @@
 	// once.
 	NotRepeatable []string
 }
-
-// Decode reads a contract from its JSON file. It returns an *Error that lists
-// every problem with its field path if data is not exactly one valid contract.
-func Decode(data []byte) (*Contract, error) {
-	return nil, &Error{Op: "Decode", Kind: KindSyntax}
-}
-
-// Canonical returns the contract as JSON, the same bytes for the same
-// contract.
-func (c *Contract) Canonical() []byte { return nil }
-
-// Validate returns an *Error that lists every problem of c, or nil.
-func (c *Contract) Validate() error { return nil }
-
-// Message returns the contract as the ledger keeps it.
-func (c *Contract) Message() *kcwpb.Contract { return &kcwpb.Contract{Customer: c.Customer} }
-
-// FromMessage returns the contract that the ledger keeps as m.
-func FromMessage(m *kcwpb.Contract) (*Contract, error) { return Decode(m.GetSpec()) }
-
-// KeyByHash returns the key whose SHA-256 is hash in hexadecimal.
-func (c *Contract) KeyByHash(hash string) (Key, bool) { return Key{}, false }
-
-// Team returns the team called name.
-func (c *Contract) Team(name string) (Team, bool) { return Team{}, false }
-
-// Model returns the model called name.
-func (c *Contract) Model(name string) (Model, bool) { return Model{}, false }
-
-// Service returns the service with the longest prefix of path.
-func (c *Contract) Service(path string) (Service, bool) { return Service{}, false }
-
-// Repeatable says whether a call of path may be repeated.
-func (s Service) Repeatable(path string) bool { return false }
