Measure the policies against plain baselines on fake engines

Cause: each policy must beat its baseline to be kept. Aging is suspected: a flood's items that waited a second rise above fresh ones of other contracts.

--- /dev/null
+++ b/kcw/kcwpolicy/fake_test.go
@@ -0,0 +1,175 @@
+package kcwpolicy
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// The fake engine's speed: a prompt's tokens are read one prompt after the
+// other, and a cached prefix is read in a fifth of the time.
+const (
+	engineSlots  = 8
+	engineQueue  = 4 * engineSlots // requests queued above which it refuses
+	engineCache  = 24              // prefixes
+	missPrefill  = 60 * time.Millisecond
+	hitPrefill   = 12 * time.Millisecond
+	tokenTime    = 20 * time.Millisecond
+	networkDelay = time.Millisecond
+)
+
+// event is something that happens at a virtual time.
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// clock is a virtual clock with the events to come.
+type clock struct {
+	now    time.Time
+	events events
+	seq    int
+}
+
+func (c *clock) after(d time.Duration, run func()) { c.at(c.now.Add(d), run) }
+
+func (c *clock) at(at time.Time, run func()) {
+	c.seq++
+	heap.Push(&c.events, event{at: at, seq: c.seq, run: run})
+}
+
+func (c *clock) runUntil(end time.Time) {
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.run()
+	}
+}
+
+// try is one request at one engine.
+type try struct {
+	prefix   uint64
+	tokens   int
+	state    int // 0 queued, 1 running, 2 over
+	first    func(hit bool)
+	ended    func()
+	rejected func()
+}
+
+// engine is a fake model engine: slots, a bounded queue, a prefix cache.
+type engine struct {
+	clock   *clock
+	name    string
+	zone    string
+	slow    int // factor of all times
+	dead    bool
+	running int
+	waiting []*try
+	reading time.Time // until when prompts are being read
+	cache   []uint64  // the last used last
+}
+
+func newEngine(c *clock, i int) *engine {
+	return &engine{clock: c, name: fmt.Sprintf("worker-%d", i), zone: fmt.Sprintf("zone-%d", i%3), slow: 1}
+}
+
+func (e *engine) accept(t *try) {
+	switch {
+	case e.dead || t.state == 2:
+	case len(e.waiting) >= engineQueue:
+		t.state = 2
+		e.clock.after(networkDelay, t.rejected)
+	default:
+		e.waiting = append(e.waiting, t)
+		e.advance()
+	}
+}
+
+func (e *engine) advance() {
+	for e.running < engineSlots && len(e.waiting) > 0 {
+		t := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		if t.state == 2 {
+			continue
+		}
+		t.state = 1
+		e.running++
+		hit := e.touch(t.prefix)
+		prefill := missPrefill
+		if hit {
+			prefill = hitPrefill
+		}
+		if e.reading.Before(e.clock.now) {
+			e.reading = e.clock.now
+		}
+		e.reading = e.reading.Add(prefill * time.Duration(e.slow))
+		e.clock.at(e.reading.Add(networkDelay), func() {
+			if t.state == 1 {
+				t.first(hit)
+			}
+		})
+		decode := time.Duration(t.tokens) * tokenTime * time.Duration(e.slow)
+		e.clock.at(e.reading.Add(decode), func() {
+			if t.state == 1 {
+				e.leave(t)
+				t.ended()
+			}
+		})
+	}
+}
+
+// leave ends a try at the engine, by its end or by its caller's cancelling.
+func (e *engine) leave(t *try) {
+	if t.state == 1 {
+		e.running--
+	}
+	t.state = 2
+	e.advance()
+}
+
+// touch looks a prefix up in the cache, puts it there, and reports a hit.
+func (e *engine) touch(prefix uint64) bool {
+	hit := false
+	kept := e.cache[:0]
+	for _, p := range e.cache {
+		if p == prefix {
+			hit = true
+		} else {
+			kept = append(kept, p)
+		}
+	}
+	e.cache = append(kept, prefix)
+	if len(e.cache) > engineCache {
+		e.cache = e.cache[1:]
+	}
+	return hit
+}
+
+// load returns the requests at the engine that are not cancelled.
+func (e *engine) load() (running, waiting int) {
+	for _, t := range e.waiting {
+		if t.state == 0 {
+			waiting++
+		}
+	}
+	return e.running, waiting
+}
+
+// source returns a random source with a stream of its own.
+func source(seed, stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
--- /dev/null
+++ b/kcw/kcwpolicy/router_test.go
@@ -0,0 +1,264 @@
+package kcwpolicy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"kingcupwick.example/kcw/kcwbreaker"
+	"kingcupwick.example/kcw/kcwmember"
+	"kingcupwick.example/kcw/kcwpick"
+	"kingcupwick.example/kcw/kcwqueue"
+	"kingcupwick.example/kcw/kcwretry"
+)
+
+const (
+	firstDeadline = 5 * time.Second // the caller's, for the first token
+	tryDeadline   = 2 * time.Second // the router's, for one try's first token
+	maxTries      = 5
+)
+
+// variant is a set of policies.
+type variant struct {
+	name   string
+	pick   string // "picker", "round robin" or "least"
+	queue  bool
+	budget bool // of retries; else unlimited up to maxTries
+	guard  bool // breakers and membership
+	tune   func(*kcwpick.Config)
+}
+
+// request is one caller's request.
+type request struct {
+	contract int
+	prefix   uint64
+	tokens   int
+	arrived  time.Time
+	tries    int
+	excluded map[string]bool
+	state    int    // 0 under way, 1 first token came, 2 over
+	cancel   func() // ends the try under way, nil if there is none
+}
+
+// router is a fake router that follows a variant.
+type router struct {
+	fleet    *fleet
+	zone     string
+	rng      *rand.Rand
+	picker   *kcwpick.Picker
+	member   *kcwmember.Table
+	queue    *kcwqueue.Queue
+	budget   *kcwretry.Budget
+	breakers map[string]*kcwbreaker.Breaker
+	own      map[string]int
+	turn     int
+	waiting  map[uint64]*request
+	nextID   uint64
+	slots    int
+}
+
+func newRouter(f *fleet, i int) *router {
+	r := &router{
+		fleet: f, zone: f.engines[i%3].zone, rng: source(f.seed, uint64(1000+i)), turn: i,
+		breakers: make(map[string]*kcwbreaker.Breaker), own: make(map[string]int), waiting: make(map[uint64]*request),
+	}
+	cfg := kcwpick.Config{Zone: r.zone, HalfLife: time.Second, ZoneMargin: 0.1, PrefixMargin: 0.3, Prefixes: 10000, Rand: r.rng}
+	if f.variant.tune != nil {
+		f.variant.tune(&cfg)
+	}
+	r.picker = must(kcwpick.New(cfg))
+	r.member = must(kcwmember.New(kcwmember.Config{Silence: 5 * time.Second}))
+	r.slots = engineSlots * len(f.engines) / f.scenario.routers
+	r.queue = must(kcwqueue.New(kcwqueue.Config{
+		Slots: r.slots, Capacity: 8 * r.slots, Priorities: 3, Aging: time.Second, Hold: 2 * time.Second, Rand: r.rng,
+	}))
+	r.budget = must(kcwretry.New(kcwretry.Config{
+		Ratio: 0.1, Burst: 20, PauseFirst: 20 * time.Millisecond, PauseMost: time.Second, Rand: r.rng,
+	}))
+	for _, e := range f.engines {
+		if err := r.picker.Add("model", e.name, e.zone, engineSlots); err != nil {
+			panic(err)
+		}
+		r.breakers[e.name] = must(kcwbreaker.New(kcwbreaker.Config{
+			Window: 10 * time.Second, MinCalls: 8, FailureRate: 0.5, SlowRate: 0.5, Consecutive: 3, SlowAfter: time.Second,
+			Probes: 2, ProbeTimeout: 5 * time.Second, PauseFirst: time.Second, PauseMost: 20 * time.Second, Rand: r.rng,
+		}))
+		r.member.Answered(f.clock.now, e.name, f.clock.now, false)
+	}
+	return r
+}
+
+// arrive takes a caller's request.
+func (r *router) arrive(req *request) {
+	r.fleet.clock.after(firstDeadline, func() { r.giveUp(req) })
+	if !r.fleet.variant.queue {
+		r.dispatch(req, 0)
+		return
+	}
+	now := r.fleet.clock.now
+	r.nextID++
+	item := kcwqueue.Item{
+		ID: r.nextID, Contract: contractName(req.contract), Team: "team", ContractWeight: 1, TeamWeight: 1,
+		Priority: 1, Cost: float64(req.tokens), Deadline: now.Add(firstDeadline),
+	}
+	r.waiting[item.ID] = req
+	started, evicted, err := r.queue.Offer(now, item)
+	if evicted != nil {
+		r.refuse(evicted.ID)
+	}
+	switch {
+	case err != nil:
+		r.refuse(item.ID)
+	case started:
+		r.dispatch(req, item.ID)
+	}
+}
+
+// refuse answers a queued request that it has not run.
+func (r *router) refuse(id uint64) {
+	r.fleet.over(r.waiting[id], "refused")
+	delete(r.waiting, id)
+}
+
+// dispatch sends one try of a request.
+func (r *router) dispatch(req *request, id uint64) {
+	clock := r.fleet.clock
+	name, ok := r.choose(req)
+	if !ok || req.state == 2 {
+		r.fleet.over(req, "refused")
+		r.release(req, id)
+		return
+	}
+	if req.tries++; req.tries == 1 {
+		r.budget.First()
+		r.fleet.firstTries++
+	} else {
+		r.fleet.retries++
+	}
+	began := clock.now
+	ticket, _ := r.breakers[name].Begin(began)
+	r.own[name]++
+	e := r.fleet.byName[name]
+	t := &try{prefix: req.prefix, tokens: req.tokens}
+	over := false
+	leave := func() {
+		over = true
+		req.cancel = nil
+		r.own[name]--
+		r.picker.Finished(clock.now, name)
+	}
+	req.cancel = func() {
+		e.leave(t)
+		leave()
+		r.breakers[name].Cancel(ticket)
+		r.release(req, id)
+	}
+	failed := func() {
+		if over {
+			return
+		}
+		leave()
+		r.breakers[name].Fail(clock.now, ticket)
+		req.exclude(name)
+		r.again(req, id)
+	}
+	t.rejected = failed
+	t.first = func(hit bool) {
+		r.breakers[name].Succeed(clock.now, ticket, began)
+		r.fleet.first(req, hit, e.zone == r.zone)
+	}
+	t.ended = func() { leave(); r.fleet.over(req, "ok"); r.release(req, id) }
+	clock.after(networkDelay, func() { e.accept(t) })
+	clock.after(tryDeadline, func() {
+		if !over && req.state != 1 {
+			e.leave(t)
+			failed()
+		}
+	})
+}
+
+// again retries a request, if it may be, or gives it up.
+func (r *router) again(req *request, id uint64) {
+	allowed := req.state == 0 && req.tries < maxTries
+	if allowed && r.fleet.variant.budget {
+		allowed = r.budget.Retry()
+	}
+	if !allowed {
+		r.fleet.over(req, "failed")
+		r.release(req, id)
+		return
+	}
+	at := r.fleet.clock.now
+	if r.fleet.variant.budget {
+		at = r.budget.PauseUntil(at, req.tries)
+	}
+	r.fleet.clock.at(at, func() { r.dispatch(req, id) })
+}
+
+// release frees the request's slot and dispatches what starts in its place.
+func (r *router) release(req *request, id uint64) {
+	if id == 0 {
+		return
+	}
+	delete(r.waiting, id)
+	started, expired := r.queue.Release(r.fleet.clock.now, id, float64(req.tokens))
+	for _, item := range expired {
+		r.refuse(item.ID)
+	}
+	for _, item := range started {
+		r.dispatch(r.waiting[item.ID], item.ID)
+	}
+}
+
+// giveUp cancels a request whose caller went away without a first token.
+func (r *router) giveUp(req *request) {
+	for _, item := range r.queue.Expire(r.fleet.clock.now) {
+		r.refuse(item.ID)
+	}
+	if req.state != 0 {
+		return
+	}
+	r.fleet.over(req, "late")
+	if req.cancel != nil {
+		req.cancel()
+	}
+}
+
+// choose picks an upstream by the variant.
+func (r *router) choose(req *request) (string, bool) {
+	now := r.fleet.clock.now
+	usable := func(name string) bool {
+		if req.excluded[name] {
+			return false
+		}
+		return !r.fleet.variant.guard || r.member.Usable(now, name) && r.breakers[name].Ready(now)
+	}
+	if r.fleet.variant.pick == "picker" {
+		return r.picker.Pick(now, "model", req.prefix, usable)
+	}
+	best := ""
+	for i := range r.fleet.engines {
+		name := r.fleet.engines[(r.turn+i)%len(r.fleet.engines)].name
+		if usable(name) && (best == "" || r.fleet.variant.pick == "least" && r.own[name] < r.own[best]) {
+			best = name
+		}
+	}
+	r.turn++
+	return best, best != ""
+}
+
+func (req *request) exclude(name string) {
+	if req.excluded == nil {
+		req.excluded = make(map[string]bool)
+	}
+	req.excluded[name] = true
+}
+
+// poll takes an engine's load report, or notes that the poll failed.
+func (r *router) poll(e *engine, load kcwpick.Load, ok bool) {
+	if !ok {
+		r.member.Suspect(r.fleet.clock.now, e.name)
+		return
+	}
+	r.picker.Report(e.name, load)
+	r.member.Answered(r.fleet.clock.now, e.name, load.At, false)
+}
--- a/kcw/kcwqueue/queue.go
+++ b/kcw/kcwqueue/queue.go
@@ -109,6 +109,9 @@
 	if err := q.check(item); err != nil {
 		return false, nil, err
 	}
+	if !item.Deadline.After(now) {
+		return false, nil, &Error{Op: "Offer", Kind: KindLate, Detail: "its deadline has passed", RetryAt: now}
+	}
 	if len(q.running) < q.slots && len(q.waiting) == 0 {
 		q.charge(q.flow(item), item)
 		q.running[item.ID] = run{item: item, started: now}
