Let a team's line age only while it is passed over

Cause: items that waited a period rose one level whatever their contract got, so in a burst the long lines of the two contracts beyond their shares went before fresh requests of the others. Change: a line rises with the time since it was last served.

--- a/kcw/kcwpolicy/report_test.go
+++ b/kcw/kcwpolicy/report_test.go
@@ -43,14 +43,14 @@
 	byName   map[string]*engine
 	routers  []*router
 
-	offered, served                     [contracts]int
-	outcomes                            map[string]int
-	inside                              []time.Duration // times to first token inside the shares
-	all                                 []time.Duration
-	insideRefused                       int
-	hits, firsts, near                  int
-	firstTries, retries, herds, goodput int
-	herding                             float64
+	offered, served            [contracts]int
+	outcomes                   map[string]int
+	inside                     []time.Duration // times to first token inside the shares
+	all                        []time.Duration
+	insideRefused              int
+	hits, firsts, near         int
+	firstTries, retries, herds int
+	herding                    float64
 }
 
 func contractName(i int) string { return fmt.Sprintf("contract-%d", i) }
@@ -89,7 +89,7 @@
 	for c := range contracts {
 		f.offer(c, start.Add(warmUp), end)
 	}
-	f.report(start, end)
+	f.report(end)
 	f.sample(start.Add(warmUp), end)
 	f.clock.runUntil(end.Add(30 * time.Second))
 	return f
@@ -121,7 +121,7 @@
 }
 
 // report schedules the load reports of all engines.
-func (f *fleet) report(begin, end time.Time) {
+func (f *fleet) report(end time.Time) {
 	const period = 500 * time.Millisecond
 	rng := source(f.seed, 100)
 	for _, e := range f.engines {
--- a/kcw/kcwqueue/line.go
+++ b/kcw/kcwqueue/line.go
@@ -13,9 +13,15 @@
 	index int // place in the heap of deadlines
 }
 
-// level returns the priority that the entry has risen to.
+// level returns the priority that the entry has risen to. It rises with the time
+// for which its line was passed over, not with its own time in the line: else
+// the long line of a flood would rise above the fresh items of other shares.
 func (e *entry) level(now time.Time, cfg *Config) int {
-	risen := int64(now.Sub(e.since) / cfg.Aging)
+	since := e.since
+	if served := e.flow.served[e.item.Priority]; served.After(since) {
+		since = served
+	}
+	risen := int64(now.Sub(since) / cfg.Aging)
 	return int(min(int64(e.item.Priority)+max(risen, 0), int64(cfg.Priorities-1)))
 }
 
@@ -69,7 +75,8 @@
 type flow struct {
 	contract *share
 	team     *share
-	lines    [][]*entry // by base priority, the oldest first
+	lines    [][]*entry  // by base priority, the oldest first
+	served   []time.Time // by base priority, when an item last started
 }
 
 // flow returns the flow of an item and makes it if there is none.
@@ -80,7 +87,12 @@
 	}
 	team := contract.teams.node(item.Team, item.TeamWeight, q.cfg.Priorities)
 	if team.flow == nil {
-		team.flow = &flow{contract: contract, team: team, lines: make([][]*entry, q.cfg.Priorities)}
+		team.flow = &flow{
+			contract: contract,
+			team:     team,
+			lines:    make([][]*entry, q.cfg.Priorities),
+			served:   make([]time.Time, q.cfg.Priorities),
+		}
 	}
 	return team.flow
 }
@@ -112,7 +124,8 @@
 }
 
 // charge counts an item that starts against its shares.
-func (q *Queue) charge(f *flow, item Item) {
+func (q *Queue) charge(now time.Time, f *flow, item Item) {
+	f.served[item.Priority] = now
 	q.contracts.serve(f.contract, item.Cost)
 	f.contract.teams.serve(f.team, item.Cost)
 	f.contract.held++
--- a/kcw/kcwqueue/queue.go
+++ b/kcw/kcwqueue/queue.go
@@ -1,8 +1,9 @@
 // Package kcwqueue holds the bounded queue of requests to one service.
 //
 // A request starts at once while one of the service's slots is free, and else
-// waits. Waiting requests go by strict priority, in which a request rises one
-// level with each period that it has waited, so that none starves. Within a
+// waits. Waiting requests go by strict priority, in which the requests of a
+// team rise one level with each period that none of them started, so that no team
+// starves. Within a
 // level contracts, and teams within a contract, share by weight: start-time
 // fair queueing (Goyal, Vin and Cheng, Start-time Fair Queueing: A Scheduling
 // Algorithm for Integrated Services Packet Switching Networks, 1996) at both
@@ -29,7 +30,8 @@
 	Capacity int
 	// Priorities is the number of levels; the largest goes first.
 	Priorities int
-	// Aging is the time in which a waiting request rises one level.
+	// Aging is the time in which waiting requests of a team, of one priority, rise
+	// one level if none of them starts.
 	Aging time.Duration
 	// Hold is the time a request is taken to hold its slot until some have
 	// ended and their mean is known.
@@ -113,7 +115,7 @@
 		return false, nil, &Error{Op: "Offer", Kind: KindLate, Detail: "its deadline has passed", RetryAt: now}
 	}
 	if len(q.running) < q.slots && len(q.waiting) == 0 {
-		q.charge(q.flow(item), item)
+		q.charge(now, q.flow(item), item)
 		q.running[item.ID] = run{item: item, started: now}
 		return true, nil, nil
 	}
@@ -228,7 +230,7 @@
 	for len(q.running) < q.slots && len(q.waiting) > 0 {
 		e := q.first(now)
 		q.remove(e)
-		q.charge(e.flow, e.item)
+		q.charge(now, e.flow, e.item)
 		q.running[e.item.ID] = run{item: e.item, started: now}
 		started = append(started, e.item)
 	}
