Remember where a slot was freed, and prefer only upstreams with room

Change: the upstream where an own request ended last is compared with the random choices (Mitzenmacher, Prabhakar and Shah, Load Balancing with Memory, 2002), and neither zone nor prefix is preferred above a utilization of Room.

--- a/kcw/kcwpick/picker.go
+++ b/kcw/kcwpick/picker.go
@@ -34,6 +34,8 @@
 	ZoneMargin float64
 	// PrefixMargin is the same for the upstream that the prefix belongs to.
 	PrefixMargin float64
+	// Room is the utilization above which neither preference counts.
+	Room float64
 	// Prefixes is the number of prefixes that are remembered.
 	Prefixes int
 	// Rand is the source of the random choices, used by this Picker alone.
@@ -74,6 +76,8 @@
 		return bad("HalfLife must be positive")
 	case cfg.Prefixes < 1:
 		return bad("Prefixes must be at least 1")
+	case !(cfg.Room > 0):
+		return bad("Room must be positive")
 	case !(cfg.ZoneMargin >= 0) || !(cfg.PrefixMargin >= 0):
 		return bad("margins must not be negative")
 	case cfg.Rand == nil:
@@ -161,6 +165,7 @@
 	}
 	u.inFlight--
 	u.finished = append(u.finished, now)
+	u.service.freed = u
 }
 
 // InFlight returns the own requests in flight at an upstream.
@@ -195,11 +200,14 @@
 	best := p.lighter(now, p.sample(s.near, usable), p.sample(s.near, usable), 0)
 	far := p.lighter(now, p.sample(s.far, usable), p.sample(s.far, usable), 0)
 	best = p.lighter(now, best, far, p.cfg.ZoneMargin)
+	if s.freed != nil && usable(s.freed.name) {
+		best = p.lighter(now, best, s.freed, 0)
+	}
 	if best == nil || prefix == 0 {
 		return best
 	}
 	if home := s.prefixes.get(prefix); home != nil && usable(home.name) {
-		if p.lighter(now, home, best, p.cfg.PrefixMargin) == home {
+		if p.utilization(now, home) <= p.cfg.Room && p.lighter(now, home, best, p.cfg.PrefixMargin) == home {
 			return home
 		}
 	}
@@ -208,14 +216,20 @@
 }
 
 // lighter returns a unless b is less utilized by more than the margin, and the
-// other one if one is nil.
+// other one if one is nil. The margin falls away where a is nearly full: a
+// preference would only make the request wait.
 func (p *Picker) lighter(now time.Time, a, b *upstream, margin float64) *upstream {
 	switch {
 	case a == nil:
 		return b
 	case b == nil || a == b:
 		return a
-	case p.utilization(now, b)+margin < p.utilization(now, a):
+	}
+	full := p.utilization(now, a)
+	if full > p.cfg.Room {
+		margin = 0
+	}
+	if p.utilization(now, b)+margin < full {
 		return b
 	}
 	return a
--- a/kcw/kcwpick/service.go
+++ b/kcw/kcwpick/service.go
@@ -11,6 +11,7 @@
 	all      []*upstream
 	near     []*upstream // in the router's zone
 	far      []*upstream
+	freed    *upstream // where an own request ended last
 	reported int     // upstreams with a report
 	sum      float64 // utilizations reported, of these
 	prefixes prefixes
@@ -41,6 +42,9 @@
 }
 
 func (s *service) remove(u *upstream) {
+	if s.freed == u {
+		s.freed = nil
+	}
 	same := func(other *upstream) bool { return other == u }
 	s.all = slices.DeleteFunc(s.all, same)
 	s.near = slices.DeleteFunc(s.near, same)
--- a/kcw/kcwpolicy/router_test.go
+++ b/kcw/kcwpolicy/router_test.go
@@ -61,7 +61,7 @@
 		fleet: f, zone: f.engines[i%3].zone, rng: source(f.seed, uint64(1000+i)), turn: i,
 		breakers: make(map[string]*kcwbreaker.Breaker), own: make(map[string]int), waiting: make(map[uint64]*request),
 	}
-	cfg := kcwpick.Config{Zone: r.zone, HalfLife: time.Second, ZoneMargin: 0.1, PrefixMargin: 0.3, Prefixes: 10000, Rand: r.rng}
+	cfg := kcwpick.Config{Zone: r.zone, HalfLife: time.Second, ZoneMargin: 0.1, PrefixMargin: 0.3, Room: 0.8, Prefixes: 10000, Rand: r.rng}
 	if f.variant.tune != nil {
 		f.variant.tune(&cfg)
 	}
