Add the stand-in: a model engine and a plain service with faults

Cause: tests and the demonstration need upstreams whose every byte can be checked and which keep an account apart from the system's. Change: kcw-standin serves chat completions (JSON and event streams) whose text follows from the prompt, or bookings and receipts; faults are ordered by PUT /fault on a control address; each request is recorded in memory and as JSON lines.

--- /dev/null
+++ b/kcw-standin/kcwengine/engine.go
@@ -0,0 +1,118 @@
+// Package kcwengine is a model engine for tests and demonstrations. It speaks
+// the chat-completions protocol, and its answers follow from the prompt alone,
+// so that each byte of them can be checked.
+package kcwengine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"kingcupwick.example/kcw-standin/kcwfault"
+	"kingcupwick.example/kcw-standin/kcwrecord"
+)
+
+// MaxBodySize is the size in bytes of the longest request body taken.
+const MaxBodySize = 16 << 20
+
+// Config holds the settings of an Engine.
+type Config struct {
+	// Models are the names that requests may use.
+	Models []string
+	// Capacity is how many requests run at a time.
+	Capacity int
+	// FirstToken passes before the first token, BetweenTokens before each of
+	// the others.
+	FirstToken, BetweenTokens time.Duration
+	// LoadLag is how old the reported load is.
+	LoadLag time.Duration
+	Record  *kcwrecord.Record
+	Faults  *kcwfault.Switch
+}
+
+// Engine is the HTTP handler of the engine.
+type Engine struct {
+	cfg   Config
+	mux   *http.ServeMux
+	batch *batch
+}
+
+// New returns an Engine. It panics if Capacity is not positive.
+func New(cfg Config) *Engine {
+	if cfg.Capacity <= 0 {
+		panic("kcwengine: the capacity is not positive")
+	}
+	e := &Engine{cfg: cfg, mux: http.NewServeMux(), batch: newBatch(cfg.Capacity, cfg.LoadLag, time.Now)}
+	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	e.mux.HandleFunc("GET /v1/models", e.models)
+	e.mux.HandleFunc("GET /load", e.load)
+	e.mux.Handle("GET /record", cfg.Record)
+	return e
+}
+
+// ServeHTTP answers one request.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+func (e *Engine) models(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list"}
+	for _, name := range e.cfg.Models {
+		list.Data = append(list.Data, model{ID: name, Object: "model"})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+// load reports with the configured lag; whether the engine drains is reported
+// at once.
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	running, waiting := e.batch.load()
+	writeJSON(w, http.StatusOK, struct {
+		Running, Waiting, Capacity int
+		Draining                   bool
+		Models                     []string
+		At                         time.Time
+	}{running, waiting, e.cfg.Capacity, e.cfg.Faults.Order().Drain, e.cfg.Models, time.Now().Add(-e.cfg.LoadLag)})
+}
+
+func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodySize+1))
+	if err != nil {
+		// The caller went away before its request was whole.
+		return
+	}
+	sequence, err := e.cfg.Record.Start(r, body, time.Now())
+	if err != nil {
+		refuse(w, http.StatusInternalServerError, "record_failed", err.Error())
+		return
+	}
+	t := &turn{engine: e, writer: w, request: r, entry: kcwrecord.Entry{Outcome: kcwrecord.Broken}}
+	// Deferred, so that a connection cut by a panic is recorded too.
+	defer func() {
+		_ = e.cfg.Record.Close(sequence, time.Now(), func(entry *kcwrecord.Entry) { t.fill(entry) })
+	}()
+	t.run(body)
+}
+
+func refuse(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, failure{Error: failureDetail{Message: message, Type: "engine_error", Code: code}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic("kcwengine: " + err.Error())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	// A failed write means that the caller has gone.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/kcw-standin/kcwengine/engine_test.go
@@ -0,0 +1,254 @@
+package kcwengine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw-standin/kcwfault"
+	"kingcupwick.example/kcw-standin/kcwrecord"
+)
+
+type bench struct {
+	engine *Engine
+	server *httptest.Server
+	record *kcwrecord.Record
+	faults *kcwfault.Switch
+}
+
+func newBench(t *testing.T, cfg Config) *bench {
+	t.Helper()
+	b := &bench{record: kcwrecord.New(nil), faults: kcwfault.New(nil)}
+	cfg.Models, cfg.Record, cfg.Faults = []string{"kcw-model"}, b.record, b.faults
+	if cfg.Capacity == 0 {
+		cfg.Capacity = 4
+	}
+	b.engine = New(cfg)
+	b.server = httptest.NewServer(b.engine)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func (b *bench) post(ctx context.Context, body string) (int, string, error) {
+	request, err := http.NewRequestWithContext(ctx, "POST", b.server.URL+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Header.Set(kcwrecord.RequestHeader, "r-1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(answer), err
+}
+
+func (b *bench) last() kcwrecord.Entry {
+	entries := b.record.Entries()
+	return entries[len(entries)-1]
+}
+
+// closed waits for the last entry to be closed.
+func (b *bench) closed() kcwrecord.Entry {
+	for b.last().Outcome == kcwrecord.Running {
+		time.Sleep(time.Millisecond)
+	}
+	return b.last()
+}
+
+const (
+	jsonBody   = `{"model":"kcw-model","messages":[{"role":"user","content":"oak tokens=20"}],"max_tokens":12}`
+	streamBody = `{"model":"kcw-model","messages":[{"role":"user","content":[{"type":"text","text":"oak tokens=20"}]}],"stream":true,"stream_options":{"include_usage":true}}`
+)
+
+func TestAnswers(t *testing.T) {
+	b := newBench(t, Config{})
+	status, answer, err := b.post(t.Context(), jsonBody)
+	if err != nil || status != 200 {
+		t.Fatal(status, err)
+	}
+	var whole completion
+	if err := json.Unmarshal([]byte(answer), &whole); err != nil {
+		t.Fatal(err)
+	}
+	text := whole.Choices[0].Message.Content
+	if *whole.Choices[0].FinishReason != "length" || whole.Usage.CompletionTokens != 12 || strings.Count(text, " ") != 12 {
+		t.Errorf("the limit was not honoured: %s", answer)
+	}
+	entry := b.closed()
+	if entry.Outcome != kcwrecord.Finished || entry.AnswerDigest != kcwrecord.Digest([]byte(answer)) ||
+		entry.TextDigest != kcwrecord.Digest([]byte(text)) || entry.Request != "r-1" || entry.CompletionTokens != 12 {
+		t.Errorf("record: %+v", entry)
+	}
+
+	_, streamed, err := b.post(t.Context(), streamBody)
+	if err != nil || !strings.HasSuffix(streamed, "data: [DONE]\n\n") {
+		t.Fatalf("stream: %v\n%s", err, streamed)
+	}
+	joined, used := readStream(t, streamed)
+	if !strings.HasPrefix(joined, text) || strings.Count(joined, " ") != 20 || used == nil || used.CompletionTokens != 20 {
+		t.Errorf("streamed text %q, whole text %q, usage %+v", joined, text, used)
+	}
+	if _, again, _ := b.post(t.Context(), streamBody); again != streamed {
+		t.Error("the same prompt gave another answer")
+	}
+}
+
+func readStream(t *testing.T, body string) (text string, used *usage) {
+	t.Helper()
+	scanner := bufio.NewScanner(strings.NewReader(body))
+	for scanner.Scan() {
+		data, found := strings.CutPrefix(scanner.Text(), "data: ")
+		if !found || data == "[DONE]" {
+			continue
+		}
+		var chunk completion
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range chunk.Choices {
+			text += c.Delta.Content
+		}
+		if chunk.Usage != nil {
+			used = chunk.Usage
+		}
+	}
+	return text, used
+}
+
+func TestFaults(t *testing.T) {
+	for _, test := range []struct {
+		name, body string
+		order      kcwfault.Config
+		status     int
+		outcome    string
+		tokens     int64
+		broken     bool
+	}{
+		{"status", jsonBody, kcwfault.Config{Status: 500}, 500, kcwrecord.Refused, 0, false},
+		{"drain", jsonBody, kcwfault.Config{Drain: true}, 503, kcwrecord.Refused, 0, false},
+		{"badJSON", "{", kcwfault.Config{}, 400, kcwrecord.Refused, 0, false},
+		{"noModel", `{"model":"x","messages":[{"role":"user","content":null}]}`, kcwfault.Config{}, 404, kcwrecord.Refused, 0, false},
+		{"short", jsonBody, kcwfault.Config{ShortBody: true}, 200, kcwrecord.Broken, 12, true},
+		{"cut", streamBody, kcwfault.Config{CutAfter: 3}, 200, kcwrecord.Broken, 3, true},
+		{"otherPath", jsonBody, kcwfault.Config{Path: "/bookings", Status: 500}, 200, kcwrecord.Finished, 12, false},
+		{"late", jsonBody, kcwfault.Config{Late: "1ms", Delay: "1ms", NoUsage: true}, 200, kcwrecord.Finished, 12, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, Config{})
+			if err := b.faults.Set(test.order); err != nil {
+				t.Fatal(err)
+			}
+			status, answer, err := b.post(t.Context(), test.body)
+			if status != test.status || (err != nil) != test.broken {
+				t.Errorf("got %d %q %v", status, answer, err)
+			}
+			if entry := b.closed(); entry.Outcome != test.outcome || entry.CompletionTokens != test.tokens {
+				t.Errorf("record: %+v", entry)
+			}
+			if test.order.NoUsage && strings.Contains(answer, "usage") {
+				t.Errorf("usage in %s", answer)
+			}
+		})
+	}
+}
+
+func TestCancel(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		order kcwfault.Config
+	}{
+		{"silent", kcwfault.Config{Silent: true}},
+		{"silentAfter", kcwfault.Config{SilentAfter: 2}},
+		{"running", kcwfault.Config{Delay: "1h"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, Config{})
+			if err := b.faults.Set(test.order); err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				for len(b.record.Entries()) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				cancel()
+			}()
+			if _, _, err := b.post(ctx, streamBody); !errors.Is(err, context.Canceled) {
+				t.Errorf("got %v", err)
+			}
+			if entry := b.closed(); entry.Outcome != kcwrecord.Cancelled {
+				t.Errorf("record: %+v", entry)
+			}
+		})
+	}
+}
+
+func TestBatchPriority(t *testing.T) {
+	b := newBatch(1, 0, time.Now)
+	if err := b.enter(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+	order := make(chan int, 4)
+	for i, priority := range []int{5, 1, 5, 0} {
+		go func() {
+			if b.enter(t.Context(), priority) == nil {
+				order <- i
+				b.leave()
+			}
+		}()
+		for {
+			if _, waiting := b.load(); waiting == i+1 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if b.enter(ctx, 0) == nil {
+		t.Error("a cancelled request entered")
+	}
+	b.leave()
+	var got []int
+	for range 4 {
+		got = append(got, <-order)
+	}
+	if !slices.Equal(got, []int{3, 1, 0, 2}) {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestLoadLag(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newBatch(2, time.Second, func() time.Time { return now })
+	for _, test := range []struct {
+		step    time.Duration
+		enter   bool
+		running int
+	}{
+		{0, true, 0},
+		{900 * time.Millisecond, true, 0},
+		{100 * time.Millisecond, false, 1},
+		{900 * time.Millisecond, false, 2},
+	} {
+		now = now.Add(test.step)
+		if test.enter {
+			if err := b.enter(t.Context(), 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if running, _ := b.load(); running != test.running {
+			t.Errorf("at %v: got %d running, want %d", now, running, test.running)
+		}
+	}
+}
--- a/kcw-standin/main.go
+++ b/kcw-standin/main.go
@@ -1,4 +1,161 @@
-// Command kcw-standin is not built yet.
+// Command kcw-standin is a model engine or a plain service for tests and
+// demonstrations, with faults to order and a record of its own.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw-standin/kcwdoor"
+	"kingcupwick.example/kcw-standin/kcwengine"
+	"kingcupwick.example/kcw-standin/kcwfault"
+	"kingcupwick.example/kcw-standin/kcwplain"
+	"kingcupwick.example/kcw-standin/kcwrecord"
+	"kingcupwick.example/kcw/kcwlog"
+	"kingcupwick.example/kcw/kcwsettings"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	flags := flag.NewFlagSet("kcw-standin", flag.ContinueOnError)
+	path := flags.String("settings", "", "settings file, in INI")
+	check := flags.Bool("check", false, "check the settings file and exit")
+	if err := ff.Parse(flags, os.Args[1:], ff.WithEnvVarPrefix("KCW_STANDIN")); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	var s settings
+	if err := kcwsettings.Load(*path, &s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	if *check {
+		return
+	}
+	if err := run(&s); err != nil {
+		klog.ErrorS(err, "stopped by a failure")
+		klog.Flush()
+		os.Exit(exitFailed)
+	}
+}
+
+func run(s *settings) error {
+	logger, err := kcwlog.New(kcwlog.Config{Writer: os.Stderr, Level: s.Standin.LogLevel, Program: "kcw-standin", Host: s.Standin.Address.String()})
+	if err != nil {
+		return err
+	}
+	defer logger.Close()
+	file, err := openRecord(s.Standin.Record)
+	if err != nil {
+		return err
+	}
+	if file != nil {
+		defer file.Close()
+	}
+	servers, err := newServers(s, file)
+	if err != nil {
+		return err
+	}
+	app := kratos.New(
+		kratos.Name("kcw-standin"),
+		kratos.Logger(logger),
+		kratos.Server(servers...),
+		kratos.StopTimeout(s.Standin.StopTimeout),
+	)
+	return app.Run()
+}
+
+// openRecord returns nil if there is no path.
+func openRecord(path string) (*os.File, error) {
+	if path == "" {
+		return nil, nil
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return nil, eris.Wrap(err, "make the record's folder")
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, eris.Wrap(err, "open the record")
+	}
+	return file, nil
+}
+
+// newServers returns the server of the stand-in and that of its controls.
+func newServers(s *settings, file *os.File) ([]transport.Server, error) {
+	door, err := kcwdoor.New(s.Standin.Address)
+	if err != nil {
+		return nil, err
+	}
+	control, err := kcwdoor.New(s.Standin.Control)
+	if err != nil {
+		return nil, err
+	}
+	var out io.Writer
+	if file != nil {
+		out = file
+	}
+	record := kcwrecord.New(out)
+	faults := kcwfault.New(func(order kcwfault.Config) {
+		klog.InfoS("faults ordered", "Order", order)
+		if err := door.Set(order.Refuse, order.Ignore); err != nil {
+			klog.ErrorS(err, "the address can't be opened again")
+		}
+	})
+	service := khttp.NewServer(khttp.Listener(door), khttp.Timeout(0))
+	service.HandlePrefix("/", newHandler(s, record, faults))
+	controls := khttp.NewServer(khttp.Listener(control), khttp.Timeout(0))
+	controls.Handle("/record", record)
+	controls.Handle("/fault", faults)
+	for _, path := range []string{"/healthz", "/readyz"} {
+		controls.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	}
+	return []transport.Server{&server{service}, &server{controls}}, nil
+}
+
+func newHandler(s *settings, record *kcwrecord.Record, faults *kcwfault.Switch) http.Handler {
+	if s.Standin.Kind == "plain" {
+		return kcwplain.New(kcwplain.Config{Work: s.Plain.Work, Capacity: s.Plain.Capacity, Record: record, Faults: faults})
+	}
+	return kcwengine.New(kcwengine.Config{
+		Models:        s.Engine.Models,
+		Capacity:      s.Engine.Capacity,
+		FirstToken:    s.Engine.FirstToken,
+		BetweenTokens: s.Engine.BetweenTokens,
+		LoadLag:       s.Engine.LoadLag,
+		Record:        record,
+		Faults:        faults,
+	})
+}
+
+// server ends the connections that outlast the stop's timeout.
+type server struct {
+	*khttp.Server
+}
+
+// Stop waits for the requests in progress until ctx ends and then closes what
+// is left.
+func (s *server) Stop(ctx context.Context) error {
+	if err := s.Server.Stop(ctx); err != nil {
+		return s.Close()
+	}
+	return nil
+}
