Stamp commands by the monotonic clock

Cause: commands carry the leader's time and the book never lets it go back, so a wall clock stepped an hour forward and back would have stopped the rate limits and leases of every customer for an hour. Change: stamps run with the monotonic clock from the newest time applied. Conclusion: a step is felt at most at a process's start.

--- a/kcw/kcwservice/service.go
+++ b/kcw/kcwservice/service.go
@@ -46,6 +46,7 @@
 // book is the replicated state that the services read.
 type book interface {
 	Revision() uint64
+	Time() int64
 	Contract(customer string) *kcwpb.Contract
 	ContractByKey(hash []byte) *kcwpb.Contract
 	Since(revision uint64) ([]*kcwpb.Contract, uint64)
@@ -61,6 +62,7 @@
 // Service answers the calls to one replica.
 type Service struct {
 	cfg     Config
+	stamps  stamps
 	roster  *roster
 	recalls *recalls
 	stopped chan struct{}
--- a/kcw/kcwservice/service_test.go
+++ b/kcw/kcwservice/service_test.go
@@ -90,6 +90,7 @@
 	return b.contracts[min(revision, b.Revision()):], b.Revision()
 }
 
+func (b *fakeBook) Time() int64                       { return 0 }
 func (b *fakeBook) Budget(string) *kcwpb.Budget       { return nil }
 func (b *fakeBook) Claim(string, string) *kcwpb.Claim { return b.claim }
 func (b *fakeBook) Contracts() []*kcwpb.Contract      { return b.contracts }
--- a/kcw/kcwservice/submit.go
+++ b/kcw/kcwservice/submit.go
@@ -68,7 +68,7 @@
 
 // propose stamps cmd, has it committed and returns its result.
 func (s *Service) propose(ctx context.Context, cmd *kcwpb.Command) (*kcwpb.Result, error) {
-	cmd.At = s.cfg.Now().UnixNano()
+	cmd.At = s.stamps.next(s.cfg.Now(), s.cfg.Book.Time())
 	s.markSilentOwner(cmd.GetOpenClaim())
 	data, err := proto.Marshal(cmd)
 	if err != nil {
