--- /dev/null
+++ b/kcw/kcwgroup/loop.go
@@ -0,0 +1,271 @@
+package kcwgroup
+
+import (
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwreplica"
+)
+
+const (
+	// maxBatch bounds the proposals appended at once, and batchBytes their
+	// size in bytes.
+	maxBatch   = 4096
+	batchBytes = 4 << 20
+	// maxInbox bounds the calls of Step taken at once.
+	maxInbox = 64
+	// ticksPerHeartbeat is how many times the clock is read in a heartbeat.
+	ticksPerHeartbeat = 4
+	minTick           = time.Millisecond
+)
+
+// loop owns the replica, the log and the founding until the group stops.
+func (g *Group) loop() {
+	defer close(g.done)
+	ticker := time.NewTicker(max(g.cfg.Heartbeat/ticksPerHeartbeat, minTick))
+	defer ticker.Stop()
+	for {
+		err := g.wait(ticker.C)
+		if err == nil {
+			err = g.process()
+		}
+		if err != nil {
+			g.halt(err)
+			return
+		}
+	}
+}
+
+// errStopped ends the loop without a fault.
+var errStopped = errors.New("stopped")
+
+// wait waits for something to do and does it, along with all of its kind that
+// waits.
+func (g *Group) wait(tick <-chan time.Time) error {
+	select {
+	case <-tick:
+		return g.tick()
+	case msgs := <-g.inbox:
+		return g.stepAll(msgs)
+	case c := <-g.proposals:
+		g.proposeAll(c)
+	case c := <-g.confirms:
+		g.confirmAll(c)
+	case c := <-g.changes:
+		g.change(c)
+	case event := <-g.events:
+		return event()
+	}
+	return nil
+}
+
+func (g *Group) tick() error {
+	now := g.cfg.Now()
+	if err := g.tickFounding(now); err != nil {
+		return err
+	}
+	g.replica.Tick(now)
+	return nil
+}
+
+func (g *Group) stepAll(msgs []*kcwpb.Message) error {
+	for range maxInbox {
+		now := g.cfg.Now()
+		for _, m := range msgs {
+			if err := g.step(m, now); err != nil {
+				return err
+			}
+		}
+		select {
+		case msgs = <-g.inbox:
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+func (g *Group) step(m *kcwpb.Message, now time.Time) error {
+	if m.Kind == foundKind {
+		return g.handleFound(m)
+	}
+	for _, member := range m.Membership.GetMembers() {
+		g.contacts[member.Id] = member
+	}
+	g.replica.Step(m, now)
+	return nil
+}
+
+// proposeAll appends c and the proposals that wait behind it as one batch.
+func (g *Group) proposeAll(c *call) {
+	var calls []*call
+	var commands [][]byte
+	size := 0
+	for c != nil {
+		if c.take() {
+			calls = append(calls, c)
+			commands = append(commands, c.data)
+			size += len(c.data)
+		}
+		c = nil
+		if len(calls) < maxBatch && size < batchBytes {
+			c = next(g.proposals)
+		}
+	}
+	if len(calls) == 0 {
+		return
+	}
+	first, err := g.replica.Propose(commands, g.cfg.Now())
+	if err != nil {
+		g.finishAll(calls, g.refusal("propose", err))
+		return
+	}
+	for i, c := range calls {
+		c.term = g.replica.Term()
+		g.waiters.add(first+uint64(i), c)
+	}
+}
+
+// next returns a waiting call, nil if there is none.
+func next(queue chan *call) *call {
+	select {
+	case c := <-queue:
+		return c
+	default:
+		return nil
+	}
+}
+
+// confirmAll confirms c and the calls that wait behind it by one round.
+func (g *Group) confirmAll(c *call) {
+	var calls []*call
+	for ; c != nil; c = next(g.confirms) {
+		if c.take() {
+			calls = append(calls, c)
+		}
+	}
+	g.round++
+	if err := g.replica.Confirm(g.round, g.cfg.Now()); err != nil {
+		g.finishAll(calls, g.refusal("confirm", err))
+		return
+	}
+	g.confirming[g.round] = calls
+}
+
+func (g *Group) change(c *call) {
+	if !c.take() {
+		return
+	}
+	index, err := g.replica.Change(c.change, g.cfg.Now())
+	if err != nil {
+		c.finish(outcome{err: g.refusal("change members", err)})
+		return
+	}
+	c.term = g.replica.Term()
+	g.waiters.add(index, c)
+}
+
+// refusal translates an error of the replica, after which nothing is appended.
+func (g *Group) refusal(op string, err error) *Error {
+	kinds := map[kcwreplica.Kind]Kind{
+		kcwreplica.NotLeader:   NotLeader,
+		kcwreplica.Busy:        Busy,
+		kcwreplica.NotCaughtUp: NotCaughtUp,
+		kcwreplica.Invalid:     Invalid,
+	}
+	var e *kcwreplica.Error
+	if !errors.As(err, &e) {
+		return fail(op, Invalid, err)
+	}
+	return g.withLeader(fail(op, kinds[e.Kind], err))
+}
+
+func (g *Group) finishAll(calls []*call, err error) {
+	for _, c := range calls {
+		c.finish(outcome{err: err})
+	}
+}
+
+// process does what the replica asks for, until it asks for nothing.
+func (g *Group) process() error {
+	for {
+		ready, busy := g.replica.Ready()
+		if !busy {
+			break
+		}
+		if err := g.handle(ready); err != nil {
+			return err
+		}
+	}
+	g.dropLost()
+	g.publish()
+	return nil
+}
+
+// handle does what ready asks for. A leader's messages leave before its own
+// write, so that all replicas write at the same time.
+func (g *Group) handle(ready kcwreplica.Ready) error {
+	g.sendAll(ready.Messages)
+	if ready.MustSave {
+		if err := g.wal.Save(ready.Term, ready.Vote, ready.Entries); err != nil {
+			return fail("save", Storage, err)
+		}
+	}
+	g.sendAll(ready.Replies)
+	g.replica.Advance(ready, g.cfg.Now())
+	if len(ready.Committed) > 0 {
+		g.applier.push(work{entries: ready.Committed})
+	}
+	for _, m := range ready.Chunks {
+		if err := g.receive(m); err != nil {
+			return err
+		}
+	}
+	for _, read := range ready.Reads {
+		g.applier.push(work{confirms: g.confirming[read.ID]})
+		delete(g.confirming, read.ID)
+	}
+	return nil
+}
+
+// dropLost ends the calls whose fate is no longer followed, because the
+// replica has stopped leading since they were taken.
+func (g *Group) dropLost() {
+	if g.replica.IsLeader() && g.replica.Term() == g.leadTerm {
+		return
+	}
+	g.leadTerm = 0
+	if g.replica.IsLeader() {
+		g.leadTerm = g.replica.Term()
+	}
+	commit := g.replica.Commit()
+	lost := g.waiters.removeIf(func(index uint64) bool { return index > commit })
+	for _, c := range lost {
+		c.finish(outcome{err: g.withLeader(fail("propose", OutcomeUnknown, nil))})
+	}
+	for id, calls := range g.confirming {
+		g.finishAll(calls, g.withLeader(fail("confirm", NotLeader, nil)))
+		delete(g.confirming, id)
+	}
+}
+
+// halt ends all calls and stops the applier. What is committed is applied.
+func (g *Group) halt(err error) {
+	if !errors.Is(err, errStopped) {
+		klog.ErrorS(err, "group stopped", "group", g.cfg.Group, "replica", g.identity.ID)
+		g.fault.Store(&err)
+	}
+	close(g.halting)
+	g.applier.close()
+	g.applierDone.Wait()
+	for _, c := range g.waiters.removeIf(func(uint64) bool { return true }) {
+		c.finish(outcome{err: fail("propose", OutcomeUnknown, nil)})
+	}
+	for _, calls := range g.confirming {
+		g.finishAll(calls, fail("confirm", Closed, nil))
+	}
+	g.stopStatus()
+}
--- /dev/null
+++ b/kcw/kcwpeer/link.go
@@ -0,0 +1,167 @@
+package kcwpeer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+)
+
+const (
+	// batchBytes bounds the messages of one call.
+	batchBytes = 2 << 20
+	// entryOverhead and messageOverhead estimate the bytes beside the data.
+	entryOverhead   = 24
+	messageOverhead = 48
+)
+
+// link is the queue and the connection to one replica.
+type link struct {
+	sender  *Sender
+	address string
+	wake    chan struct{}
+	done    chan struct{}
+	ctx     context.Context
+	stop    context.CancelFunc
+
+	mu    sync.Mutex
+	queue []*kcwpb.Message
+	bytes int
+
+	// Below belong to the goroutine of run.
+	transport *http.Transport
+	client    kcwpbconnect.PeerClient
+}
+
+func newLink(s *Sender, address string) *link {
+	l := &link{
+		sender: s, address: address,
+		wake: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+	l.ctx, l.stop = context.WithCancel(context.Background())
+	l.connect()
+	return l
+}
+
+// connect begins anew with a connection of its own, so that one that has gone
+// silent is not used again.
+func (l *link) connect() {
+	if l.transport != nil {
+		l.transport.CloseIdleConnections()
+	}
+	dialer := &net.Dialer{Timeout: l.sender.cfg.Timeout}
+	l.transport = &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     l.sender.cfg.Idle,
+		DisableCompression:  true,
+	}
+	client := &http.Client{Transport: l.transport}
+	l.client = kcwpbconnect.NewPeerClient(client, "http://"+l.address)
+}
+
+// push queues messages. When the queue is full, what it held is dropped: the
+// replica would find those messages outdated.
+func (l *link) push(msgs []*kcwpb.Message) {
+	l.mu.Lock()
+	if l.bytes > l.sender.cfg.QueueBytes {
+		l.queue, l.bytes = nil, 0
+	}
+	for _, m := range msgs {
+		l.queue = append(l.queue, m)
+		l.bytes += messageSize(m)
+	}
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func messageSize(m *kcwpb.Message) int {
+	size := messageOverhead + len(m.GetChunk().GetData())
+	for _, e := range m.Entries {
+		size += entryOverhead + len(e.Data)
+	}
+	return size
+}
+
+func (l *link) isEmpty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue) == 0
+}
+
+// pull takes the next batch off the queue.
+func (l *link) pull() []*kcwpb.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, size := 0, 0
+	for n < len(l.queue) && size < batchBytes {
+		size += messageSize(l.queue[n])
+		n++
+	}
+	batch := l.queue[:n:n]
+	l.queue = l.queue[n:]
+	l.bytes -= size
+	return batch
+}
+
+// run sends what is queued until the link has been idle for long or is
+// stopped.
+func (l *link) run() {
+	defer close(l.done)
+	defer func() { l.transport.CloseIdleConnections() }()
+	idle := time.NewTimer(l.sender.cfg.Idle)
+	defer idle.Stop()
+	for {
+		select {
+		case <-l.wake:
+			idle.Reset(l.sender.cfg.Idle)
+			l.sendQueued()
+		case <-idle.C:
+			if l.sender.remove(l) {
+				return
+			}
+			idle.Reset(l.sender.cfg.Idle)
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *link) sendQueued() {
+	for {
+		batch := l.pull()
+		if len(batch) == 0 || l.ctx.Err() != nil {
+			return
+		}
+		if l.send(batch) != nil {
+			l.connect()
+		}
+	}
+}
+
+// send makes one call. A batch that fails is not sent again: the replicas
+// repeat what matters.
+func (l *link) send(batch []*kcwpb.Message) error {
+	ctx, cancel := context.WithTimeout(l.ctx, l.sender.cfg.Timeout)
+	defer cancel()
+	msg := &kcwpb.ExchangeRequest{Group: l.sender.cfg.Group, Messages: batch}
+	req := connect.NewRequest(msg)
+	if l.sender.cfg.Key != "" {
+		req.Header().Set("Authorization", "Bearer "+l.sender.cfg.Key)
+	}
+	_, err := l.client.Exchange(ctx, req)
+	if err == nil {
+		l.sender.sent.Add(int64(proto.Size(msg)))
+	}
+	return err
+}
--- /dev/null
+++ b/kcw/kcwreplica/read.go
@@ -0,0 +1,66 @@
+package kcwreplica
+
+import "time"
+
+// pendingRead waits until a quorum has answered its round. Round zero means
+// that no entry of the term was committed yet when it came.
+type pendingRead struct {
+	id    uint64
+	index uint64
+	round uint64
+}
+
+// Confirm asks for a round that shows that this replica still leads; Ready
+// then gives a Read with id. All pending reads are dropped when the replica
+// steps down. The error's Kind is NotLeader.
+func (r *Replica) Confirm(id uint64, now time.Time) error {
+	r.expire(now)
+	if r.role != leader {
+		return fail("confirm", NotLeader, "another replica leads, or none")
+	}
+	read := pendingRead{id: id}
+	if r.hasCommitted() {
+		read.index = r.log.commit
+		read.round = r.leading.round + 1
+	}
+	r.leading.reads = append(r.leading.reads, read)
+	if read.round != 0 {
+		r.startRound(now)
+	}
+	return nil
+}
+
+// hasCommitted reports whether an entry of the leader's term is committed, and
+// with it all that earlier leaders had committed.
+func (r *Replica) hasCommitted() bool {
+	return r.log.commit >= r.leading.start
+}
+
+// startWaitingReads starts the reads that came before the first commit of the
+// term.
+func (r *Replica) startWaitingReads(now time.Time) {
+	if !r.hasCommitted() {
+		return
+	}
+	waiting := false
+	for i := range r.leading.reads {
+		read := &r.leading.reads[i]
+		if read.round == 0 {
+			read.index = r.log.commit
+			read.round = r.leading.round + 1
+			waiting = true
+		}
+	}
+	if waiting {
+		r.startRound(now)
+	}
+}
+
+func (r *Replica) releaseReads(confirmed uint64) {
+	reads := r.leading.reads
+	for len(reads) > 0 && reads[0].round != 0 && reads[0].round <= confirmed {
+		r.out.Reads = append(r.out.Reads, Read{ID: reads[0].id, Index: reads[0].index})
+		reads = reads[1:]
+	}
+	r.leading.reads = reads
+}
--- /dev/null
+++ b/kcw/kcwsnapshot/store.go
@@ -0,0 +1,239 @@
+// Package kcwsnapshot holds the snapshots of a replica's state machine: synced
+// files with checksums, of which the newest two are kept, and the partly
+// received one.
+package kcwsnapshot
+
+import (
+	"bufio"
+	"errors"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+const (
+	suffix     = ".snapshot"
+	temporary  = ".tmp"
+	partial    = "partial.tmp"
+	fileMode   = 0o600
+	kept       = 2
+	indexBase  = 10
+	bufferSize = 1 << 16
+)
+
+// Config says where a Store is.
+type Config struct {
+	// Path is the folder of the snapshots, which must exist and hold nothing
+	// else.
+	Path string
+}
+
+// Store is the snapshots in a folder. Its methods may be called at the same
+// time, but Receive by one goroutine only.
+type Store struct {
+	path string
+
+	mu    sync.Mutex
+	metas []*kcwpb.SnapshotChunk // By index; without data, offset is the size.
+
+	incoming *kcwpb.SnapshotChunk
+	file     *os.File
+}
+
+// Open reads which snapshots there are and checks them. Damaged ones are left
+// alone and passed over. The error is an *Error.
+func Open(cfg Config) (*Store, error) {
+	if cfg.Path == "" {
+		return nil, failText("open", Invalid, "", 0, "empty path")
+	}
+	files, err := os.ReadDir(cfg.Path)
+	if err != nil {
+		return nil, fail("open", Storage, cfg.Path, 0, err)
+	}
+	s := &Store{path: cfg.Path}
+	for _, file := range files {
+		if err := s.examine(file.Name()); err != nil {
+			return nil, err
+		}
+	}
+	sort.Slice(s.metas, func(i, j int) bool { return s.metas[i].Index < s.metas[j].Index })
+	return s, nil
+}
+
+func (s *Store) examine(name string) error {
+	path := filepath.Join(s.path, name)
+	if strings.HasSuffix(name, temporary) {
+		if err := os.Remove(path); err != nil {
+			return fail("open", Storage, path, 0, err)
+		}
+		return nil
+	}
+	index, err := strconv.ParseUint(strings.TrimSuffix(name, suffix), indexBase, 64)
+	if err != nil || name != fileName(index) {
+		return failText("open", Foreign, path, 0, "not the name of a snapshot")
+	}
+	meta, err := check(path, index)
+	var damage *Error
+	if errors.As(err, &damage) && damage.Kind == Damaged {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.metas = append(s.metas, meta)
+	return nil
+}
+
+func fileName(index uint64) string {
+	return strconv.FormatUint(index, indexBase) + suffix
+}
+
+// Latest returns index, term, membership and, as Offset, the size in bytes of
+// the newest snapshot, or nil if there is none.
+func (s *Store) Latest() *kcwpb.SnapshotChunk {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.metas) == 0 {
+		return nil
+	}
+	return s.metas[len(s.metas)-1]
+}
+
+func (s *Store) meta(index uint64) *kcwpb.SnapshotChunk {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.metas {
+		if m.Index == index {
+			return m
+		}
+	}
+	return nil
+}
+
+// Write makes the snapshot of the entries up to index out of what fill writes.
+// When it returns nil the snapshot is on the disk.
+func (s *Store) Write(index, term uint64, membership *kcwpb.Membership, fill func(io.Writer) error) error {
+	path := filepath.Join(s.path, fileName(index)) + temporary
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return fail("write", Storage, path, 0, err)
+	}
+	body := &bodyWriter{w: bufio.NewWriterSize(file, bufferSize)}
+	err = fill(body)
+	if err == nil {
+		err = body.w.Flush()
+	}
+	if err != nil {
+		_ = file.Close()
+		return fail("write", Storage, path, body.size, err)
+	}
+	meta := &kcwpb.SnapshotChunk{
+		Index: index, Term: term, Membership: membership,
+		Offset: body.size, Checksum: body.sum,
+	}
+	return s.finish(file, meta)
+}
+
+// finish appends the trailer, syncs file, gives it its name and takes it into
+// the store. It closes file.
+func (s *Store) finish(file *os.File, meta *kcwpb.SnapshotChunk) error {
+	trailer, err := appendTrailer(nil, meta)
+	if err == nil {
+		_, err = file.WriteAt(trailer, meta.Offset)
+	}
+	if err == nil {
+		err = file.Sync()
+	}
+	if closed := file.Close(); err == nil {
+		err = closed
+	}
+	path := filepath.Join(s.path, fileName(meta.Index))
+	if err == nil {
+		err = os.Rename(file.Name(), path)
+	}
+	if err == nil {
+		err = syncFolder(s.path)
+	}
+	if err != nil {
+		return fail("finish", Storage, path, meta.Offset, err)
+	}
+	return s.add(meta)
+}
+
+func (s *Store) add(meta *kcwpb.SnapshotChunk) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	metas := []*kcwpb.SnapshotChunk{meta}
+	for _, m := range s.metas {
+		if m.Index != meta.Index {
+			metas = append(metas, m)
+		}
+	}
+	sort.Slice(metas, func(i, j int) bool { return metas[i].Index < metas[j].Index })
+	for len(metas) > kept {
+		path := filepath.Join(s.path, fileName(metas[0].Index))
+		if err := os.Remove(path); err != nil {
+			return fail("prune", Storage, path, 0, err)
+		}
+		metas = metas[1:]
+	}
+	s.metas = metas
+	return nil
+}
+
+// Load checks the snapshot at index and hands its content to read.
+func (s *Store) Load(index uint64, read func(io.Reader) error) error {
+	path := filepath.Join(s.path, fileName(index))
+	meta, err := check(path, index)
+	if err != nil {
+		return err
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return fail("load", Storage, path, 0, err)
+	}
+	defer file.Close()
+	if err := read(bufio.NewReaderSize(io.LimitReader(file, meta.Offset), bufferSize)); err != nil {
+		return fail("load", Damaged, path, 0, err)
+	}
+	return nil
+}
+
+// Close drops a partly received snapshot.
+func (s *Store) Close() error {
+	s.dropIncoming()
+	return nil
+}
+
+type bodyWriter struct {
+	w    *bufio.Writer
+	sum  uint32
+	size int64
+}
+
+// Write implements io.Writer.
+func (b *bodyWriter) Write(p []byte) (int, error) {
+	n, err := b.w.Write(p)
+	b.sum = crc32.Update(b.sum, castagnoli, p[:n])
+	b.size += int64(n)
+	return n, err
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	err = folder.Sync()
+	if closed := folder.Close(); err == nil {
+		err = closed
+	}
+	return err
+}
--- /dev/null
+++ b/kcw/kcwwal/error.go
@@ -0,0 +1,71 @@
+package kcwwal
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind classifies an Error.
+type Kind int
+
+// The kinds of Error.
+const (
+	// Storage is a failed call of the file system. The log refuses all further
+	// writes after one, since what a failed sync left on the disk is not known.
+	Storage Kind = iota + 1
+	// Damaged means that synced content is not what was written.
+	Damaged
+	// Foreign means that a file is not of this log.
+	Foreign
+	// Missing means that a segment is gone.
+	Missing
+	// Invalid is a wrong argument.
+	Invalid
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	switch k {
+	case Storage:
+		return "storage"
+	case Damaged:
+		return "damaged"
+	case Foreign:
+		return "foreign file"
+	case Missing:
+		return "missing segment"
+	case Invalid:
+		return "invalid"
+	}
+	return fmt.Sprintf("kind %d", int(k))
+}
+
+// Error is the error of every function of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	// File is the path concerned and Offset the place in it, in bytes.
+	File   string
+	Offset int64
+	Err    error
+}
+
+// Error returns the operation, kind, place and cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("kcwwal: %s %s at byte %d: %s: %v", e.Op, e.File, e.Offset, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+func fail(op string, kind Kind, file string, offset int64, err error) *Error {
+	return &Error{Op: op, Kind: kind, File: file, Offset: offset, Err: eris.Wrap(err, op)}
+}
+
+func failText(op string, kind Kind, file string, offset int64, text string) *Error {
+	return fail(op, kind, file, offset, errors.New(text))
+}
--- /dev/null
+++ b/kcw/kcwwal/log.go
@@ -0,0 +1,280 @@
+// Package kcwwal holds a replica's log on disk: entries, term and vote in
+// segment files, each record with a checksum. A write that was torn at the end
+// of the last segment is cut; damage anywhere else refuses to open.
+package kcwwal
+
+import (
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+const (
+	fileMode            = 0o600
+	defaultSegmentBytes = 16 << 20
+)
+
+// Config is what a Log needs.
+type Config struct {
+	// Path is the folder of the segments, which must exist and hold nothing
+	// else.
+	Path string
+	// Owner is the identity of the replica; segments of another are refused.
+	Owner uint64
+	// SegmentBytes is the size at which a segment is closed, 16 MiB if zero.
+	SegmentBytes int64
+	// Existing says that the log was written before, so that finding no
+	// segment is an error.
+	Existing bool
+}
+
+// Log is an open log. It must be used by one goroutine at a time.
+type Log struct {
+	cfg      Config
+	segments []*segment
+	loaded   content
+	state    pair
+	file     *os.File
+	size     int64
+	buf      []byte
+	failure  error
+}
+
+// Open reads the log and makes it ready for writing. The error is an *Error
+// that names file and offset.
+func Open(cfg Config) (*Log, error) {
+	if cfg.SegmentBytes <= 0 {
+		cfg.SegmentBytes = defaultSegmentBytes
+	}
+	if cfg.Path == "" || cfg.Owner == 0 {
+		return nil, failText("open", Invalid, cfg.Path, 0, "Path and Owner must be set")
+	}
+	l := &Log{cfg: cfg}
+	var err error
+	l.segments, err = listSegments(cfg.Path)
+	if err != nil {
+		return nil, err
+	}
+	if len(l.segments) == 0 && cfg.Existing {
+		return nil, failText("open", Missing, cfg.Path, 0, "the log was written before and is gone")
+	}
+	if err := l.load(); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Log) load() error {
+	for i, s := range l.segments {
+		isLast := i == len(l.segments)-1
+		size, err := l.loaded.replay(s, l.cfg.Owner, isLast)
+		if err != nil {
+			return err
+		}
+		l.size = size
+	}
+	l.state = l.loaded.state
+	if len(l.segments) == 0 {
+		return l.roll(1)
+	}
+	last := l.segments[len(l.segments)-1]
+	if l.size == 0 {
+		return l.replaceLast(last)
+	}
+	return l.reopen(last)
+}
+
+// replaceLast begins the last segment anew, whose header was torn when it was
+// made.
+func (l *Log) replaceLast(last *segment) error {
+	if len(l.segments) == 1 && l.cfg.Existing {
+		return failText("open", Damaged, last.path, 0, "no header in the only segment")
+	}
+	if err := os.Remove(last.path); err != nil {
+		return fail("open", Storage, last.path, 0, err)
+	}
+	l.segments = l.segments[:len(l.segments)-1]
+	return l.roll(last.sequence)
+}
+
+// reopen opens the last segment for writing and cuts what follows its good
+// part.
+func (l *Log) reopen(last *segment) error {
+	file, err := os.OpenFile(last.path, os.O_RDWR, fileMode)
+	if err != nil {
+		return fail("open", Storage, last.path, 0, err)
+	}
+	err = file.Truncate(l.size)
+	if err == nil {
+		_, err = file.Seek(l.size, 0)
+	}
+	if err == nil {
+		err = file.Sync()
+	}
+	if err != nil {
+		_ = file.Close()
+		return fail("open", Storage, last.path, l.size, err)
+	}
+	l.file = file
+	return nil
+}
+
+// roll closes the segment in use and begins one with the sequence given.
+func (l *Log) roll(sequence uint64) error {
+	if l.file != nil {
+		if err := l.file.Close(); err != nil {
+			return fail("roll", Storage, l.file.Name(), l.size, err)
+		}
+		l.file = nil
+	}
+	path := filepath.Join(l.cfg.Path, segmentName(sequence))
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_EXCL, fileMode)
+	if err != nil {
+		return fail("roll", Storage, path, 0, err)
+	}
+	l.file = file
+	l.segments = append(l.segments, &segment{sequence: sequence, path: path})
+	buf := appendHeader(nil, header{owner: l.cfg.Owner, sequence: sequence})
+	buf = appendPair(buf, 0, kindState, l.state)
+	l.size = 0
+	if err := l.write(buf); err != nil {
+		return err
+	}
+	if err := syncFolder(l.cfg.Path); err != nil {
+		return fail("roll", Storage, path, 0, err)
+	}
+	return nil
+}
+
+// State returns the term and the vote that were saved last.
+func (l *Log) State() (term, vote uint64) {
+	return l.state.first, l.state.second
+}
+
+// Entries returns the entries that Open read. Later calls return nil.
+func (l *Log) Entries() []*kcwpb.Entry {
+	entries := l.loaded.entries
+	l.loaded = content{}
+	return entries
+}
+
+// Save writes term, vote and entries with one sync. Entries must follow each
+// other; what the log held at the first one's index and after is replaced. When
+// Save returns nil all of it is on the disk. After an error every later call
+// returns that error.
+func (l *Log) Save(term, vote uint64, entries []*kcwpb.Entry) error {
+	if l.failure != nil {
+		return l.failure
+	}
+	buf := l.buf[:0]
+	state := pair{term, vote}
+	if state != l.state {
+		buf = appendPair(buf, l.size, kindState, state)
+	}
+	for _, e := range entries {
+		var err error
+		buf, err = appendEntry(buf, l.size, e)
+		if err != nil {
+			return fail("save", Invalid, l.file.Name(), l.size, err)
+		}
+	}
+	if len(buf) == 0 {
+		return nil
+	}
+	if err := l.write(buf); err != nil {
+		return err
+	}
+	l.buf = buf[:0]
+	l.state = state
+	if len(entries) > 0 {
+		last := l.segments[len(l.segments)-1]
+		last.last = max(last.last, entries[len(entries)-1].Index)
+	}
+	return l.rollIfFull()
+}
+
+func (l *Log) rollIfFull() error {
+	if l.size < l.cfg.SegmentBytes {
+		return nil
+	}
+	l.failure = l.roll(l.segments[len(l.segments)-1].sequence + 1)
+	if l.failure == nil {
+		return nil
+	}
+	return l.failure
+}
+
+// Reset drops all entries; the next one to be saved follows index, whose term
+// is given.
+func (l *Log) Reset(index, term uint64) error {
+	if l.failure != nil {
+		return l.failure
+	}
+	buf := appendPair(nil, l.size, kindReset, pair{index, term})
+	if err := l.write(buf); err != nil {
+		return err
+	}
+	return l.removeBefore(len(l.segments) - 1)
+}
+
+// Compact removes the segments whose entries all have indexes up to index.
+func (l *Log) Compact(index uint64) error {
+	keep := 0
+	for keep < len(l.segments)-1 && l.segments[keep].last <= index {
+		keep++
+	}
+	return l.removeBefore(keep)
+}
+
+// removeBefore removes segments oldest first, so that a crash leaves no gap.
+func (l *Log) removeBefore(keep int) error {
+	if keep == 0 {
+		return nil
+	}
+	for _, s := range l.segments[:keep] {
+		if err := os.Remove(s.path); err != nil {
+			return fail("compact", Storage, s.path, 0, err)
+		}
+		if err := syncFolder(l.cfg.Path); err != nil {
+			return fail("compact", Storage, s.path, 0, err)
+		}
+	}
+	l.segments = append([]*segment(nil), l.segments[keep:]...)
+	return nil
+}
+
+// Close closes the log's file.
+func (l *Log) Close() error {
+	if err := l.file.Close(); err != nil {
+		return fail("close", Storage, l.file.Name(), l.size, err)
+	}
+	return nil
+}
+
+func (l *Log) write(buf []byte) error {
+	_, err := l.file.Write(buf)
+	if err == nil {
+		err = unix.Fdatasync(int(l.file.Fd()))
+	}
+	if err != nil {
+		l.failure = fail("write", Storage, l.file.Name(), l.size, err)
+		return l.failure
+	}
+	l.size += int64(len(buf))
+	return nil
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	err = folder.Sync()
+	if closed := folder.Close(); err == nil {
+		err = closed
+	}
+	return err
+}
--- /dev/null
+++ b/kcw/kcwwal/record.go
@@ -0,0 +1,151 @@
+package kcwwal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// A segment is a sequence of records:
+//
+//	checksum uint32  CRC-32C of all that follows
+//	length   uint32  of the payload, in bytes
+//	batch    uint64  offset of the first record written along with this one
+//	payload          one byte of kind, then the body
+//
+// All integers are little-endian. What stands before a record's batch was
+// synced before the record was written. A bad record is therefore a torn write
+// only if no good record of a later batch follows it.
+const (
+	headerBytes = 16
+	// maxPayload bounds the payload of a record, in bytes.
+	maxPayload = 64 << 20
+
+	magic = "KCWWAL01"
+)
+
+type recordKind byte
+
+const (
+	kindHeader recordKind = iota + 1
+	kindState
+	kindEntry
+	kindReset
+)
+
+// header is the first record of a segment.
+type header struct {
+	owner    uint64
+	sequence uint64
+}
+
+// pair is the body of a state record, term and vote, or of a reset record,
+// index and term.
+type pair struct {
+	first, second uint64
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// appendRecord appends a record with the payload that fill appends.
+func appendRecord(buf []byte, batch int64, kind recordKind, fill func([]byte) []byte) []byte {
+	start := len(buf)
+	buf = append(buf, make([]byte, headerBytes)...)
+	buf = append(buf, byte(kind))
+	buf = fill(buf)
+	record := buf[start:]
+	binary.LittleEndian.PutUint32(record[4:], uint32(len(record)-headerBytes))
+	binary.LittleEndian.PutUint64(record[8:], uint64(batch))
+	binary.LittleEndian.PutUint32(record, crc32.Checksum(record[4:], castagnoli))
+	return buf
+}
+
+func appendHeader(buf []byte, h header) []byte {
+	return appendRecord(buf, 0, kindHeader, func(b []byte) []byte {
+		b = append(b, magic...)
+		b = binary.LittleEndian.AppendUint64(b, h.owner)
+		return binary.LittleEndian.AppendUint64(b, h.sequence)
+	})
+}
+
+func appendPair(buf []byte, batch int64, kind recordKind, p pair) []byte {
+	return appendRecord(buf, batch, kind, func(b []byte) []byte {
+		b = binary.LittleEndian.AppendUint64(b, p.first)
+		return binary.LittleEndian.AppendUint64(b, p.second)
+	})
+}
+
+func appendEntry(buf []byte, batch int64, e *kcwpb.Entry) ([]byte, error) {
+	var err error
+	buf = appendRecord(buf, batch, kindEntry, func(b []byte) []byte {
+		b, err = proto.MarshalOptions{}.MarshalAppend(b, e)
+		return b
+	})
+	return buf, err
+}
+
+// readRecord returns the payload of the record at offset of data and the
+// offset after it. Ok is false if no whole record with a right checksum is
+// there.
+func readRecord(data []byte, offset int) (payload []byte, next int, ok bool) {
+	if len(data)-offset < headerBytes+1 {
+		return nil, 0, false
+	}
+	record := data[offset:]
+	length := int(binary.LittleEndian.Uint32(record[4:]))
+	if length == 0 || length > maxPayload || length > len(record)-headerBytes {
+		return nil, 0, false
+	}
+	record = record[:headerBytes+length]
+	batch := binary.LittleEndian.Uint64(record[8:])
+	if batch > uint64(offset) {
+		return nil, 0, false
+	}
+	if binary.LittleEndian.Uint32(record) != crc32.Checksum(record[4:], castagnoli) {
+		return nil, 0, false
+	}
+	return record[headerBytes:], offset + len(record), true
+}
+
+// laterBatch reports whether a good record of a batch that began after offset
+// follows offset, so that what stands at offset had been synced.
+func laterBatch(data []byte, offset int) bool {
+	for at := offset + 1; at+headerBytes < len(data); at++ {
+		batch := binary.LittleEndian.Uint64(data[at+8:])
+		if batch <= uint64(offset) || batch > uint64(at) {
+			continue
+		}
+		if _, _, ok := readRecord(data, at); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func parseHeader(payload []byte) (header, bool) {
+	body := payload[1:]
+	if recordKind(payload[0]) != kindHeader || len(body) != len(magic)+16 {
+		return header{}, false
+	}
+	if string(body[:len(magic)]) != magic {
+		return header{}, false
+	}
+	body = body[len(magic):]
+	return header{
+		owner:    binary.LittleEndian.Uint64(body),
+		sequence: binary.LittleEndian.Uint64(body[8:]),
+	}, true
+}
+
+func parsePair(body []byte) (pair, bool) {
+	if len(body) != 16 {
+		return pair{}, false
+	}
+	return pair{
+		first:  binary.LittleEndian.Uint64(body),
+		second: binary.LittleEndian.Uint64(body[8:]),
+	}, true
+}
