Add the ledger program

kcw-ledger joins the group, the book and the services: strict settings with a check, an operator address, metrics, a state dump, and a planned stop that hands leadership on before the servers close.

--- /dev/null
+++ b/kcw-ledger/replica.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw/kcwadmin"
+	"kingcupwick.example/kcw/kcwbook"
+	"kingcupwick.example/kcw/kcwfeed"
+	"kingcupwick.example/kcw/kcwfolder"
+	"kingcupwick.example/kcw/kcwgroup"
+	"kingcupwick.example/kcw/kcwlog"
+	"kingcupwick.example/kcw/kcwmeter"
+	"kingcupwick.example/kcw/kcwpeer"
+	"kingcupwick.example/kcw/kcwservice"
+)
+
+// replica is the parts of one ledger replica at work.
+type replica struct {
+	settings *settings
+	folder   *kcwfolder.Folder
+	book     *kcwbook.Book
+	sender   *kcwpeer.Sender
+	group    *kcwgroup.Group
+	service  *kcwservice.Service
+	meter    *kcwmeter.Meter
+}
+
+// serve runs a replica until a signal stops it.
+func serve(s *settings, k keys, logger *kcwlog.Logger) error {
+	folder, err := kcwfolder.Open(kcwfolder.Config{Path: s.Host.Folder})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = folder.Close() }()
+	r, err := newReplica(s, k, folder)
+	if err != nil {
+		return err
+	}
+	defer r.close()
+	public, err := r.publicServer()
+	if err != nil {
+		return err
+	}
+	admin, err := r.adminServer(k.operator)
+	if err != nil {
+		return err
+	}
+	app := kratos.New(
+		kratos.Name("kcw-ledger"),
+		kratos.Logger(logger),
+		kratos.Server(public, admin),
+		kratos.StopTimeout(s.Service.StopTimeout),
+		kratos.BeforeStop(func(context.Context) error { return r.leave() }),
+	)
+	klog.InfoS("Ledger replica starts", "Address", s.Host.Address, "Zone", s.Host.Zone)
+	go func() {
+		// A group that stops by itself has met a fault of its disk.
+		<-r.group.Done()
+		_ = app.Stop()
+	}()
+	if err := app.Run(); err != nil {
+		return err
+	}
+	return r.group.Close()
+}
+
+// newReplica starts the replica of folder. The caller closes it.
+func newReplica(s *settings, k keys, folder *kcwfolder.Folder) (*replica, error) {
+	r := &replica{settings: s, folder: folder, book: kcwbook.New()}
+	sender, err := kcwpeer.New(kcwpeer.Config{Group: s.Group.Name, Key: k.peer, Timeout: s.Group.Election / 2})
+	if err != nil {
+		return nil, err
+	}
+	r.sender = sender
+	feed := kcwfeed.New(kcwfeed.Config{Machine: r.book, Revision: r.book.Revision})
+	group, err := kcwgroup.New(kcwgroup.Config{
+		Folder:          folder,
+		Group:           s.Group.Name,
+		Name:            s.Host.Name,
+		Zone:            s.Host.Zone,
+		Address:         s.Host.Address,
+		Founders:        s.founders(),
+		Bootstrap:       s.Group.Bootstrap,
+		Machine:         feed,
+		Send:            sender.Send,
+		Heartbeat:       s.Group.Heartbeat,
+		Election:        s.Group.Election,
+		SnapshotEntries: s.Group.SnapshotEntries,
+		KeepEntries:     s.Group.KeepEntries,
+		Now:             time.Now,
+	})
+	if err != nil {
+		_ = sender.Close()
+		return nil, err
+	}
+	r.group = group
+	if err := r.build(k, feed); err != nil {
+		r.close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// build makes the services and the metrics.
+func (r *replica) build(k keys, feed *kcwfeed.Feed) error {
+	service, err := kcwservice.New(kcwservice.Config{
+		Group:       r.group,
+		Book:        r.book,
+		Changed:     feed.Changed,
+		PeerKey:     k.peer,
+		RouterKey:   k.router,
+		OperatorKey: k.operator,
+		Beat:        r.settings.Service.Beat,
+		SilentAfter: r.settings.Service.SilentAfter,
+		Now:         time.Now,
+	})
+	if err != nil {
+		return err
+	}
+	r.service = service
+	r.meter, err = kcwmeter.New(kcwmeter.Config{
+		Program: "kcw-ledger",
+		Host:    r.settings.Host.Name,
+		Zone:    r.settings.Host.Zone,
+	})
+	if err != nil {
+		return err
+	}
+	r.measure()
+	return nil
+}
+
+// measure declares the metrics of the replica.
+func (r *replica) measure() {
+	gauge := func(name, help string, read func() int64) {
+		r.meter.Gauge(name, help, func(observe func(int64, ...attribute.KeyValue)) { observe(read()) })
+	}
+	gauge("kcw_ledger_term", "Term of the replicated log.", func() int64 { return int64(r.group.Status().Term) })
+	gauge("kcw_ledger_commit", "Highest committed index.", func() int64 { return int64(r.group.Status().Commit) })
+	gauge("kcw_ledger_applied", "Highest applied index.", func() int64 { return int64(r.group.Status().Applied) })
+	gauge("kcw_ledger_revision", "Newest contract revision.", func() int64 { return int64(r.book.Revision()) })
+	gauge("kcw_ledger_leads", "Whether this replica leads, 0 or 1.", func() int64 {
+		status := r.group.Status()
+		if status.Leader == status.Id {
+			return 1
+		}
+		return 0
+	})
+}
+
+// publicServer returns the server for replicas, routers and operators.
+func (r *replica) publicServer() (*khttp.Server, error) {
+	listener, err := net.Listen("tcp", r.settings.Host.Address.String())
+	if err != nil {
+		return nil, eris.Wrap(err, "listen")
+	}
+	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
+	server.Protocols = &http.Protocols{}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
+	server.HandlePrefix("/", r.service.Handler())
+	return server, nil
+}
+
+// adminServer returns the server of the operator address.
+func (r *replica) adminServer(operatorKey string) (*kcwadmin.Server, error) {
+	return kcwadmin.New(kcwadmin.Config{
+		Address:     r.settings.Host.AdminAddress,
+		OperatorKey: operatorKey,
+		Health:      func() error { return nil },
+		Ready:       r.ready,
+		Metrics:     r.meter.Handler(),
+		Dump:        func(context.Context) any { return r.dump() },
+	})
+}
+
+// ready returns nil if the replica is up to date with a leader.
+func (r *replica) ready() error {
+	if !r.group.Fresh() {
+		return eris.New("no leader heard lately")
+	}
+	return nil
+}
+
+// leave hands leadership on and ends the watches before the servers stop, so
+// that nothing in flight is cut.
+func (r *replica) leave() error {
+	r.service.Stop()
+	return r.group.Close()
+}
+
+func (r *replica) close() {
+	if err := r.group.Close(); err != nil {
+		klog.ErrorS(err, "Group closed with an error")
+	}
+	_ = r.sender.Close()
+	if r.meter != nil {
+		_ = r.meter.Close()
+	}
+}
--- a/kcw/kcwgroup/group.go
+++ b/kcw/kcwgroup/group.go
@@ -49,6 +49,7 @@
 	closeOnce   sync.Once
 	fault       atomic.Pointer[error]
 	status      atomic.Pointer[kcwpb.GroupStatus]
+	heard       atomic.Pointer[time.Time]
 
 	// Below belong to the loop.
 	replica     *kcwreplica.Replica
--- a/kcw/kcwgroup/transport.go
+++ b/kcw/kcwgroup/transport.go
@@ -97,6 +97,7 @@
 // otherwise once in a while.
 func (g *Group) publish() {
 	now := g.cfg.Now()
+	g.publishHeard(g.replica.HeardAt())
 	last := g.status.Load()
 	same := last != nil && last.Term == g.replica.Term() && last.Leader == g.replica.Leader()
 	if same && now.Sub(g.publishedAt) < g.cfg.Heartbeat/ticksPerHeartbeat && !now.Before(g.publishedAt) {
--- a/kcw/kcwservice/peer.go
+++ b/kcw/kcwservice/peer.go
@@ -14,7 +14,6 @@
 }
 
 // Exchange hands messages of another replica to the group.
-func (s *peerService) Exchange(_ context.Context, req *connect.Request[kcwpb.ExchangeRequest]) (*connect.Response[kcwpb.ExchangeResponse], error) {
-	s.cfg.Group.Step(req.Msg.Messages)
-	return connect.NewResponse(&kcwpb.ExchangeResponse{}), nil
+func (s *peerService) Exchange(ctx context.Context, req *connect.Request[kcwpb.ExchangeRequest]) (*connect.Response[kcwpb.ExchangeResponse], error) {
+	return s.cfg.Group.Exchange(ctx, req)
 }
--- a/kcw/kcwservice/service.go
+++ b/kcw/kcwservice/service.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
 )
@@ -37,7 +39,7 @@
 type group interface {
 	Propose(ctx context.Context, data []byte) ([]byte, error)
 	Confirm(ctx context.Context) error
-	Step(msgs []*kcwpb.Message)
+	Exchange(ctx context.Context, req *connect.Request[kcwpb.ExchangeRequest]) (*connect.Response[kcwpb.ExchangeResponse], error)
 	Status() *kcwpb.GroupStatus
 	Fresh() bool
 	ChangeMembers(ctx context.Context, req *kcwpb.ChangeMembersRequest) (*kcwpb.Membership, error)
--- a/kcw/kcwservice/service_test.go
+++ b/kcw/kcwservice/service_test.go
@@ -52,7 +52,9 @@
 	return nil
 }
 
-func (g *fakeGroup) Step([]*kcwpb.Message) {}
+func (g *fakeGroup) Exchange(context.Context, *connect.Request[kcwpb.ExchangeRequest]) (*connect.Response[kcwpb.ExchangeResponse], error) {
+	return connect.NewResponse(&kcwpb.ExchangeResponse{}), nil
+}
 
 func (g *fakeGroup) Status() *kcwpb.GroupStatus {
 	if g.follows != "" {
