--- a/kcw/kcwbook/granted.go
+++ b/kcw/kcwbook/granted.go
@@ -14,10 +14,12 @@
 		}
 	}
 	next := a.budget
+	var released int64
 	if old != nil && !old.isClosed() {
-		next.reserved -= old.tokens
+		released = old.tokens
+		next.reserved -= released
 	}
-	drafts, next, ok := a.draft(op, next)
+	drafts, next, ok := a.draft(op, next, released)
 	if !ok {
 		result := refused(kcwpb.Code_CODE_EXHAUSTED, "neither the grant nor the budget holds the tokens")
 		result.Grant = a.grantOf(op.GetRouter(), op.GetIncarnation()).message(a.customer)
@@ -70,31 +72,30 @@
 }
 
 // draft takes the tokens of op out of the grant of its incarnation, then out of
-// what is free in next, then out of the orphaned grants of the same router. It
-// returns the changed grants and the budget without their part.
-func (a *account) draft(op *kcwpb.SettleClaim, next budget) ([]grant, budget, bool) {
+// released, the reservation that the bill replaces, then out of the orphaned
+// grants of the same router, then out of what is free in next. It returns the
+// changed grants and the budget without their part.
+func (a *account) draft(op *kcwpb.SettleClaim, next budget, released int64) ([]grant, budget, bool) {
 	var drafts []grant
 	need := op.GetTokens()
-	own := a.grantOf(op.GetRouter(), op.GetIncarnation())
-	if taken := min(need, own.tokens); taken > 0 {
-		own.tokens -= taken
-		next.granted -= taken
-		need -= taken
-		drafts = append(drafts, own)
-	}
-	need -= min(need, max(0, next.free()-(op.GetTokens()-need)))
-	for _, g := range a.grants {
-		if need == 0 {
-			break
-		}
-		if g.router != op.GetRouter() || g.incarnation >= op.GetIncarnation() || g.tokens == 0 {
-			continue
-		}
+	take := func(g grant) {
 		taken := min(need, g.tokens)
+		if taken == 0 {
+			return
+		}
 		g.tokens -= taken
 		next.granted -= taken
 		need -= taken
 		drafts = append(drafts, g)
 	}
-	return drafts, next, need == 0
+	free := next.free()
+	take(a.grantOf(op.GetRouter(), op.GetIncarnation()))
+	covered := min(need, released)
+	need -= covered
+	for _, g := range a.grants {
+		if g.router == op.GetRouter() && g.incarnation < op.GetIncarnation() {
+			take(g)
+		}
+	}
+	return drafts, next, need <= free-covered
 }
--- a/kcw/kcwbook/restore.go
+++ b/kcw/kcwbook/restore.go
@@ -80,6 +80,9 @@
 	if err := proto.Unmarshal(in.scratch, record); err != nil {
 		return nil, eris.Wrap(err, "decode a record")
 	}
+	if record.GetFooter() != nil && len(record.GetFooter().ProtoReflect().GetUnknown()) > 0 {
+		return nil, eris.New("the footer has unknown fields")
+	}
 	in.records++
 	in.checksum = crc32.Update(in.checksum, castagnoli, binary.AppendUvarint(nil, size))
 	in.checksum = crc32.Update(in.checksum, castagnoli, in.scratch)
