--- /dev/null
+++ b/kcw/kcwgateway/answers.go
@@ -0,0 +1,135 @@
+package kcwgateway
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+)
+
+const (
+	// partBytes is the size of one part of an answer between routers.
+	partBytes = 64 << 10
+	// peerDialTimeout bounds the first byte from another router.
+	peerIdleTimeout = 30 * time.Second
+)
+
+// Answers returns the path and handler of the Answers service, for the
+// internal address.
+func (g *Gateway) Answers() (string, http.Handler) {
+	return kcwpbconnect.NewAnswersHandler(&answerService{g})
+}
+
+// answerService gives finished answers to other routers.
+type answerService struct {
+	gateway *Gateway
+}
+
+// Fetch sends the answer to a request, once it is finished.
+func (s *answerService) Fetch(ctx context.Context, req *connect.Request[kcwpb.AnswerRequest], stream *connect.ServerStream[kcwpb.AnswerPart]) error {
+	peers := s.gateway.cfg.Peers
+	if peers == nil || !peers.Admits(req.Header()) {
+		return connect.NewError(connect.CodeUnauthenticated, eris.New("unknown process key"))
+	}
+	answer, err := s.gateway.finished(ctx, req.Msg)
+	if err != nil {
+		return err
+	}
+	body := answer.GetBody()
+	for {
+		n := min(len(body), partBytes)
+		part := &kcwpb.AnswerPart{Status: answer.GetStatus(), ContentType: answer.GetContentType(), Body: body[:n], Last: n == len(body)}
+		if err := stream.Send(part); err != nil {
+			return err
+		}
+		if part.Last {
+			return nil
+		}
+		body = body[n:]
+	}
+}
+
+// finished returns the answer to a request of this router, for which it waits
+// while the request is in flight.
+func (g *Gateway) finished(ctx context.Context, req *kcwpb.AnswerRequest) (*kcwpb.AnswerPart, error) {
+	if f := g.flights.find(identity{req.GetCustomer(), req.GetRequest()}); f != nil {
+		select {
+		case <-f.done:
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+		}
+		if f.verdict.answer != nil && string(f.digest) == string(req.GetDigest()) {
+			return f.verdict.answer, nil
+		}
+		return nil, connect.NewError(connect.CodeNotFound, eris.New("no answer"))
+	}
+	answer, err := g.cfg.Answers.Get(req.GetCustomer(), req.GetRequest(), req.GetDigest())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeNotFound, err)
+	}
+	return answer, nil
+}
+
+// peers holds the connections to other routers.
+type peers struct {
+	key    string
+	client *http.Client
+
+	mu    *sync.Mutex
+	table map[netip.AddrPort]kcwpbconnect.AnswersClient
+}
+
+func newPeers(key string) peers {
+	transport := &http.Transport{DisableCompression: true, IdleConnTimeout: peerIdleTimeout}
+	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return peers{key: key, client: client, mu: &sync.Mutex{}, table: map[netip.AddrPort]kcwpbconnect.AnswersClient{}}
+}
+
+func (p *peers) at(address netip.AddrPort) kcwpbconnect.AnswersClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.table[address]
+	if !ok {
+		c = kcwpbconnect.NewAnswersClient(p.client, "http://"+address.String())
+		p.table[address] = c
+	}
+	return c
+}
+
+// fetch returns the answer that another router gave to the same request.
+func (g *Gateway) fetch(ctx context.Context, address string, req *request) (*kcwpb.AnswerPart, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.Wrap(err, "owner address")}
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.cfg.FirstByteTimeout)
+	defer cancel()
+	call := connect.NewRequest(&kcwpb.AnswerRequest{Customer: req.contract.Customer, Request: req.identity, Digest: req.digest})
+	call.Header().Set("Authorization", "Bearer "+g.peers.key)
+	stream, err := g.peers.at(parsed).Fetch(ctx, call)
+	if err != nil {
+		return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.Wrap(err, "call")}
+	}
+	defer func() { _ = stream.Close() }()
+	whole := &kcwpb.AnswerPart{}
+	for stream.Receive() {
+		part := stream.Msg()
+		whole.Status, whole.ContentType = part.GetStatus(), part.GetContentType()
+		whole.Body = append(whole.Body, part.GetBody()...)
+		if int64(len(whole.Body)) > g.cfg.MaxAnswerBytes {
+			return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.New("the answer is too large")}
+		}
+		if part.GetLast() {
+			whole.Last = true
+			return whole, nil
+		}
+	}
+	return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.Wrap(stream.Err(), "the answer broke off")}
+}
--- /dev/null
+++ b/kcw/kcwgateway/error.go
@@ -0,0 +1,25 @@
+package kcwgateway
+
+// Kind says what was wrong with a Config.
+type Kind int
+
+// The kinds of an Error.
+const (
+	// KindConfig is a Config that lacks something.
+	KindConfig Kind = iota + 1
+	// KindPeer is another router that did not hand over an answer.
+	KindPeer
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation and its cause.
+func (e *Error) Error() string { return "kcwgateway: " + e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/kcw/kcwgateway/gateway_test.go
@@ -0,0 +1,38 @@
+package kcwgateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+func TestWholePath(t *testing.T) {
+	l := newLedger(t, "r1")
+	e := &engine{words: []string{"ab", "cd", "ef"}}
+	app := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte(r.Method + " " + r.URL.RequestURI())) })
+	f := start(t, l, "r1", map[string][]http.Handler{"engine": {e}, "app": {app}}, nil)
+
+	r := f.do(call{body: chatBody, identity: "json"})
+	if r.status != 200 || !strings.Contains(r.body, "abcdef") || r.header.Get(RequestHeader) != "json" || r.err != nil {
+		t.Errorf("JSON: %+v", r)
+	}
+	l.checkBudget(t, "pew", 6, 0)
+
+	r = f.do(call{body: streamBody})
+	words, done := wordsOf(r.body)
+	if r.status != 200 || words != "abcdef" || !done || strings.Contains(r.body, "usage") || r.err != nil {
+		t.Errorf("stream: %+v", r)
+	}
+	l.checkBudget(t, "pew", 12, 0)
+
+	r = f.do(call{path: "/services/app/visits?x=1", body: "b"})
+	if r.status != 200 || r.body != "POST /visits?x=1" {
+		t.Errorf("plain service: %+v", r)
+	}
+	l.checkBudget(t, "pew", 17, 0)
+
+	r = f.do(call{method: "GET", path: modelsPath})
+	if r.status != 200 || !strings.Contains(r.body, `"id":"m"`) {
+		t.Errorf("models: %+v", r)
+	}
+}
--- /dev/null
+++ b/kcw/kcwgateway/service.go
@@ -0,0 +1,49 @@
+package kcwgateway
+
+import (
+	"net/http"
+	"path"
+	"slices"
+	"strings"
+	"time"
+)
+
+// servicesPath is the path under which plain services are called.
+const servicesPath = "/services/"
+
+// admitService checks a call of a plain service and fills in its part of req.
+func (g *Gateway) admitService(req *request, r *http.Request, body []byte, now time.Time) *refusal {
+	if !isPlainPath(r) {
+		return refuse(codeUnknownPath, now, "The path is not in its shortest form.")
+	}
+	service, ok := req.contract.Service(r.URL.Path)
+	if !ok {
+		return refuse(codeNotPermitted, now, "")
+	}
+	if !slices.Contains(service.Methods, r.Method) {
+		return refuse(codeMethodNotAllowed, now, "")
+	}
+	_, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPath), "/")
+	req.service = service.Name
+	req.method = r.Method
+	req.uri = "/" + rest
+	if r.URL.RawQuery != "" {
+		req.uri += "?" + r.URL.RawQuery
+	}
+	req.body = body
+	req.cost = service.CostTokens
+	req.reserve = service.CostTokens
+	req.repeatable = req.repeatable && service.Repeatable(r.URL.Path)
+	return nil
+}
+
+// isPlainPath says whether the path reads the same to a contract's rules and
+// to any upstream: without dots, empty segments or escaped separators.
+func isPlainPath(r *http.Request) bool {
+	escaped := strings.ToLower(r.URL.EscapedPath())
+	if strings.Contains(escaped, "%2f") || strings.Contains(escaped, "%5c") || strings.Contains(escaped, "\\") {
+		return false
+	}
+	clean := path.Clean(r.URL.Path)
+	return r.URL.Path == clean || r.URL.Path == clean+"/"
+}
