--- a/kcw/kcwpick/service.go
+++ b/kcw/kcwpick/service.go
@@ -12,8 +12,8 @@
 	near     []*upstream // in the router's zone
 	far      []*upstream
 	freed    *upstream // where an own request ended last
-	reported int     // upstreams with a report
-	sum      float64 // utilizations reported, of these
+	reported int       // upstreams with a report
+	sum      float64   // utilizations reported, of these
 	prefixes prefixes
 }
 
