Add the operator's tool

Cause: contracts, budgets and members need a tool whose every end is told by an exit code, and which resends a change whose answer was lost under the same identity.

--- /dev/null
+++ b/kcwctl/kcwtool/contract.go
@@ -0,0 +1,233 @@
+package kcwtool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"kingcupwick.example/kcw/kcwcontract"
+	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// baseSuffix is put after the name of a contract file for the file that holds
+// the revision which it was read at.
+const baseSuffix = ".base"
+
+// noBase stands for a -base flag that was not given.
+const noBase = -1
+
+// changed is the row printed for a change.
+type changed struct {
+	Customer string
+	Revision uint64
+	Change   string
+	Repeated bool
+}
+
+// pending is the row printed for a router that has not confirmed a revision.
+type pending struct {
+	Router   string
+	Zone     string
+	Revision uint64
+	HeardAt  time.Time
+}
+
+func (t *Tool) applyCommand() *ffcli.Command {
+	set := t.flags("apply")
+	base := set.Int64("base", noBase, "revision that the file was made from, 0 for a new contract (default what get wrote beside the file, or 0)")
+	change := changeFlag(set)
+	wait := set.Duration("wait", 0, "how long to wait until every router has confirmed the change")
+	return t.command("apply", "<file>", "create or amend a contract from a file", set, func(ctx context.Context, args []string) error {
+		return t.apply(ctx, args[0], *base, changeIdentity(*change), *wait)
+	})
+}
+
+func (t *Tool) apply(ctx context.Context, path string, base int64, change string, wait time.Duration) error {
+	contract, err := readContract(path)
+	if err != nil {
+		return err
+	}
+	if base == noBase {
+		if base, err = readBase(path); err != nil {
+			return err
+		}
+	}
+	return t.call(ctx, func(bounded context.Context, client *kcwledger.Client) error {
+		put := &kcwpb.PutContract{Change: change, Base: uint64(base), Contract: contract.Message()}
+		result, err := t.submit(bounded, client, "apply", change, &kcwpb.Command{Op: &kcwpb.Command_PutContract{PutContract: put}})
+		if err != nil {
+			return err
+		}
+		if err := writeBase(path, result.Revision); err != nil {
+			return err
+		}
+		if err := t.print([]changed{{contract.Customer, result.Revision, change, result.Code == kcwpb.Code_CODE_REPEATED}}); err != nil {
+			return err
+		}
+		return t.confirm(ctx, client, result.Revision, wait)
+	})
+}
+
+func readContract(path string) (*kcwcontract.Contract, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Op: "apply", Kind: Usage, Err: err}
+	}
+	contract, err := kcwcontract.Decode(data)
+	if err != nil {
+		return nil, &Error{Op: "apply " + path, Kind: Usage, Err: err}
+	}
+	return contract, nil
+}
+
+// readBase returns the revision in the file that get wrote beside the contract,
+// zero if there is none.
+func readBase(path string) (int64, error) {
+	data, err := os.ReadFile(path + baseSuffix)
+	if errors.Is(err, os.ErrNotExist) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, &Error{Op: "apply", Kind: Usage, Err: err}
+	}
+	base, err := strconv.ParseInt(strings.TrimSpace(string(data)), 10, 64)
+	if err != nil || base < 0 {
+		return 0, usage("apply", "%s holds no revision", path+baseSuffix)
+	}
+	return base, nil
+}
+
+func writeBase(path string, revision uint64) error {
+	if err := os.WriteFile(path+baseSuffix, []byte(strconv.FormatUint(revision, 10)+"\n"), 0o644); err != nil {
+		return &Error{Op: "write", Kind: Failed, Err: err}
+	}
+	return nil
+}
+
+func (t *Tool) getCommand() *ffcli.Command {
+	set := t.flags("get")
+	file := set.String("file", "", "write the contract to `file`, and its revision beside it, for a later apply")
+	return t.command("get", "<customer>", "show a contract as its file", set, func(ctx context.Context, args []string) error {
+		return t.call(ctx, func(ctx context.Context, client *kcwledger.Client) error {
+			list, err := client.List(ctx, &kcwpb.ListRequest{Customer: args[0]})
+			if err != nil {
+				return ledgerError("get", err)
+			}
+			if len(list.Contracts) == 0 {
+				return &Error{Op: "get", Kind: Refused, Err: fmt.Errorf("no contract of %s", args[0])}
+			}
+			return t.show(list.Contracts[0], *file)
+		})
+	})
+}
+
+func (t *Tool) show(message *kcwpb.Contract, path string) error {
+	contract, err := kcwcontract.FromMessage(message)
+	if err != nil {
+		return &Error{Op: "get", Kind: Failed, Err: err}
+	}
+	text := append(contract.Canonical(), '\n')
+	if path == "" {
+		fmt.Fprintf(t.cfg.Err, "revision %d\n", message.Revision)
+		_, err = t.cfg.Out.Write(text)
+	} else {
+		err = os.WriteFile(path, text, 0o644)
+	}
+	if err != nil {
+		return &Error{Op: "get", Kind: Failed, Err: err}
+	}
+	if path == "" {
+		return nil
+	}
+	return writeBase(path, message.Revision)
+}
+
+func (t *Tool) waitCommand() *ffcli.Command {
+	set := t.flags("wait")
+	revision := set.Uint64("revision", 0, "revision to wait for (default the newest)")
+	wait := set.Duration("for", 12*time.Second, "how long to wait")
+	return t.command("wait", "", "wait until every router has confirmed a revision", set, func(ctx context.Context, _ []string) error {
+		return t.call(ctx, func(bounded context.Context, client *kcwledger.Client) error {
+			if *revision == 0 {
+				fleet, err := client.Fleet(bounded)
+				if err != nil {
+					return ledgerError("wait", err)
+				}
+				*revision = fleet.Revision
+			}
+			return t.confirm(ctx, client, *revision, *wait)
+		})
+	})
+}
+
+// confirm waits until every router has the revision and prints those which
+// have not when the wait is over. A wait of zero is none. Ctx is not bounded by
+// the command's own timeout, which counts for the change alone.
+func (t *Tool) confirm(ctx context.Context, client *kcwledger.Client, revision uint64, wait time.Duration) error {
+	const poll = 200 * time.Millisecond
+	if wait <= 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var rows []pending
+	heard := false
+	for {
+		fleet, err := client.Fleet(ctx)
+		if err == nil {
+			rows, heard = behind(fleet, revision), true
+			if len(rows) == 0 {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(poll):
+			continue
+		case <-ctx.Done():
+		}
+		if !heard {
+			return &Error{Op: "wait", Kind: Unconfirmed, Err: errors.New("the ledger did not tell which routers have confirmed")}
+		}
+		if err := t.print(rows); err != nil {
+			return err
+		}
+		return &Error{Op: "wait", Kind: Unconfirmed, Err: fmt.Errorf("%d routers have not confirmed revision %d", len(rows), revision)}
+	}
+}
+
+// behind returns the routers of the fleet below the revision.
+func behind(fleet *kcwpb.FleetResponse, revision uint64) []pending {
+	var rows []pending
+	for _, status := range fleet.Routers {
+		if status.Revision < revision && !status.GetRouter().GetRetired() {
+			rows = append(rows, pending{status.Router.GetName(), status.Router.GetZone(), status.Revision, timeOf(status.HeardAt)})
+		}
+	}
+	return rows
+}
+
+// timeOf returns the time of nanoseconds since the Unix epoch, and the zero
+// time for zero.
+func timeOf(nanos int64) time.Time {
+	if nanos == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos).UTC()
+}
+
+// connectError returns the connect error in the chain of err, or err.
+func connectError(err error) error {
+	var e *connect.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return err
+}
--- /dev/null
+++ b/kcwctl/kcwtool/fleet.go
@@ -0,0 +1,219 @@
+package kcwtool
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// replicaRow is the row printed for a replica of the ledger.
+type replicaRow struct {
+	ID      uint64 `json:"Id"`
+	Name    string
+	Zone    string
+	Address string
+	Role    string
+	Match   uint64
+}
+
+// routerRow is the row printed for a router.
+type routerRow struct {
+	Name        string
+	Zone        string
+	Incarnation uint64
+	Revision    uint64
+	Retired     bool
+	HeardAt     time.Time
+}
+
+func (t *Tool) membersCommand() *ffcli.Command {
+	set := t.flags("members")
+	routers := set.Bool("routers", false, "list the routers in place of the replicas")
+	return t.command("members", "", "list the replicas of the ledger, or the routers", set, func(ctx context.Context, _ []string) error {
+		return t.call(ctx, func(ctx context.Context, client *kcwledger.Client) error {
+			fleet, err := client.Fleet(ctx)
+			if err != nil {
+				return ledgerError("members", err)
+			}
+			if *routers {
+				return t.print(routerRows(fleet))
+			}
+			return t.print(replicaRows(fleet.Group))
+		})
+	})
+}
+
+func replicaRows(group *kcwpb.GroupStatus) []replicaRow {
+	var rows []replicaRow
+	for _, m := range group.GetMembership().GetMembers() {
+		role := "voter"
+		switch {
+		case m.Id == group.Leader:
+			role = "leader"
+		case m.Learner:
+			role = "learner"
+		}
+		match := group.Matches[m.Id]
+		if m.Id == group.Id {
+			match = group.Last
+		}
+		rows = append(rows, replicaRow{m.Id, m.Name, m.Zone, m.Address, role, match})
+	}
+	return rows
+}
+
+func routerRows(fleet *kcwpb.FleetResponse) []routerRow {
+	var rows []routerRow
+	for _, s := range fleet.Routers {
+		r := s.GetRouter()
+		rows = append(rows, routerRow{r.GetName(), r.GetZone(), r.GetIncarnation(), s.Revision, r.GetRetired(), timeOf(s.HeardAt)})
+	}
+	return rows
+}
+
+func (t *Tool) replaceCommand() *ffcli.Command {
+	set := t.flags("replace")
+	lost := set.Uint64("lost", 0, "identity of the lost replica, as members shows it")
+	admin := set.String("admin", "", "operator `address` of the new replica")
+	address := set.String("address", "", "`address` of the new replica for the others and for routers")
+	return t.command("replace", "", "put a new replica in the place of a lost one", set, func(ctx context.Context, _ []string) error {
+		_, err := netip.ParseAddrPort(*address)
+		if *lost == 0 || *admin == "" || err != nil {
+			return usage("replace", "-lost, -admin and -address are needed")
+		}
+		return t.call(ctx, func(ctx context.Context, client *kcwledger.Client) error {
+			fresh, err := t.identify(ctx, *admin, *address)
+			if err != nil {
+				return err
+			}
+			r := &replacement{client: client, lost: *lost, fresh: fresh}
+			if err := r.run(ctx); err != nil {
+				return err
+			}
+			fleet, err := client.Fleet(ctx)
+			if err != nil {
+				return ledgerError("replace", err)
+			}
+			return t.print(replicaRows(fleet.Group))
+		})
+	})
+}
+
+// identify reads who a new replica is out of its state dump.
+func (t *Tool) identify(ctx context.Context, admin, address string) (*kcwpb.Member, error) {
+	var dump struct {
+		Name, Zone string
+		Group      struct{ ID uint64 }
+	}
+	data, err := t.fetchDump(ctx, admin)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(data, &dump); err != nil || dump.Group.ID == 0 {
+		return nil, &Error{Op: "replace", Kind: Failed, Err: fmt.Errorf("the dump of %s names no replica identity", admin)}
+	}
+	return &kcwpb.Member{Id: dump.Group.ID, Name: dump.Name, Zone: dump.Zone, Address: address}, nil
+}
+
+// replacement brings a fresh replica in for a lost one, one membership change
+// at a time: it learns first, then the lost replica leaves, then it votes.
+// Steps that an earlier run has done are passed over.
+type replacement struct {
+	client *kcwledger.Client
+	lost   uint64
+	fresh  *kcwpb.Member
+}
+
+func (r *replacement) run(ctx context.Context) error {
+	fleet, err := r.client.Fleet(ctx)
+	if err != nil {
+		return ledgerError("replace", err)
+	}
+	if find(fleet, r.fresh.Id) == nil {
+		learner := &kcwpb.Member{Id: r.fresh.Id, Name: r.fresh.Name, Zone: r.fresh.Zone, Address: r.fresh.Address, Learner: true}
+		if err := r.change(ctx, kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER, learner); err != nil {
+			return err
+		}
+	}
+	if err := r.awaitCaughtUp(ctx, fleet.Group.GetLast()); err != nil {
+		return err
+	}
+	if lost := find(fleet, r.lost); lost != nil {
+		if err := r.change(ctx, kcwpb.ChangeMembersRequest_KIND_REMOVE, lost); err != nil {
+			return err
+		}
+	}
+	if known := find(fleet, r.fresh.Id); known != nil && !known.Learner {
+		return nil
+	}
+	return r.change(ctx, kcwpb.ChangeMembersRequest_KIND_PROMOTE, r.fresh)
+}
+
+func find(fleet *kcwpb.FleetResponse, id uint64) *kcwpb.Member {
+	for _, m := range fleet.GetGroup().GetMembership().GetMembers() {
+		if m.Id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (r *replacement) change(ctx context.Context, kind kcwpb.ChangeMembersRequest_Kind, member *kcwpb.Member) error {
+	if _, err := r.client.ChangeMembers(ctx, &kcwpb.ChangeMembersRequest{Kind: kind, Member: member}); err != nil {
+		return ledgerError("replace: "+kind.String(), err)
+	}
+	return nil
+}
+
+// awaitCaughtUp waits until the fresh replica has the log up to the index.
+func (r *replacement) awaitCaughtUp(ctx context.Context, index uint64) error {
+	const poll = 200 * time.Millisecond
+	for {
+		fleet, err := r.client.Fleet(ctx)
+		if err != nil {
+			return ledgerError("replace", err)
+		}
+		if fleet.Group.GetMatches()[r.fresh.Id] >= index {
+			return nil
+		}
+		select {
+		case <-time.After(poll):
+		case <-ctx.Done():
+			return &Error{Op: "replace", Kind: Unconfirmed, Err: errors.New("the new replica has not caught up yet; run the command again")}
+		}
+	}
+}
+
+// fetchDump returns the state dump of the process at an operator address.
+func (t *Tool) fetchDump(ctx context.Context, address string) ([]byte, error) {
+	s, err := t.load()
+	if err != nil {
+		return nil, err
+	}
+	key, err := readKey(s.Operator.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	response, err := bearerGet(ctx, address, "/dump", key)
+	if err != nil {
+		return nil, &Error{Op: "dump", Kind: Unavailable, Err: err}
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusUnauthorized, http.StatusForbidden:
+		return nil, &Error{Op: "dump", Kind: Forbidden, Err: errors.New(response.Status)}
+	default:
+		return nil, &Error{Op: "dump", Kind: Failed, Err: errors.New(response.Status)}
+	}
+	return readAll(response.Body)
+}
