Show registered routers that a new leader has not heard

Cause: Fleet listed only the routers that had sent this leader a heartbeat, so that right after a change of leader a cut-off router was missing, and kcwctl apply -wait took the change for confirmed everywhere. Change: the list follows the registered routers; one not heard by this leader, or heard under an older incarnation only, has no revision. Result: with the old loop in list, TestRosterList gets three routers of four, one of them an older incarnation at revision 7; it passes now.

--- a/kcw/kcwservice/operator.go
+++ b/kcw/kcwservice/operator.go
@@ -101,7 +101,7 @@
 	return connect.NewResponse(&kcwpb.FleetResponse{
 		Group:    s.cfg.Group.Status(),
 		Revision: s.cfg.Book.Revision(),
-		Routers:  s.roster.list(),
+		Routers:  s.roster.list(s.cfg.Book.Routers()),
 	}), nil
 }
 
--- a/kcw/kcwservice/roster.go
+++ b/kcw/kcwservice/roster.go
@@ -68,17 +68,20 @@
 	return n
 }
 
-// list returns the routers by name.
-func (r *roster) list() []*kcwpb.RouterStatus {
+// list returns the registered routers by name, with what was heard of each. One
+// that was not heard by this leader has no revision and no time.
+func (r *roster) list(registered []*kcwpb.Router) []*kcwpb.RouterStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var all []*kcwpb.RouterStatus
-	for _, known := range r.routers {
-		all = append(all, &kcwpb.RouterStatus{
-			Router:   known.router,
-			Revision: known.revision,
-			HeardAt:  known.heardAt.UnixNano(),
-		})
+	for _, router := range registered {
+		status := &kcwpb.RouterStatus{Router: router}
+		known := r.routers[router.Name]
+		if known != nil && known.router.Incarnation == router.Incarnation {
+			status.Revision = known.revision
+			status.HeardAt = known.heardAt.UnixNano()
+		}
+		all = append(all, status)
 	}
 	slices.SortFunc(all, func(a, b *kcwpb.RouterStatus) int {
 		return strings.Compare(a.Router.Name, b.Router.Name)
