--- /dev/null
+++ b/kcw/kcwfolder/folder_test.go
@@ -0,0 +1,66 @@
+package kcwfolder
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+func kindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return 0
+}
+
+func TestFolder(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	f, err := Open(Config{Path: path})
+	if err != nil {
+		t.Fatal(err)
+	}
+	type record struct{ Name string }
+	want := record{"h1"}
+	if err := f.WriteJSON("Record.json", want); err != nil {
+		t.Fatal(err)
+	}
+	var got record
+	if err := f.ReadJSON("Record.json", &got); err != nil || got != want {
+		t.Errorf("read %v, %v", got, err)
+	}
+	if err := os.WriteFile(filepath.Join(path, "Torn.json"), []byte("{"), fileMode); err != nil {
+		t.Fatal(err)
+	}
+	left := filepath.Join(path, "Record.json"+temporaryMark)
+	if err := os.WriteFile(left, []byte("{"), fileMode); err != nil {
+		t.Fatal(err)
+	}
+	_, locked := Open(Config{Path: path})
+	_, empty := Open(Config{})
+	for _, test := range []struct {
+		name string
+		err  error
+		want Kind
+	}{
+		{"missing", f.ReadJSON("None.json", &got), Missing},
+		{"damaged", f.ReadJSON("Torn.json", &got), Damaged},
+		{"locked", locked, Locked},
+		{"empty", empty, Invalid},
+	} {
+		if kind := kindOf(test.err); kind != test.want {
+			t.Errorf("%s: %v", test.name, test.err)
+		}
+	}
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if f, err = Open(Config{Path: path}); err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if _, err := os.Stat(left); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("a temporary file was left: %v", err)
+	}
+}
--- /dev/null
+++ b/kcw/kcwgroup/failure_test.go
@@ -0,0 +1,301 @@
+package kcwgroup
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwfolder"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwwal"
+)
+
+// proposeMany commits commands p0, p1 and so on.
+func (c *cluster) proposeMany(prefix string, n int) []string {
+	c.t.Helper()
+	var commands []string
+	for i := range n {
+		command := fmt.Sprintf("%s%d", prefix, i)
+		c.propose(command)
+		commands = append(commands, command)
+	}
+	return commands
+}
+
+// holds waits until h has applied every command.
+func (c *cluster) holds(h *host, commands []string) {
+	c.t.Helper()
+	c.eventually("all commands at "+h.name, func() bool {
+		list := h.machine.list()
+		for _, command := range commands {
+			if !slices.Contains(list, command) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func short(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestIsolatedLeaderAnswersNothing(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	old := c.leader()
+	c.cut(old.name)
+	c.eventually("stepping down", func() bool { return old.group.Status().Role != "leader" })
+	if _, err := old.group.Propose(short(t), []byte("lost")); kindOf(err) != NotLeader {
+		t.Errorf("propose at an isolated leader: %v, want not the leader", err)
+	}
+	if err := old.group.Confirm(short(t)); kindOf(err) != NotLeader {
+		t.Errorf("confirm at an isolated leader: %v, want not the leader", err)
+	}
+	next := c.leader(old.name)
+	commands := c.proposeMany("after", 3)
+	c.heal(old.name)
+	c.holds(old, commands)
+	if slices.Contains(next.machine.list(), "lost") {
+		t.Error("a refused command was applied")
+	}
+}
+
+func TestProposalOfIsolatedLeaderIsUnknown(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	old := c.leader()
+	c.cut(old.name)
+	_, err := old.group.Propose(short(t), []byte("perhaps"))
+	if kind := kindOf(err); kind != OutcomeUnknown && kind != NotLeader {
+		t.Errorf("propose while being cut off: %v, want outcome unknown", err)
+	}
+}
+
+// A leader whose clock jumps, as after a freeze of the process, must not
+// confirm that it leads although its own state still says so.
+func TestFrozenLeaderDoesNotConfirm(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	old := c.leader()
+	c.cut(old.name)
+	c.mu.Lock()
+	old.skew += time.Hour
+	c.mu.Unlock()
+	if err := old.group.Confirm(short(t)); kindOf(err) != NotLeader {
+		t.Errorf("confirm after a freeze: %v, want not the leader", err)
+	}
+	next := c.leader(old.name)
+	c.heal(old.name)
+	commands := c.proposeMany("after", 3)
+	c.holds(old, commands)
+	c.holds(next, commands)
+}
+
+func TestClockSteppedBackAndForth(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	var commands []string
+	for i, skew := range []time.Duration{-time.Hour, time.Hour, 0} {
+		leader := c.leader()
+		c.mu.Lock()
+		leader.skew = skew
+		c.mu.Unlock()
+		commands = append(commands, c.proposeMany(fmt.Sprintf("step%d-", i), 3)...)
+	}
+	for _, h := range c.running() {
+		c.holds(h, commands)
+	}
+}
+
+func TestRestart(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		snapshots uint64
+		commands  int
+	}{
+		{"from the log", 1 << 30, 400},
+		{"from snapshots", 50, 400},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, 3, func(cfg *Config) {
+				cfg.SnapshotEntries = test.snapshots
+				cfg.KeepEntries = 10
+				cfg.SegmentBytes = 1 << 10
+			})
+			c.startAll()
+			commands := c.proposeMany("c", test.commands)
+			for name := range c.hosts {
+				c.stop(name, true)
+			}
+			for name := range c.hosts {
+				c.start(name, false)
+			}
+			commands = append(commands, c.proposeMany("again", 3)...)
+			for _, h := range c.running() {
+				c.eventually("the same commands at "+h.name, func() bool {
+					return slices.Equal(h.machine.list(), commands)
+				})
+			}
+		})
+	}
+}
+
+// A host that was away while the log was cut gets a snapshot.
+func TestFarBehindReplicaGetsSnapshot(t *testing.T) {
+	c := newCluster(t, 3, func(cfg *Config) {
+		cfg.SnapshotEntries = 20
+		cfg.KeepEntries = 5
+		cfg.SegmentBytes = 1 << 10
+	})
+	c.startAll()
+	c.leader()
+	c.stop("h3", true)
+	commands := c.proposeMany("c", 200)
+	c.eventually("a log cut behind snapshots", func() bool { return c.leader().group.Status().First > 100 })
+	h := c.start("h3", true)
+	c.eventually("the same commands at h3", func() bool {
+		return slices.Equal(h.machine.list(), commands)
+	})
+}
+
+func TestPlannedStopHandsOver(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	old := c.leader()
+	c.proposeMany("c", 3)
+	term := old.group.Status().Term
+	c.stop(old.name, false)
+	if next := c.leader(); next.group.Status().Term != term+1 {
+		t.Errorf("term %d after the stop, want %d by a transfer", next.group.Status().Term, term+1)
+	}
+}
+
+// loseDisk stops a host and makes its folder blank.
+func (c *cluster) loseDisk(name string) {
+	c.stop(name, true)
+	c.hosts[name].path = c.t.TempDir()
+}
+
+func TestLostDiskGetsNewIdentity(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	commands := c.proposeMany("c", 20)
+	old := c.hosts["h3"].group.Status().Id
+	c.loseDisk("h3")
+	h := c.start("h3", true)
+	c.eventually("giving up the founding", func() bool { return h.group.Status().Role == "learner" })
+	if id := h.group.Status().Id; id == old {
+		t.Fatalf("the blank replica kept the identity %d", old)
+	}
+	c.repair(h, old)
+	c.holds(h, commands)
+}
+
+// repair adds h as a learner, promotes it and removes the identity old.
+func (c *cluster) repair(h *host, old uint64) {
+	c.t.Helper()
+	member := &kcwpb.Member{Id: h.group.Status().Id, Name: h.name, Address: h.address}
+	c.change(kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER, member)
+	c.change(kcwpb.ChangeMembersRequest_KIND_REMOVE, &kcwpb.Member{Id: old})
+	c.change(kcwpb.ChangeMembersRequest_KIND_PROMOTE, member)
+}
+
+func (c *cluster) change(kind kcwpb.ChangeMembersRequest_Kind, member *kcwpb.Member) {
+	c.t.Helper()
+	c.eventually(kind.String(), func() bool {
+		_, err := c.leader().group.ChangeMembers(c.t.Context(), &kcwpb.ChangeMembersRequest{Kind: kind, Member: member})
+		return err == nil
+	})
+}
+
+// A second host is lost right after a repair; nothing acknowledged is lost.
+func TestSecondHostLostAfterRepair(t *testing.T) {
+	for _, second := range []string{"h1", "h2"} {
+		t.Run(second, func(t *testing.T) {
+			c := newCluster(t, 3, func(cfg *Config) {
+				cfg.SnapshotEntries = 50
+				cfg.KeepEntries = 5
+			})
+			c.startAll()
+			commands := c.proposeMany("c", 120)
+			old := c.hosts["h3"].group.Status().Id
+			c.loseDisk("h3")
+			commands = append(commands, c.proposeMany("d", 20)...)
+			c.repair(c.start("h3", false), old)
+			c.loseDisk(second)
+			commands = append(commands, c.proposeMany("e", 20)...)
+			for _, h := range c.running() {
+				c.eventually("the same commands at "+h.name, func() bool {
+					return slices.Equal(h.machine.list(), commands)
+				})
+			}
+		})
+	}
+}
+
+func TestPromoteRefusesLearnerBehind(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	c.proposeMany("c", 3)
+	absent := &kcwpb.Member{Id: 99, Name: "h9", Address: "127.0.0.1:1"}
+	c.change(kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER, absent)
+	_, err := c.leader().group.ChangeMembers(t.Context(), &kcwpb.ChangeMembersRequest{
+		Kind: kcwpb.ChangeMembersRequest_KIND_PROMOTE, Member: absent,
+	})
+	if kindOf(err) != NotCaughtUp {
+		t.Errorf("promote an absent learner: %v, want not caught up", err)
+	}
+}
+
+func TestBadFolders(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	h := c.start("h1", true)
+	c.proposeMany("c", 20)
+	segment := func() string {
+		files, err := filepath.Glob(filepath.Join(h.path, logFolder, "*.wal"))
+		if err != nil || len(files) == 0 {
+			t.Fatal("no segment", err)
+		}
+		return files[0]
+	}
+	_, err := c.tryStart("h1", true)
+	var locked *kcwfolder.Error
+	if !errors.As(err, &locked) || locked.Kind != kcwfolder.Locked {
+		t.Errorf("second process on a folder: %v, want locked", err)
+	}
+	c.stop("h1", true)
+	original, err := os.ReadFile(segment())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct {
+		name  string
+		spoil func() error
+		kind  kcwwal.Kind
+	}{
+		{"flipped byte", func() error {
+			data := slices.Clone(original)
+			data[len(data)/2] ^= 1
+			return os.WriteFile(segment(), data, 0o600)
+		}, kcwwal.Damaged},
+		{"lost log", func() error { return os.Remove(segment()) }, kcwwal.Missing},
+	} {
+		if err := test.spoil(); err != nil {
+			t.Fatal(err)
+		}
+		_, err := c.tryStart("h1", true)
+		var damage *kcwwal.Error
+		if kindOf(err) != Storage || !errors.As(err, &damage) || damage.Kind != test.kind {
+			t.Errorf("%s: %v, want %v", test.name, err, test.kind)
+		}
+	}
+}
--- a/kcw/kcwgroup/helper_test.go
+++ b/kcw/kcwgroup/helper_test.go
@@ -100,6 +100,8 @@
 	tweak func(*Config)
 	// connect returns a Config.Send for a host, nil for the one of the cluster.
 	connect func(*host) func(*kcwpb.Member, []*kcwpb.Message)
+	// started, if set, is called with each host that has started.
+	started func(*host)
 
 	mu    sync.Mutex
 	hosts map[string]*host
@@ -189,6 +191,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h.folder, h.group, h.machine = folder, group, machine
+	if c.started != nil {
+		c.started(h)
+	}
 	return h, nil
 }
 
--- a/kcw/kcwgroup/proposal.go
+++ b/kcw/kcwgroup/proposal.go
@@ -116,9 +116,3 @@
 	}
 	return calls
 }
-
-func (w *waiters) count() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.calls)
-}
