--- a/kcw/kcwgateway/fixture_test.go
+++ b/kcw/kcwgateway/fixture_test.go
@@ -361,4 +361,3 @@
 		_ = conn.Close()
 	}
 }
-
--- a/kcw/kcwgateway/gateway_test.go
+++ b/kcw/kcwgateway/gateway_test.go
@@ -9,7 +9,9 @@
 func TestWholePath(t *testing.T) {
 	l := newLedger(t, "r1")
 	e := &engine{words: []string{"ab", "cd", "ef"}}
-	app := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = w.Write([]byte(r.Method + " " + r.URL.RequestURI())) })
+	app := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte(r.Method + " " + r.URL.RequestURI()))
+	})
 	f := start(t, l, "r1", map[string][]http.Handler{"engine": {e}, "app": {app}}, nil)
 
 	r := f.do(call{body: chatBody, identity: "json"})
