Add the program kcw-router

Settings, presence at the ledger, the gateway on kratos servers, dump and metrics. go vet, revive, staticcheck and the tests of its packages pass; not yet run as a process.

--- /dev/null
+++ b/kcw-router/dump.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"kingcupwick.example/kcw/kcwmeter"
+)
+
+// dump is the state of the router for operators.
+type dump struct {
+	Router      string
+	Zone        string
+	Incarnation uint64
+	Revision    uint64
+	// Contracts counts those in memory; FreshAt is when the watch last heard
+	// from a replica that was in touch with a quorum.
+	Contracts int
+	FreshAt   time.Time
+	Gateway   any
+}
+
+func (p *process) dump(incarnation uint64) dump {
+	contracts, freshAt := p.catalog.Size()
+	return dump{
+		Router: p.settings.Host.Name, Zone: p.settings.Host.Zone, Incarnation: incarnation,
+		Revision: p.catalog.Revision(), Contracts: contracts, FreshAt: freshAt, Gateway: p.gateway.Dump(),
+	}
+}
+
+// newObserver returns what counts the requests that end.
+func newObserver(m *kcwmeter.Meter) func(service, code string, firstByte, total time.Duration, tokens int64) {
+	requests := m.Counter("kcw_requests", "Requests that ended, by service and code.")
+	used := m.Counter("kcw_tokens", "Tokens of requests that ended, by service.")
+	first := m.Histogram("kcw_first_byte", "Time until the first byte of an answer.", "s")
+	whole := m.Histogram("kcw_request", "Time until a request ended.", "s")
+	return func(service, code string, firstByte, total time.Duration, tokens int64) {
+		ctx := context.Background()
+		at := attribute.String("service", service)
+		requests.Add(ctx, 1, metric.WithAttributes(at, attribute.String("code", code)))
+		used.Add(ctx, tokens, metric.WithAttributes(at))
+		whole.Record(ctx, total.Seconds(), metric.WithAttributes(at))
+		if firstByte > 0 {
+			first.Record(ctx, firstByte.Seconds(), metric.WithAttributes(at))
+		}
+	}
+}
--- a/kcw-router/main.go
+++ b/kcw-router/main.go
@@ -1,4 +1,103 @@
-// Command kcw-router is not built yet.
+// Command kcw-router is the entry of callers: it admits, routes, streams and
+// settles their requests.
+//
+// Exit codes: 0 after a planned stop, 1 after a failure, 2 for bad settings or
+// arguments.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw/kcwlog"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// usageError is bad settings or arguments.
+type usageError struct {
+	err error
+}
+
+func (e *usageError) Error() string { return e.err.Error() }
+
+func (e *usageError) Unwrap() error { return e.err }
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run carries out the command line and returns the exit code.
+func run(args []string) int {
+	err := command().ParseAndRun(context.Background(), args)
+	var usage *usageError
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, "kcw-router:", err)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "kcw-router:", err)
+	return exitFailed
+}
+
+func command() *ffcli.Command {
+	flags := flag.NewFlagSet("kcw-router", flag.ContinueOnError)
+	path := flags.String("settings", "", "path of the INI settings `file`")
+	check := flags.Bool("check", false, "check the settings and exit")
+	return &ffcli.Command{
+		Name:       "kcw-router",
+		ShortUsage: "kcw-router -settings FILE [-check]",
+		ShortHelp:  "Runs one router.",
+		FlagSet:    flags,
+		Exec: func(_ context.Context, args []string) error {
+			if *path == "" || len(args) > 0 {
+				return &usageError{errors.New("give -settings FILE and nothing more")}
+			}
+			return start(*path, *check)
+		},
+	}
+}
+
+// start reads the settings and runs the router until it is told to stop.
+func start(path string, check bool) error {
+	s, err := loadSettings(path)
+	if err != nil {
+		return &usageError{err}
+	}
+	k, err := s.loadKeys()
+	if err != nil {
+		return &usageError{err}
+	}
+	if check {
+		return nil
+	}
+	logger, err := kcwlog.New(kcwlog.Config{Writer: os.Stderr, Level: s.Host.LogLevel, Program: "kcw-router", Host: s.Host.Name})
+	if err != nil {
+		return &usageError{err}
+	}
+	defer logger.Close()
+	p, err := newProcess(s, k)
+	if err != nil {
+		klog.ErrorS(err, "Router not started")
+		return eris.Wrap(err, "start")
+	}
+	if err := p.run(logger); err != nil {
+		klog.ErrorS(err, "Router failed")
+		return eris.Wrap(err, "run")
+	}
+	return nil
+}
--- /dev/null
+++ b/kcw-router/process.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw-router/kcwpresence"
+	"kingcupwick.example/kcw/kcwadmin"
+	"kingcupwick.example/kcw/kcwanswer"
+	"kingcupwick.example/kcw/kcwcatalog"
+	"kingcupwick.example/kcw/kcwfolder"
+	"kingcupwick.example/kcw/kcwgateway"
+	"kingcupwick.example/kcw/kcwkeyring"
+	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwmeter"
+	"kingcupwick.example/kcw/kcwupstream"
+)
+
+const (
+	// incarnationFile holds the incarnation of the last start.
+	incarnationFile = "incarnation.json"
+	// headerTimeout bounds the wait for a request's header, idleTimeout how
+	// long a caller's connection is kept without one.
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// process is the parts of one router.
+type process struct {
+	settings *settings
+	folder   *kcwfolder.Folder
+	client   *kcwledger.Client
+	catalog  *kcwcatalog.Catalog
+	gateway  *kcwgateway.Gateway
+	presence *kcwpresence.Presence
+	meter    *kcwmeter.Meter
+	admin    *kcwadmin.Server
+	public   *khttp.Server
+	internal *khttp.Server
+	// life ends when the router has stopped taking requests.
+	life context.Context
+	end  context.CancelFunc
+}
+
+// newProcess makes the parts and listens at the addresses.
+func newProcess(s *settings, k keys) (*process, error) {
+	p := &process{settings: s}
+	p.life, p.end = context.WithCancel(context.Background())
+	incarnation, err := p.openFolder()
+	if err != nil {
+		return nil, err
+	}
+	p.client, err = kcwledger.New(kcwledger.Config{Addresses: s.Ledger.Addresses, Key: k.router})
+	if err != nil {
+		return nil, err
+	}
+	p.catalog = kcwcatalog.New(kcwcatalog.Config{
+		Ledger: p.client, Router: s.Host.Name, Incarnation: incarnation, MaxContracts: s.Ledger.MaxContracts,
+	})
+	p.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-router", Host: s.Host.Name, Zone: s.Host.Zone})
+	if err != nil {
+		return nil, err
+	}
+	if err := p.newGateway(k, incarnation); err != nil {
+		return nil, err
+	}
+	p.presence = kcwpresence.New(kcwpresence.Config{
+		Ledger: p.client, Router: s.Host.Name, Zone: s.Host.Zone, Incarnation: incarnation,
+		Address: s.Host.InternalAddress, Revision: p.catalog.Revision, Fenced: p.gateway.Fence,
+	})
+	p.public = newServer(s.Host.Address.String(), "/", p.gateway)
+	path, handler := p.gateway.Answers()
+	p.internal = newServer(s.Host.InternalAddress.String(), path, handler)
+	p.admin, err = kcwadmin.New(kcwadmin.Config{
+		Address: s.Host.AdminAddress, OperatorKey: k.operator, Ready: p.gateway.Ready,
+		Metrics: p.meter.Handler(), Dump: func(context.Context) any { return p.dump(incarnation) },
+	})
+	return p, err
+}
+
+// openFolder returns the incarnation of this start, larger than the last one
+// that the folder knows of, if there is a folder.
+func (p *process) openFolder() (uint64, error) {
+	if p.settings.Host.Folder == "" {
+		return kcwpresence.Incarnation(time.Now(), 0), nil
+	}
+	folder, err := kcwfolder.Open(kcwfolder.Config{Path: p.settings.Host.Folder})
+	if err != nil {
+		return 0, err
+	}
+	p.folder = folder
+	var last uint64
+	var failure *kcwfolder.Error
+	if err := folder.ReadJSON(incarnationFile, &last); err != nil && (!errors.As(err, &failure) || failure.Kind != kcwfolder.Missing) {
+		return 0, err
+	}
+	incarnation := kcwpresence.Incarnation(time.Now(), last)
+	return incarnation, folder.WriteJSON(incarnationFile, incarnation)
+}
+
+func (p *process) newGateway(k keys, incarnation uint64) error {
+	s := p.settings
+	peers, err := kcwkeyring.New(kcwkeyring.Config{Keys: map[string]string{"router": k.router}})
+	if err != nil {
+		return err
+	}
+	var upstreams []*kcwupstream.Upstream
+	for name, u := range s.Upstream {
+		upstreams = append(upstreams, kcwupstream.New(kcwupstream.Config{
+			Name: name, Service: u.Service, Zone: u.Zone, Address: u.Address, Key: k.upstreams[name],
+			ProgressTimeout: s.Deadlines.Progress,
+		}))
+	}
+	p.gateway, err = kcwgateway.New(kcwgateway.Config{
+		Router: s.Host.Name, Incarnation: incarnation, Zone: s.Host.Zone,
+		Contracts: p.catalog, Accounts: &accounts{p.client}, Upstreams: upstreams,
+		Answers: kcwanswer.New(kcwanswer.Config{
+			MaxBytes: s.Answers.MaxBytes, MaxAnswers: s.Answers.MaxAnswers, Retention: s.Answers.Retention,
+		}),
+		Peers: peers, PeerKey: k.router,
+		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
+		QueueCapacity: s.Limits.QueueCapacity, UpstreamCapacity: s.Limits.UpstreamCapacity, MaxAttempts: s.Limits.MaxAttempts,
+		OpenTimeout: s.Deadlines.Open, SettleTimeout: s.Deadlines.Settle, FirstByteTimeout: s.Deadlines.FirstByte,
+		AnswerTimeout: s.Deadlines.Answer, WriteTimeout: s.Deadlines.Write, ReadTimeout: s.Deadlines.Read,
+		PollInterval: s.Deadlines.Poll, SilenceTimeout: s.Deadlines.Silence,
+		ContinuousUsage: s.Engine.ContinuousUsage, EnginePriority: s.Engine.Priority,
+		Observe: newObserver(p.meter),
+	})
+	return err
+}
+
+// newServer returns a server at address without a deadline for answers.
+func newServer(address, prefix string, handler http.Handler) *khttp.Server {
+	server := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
+	server.HandlePrefix(prefix, handler)
+	server.ReadHeaderTimeout = headerTimeout
+	server.IdleTimeout = idleTimeout
+	server.MaxHeaderBytes = maxHeaderBytes
+	return server
+}
+
+// run serves until a signal, and then stops: first the router is not ready but
+// takes requests, then it finishes those in flight.
+func (p *process) run(logger log.Logger) error {
+	s := p.settings
+	if err := p.presence.Register(p.life); err != nil {
+		return err
+	}
+	go p.presence.Run(p.life)
+	go p.gateway.Run(p.life)
+	go func() {
+		if err := p.catalog.Run(p.life); err != nil && p.life.Err() == nil {
+			klog.ErrorS(err, "Watch ended")
+		}
+	}()
+	app := kratos.New(
+		kratos.Name("kcw-router"),
+		kratos.Logger(logger),
+		kratos.Server(p.public, p.internal, p.admin),
+		kratos.StopTimeout(s.Host.StopTimeout),
+		kratos.BeforeStop(func(context.Context) error {
+			klog.InfoS("Router drains", "DrainTime", s.Host.DrainTime.String())
+			p.gateway.Drain()
+			time.Sleep(s.Host.DrainTime)
+			return nil
+		}),
+	)
+	klog.InfoS("Router starts", "Address", s.Host.Address.String(), "Zone", s.Host.Zone)
+	err := app.Run()
+	return errors.Join(err, p.close())
+}
+
+// close ends what outlasts the requests: their claims are closed first.
+func (p *process) close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Host.StopTimeout)
+	defer cancel()
+	err := p.gateway.Stop(ctx)
+	p.end()
+	p.client.Close()
+	if p.folder != nil {
+		err = errors.Join(err, p.folder.Close())
+	}
+	if err != nil {
+		return eris.Wrap(err, "stop")
+	}
+	klog.InfoS("Router stopped")
+	return nil
+}
--- a/kcw-router/settings.go
+++ b/kcw-router/settings.go
@@ -3,74 +3,141 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kingcupwick.example/kcw/kcwkeyring"
+	"kingcupwick.example/kcw/kcwsettings"
 )
 
 // settings is the INI file of a router.
 type settings struct {
-	Router struct {
-		// Name is the router's own name, the same at each start.
-		Name string `setting:"required"`
-		// Zone is its availability zone.
-		Zone string `setting:"required"`
-		// Address is where callers reach it, Internal the other routers, and
-		// Operator the operators.
-		Address  netip.AddrPort `setting:"required"`
-		Internal netip.AddrPort `setting:"required"`
-		Operator netip.AddrPort `setting:"required"`
-		// Data is the folder for the router's own state; empty for none.
-		Data string
-		// Ledgers are the replicas of the ledger.
-		Ledgers []netip.AddrPort `setting:"required"`
-		// ProcessKeyFile holds the key that the system's own processes share.
-		ProcessKeyFile string `setting:"required"`
-		// OperatorKeyFile holds the key for the state dump; empty refuses it.
-		OperatorKeyFile string
-		LogLevel        string `default:"info" setting:"oneof=error|warning|info|debug|trace"`
-		// DrainTime is how long a router that stops still takes requests while
-		// it is not ready, so that the balancer notices.
-		DrainTime time.Duration `default:"5s" setting:"min=0s"`
-		// StopTimeout bounds the wait for requests in flight at a stop.
-		StopTimeout time.Duration `default:"10m" setting:"min=1s"`
-	}
-	Limits struct {
-		MaxBodyBytes     int64 `default:"4194304" setting:"min=1024"`
-		MaxAnswerBytes   int64 `default:"16777216" setting:"min=1024"`
-		MaxEventBytes    int   `default:"1048576" setting:"min=1024"`
-		QueueCapacity    int   `default:"1000" setting:"min=1"`
-		UpstreamCapacity int   `default:"16" setting:"min=1"`
-		MaxAttempts      int   `default:"3" setting:"min=1,max=10"`
-		MaxContracts     int   `default:"4096" setting:"min=1"`
-	}
-	Deadlines struct {
-		Open      time.Duration `default:"3s" setting:"min=1ms"`
-		Settle    time.Duration `default:"10s" setting:"min=1ms"`
-		FirstByte time.Duration `default:"1m" setting:"min=1ms"`
-		Answer    time.Duration `default:"10m" setting:"min=1ms,max=24h"`
-		Progress  time.Duration `default:"30s" setting:"min=1ms"`
-		Write     time.Duration `default:"30s" setting:"min=1ms"`
-		Poll      time.Duration `default:"250ms" setting:"min=10ms"`
-		Silence   time.Duration `default:"3s" setting:"min=100ms"`
-	}
-	Answers struct {
-		MaxBytes   int64         `default:"67108864" setting:"min=0"`
-		MaxAnswers int           `default:"10000" setting:"min=1"`
-		Retention  time.Duration `default:"10m" setting:"min=1s"`
-	}
-	Engine struct {
-		// ContinuousUsage asks engines for the usage with each event.
-		ContinuousUsage bool
-		// Priority tells engines the priority of each request.
-		Priority bool
-	}
-	Upstream map[string]upstreamSettings `setting:"required"`
+	Host      hostSettings
+	Ledger    ledgerSettings
+	Keys      keySettings
+	Limits    limitSettings
+	Deadlines deadlineSettings
+	Answers   answerSettings
+	Engine    engineSettings
+	Upstream  map[string]upstreamSettings `setting:"required"`
+}
+
+// hostSettings says where the router runs.
+type hostSettings struct {
+	// Name is the router's own name, the same at each start.
+	Name string `setting:"required"`
+	Zone string `setting:"required"`
+	// Address is where callers reach the router, InternalAddress the other
+	// routers. AdminAddress serves health, readiness, metrics and the dump.
+	Address         netip.AddrPort `setting:"required"`
+	InternalAddress netip.AddrPort `setting:"required"`
+	AdminAddress    netip.AddrPort `setting:"required"`
+	// Folder holds the router's own state; empty for a host without a disk.
+	Folder   string
+	LogLevel string `default:"info" setting:"oneof=error|warning|info|debug|trace"`
+	// DrainTime is how long a router that stops still takes requests while it
+	// is not ready, so that the balancer notices.
+	DrainTime time.Duration `default:"5s" setting:"min=0s,max=10m"`
+	// StopTimeout bounds the wait for requests in flight at a planned stop.
+	StopTimeout time.Duration `default:"15m" setting:"min=100ms,max=24h"`
+}
+
+// ledgerSettings says where the ledger is.
+type ledgerSettings struct {
+	Addresses []netip.AddrPort `setting:"required"`
+	// MaxContracts bounds the contracts kept in memory.
+	MaxContracts int `default:"4096" setting:"min=1,max=1000000"`
+}
+
+// keySettings names the files that hold keys.
+type keySettings struct {
+	// RouterKeyFile holds the key that routers show the ledger and each other.
+	RouterKeyFile string `setting:"required"`
+	// OperatorKeyFile holds the key for the state dump; empty refuses the dump.
+	OperatorKeyFile string
+}
+
+// limitSettings bounds what one router holds.
+type limitSettings struct {
+	MaxBodyBytes     int64 `default:"4194304" setting:"min=1024,max=1073741824"`
+	MaxAnswerBytes   int64 `default:"16777216" setting:"min=1024,max=1073741824"`
+	MaxEventBytes    int   `default:"1048576" setting:"min=1024,max=1073741824"`
+	QueueCapacity    int   `default:"1000" setting:"min=1,max=1000000"`
+	UpstreamCapacity int   `default:"16" setting:"min=1,max=100000"`
+	MaxAttempts      int   `default:"3" setting:"min=1,max=10"`
 }
 
-// upstreamSettings is one upstream.
+// deadlineSettings bounds each wait.
+type deadlineSettings struct {
+	Open      time.Duration `default:"3s" setting:"min=1ms,max=1m"`
+	Settle    time.Duration `default:"10s" setting:"min=1ms,max=10m"`
+	FirstByte time.Duration `default:"1m" setting:"min=1ms,max=1h"`
+	Answer    time.Duration `default:"10m" setting:"min=1ms,max=24h"`
+	Progress  time.Duration `default:"30s" setting:"min=1ms,max=1h"`
+	Write     time.Duration `default:"30s" setting:"min=1s,max=1h"`
+	Read      time.Duration `default:"30s" setting:"min=1s,max=1h"`
+	Poll      time.Duration `default:"250ms" setting:"min=10ms,max=1m"`
+	Silence   time.Duration `default:"3s" setting:"min=100ms,max=10m"`
+}
+
+// answerSettings bounds the finished answers kept for retries.
+type answerSettings struct {
+	MaxBytes   int64         `default:"67108864" setting:"min=1024,max=1099511627776"`
+	MaxAnswers int           `default:"10000" setting:"min=1,max=10000000"`
+	Retention  time.Duration `default:"10m" setting:"min=1s,max=24h"`
+}
+
+// engineSettings says what the model engines understand.
+type engineSettings struct {
+	// ContinuousUsage asks for the usage with each event of a stream.
+	ContinuousUsage bool
+	// Priority sends the priority of each request, the lowest number first.
+	Priority bool
+}
+
+// upstreamSettings is one upstream; the section's label is its name.
 type upstreamSettings struct {
-	Name    string         `setting:"label"`
 	Service string         `setting:"required"`
 	Zone    string         `setting:"required"`
 	Address netip.AddrPort `setting:"required"`
 	// KeyFile holds the key that the upstream asks for; empty for none.
 	KeyFile string
 }
+
+// keys is the keys that the settings name.
+type keys struct {
+	router, operator string
+	upstreams        map[string]string
+}
+
+// loadSettings reads and checks the settings at path.
+func loadSettings(path string) (*settings, error) {
+	s := &settings{}
+	if err := kcwsettings.Load(path, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// loadKeys reads the key files.
+func (s *settings) loadKeys() (keys, error) {
+	k := keys{upstreams: map[string]string{}}
+	var err error
+	if k.router, err = kcwkeyring.ReadKey(s.Keys.RouterKeyFile); err != nil {
+		return keys{}, eris.Wrap(err, "RouterKeyFile")
+	}
+	if s.Keys.OperatorKeyFile != "" {
+		if k.operator, err = kcwkeyring.ReadKey(s.Keys.OperatorKeyFile); err != nil {
+			return keys{}, eris.Wrap(err, "OperatorKeyFile")
+		}
+	}
+	for name, upstream := range s.Upstream {
+		if upstream.KeyFile == "" {
+			continue
+		}
+		if k.upstreams[name], err = kcwkeyring.ReadKey(upstream.KeyFile); err != nil {
+			return keys{}, eris.Wrapf(err, "KeyFile of %s", name)
+		}
+	}
+	return k, nil
+}
--- a/kcw/kcwgateway/config.go
+++ b/kcw/kcwgateway/config.go
@@ -18,6 +18,7 @@
 	defaultFirstByteTimeout = time.Minute
 	defaultAnswerTimeout    = 10 * time.Minute
 	defaultWriteTimeout     = 30 * time.Second
+	defaultReadTimeout      = 30 * time.Second
 	defaultPollInterval     = 250 * time.Millisecond
 	defaultSilenceTimeout   = 3 * time.Second
 	defaultQueueCapacity    = 1000
@@ -44,6 +45,7 @@
 	setDuration(&cfg.FirstByteTimeout, defaultFirstByteTimeout)
 	setDuration(&cfg.AnswerTimeout, defaultAnswerTimeout)
 	setDuration(&cfg.WriteTimeout, defaultWriteTimeout)
+	setDuration(&cfg.ReadTimeout, defaultReadTimeout)
 	setDuration(&cfg.PollInterval, defaultPollInterval)
 	setDuration(&cfg.SilenceTimeout, defaultSilenceTimeout)
 	return cfg
--- a/kcw/kcwgateway/gateway.go
+++ b/kcw/kcwgateway/gateway.go
@@ -67,8 +67,9 @@
 	// FirstByteTimeout bounds the wait for a stream to begin, 60 s, and
 	// AnswerTimeout for an answer that is not a stream, 10 min.
 	FirstByteTimeout, AnswerTimeout time.Duration
-	// WriteTimeout bounds one write to a caller, 30 s.
-	WriteTimeout time.Duration
+	// WriteTimeout bounds one write to a caller, 30 s, and ReadTimeout the
+	// reading of a request's body, 30 s.
+	WriteTimeout, ReadTimeout time.Duration
 	// PollInterval is the time between two load reports, 250 ms.
 	PollInterval time.Duration
 	// SilenceTimeout is how long after its last load report an upstream is
@@ -212,7 +213,7 @@
 		serveModels(w, contract)
 		return nil
 	}
-	body, bad := readBody(w, r, g.cfg.MaxBodyBytes, now)
+	body, bad := g.readBody(w, r, now)
 	if bad != nil {
 		return bad
 	}
--- a/kcw/kcwgateway/request.go
+++ b/kcw/kcwgateway/request.go
@@ -100,11 +100,16 @@
 	return "kcw-" + hex.EncodeToString(raw)
 }
 
-// readBody returns the whole body, at most limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, now time.Time) ([]byte, *refusal) {
+// readBody returns the whole body, within the limits of size and time.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, now time.Time) ([]byte, *refusal) {
+	limit := g.cfg.MaxBodyBytes
 	if r.ContentLength > limit {
 		return nil, refuse(codeBodyTooLarge, now, "")
 	}
+	// A writer without deadlines is one of a test.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(now.Add(g.cfg.ReadTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
