--- a/kcw/kcwgateway/fixture_test.go
+++ b/kcw/kcwgateway/fixture_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +18,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw/kcwbook"
 	"kingcupwick.example/kcw/kcwcatalog"
@@ -31,6 +34,11 @@
 	streamBody      = `{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":8,"stream":true}`
 )
 
+func TestMain(m *testing.M) {
+	klog.SetSlogLogger(slog.New(slog.DiscardHandler))
+	os.Exit(m.Run())
+}
+
 func keyOf(customer string) string { return "key-of-" + customer + "-for-tests" }
 
 func contractOf(customer string) *kcwcontract.Contract {
