Add the client of the demonstration and the audit of bills

Cause: the demonstration must prove, with client libraries that callers use, that every answer was whole and every request billed once. Change: kcw-demo send calls the routers with openai-go and net/http; kcw-demo compare holds calls, claims and the stand-ins' records against each other.

--- a/kcw-demo/main.go
+++ b/kcw-demo/main.go
@@ -1,4 +1,127 @@
-// Command kcw-demo is not built yet.
+// Command kcw-demo is the caller of the demonstration: send makes requests
+// through the routers, compare holds the bills against the stand-ins' records.
 package main
 
-func main() {}
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"kingcupwick.example/kcw-demo/kcwaudit"
+	"kingcupwick.example/kcw-demo/kcwscenario"
+	"kingcupwick.example/kcw-standin/kcwrecord"
+)
+
+func main() {
+	root := &ffcli.Command{
+		Name:        "kcw-demo",
+		ShortUsage:  "kcw-demo <send|compare> [flags]",
+		Subcommands: []*ffcli.Command{sendCommand(), compareCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	if err := root.ParseAndRun(context.Background(), os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "kcw-demo:", err)
+		os.Exit(1)
+	}
+}
+
+func sendCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("send", flag.ContinueOnError)
+	routers := flags.String("routers", "", "base URLs of the routers, by commas")
+	keyFile := flags.String("key-file", "", "`file` with the customer's key")
+	calls := flags.String("calls", "", "`file` to write what the requests came to")
+	cfg := kcwscenario.Config{Out: os.Stdout}
+	flags.StringVar(&cfg.Customer, "customer", "", "customer of the key")
+	flags.StringVar(&cfg.Model, "model", "kcw-model", "model to ask")
+	flags.StringVar(&cfg.Service, "service", "/services/parish-desk", "path of the plain service")
+	flags.Int64Var(&cfg.Cost, "cost", 0, "tokens that a call to the plain service takes")
+	return &ffcli.Command{Name: "send", FlagSet: flags, ShortHelp: "send the requests", Exec: func(ctx context.Context, _ []string) error {
+		key, err := os.ReadFile(*keyFile)
+		if err != nil {
+			return eris.Wrap(err, "read the key")
+		}
+		cfg.Key = strings.TrimSpace(string(key))
+		cfg.Routers = strings.Split(*routers, ",")
+		made, err := kcwscenario.New(cfg).Run(ctx)
+		return errors.Join(err, writeJSON(*calls, made))
+	}}
+}
+
+func compareCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("compare", flag.ContinueOnError)
+	calls := flags.String("calls", "", "`file` that send wrote")
+	dump := flags.String("dump", "", "`file` that kcwctl dump wrote")
+	records := flags.String("records", "", "URLs of the stand-ins' records, by commas")
+	return &ffcli.Command{Name: "compare", FlagSet: flags, ShortHelp: "compare bills with records", Exec: func(ctx context.Context, _ []string) error {
+		var cfg kcwaudit.Config
+		if err := errors.Join(readJSON(*dump, &cfg), readJSON(*calls, &cfg.Calls)); err != nil {
+			return err
+		}
+		for _, url := range strings.Split(*records, ",") {
+			entries, err := fetch(ctx, url)
+			if err != nil {
+				return err
+			}
+			cfg.Entries = append(cfg.Entries, entries...)
+		}
+		return report(cfg)
+	}}
+}
+
+func report(cfg kcwaudit.Config) error {
+	var billed int64
+	for _, budget := range cfg.Customers {
+		billed += budget.Billed
+	}
+	fmt.Printf("  %d answers, %d requests at the stand-ins, %d claims, %d tokens billed\n",
+		len(cfg.Calls), len(cfg.Entries), len(cfg.Claims), billed)
+	problems := kcwaudit.New(cfg).Problems()
+	for _, problem := range problems {
+		fmt.Println("  PROBLEM", problem)
+	}
+	if len(problems) > 0 || len(cfg.Calls) == 0 {
+		return eris.Errorf("%d problems", len(problems))
+	}
+	return nil
+}
+
+func fetch(ctx context.Context, url string) ([]kcwrecord.Entry, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "make the request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, eris.Wrap(err, "fetch a record")
+	}
+	defer response.Body.Close()
+	var entries []kcwrecord.Entry
+	if err := json.NewDecoder(response.Body).Decode(&entries); err != nil {
+		return nil, eris.Wrap(err, "read a record")
+	}
+	return entries, nil
+}
+
+func readJSON(path string, into any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "read")
+	}
+	return eris.Wrap(json.Unmarshal(data, into), path)
+}
+
+func writeJSON(path string, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "encode")
+	}
+	return eris.Wrap(os.WriteFile(path, data, 0o644), "write")
+}
