--- a/kcw-standin/kcwengine/chat.go
+++ b/kcw-standin/kcwengine/chat.go
@@ -24,6 +24,8 @@
 
 type streamOptions struct {
 	IncludeUsage bool `json:"include_usage"`
+	// ContinuousUsage asks for the usage so far in each event.
+	ContinuousUsage bool `json:"continuous_usage_stats"`
 }
 
 type chatMessage struct {
@@ -80,6 +82,10 @@
 	return min(c.MaxTokens, c.MaxCompletionTokens)
 }
 
+func (c *chatRequest) wantsContinuousUsage() bool {
+	return c.StreamOptions != nil && c.StreamOptions.ContinuousUsage
+}
+
 func (c *chatRequest) wantsUsage() bool {
 	return c.StreamOptions != nil && c.StreamOptions.IncludeUsage
 }
--- a/kcw-standin/kcwengine/engine.go
+++ b/kcw-standin/kcwengine/engine.go
@@ -14,6 +14,9 @@
 	"kingcupwick.example/kcw-standin/kcwrecord"
 )
 
+// DrainingHeader marks a refusal of an engine that is leaving.
+const DrainingHeader = "Kcw-Draining"
+
 // MaxBodySize is the size in bytes of the longest request body taken.
 const MaxBodySize = 16 << 20
 
--- a/kcw-standin/kcwengine/turn.go
+++ b/kcw-standin/kcwengine/turn.go
@@ -74,6 +74,7 @@
 	switch {
 	case t.faults.Drain:
 		t.writer.Header().Set("Retry-After", drainRetryAfter)
+		t.writer.Header().Set(DrainingHeader, "true")
 		t.refuse(http.StatusServiceUnavailable, "draining", "the engine takes no new requests")
 	case t.faults.Status > 0:
 		t.refuse(t.faults.Status, "ordered", "ordered to fail")
@@ -161,7 +162,11 @@
 		if i == 0 {
 			d.Role = "assistant"
 		}
-		if !t.event(t.chunk(choice{Delta: d})) {
+		chunk := t.chunk(choice{Delta: d})
+		if t.chat.wantsContinuousUsage() && !t.faults.NoUsage {
+			chunk.Usage = usageOf(t.plan.prompt, i+1)
+		}
+		if !t.event(chunk) {
 			t.entry.Outcome = kcwrecord.Cancelled
 			return
 		}
--- a/kcw-standin/kcwplain/service.go
+++ b/kcw-standin/kcwplain/service.go
@@ -16,6 +16,9 @@
 	"kingcupwick.example/kcw-standin/kcwrecord"
 )
 
+// DrainingHeader marks a refusal of a service that is leaving.
+const DrainingHeader = "Kcw-Draining"
+
 // MaxBodySize is the size in bytes of the longest request body taken.
 const MaxBodySize = 1 << 20
 
@@ -92,6 +95,9 @@
 	if status := refusal(faults); status > 0 {
 		result.Outcome, result.Status = kcwrecord.Refused, status
 		w.Header().Set("Retry-After", "1")
+		if faults.Drain {
+			w.Header().Set(DrainingHeader, "true")
+		}
 		http.Error(w, "ordered to refuse", status)
 		return
 	}
