Write the demonstration without curl; show identities as the dumps do

Cause: a fresh machine need not have curl; a replica's identity passes 2^53, so that the dumps write it as text, which kcwctl replace did not read. Change: kcw-demo ready asks a process for its readiness; kcwctl reads and writes identities as text; kcwctl get indents the contract.

--- a/kcw-demo/main.go
+++ b/kcw-demo/main.go
@@ -1,5 +1,6 @@
-// Command kcw-demo is the caller of the demonstration: send makes requests
-// through the routers, compare holds the bills against the stand-ins' records.
+// Command kcw-demo is the caller of the demonstration: ready asks a process
+// whether it is ready, send makes requests through the routers, compare holds
+// the bills against the stand-ins' records.
 package main
 
 import (
@@ -11,6 +12,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
@@ -23,8 +25,8 @@
 func main() {
 	root := &ffcli.Command{
 		Name:        "kcw-demo",
-		ShortUsage:  "kcw-demo <send|compare> [flags]",
-		Subcommands: []*ffcli.Command{sendCommand(), compareCommand()},
+		ShortUsage:  "kcw-demo <ready|send|compare> [flags]",
+		Subcommands: []*ffcli.Command{readyCommand(), sendCommand(), compareCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	if err := root.ParseAndRun(context.Background(), os.Args[1:]); err != nil && !errors.Is(err, flag.ErrHelp) {
@@ -33,6 +35,26 @@
 	}
 }
 
+func readyCommand() *ffcli.Command {
+	const timeout = 2 * time.Second
+	return &ffcli.Command{Name: "ready", ShortUsage: "kcw-demo ready URL", ShortHelp: "ask whether a process is ready", Exec: func(ctx context.Context, args []string) error {
+		if len(args) != 1 {
+			return flag.ErrHelp
+		}
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		response, err := get(ctx, args[0])
+		if err != nil {
+			return err
+		}
+		defer response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return eris.New(response.Status)
+		}
+		return nil
+	}}
+}
+
 func sendCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("send", flag.ContinueOnError)
 	routers := flags.String("routers", "", "base URLs of the routers, by commas")
@@ -94,13 +116,9 @@
 }
 
 func fetch(ctx context.Context, url string) ([]kcwrecord.Entry, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, eris.Wrap(err, "make the request")
-	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := get(ctx, url)
 	if err != nil {
-		return nil, eris.Wrap(err, "fetch a record")
+		return nil, err
 	}
 	defer response.Body.Close()
 	var entries []kcwrecord.Entry
@@ -110,6 +128,15 @@
 	return entries, nil
 }
 
+func get(ctx context.Context, url string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "make the request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	return response, eris.Wrap(err, "get")
+}
+
 func readJSON(path string, into any) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/kcwctl/kcwtool/contract.go
+++ b/kcwctl/kcwtool/contract.go
@@ -1,7 +1,9 @@
 package kcwtool
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -134,12 +136,16 @@
 	if err != nil {
 		return &Error{Op: "get", Kind: Failed, Err: err}
 	}
-	text := append(contract.Canonical(), '\n')
+	var text bytes.Buffer
+	if err := json.Indent(&text, contract.Canonical(), "", "  "); err != nil {
+		return &Error{Op: "get", Kind: Failed, Err: err}
+	}
+	text.WriteByte('\n')
 	if path == "" {
 		fmt.Fprintf(t.cfg.Err, "revision %d\n", message.Revision)
-		_, err = t.cfg.Out.Write(text)
+		_, err = t.cfg.Out.Write(text.Bytes())
 	} else {
-		err = os.WriteFile(path, text, 0o644)
+		err = os.WriteFile(path, text.Bytes(), 0o644)
 	}
 	if err != nil {
 		return &Error{Op: "get", Kind: Failed, Err: err}
--- a/kcwctl/kcwtool/fleet.go
+++ b/kcwctl/kcwtool/fleet.go
@@ -17,7 +17,7 @@
 
 // replicaRow is the row printed for a replica of the ledger.
 type replicaRow struct {
-	ID      uint64 `json:"Id"`
+	ID      uint64 `json:",string"`
 	Name    string
 	Zone    string
 	Address string
@@ -112,7 +112,9 @@
 func (t *Tool) identify(ctx context.Context, admin, address string) (*kcwpb.Member, error) {
 	var dump struct {
 		Name, Zone string
-		Group      struct{ ID uint64 }
+		Group      struct {
+			ID uint64 `json:",string"`
+		}
 	}
 	data, err := t.fetchDump(ctx, admin)
 	if err != nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -44,7 +44,7 @@
 await() {
 	local i
 	for ((i = 0; i < ready_tries; i++)); do
-		curl -fs --max-time 2 -o /dev/null "$1" 2>/dev/null && return 0
+		"$bin/kcw-demo" ready "$1" 2>/dev/null && return 0
 		kill -0 "${pids[$2]}" 2>/dev/null || break
 		sleep 0.1
 	done
