Give each call of an upstream a connection of its own

Change: no connection serves two calls; the Transport then never writes a request twice either. Conclusion: a handshake a request is the price.

--- a/kcw/kcwgateway/answers.go
+++ b/kcw/kcwgateway/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -10,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 
+	"kingcupwick.example/kcw/kcwkeyring"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
 )
@@ -17,7 +19,7 @@
 const (
 	// partBytes is the size of one part of an answer between routers.
 	partBytes = 64 << 10
-	// peerDialTimeout bounds the first byte from another router.
+	// peerIdleTimeout is how long an unused connection to a router is kept.
 	peerIdleTimeout = 30 * time.Second
 )
 
@@ -104,8 +106,8 @@
 }
 
 // fetch returns the answer that another router gave to the same request.
-func (g *Gateway) fetch(ctx context.Context, address string, req *request) (*kcwpb.AnswerPart, error) {
-	parsed, err := netip.ParseAddrPort(address)
+func (g *Gateway) fetch(ctx context.Context, reply *kcwpb.Result, req *request) (*kcwpb.AnswerPart, error) {
+	parsed, err := netip.ParseAddrPort(reply.GetOwnerAddress())
 	if err != nil {
 		return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.Wrap(err, "owner address")}
 	}
@@ -118,6 +120,20 @@
 		return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.Wrap(err, "call")}
 	}
 	defer func() { _ = stream.Close() }()
+	whole, err := g.assemble(stream)
+	if err != nil {
+		return nil, err
+	}
+	// The ledger knows the digest of a billed answer.
+	digest := sha256.Sum256(whole.GetBody())
+	if billed := reply.GetClaim().GetAnswerDigest(); len(billed) > 0 && !kcwkeyring.Equal(billed, digest[:]) {
+		return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.New("the answer is not the one that was billed")}
+	}
+	return whole, nil
+}
+
+// assemble returns the answer that the parts of a stream make up.
+func (g *Gateway) assemble(stream *connect.ServerStreamForClient[kcwpb.AnswerPart]) (*kcwpb.AnswerPart, error) {
 	whole := &kcwpb.AnswerPart{}
 	for stream.Receive() {
 		part := stream.Msg()
--- a/kcw/kcwgateway/chat.go
+++ b/kcw/kcwgateway/chat.go
@@ -46,7 +46,7 @@
 	if g.cfg.EnginePriority {
 		fields["priority"] = json.RawMessage(strconv.FormatInt(priorities-1-req.priority(), 10))
 	}
-	rewritten, err := json.Marshal(fields)
+	rewritten, err := encode(fields)
 	if err != nil {
 		return refuse(codeMalformedBody, now, "")
 	}
@@ -59,6 +59,15 @@
 	return nil
 }
 
+// encode returns fields as JSON, with their text as it came.
+func encode(fields map[string]json.RawMessage) ([]byte, error) {
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	err := encoder.Encode(fields)
+	return out.Bytes(), err
+}
+
 // chatFields returns the members of the body, each once.
 func chatFields(body []byte, now time.Time) (map[string]json.RawMessage, *refusal) {
 	if !utf8.Valid(body) {
--- a/kcw/kcwgateway/dispatch.go
+++ b/kcw/kcwgateway/dispatch.go
@@ -127,7 +127,7 @@
 	if req.streams() {
 		limit = g.cfg.FirstByteTimeout
 	}
-	resp, err := t.upstream.Send(ctx, out, req.repeatable, began.Add(limit))
+	resp, err := t.upstream.Send(ctx, out, began.Add(limit))
 	if err != nil {
 		return g.failed(ctx, req, t, ticket, err)
 	}
--- a/kcw/kcwgateway/run.go
+++ b/kcw/kcwgateway/run.go
@@ -101,7 +101,7 @@
 	// A claim of this router's own would be waited for in vain: no answer is
 	// kept here.
 	if reply.GetOwnerAddress() != "" && reply.GetClaim().GetRouter() != g.cfg.Router {
-		answer, err := g.fetch(ctx, reply.GetOwnerAddress(), req)
+		answer, err := g.fetch(ctx, reply, req)
 		if err == nil {
 			return ending{replay: answer}
 		}
--- a/kcw/kcwgateway/stream.go
+++ b/kcw/kcwgateway/stream.go
@@ -138,15 +138,11 @@
 		return nil
 	}
 	delete(fields, "usage")
-	var out bytes.Buffer
-	out.WriteString("data: ")
-	encoder := json.NewEncoder(&out)
-	encoder.SetEscapeHTML(false)
-	if encoder.Encode(fields) != nil {
+	encoded, err := encode(fields)
+	if err != nil {
 		return nil
 	}
-	out.WriteByte('\n')
-	return out.Bytes()
+	return append(append([]byte("data: "), encoded...), '\n')
 }
 
 // stream passes events on as they come, and keeps back those that end the
--- a/kcw/kcwupstream/body.go
+++ b/kcw/kcwupstream/body.go
@@ -29,8 +29,7 @@
 	return n, err
 }
 
-// Close ends the call. If the answer was not read to its end, its connection
-// is closed.
+// Close ends the call and its connection.
 func (b *body) Close() error {
 	b.once.Do(func() {
 		b.watch.Stop()
--- a/kcw/kcwupstream/load.go
+++ b/kcw/kcwupstream/load.go
@@ -46,9 +46,9 @@
 	if u.cfg.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+u.cfg.Key)
 	}
-	resp, err := u.pooled.RoundTrip(req)
+	resp, err := u.polls.RoundTrip(req)
 	if err != nil {
-		u.pooled.CloseIdleConnections()
+		u.polls.CloseIdleConnections()
 		return u.loadError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/kcw/kcwupstream/upstream.go
+++ b/kcw/kcwupstream/upstream.go
@@ -1,16 +1,18 @@
 // Package kcwupstream holds one upstream: its address and zone, its load, the
 // calls in flight and its connections.
 //
-// Two rules of net/http need care. Its Transport sends a request again on
-// another connection if a pooled one turns out stale and the request has a
-// rewindable body and an idempotency header, or a method such as GET; and it
-// returns an error after a request may have been written. So a call that must
-// not be repeated takes a connection of its own, on which the Transport never
-// sends twice, and a call counts as not sent only if it never had a connection.
+// Each call has a connection of its own. A connection that was used before may
+// be silently dead, or bring a late answer to an earlier call, which nothing in
+// HTTP/1.1 tells from the answer to this one; and net/http's Transport sends a
+// request again if it finds such a connection stale. A call counts as not sent
+// only if it never had a connection, for the Transport may return an error
+// while the request is being written.
 package kcwupstream
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -25,8 +27,7 @@
 const (
 	defaultDialTimeout     = 2 * time.Second
 	defaultProgressTimeout = 30 * time.Second
-	defaultIdleTimeout     = 4 * time.Second
-	defaultMaxIdle         = 256
+	pollIdleTimeout        = 10 * time.Second
 	maxHeaderBytes         = 64 << 10
 	keepAlivePeriod        = 15 * time.Second
 )
@@ -34,6 +35,9 @@
 // errSilent is the cause of a call cancelled by its progress deadline.
 var errSilent = eris.New("no progress until the deadline")
 
+// errMalformed stands for an answer that net/http could not read.
+var errMalformed = eris.New("the answer is malformed")
+
 // Config sets up an Upstream.
 type Config struct {
 	// Name is the upstream's own name, Service what it serves.
@@ -49,10 +53,6 @@
 	// ProgressTimeout bounds the wait for the next bytes of an answer, 30 s if
 	// zero.
 	ProgressTimeout time.Duration
-	// IdleTimeout is how long an unused connection is kept, 4 s if zero.
-	IdleTimeout time.Duration
-	// MaxIdle is how many unused connections are kept, 256 if zero.
-	MaxIdle int
 	// Now is the clock, time.Now if nil.
 	Now func() time.Time
 }
@@ -60,8 +60,8 @@
 // Upstream is one upstream. It is safe for concurrent use.
 type Upstream struct {
 	cfg      Config
-	pooled   *http.Transport
-	single   *http.Transport
+	calls    *http.Transport
+	polls    *http.Transport
 	inFlight atomic.Int64
 	draining atomic.Bool
 
@@ -81,17 +81,11 @@
 	if cfg.ProgressTimeout <= 0 {
 		cfg.ProgressTimeout = defaultProgressTimeout
 	}
-	if cfg.IdleTimeout <= 0 {
-		cfg.IdleTimeout = defaultIdleTimeout
-	}
-	if cfg.MaxIdle <= 0 {
-		cfg.MaxIdle = defaultMaxIdle
-	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	u := &Upstream{cfg: cfg, pooled: newTransport(cfg), single: newTransport(cfg)}
-	u.single.DisableKeepAlives = true
+	u := &Upstream{cfg: cfg, calls: newTransport(cfg), polls: newTransport(cfg)}
+	u.calls.DisableKeepAlives = true
 	return u
 }
 
@@ -104,9 +98,7 @@
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
-		MaxIdleConns:           cfg.MaxIdle,
-		MaxIdleConnsPerHost:    cfg.MaxIdle,
-		IdleConnTimeout:        cfg.IdleTimeout,
+		IdleConnTimeout:        pollIdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		Protocols:              protocols,
 	}
@@ -127,31 +119,24 @@
 // Draining returns whether the upstream said that it is leaving.
 func (u *Upstream) Draining() bool { return u.draining.Load() }
 
-// Close closes the connections that are not in use.
-func (u *Upstream) Close() {
-	u.pooled.CloseIdleConnections()
-	u.single.CloseIdleConnections()
-}
+// Close closes the connection for load reports.
+func (u *Upstream) Close() { u.polls.CloseIdleConnections() }
 
 // Send sends req, of which the path, query, method, header and body count, and
 // returns the answer once its header is there, which it must be by firstByte.
-// The caller closes the answer's body; a connection whose answer was not read
-// to its end is not used again. Redirects are not followed.
+// The caller closes the answer's body. Redirects are not followed, and req is
+// written at most once.
 //
-// A call that is not repeatable is written at most once. The error is an
-// *Error; only with KindNotSent is it sure that nothing of req has left.
-func (u *Upstream) Send(ctx context.Context, req *http.Request, repeatable bool, firstByte time.Time) (*http.Response, error) {
+// The error is an *Error; only with KindNotSent is it sure that nothing of req
+// has left.
+func (u *Upstream) Send(ctx context.Context, req *http.Request, firstByte time.Time) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	out := u.outgoing(httptrace.WithClientTrace(ctx, trace), req, repeatable)
-	transport := u.pooled
-	if !repeatable {
-		transport = u.single
-	}
+	out := u.outgoing(httptrace.WithClientTrace(ctx, trace), req)
 	watch := time.AfterFunc(firstByte.Sub(u.cfg.Now()), func() { cancel(errSilent) })
 	u.inFlight.Add(1)
-	resp, err := transport.RoundTrip(out)
+	resp, err := u.calls.RoundTrip(out)
 	if err != nil {
 		watch.Stop()
 		u.inFlight.Add(-1)
@@ -177,7 +162,7 @@
 }
 
 // outgoing returns the request to write for req.
-func (u *Upstream) outgoing(ctx context.Context, req *http.Request, repeatable bool) *http.Request {
+func (u *Upstream) outgoing(ctx context.Context, req *http.Request) *http.Request {
 	out := req.Clone(ctx)
 	out.URL.Scheme = "http"
 	out.URL.Host = u.cfg.Address.String()
@@ -190,27 +175,32 @@
 	if u.cfg.Key != "" {
 		out.Header.Set("Authorization", "Bearer "+u.cfg.Key)
 	}
-	if repeatable {
-		// An empty value lets the Transport use another connection in place of
-		// a stale one, and is not sent.
-		out.Header["Idempotency-Key"] = []string{}
-	} else {
-		out.GetBody = nil
-	}
+	out.GetBody = nil
 	return out
 }
 
-// failure turns err into an *Error, and gives up the unused connections if the
-// upstream was silent.
+// failure turns err into an *Error.
 func (u *Upstream) failure(ctx context.Context, op string, err error, sent bool) error {
 	kind := KindLost
 	if context.Cause(ctx) == errSilent {
 		kind = KindSilent
-		u.pooled.CloseIdleConnections()
 		err = errSilent
 	}
 	if !sent {
 		kind = KindNotSent
 	}
-	return &Error{Op: op, Kind: kind, Upstream: u.cfg.Name, Err: eris.Wrap(err, "call")}
+	return &Error{Op: op, Kind: kind, Upstream: u.cfg.Name, Err: eris.Wrap(withoutText(err), "call")}
+}
+
+// withoutText returns err, or another error in its place if its message may
+// hold bytes of an answer, as those of a malformed one do.
+func withoutText(err error) error {
+	var network *net.OpError
+	switch {
+	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
+		errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded), errors.Is(err, errSilent):
+		return err
+	default:
+		return errMalformed
+	}
 }
--- /dev/null
+++ b/kcw/kcwupstream/upstream_test.go
@@ -0,0 +1,241 @@
+package kcwupstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// listen runs serve for each connection and returns the address.
+func listen(t *testing.T, serve func(conn net.Conn, number int64)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var count atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn, count.Add(1))
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func send(u *Upstream, method, body string, wait time.Duration) (string, error) {
+	req, err := http.NewRequest(method, "http://upstream/path", strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Idempotency-Key", "i")
+	resp, err := u.Send(context.Background(), req, time.Now().Add(wait))
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return string(raw), err
+}
+
+func checkKind(t *testing.T, err error, kind Kind) {
+	t.Helper()
+	var failure *Error
+	if !errors.As(err, &failure) || failure.Kind != kind {
+		t.Errorf("error %v, want kind %d", err, kind)
+	}
+}
+
+// TestWrittenOnce checks the trap of net/http's Transport: an upstream takes a
+// request and closes the connection, which looks stale if it was used before.
+// The request must not be written again.
+func TestWrittenOnce(t *testing.T) {
+	for _, test := range []struct{ method, body string }{
+		{http.MethodPost, "pay"},
+		{http.MethodGet, ""},
+		{http.MethodDelete, ""},
+	} {
+		t.Run(test.method, func(t *testing.T) {
+			var seen atomic.Int64
+			address := listen(t, func(conn net.Conn, _ int64) {
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if req.Method != http.MethodHead {
+						seen.Add(1)
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+				}
+			})
+			u := New(Config{Name: "u", Address: address})
+			if _, err := send(u, http.MethodHead, "", time.Minute); err != nil {
+				t.Fatal(err)
+			}
+			_, err := send(u, test.method, test.body, time.Minute)
+			checkKind(t, err, KindLost)
+			if seen.Load() != 1 {
+				t.Errorf("the upstream saw the request %d times", seen.Load())
+			}
+		})
+	}
+}
+
+func TestSendFailures(t *testing.T) {
+	closed := listen(t, func(conn net.Conn, _ int64) { _ = conn.Close() })
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := netip.MustParseAddrPort(dead.Addr().String())
+	_ = dead.Close()
+	silent := listen(t, func(conn net.Conn, _ int64) { _, _ = io.Copy(io.Discard, conn) })
+	pausing := listen(t, func(conn net.Conn, _ int64) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	short := listen(t, func(conn net.Conn, _ int64) {
+		_, _ = bufio.NewReader(conn).ReadString('\n')
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+		_ = conn.Close()
+	})
+	garbled := listen(t, func(conn net.Conn, _ int64) {
+		_, _ = bufio.NewReader(conn).ReadString('\n')
+		_, _ = io.WriteString(conn, "confidential words\r\n\r\n")
+		_ = conn.Close()
+	})
+	for _, test := range []struct {
+		name    string
+		address netip.AddrPort
+		kind    Kind
+	}{
+		{"garbled", garbled, KindLost},
+		{"refused", refusing, KindNotSent},
+		{"closed at once", closed, KindLost},
+		{"silent", silent, KindSilent},
+		{"silent within the answer", pausing, KindSilent},
+		{"short body", short, KindLost},
+	} {
+		u := New(Config{Name: "u", Address: test.address, ProgressTimeout: 50 * time.Millisecond})
+		_, err := send(u, http.MethodPost, "body", 50*time.Millisecond)
+		checkKind(t, err, test.kind)
+		if strings.Contains(err.Error(), "confidential") {
+			t.Errorf("%s: the error holds the answer's text: %v", test.name, err)
+		}
+		if u.InFlight() != 0 {
+			t.Errorf("%s: %d calls in flight", test.name, u.InFlight())
+		}
+	}
+}
+
+// TestCancelled checks that a call cancelled before it is made is not sent.
+func TestCancelled(t *testing.T) {
+	u := New(Config{Name: "u", Address: listen(t, func(conn net.Conn, _ int64) { _, _ = io.Copy(io.Discard, conn) })})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	req, _ := http.NewRequest(http.MethodPost, "http://upstream/", strings.NewReader("x"))
+	_, err := u.Send(ctx, req, time.Now().Add(time.Minute))
+	checkKind(t, err, KindNotSent)
+}
+
+// TestUnreadAnswer checks that a connection whose answer was not read to its
+// end serves no other call.
+func TestUnreadAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		raw, _ := io.ReadAll(r.Body)
+		for range 1000 {
+			_, _ = fmt.Fprintf(w, "%s ", raw)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}))
+	t.Cleanup(server.Close)
+	u := New(Config{Name: "u", Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	for i := range 50 {
+		req, _ := http.NewRequest(http.MethodPost, "http://upstream/", strings.NewReader(fmt.Sprintf("left-%d", i)))
+		resp, err := u.Send(t.Context(), req, time.Now().Add(time.Minute))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.ReadFull(resp.Body, make([]byte, 10))
+		_ = resp.Body.Close()
+		body, err := send(u, http.MethodPost, "mine", time.Minute)
+		if err != nil || body != strings.Repeat("mine ", 1000) {
+			t.Fatalf("answer %q, %v", body, err)
+		}
+	}
+}
+
+// TestSecondAnswer checks that an answer nobody asked for, which follows
+// another on the same connection, is given to no call.
+func TestSecondAnswer(t *testing.T) {
+	const stale = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
+	address := listen(t, func(conn net.Conn, _ int64) {
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		for {
+			req, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			raw, _ := io.ReadAll(req.Body)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s", len(raw), raw, stale)
+		}
+	})
+	u := New(Config{Name: "u", Address: address})
+	crossed := 0
+	for i := range 500 {
+		want := fmt.Sprintf("mine-%d", i)
+		if body, err := send(u, http.MethodPost, want, time.Minute); err != nil || body != want {
+			crossed++
+		}
+	}
+	if crossed > 0 {
+		t.Errorf("%d calls got an answer that was not theirs", crossed)
+	}
+}
+
+func TestPoll(t *testing.T) {
+	var report atomic.Value
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, report.Load().(string))
+	}))
+	t.Cleanup(server.Close)
+	u := New(Config{Name: "u", Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	for _, test := range []struct {
+		report   string
+		fails    bool
+		running  int
+		draining bool
+	}{
+		{`{"Running":3,"Waiting":1,"Capacity":8}`, false, 3, false},
+		{`{`, true, 3, false},
+		{`{"Running":2,"Draining":true}`, false, 2, true},
+		{`{"Running":1}`, false, 1, false},
+	} {
+		report.Store(test.report)
+		err := u.Poll(t.Context())
+		running, _, _, _ := u.Load()
+		if (err != nil) != test.fails || running != test.running || u.Draining() != test.draining {
+			t.Errorf("%s: %v, running %d, draining %v", test.report, err, running, u.Draining())
+		}
+	}
+}
