Reserve a part of the slots for contracts inside their shares

Cause: in a burst every free slot goes to the contracts beyond their shares, so a request inside its share waits for the next slot to free, and then for a place at an engine that is full. Change: the queue keeps a tenth of the slots for contracts whose mean and present use is inside their share; the picker remembers all freed slots, newest first; reports count half at 300 ms; Room is 0.95.

--- a/kcw/kcwpick/picker.go
+++ b/kcw/kcwpick/picker.go
@@ -4,8 +4,9 @@
 // newest report would herd to the same upstream until the next one (Mitzenmacher,
 // How Useful Is Old Information?, 2000; Dahlin, Interpreting Stale Load
 // Information, 2000). The Picker compares only a few upstreams taken at random
-// (Mitzenmacher, The Power of Two Choices in Randomized Load Balancing, 2001),
-// adds to each report what it has itself started and finished since the report
+// (Mitzenmacher, The Power of Two Choices in Randomized Load Balancing, 2001)
+// and the one where a request ended last (Mitzenmacher, Prabhakar and Shah, Load
+// Balancing with Memory, 2002), adds to each report what it has itself started and finished since the report
 // was made, and draws the report towards the mean as it ages. It prefers its own
 // availability zone, and the upstream that a prompt's prefix was sent to before,
 // as long as those are not loaded more by a stated margin.
@@ -149,6 +150,7 @@
 	if u == nil {
 		return "", false
 	}
+	s.take(u)
 	u.inFlight++
 	u.started = append(u.started, now)
 	u.trim()
@@ -165,7 +167,7 @@
 	}
 	u.inFlight--
 	u.finished = append(u.finished, now)
-	u.service.freed = u
+	u.service.free(u)
 }
 
 // InFlight returns the own requests in flight at an upstream.
@@ -200,8 +202,8 @@
 	best := p.lighter(now, p.sample(s.near, usable), p.sample(s.near, usable), 0)
 	far := p.lighter(now, p.sample(s.far, usable), p.sample(s.far, usable), 0)
 	best = p.lighter(now, best, far, p.cfg.ZoneMargin)
-	if s.freed != nil && usable(s.freed.name) {
-		best = p.lighter(now, best, s.freed, 0)
+	if n := len(s.freed); n > 0 && usable(s.freed[n-1].name) {
+		best = p.lighter(now, best, s.freed[n-1], 0)
 	}
 	if best == nil || prefix == 0 {
 		return best
--- a/kcw/kcwpick/service.go
+++ b/kcw/kcwpick/service.go
@@ -11,9 +11,9 @@
 	all      []*upstream
 	near     []*upstream // in the router's zone
 	far      []*upstream
-	freed    *upstream // where an own request ended last
-	reported int       // upstreams with a report
-	sum      float64   // utilizations reported, of these
+	freed    []*upstream // where own requests ended and none was started since
+	reported int         // upstreams with a report
+	sum      float64     // utilizations reported, of these
 	prefixes prefixes
 }
 
@@ -42,9 +42,6 @@
 }
 
 func (s *service) remove(u *upstream) {
-	if s.freed == u {
-		s.freed = nil
-	}
 	same := func(other *upstream) bool { return other == u }
 	s.all = slices.DeleteFunc(s.all, same)
 	s.near = slices.DeleteFunc(s.near, same)
@@ -53,6 +50,7 @@
 		s.sum -= u.reported()
 		s.reported--
 	}
+	s.freed = slices.DeleteFunc(s.freed, same)
 	s.prefixes.drop(u)
 }
 
@@ -69,6 +67,24 @@
 	u.finished = after(u.finished, load.At)
 }
 
+// maxFreed bounds the slots remembered as freed.
+const maxFreed = 64
+
+// free remembers that an own request ended at u.
+func (s *service) free(u *upstream) {
+	if len(s.freed) == maxFreed {
+		s.freed = slices.Delete(s.freed, 0, 1)
+	}
+	s.freed = append(s.freed, u)
+}
+
+// take forgets one slot freed at u, for a request that starts there.
+func (s *service) take(u *upstream) {
+	if i := slices.Index(s.freed, u); i >= 0 {
+		s.freed = slices.Delete(s.freed, i, i+1)
+	}
+}
+
 // mean returns the mean of the utilizations reported last.
 func (s *service) mean() float64 {
 	if s.reported == 0 {
--- a/kcw/kcwpolicy/fake_test.go
+++ b/kcw/kcwpolicy/fake_test.go
@@ -10,12 +10,12 @@
 // The fake engine's speed: a prompt's tokens are read one prompt after the
 // other, and a cached prefix is read in a fifth of the time.
 const (
-	engineSlots  = 8
-	engineQueue  = 4 * engineSlots // requests queued above which it refuses
-	engineCache  = 24              // prefixes
+	engineSlots  = 64
+	engineQueue  = engineSlots // requests queued above which it refuses
+	engineCache  = 24          // prefixes
 	missPrefill  = 60 * time.Millisecond
 	hitPrefill   = 12 * time.Millisecond
-	tokenTime    = 20 * time.Millisecond
+	tokenTime    = 50 * time.Millisecond
 	networkDelay = time.Millisecond
 )
 
--- a/kcw/kcwpolicy/report_test.go
+++ b/kcw/kcwpolicy/report_test.go
@@ -15,7 +15,7 @@
 const (
 	contracts = 10
 	bursting  = 2
-	warmUp    = 5 * time.Second
+	warmUp    = 60 * time.Second
 )
 
 // scenario is a load and its faults.
@@ -91,7 +91,7 @@
 	}
 	f.report(end)
 	f.sample(start.Add(warmUp), end)
-	f.clock.runUntil(end.Add(30 * time.Second))
+	f.clock.runUntil(end.Add(time.Minute))
 	return f
 }
 
@@ -107,7 +107,7 @@
 		if c < bursting && f.scenario.surge > 0 && !f.clock.now.Before(begin) && f.clock.now.Before(begin.Add(f.scenario.surges)) {
 			rate *= f.scenario.surge
 		}
-		req := &request{contract: c, tokens: 20 + rng.IntN(160), arrived: f.clock.now}
+		req := &request{contract: c, tokens: 200 + rng.IntN(400), arrived: f.clock.now}
 		// Conversations of a contract: some prefixes are used far more than others.
 		square := rng.Float64() * rng.Float64()
 		req.prefix = uint64(c*1000) + uint64(square*float64(2*f.scenario.workers)) + 1
@@ -266,7 +266,7 @@
 
 // sized gives a scenario its fleet and a rate that keeps half of the slots busy.
 func sized(s scenario, workers, routers int) scenario {
-	const hold = 2.1 // seconds
+	const hold = 20.1 // seconds
 	s.workers, s.routers = workers, routers
 	s.rate = 0.5 * float64(workers*engineSlots) / hold / contracts
 	if s.lag == 0 {
--- a/kcw/kcwpolicy/router_test.go
+++ b/kcw/kcwpolicy/router_test.go
@@ -61,7 +61,7 @@
 		fleet: f, zone: f.engines[i%3].zone, rng: source(f.seed, uint64(1000+i)), turn: i,
 		breakers: make(map[string]*kcwbreaker.Breaker), own: make(map[string]int), waiting: make(map[uint64]*request),
 	}
-	cfg := kcwpick.Config{Zone: r.zone, HalfLife: time.Second, ZoneMargin: 0.1, PrefixMargin: 0.3, Room: 0.8, Prefixes: 10000, Rand: r.rng}
+	cfg := kcwpick.Config{Zone: r.zone, HalfLife: 300 * time.Millisecond, ZoneMargin: 0.1, PrefixMargin: 0.5, Room: 0.95, Prefixes: 10000, Rand: r.rng}
 	if f.variant.tune != nil {
 		f.variant.tune(&cfg)
 	}
@@ -69,7 +69,7 @@
 	r.member = must(kcwmember.New(kcwmember.Config{Silence: 5 * time.Second}))
 	r.slots = engineSlots * len(f.engines) / f.scenario.routers
 	r.queue = must(kcwqueue.New(kcwqueue.Config{
-		Slots: r.slots, Capacity: 8 * r.slots, Priorities: 3, Aging: time.Second, Hold: 2 * time.Second, Rand: r.rng,
+		Slots: r.slots, Reserve: 0.1, Memory: 10 * time.Second, Capacity: 4 * r.slots, Priorities: 3, Aging: time.Second, Hold: 20 * time.Second, Rand: r.rng,
 	}))
 	r.budget = must(kcwretry.New(kcwretry.Config{
 		Ratio: 0.1, Burst: 20, PauseFirst: 20 * time.Millisecond, PauseMost: time.Second, Rand: r.rng,
@@ -200,7 +200,11 @@
 		return
 	}
 	delete(r.waiting, id)
-	started, expired := r.queue.Release(r.fleet.clock.now, id, float64(req.tokens))
+	r.follow(r.queue.Release(r.fleet.clock.now, id, float64(req.tokens)))
+}
+
+// follow carries out what the queue says.
+func (r *router) follow(started, expired []kcwqueue.Item) {
 	for _, item := range expired {
 		r.refuse(item.ID)
 	}
--- a/kcw/kcwqueue/line.go
+++ b/kcw/kcwqueue/line.go
@@ -1,6 +1,7 @@
 package kcwqueue
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -66,7 +67,10 @@
 	weight  float64
 	tag     float64 // start tag of its next item
 	held    int     // items that wait or run
-	waiting []int   // waiting items by base priority
+	running int
+	used    float64   // mean of running, decayed
+	usedAt  time.Time // up to when used is counted
+	waiting []int     // waiting items by base priority
 	teams   shares
 	flow    *flow
 }
@@ -116,9 +120,41 @@
 	n.tag += cost / n.weight
 }
 
-// prune forgets a share that holds nothing and has no debt.
+// use brings the mean use of slots up to now.
+func (n *share) use(now time.Time, memory time.Duration) {
+	if !now.After(n.usedAt) {
+		return
+	}
+	kept := math.Exp(-float64(now.Sub(n.usedAt)) / float64(memory))
+	n.used = float64(n.running) + kept*(n.used-float64(n.running))
+	n.usedAt = now
+}
+
+// idleUse is the mean use of slots below which a contract counts as idle.
+const idleUse = 0.01
+
+// atOnce is how far beyond its share of the slots a contract may go for a moment
+// and still be inside its share.
+const atOnce = 1.5
+
+// inside reports whether a contract has of late used no more than its share of
+// the slots, and now uses not many more. The contracts that are not idle have
+// parts of the slots by weight.
+func (q *Queue) inside(now time.Time, contract *share) bool {
+	weights := 0.0
+	for _, n := range q.contracts.nodes {
+		n.use(now, q.cfg.Memory)
+		if n == contract || n.used > idleUse || n.held > 0 {
+			weights += n.weight
+		}
+	}
+	part := float64(q.slots) * contract.weight / weights
+	return contract.used <= part && float64(contract.running) <= atOnce*part
+}
+
+// prune forgets a share that holds nothing, has no debt, and was idle of late.
 func (s *shares) prune(name string, n *share) {
-	if n.held == 0 && n.tag <= s.virtual {
+	if n.held == 0 && n.tag <= s.virtual && n.used <= idleUse {
 		delete(s.nodes, name)
 	}
 }
@@ -128,13 +164,17 @@
 	f.served[item.Priority] = now
 	q.contracts.serve(f.contract, item.Cost)
 	f.contract.teams.serve(f.team, item.Cost)
+	f.contract.use(now, q.cfg.Memory)
+	f.contract.running++
 	f.contract.held++
 	f.team.held++
 }
 
 // correct replaces the expected cost of an item that ended by its true one.
-func (q *Queue) correct(item Item, cost float64) {
+func (q *Queue) correct(now time.Time, item Item, cost float64) {
 	f := q.flow(item)
+	f.contract.use(now, q.cfg.Memory)
+	f.contract.running--
 	f.contract.held--
 	f.team.held--
 	f.contract.tag += (cost - item.Cost) / f.contract.weight
--- a/kcw/kcwqueue/order.go
+++ b/kcw/kcwqueue/order.go
@@ -7,10 +7,16 @@
 
 // first returns the entry that starts next: of the highest level, of the
 // contract with the smallest start tag there, of its team with the smallest,
-// and of that the one that has waited longest. Some item must be waiting.
-func (q *Queue) first(now time.Time) *entry {
+// and of that the one that has waited longest. With reserved set, only contracts
+// inside their shares count. It returns nil if there is none.
+func (q *Queue) first(now time.Time, reserved bool) *entry {
 	top := -1
+	var admitted []*share
 	for _, contract := range q.contracts.nodes {
+		if contract.above(0) == 0 || reserved && !q.inside(now, contract) {
+			continue
+		}
+		admitted = append(admitted, contract)
 		for _, team := range contract.teams.nodes {
 			if e := team.flow.head(now, &q.cfg, 0); e != nil {
 				top = max(top, e.level(now, &q.cfg))
@@ -18,7 +24,7 @@
 		}
 	}
 	var best *entry
-	for _, contract := range q.contracts.nodes {
+	for _, contract := range admitted {
 		e := q.firstOf(now, contract, top)
 		if e != nil && (best == nil || before(&q.contracts, e, best, e.flow.contract, best.flow.contract)) {
 			best = e
--- a/kcw/kcwqueue/queue.go
+++ b/kcw/kcwqueue/queue.go
@@ -1,7 +1,8 @@
 // Package kcwqueue holds the bounded queue of requests to one service.
 //
 // A request starts at once while one of the service's slots is free, and else
-// waits. Waiting requests go by strict priority, in which the requests of a
+// waits. The last free slots may be reserved for contracts that use no more than
+// their share, so that these need not wait for a slot behind a flood. Waiting requests go by strict priority, in which the requests of a
 // team rise one level with each period that none of them started, so that no team
 // starves. Within a
 // level contracts, and teams within a contract, share by weight: start-time
@@ -17,6 +18,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -26,6 +28,12 @@
 type Config struct {
 	// Slots is the number of requests that may run at once. SetSlots changes it.
 	Slots int
+	// Reserve is the part of the slots, rounded up, that only contracts inside
+	// their shares may take, in [0, 1). Zero makes the queue work-conserving.
+	Reserve float64
+	// Memory is the time constant of the mean use of slots, by which a contract is
+	// inside its share or not.
+	Memory time.Duration
 	// Capacity is the number of requests that may wait.
 	Capacity int
 	// Priorities is the number of levels; the largest goes first.
@@ -83,10 +91,12 @@
 // duration is not positive (Slots may be zero) or there is no random source.
 func New(cfg Config) (*Queue, error) {
 	switch {
+	case !(cfg.Reserve >= 0 && cfg.Reserve < 1):
+		return nil, invalid("New", "Reserve must be in [0, 1)")
 	case cfg.Slots < 0 || cfg.Capacity < 1 || cfg.Priorities < 1:
 		return nil, invalid("New", "Capacity and Priorities must be at least 1 and Slots 0")
-	case cfg.Aging <= 0 || cfg.Hold <= 0:
-		return nil, invalid("New", "Aging and Hold must be positive")
+	case cfg.Aging <= 0 || cfg.Hold <= 0 || cfg.Memory <= 0:
+		return nil, invalid("New", "Aging, Hold and Memory must be positive")
 	case cfg.Rand == nil:
 		return nil, invalid("New", "Rand must be set")
 	}
@@ -114,9 +124,8 @@
 	if !item.Deadline.After(now) {
 		return false, nil, &Error{Op: "Offer", Kind: KindLate, Detail: "its deadline has passed", RetryAt: now}
 	}
-	if len(q.running) < q.slots && len(q.waiting) == 0 {
-		q.charge(now, q.flow(item), item)
-		q.running[item.ID] = run{item: item, started: now}
+	if len(q.running) < q.slots && (!q.guarded() || q.inside(now, q.flow(item).contract)) {
+		q.run(now, q.flow(item), item)
 		return true, nil, nil
 	}
 	if start := q.expected(now, item); start.After(item.Deadline) {
@@ -147,7 +156,7 @@
 	}
 	delete(q.running, id)
 	q.learn(now.Sub(ended.started))
-	q.correct(ended.item, cost)
+	q.correct(now, ended.item, cost)
 	q.sweep()
 	return q.start(now)
 }
@@ -228,15 +237,30 @@
 func (q *Queue) start(now time.Time) (started, expired []Item) {
 	expired = q.expire(now)
 	for len(q.running) < q.slots && len(q.waiting) > 0 {
-		e := q.first(now)
+		e := q.first(now, q.guarded())
+		if e == nil {
+			break
+		}
 		q.remove(e)
-		q.charge(now, e.flow, e.item)
-		q.running[e.item.ID] = run{item: e.item, started: now}
+		q.run(now, e.flow, e.item)
 		started = append(started, e.item)
 	}
 	return started, expired
 }
 
+// run gives a slot to an item.
+func (q *Queue) run(now time.Time, f *flow, item Item) {
+	q.charge(now, f, item)
+	q.running[item.ID] = run{item: item, started: now}
+}
+
+// guarded reports whether only contracts inside their shares may start, because
+// no slots but the reserved ones are free.
+func (q *Queue) guarded() bool {
+	reserve := min(int(math.Ceil(q.cfg.Reserve*float64(q.slots))), q.slots-1)
+	return len(q.running) >= q.slots-reserve
+}
+
 // expire takes out the items whose deadline is not after now.
 func (q *Queue) expire(now time.Time) []Item {
 	var expired []Item
