Make the demonstration run end to end

Cause: the script's router settings were written before the program, and the queue had come to need Reserve and Memory, which the gateway did not set. Change: the settings as kcw-router reads them, and both values in the gateway.

--- a/kcw/kcwgateway/pool.go
+++ b/kcw/kcwgateway/pool.go
@@ -21,8 +21,12 @@
 // The rules of the policies. A priority is the sum of the contract's and the
 // team's, each from 0 to 9.
 const (
-	priorities       = 19
-	queueAging       = 2 * time.Second
+	priorities = 19
+	queueAging = 2 * time.Second
+	// queueReserve is the part of the slots kept for contracts inside their shares,
+	// queueMemory the time over which shares are measured.
+	queueReserve     = 0.1
+	queueMemory      = 10 * time.Second
 	queueHold        = 2 * time.Second
 	loadHalfLife     = time.Second
 	zoneMargin       = 0.25
@@ -117,6 +121,7 @@
 	}
 	queue, err := kcwqueue.New(kcwqueue.Config{
 		Capacity: cfg.QueueCapacity, Priorities: priorities, Aging: queueAging, Hold: queueHold,
+		Reserve: queueReserve, Memory: queueMemory,
 		Rand: rand.New(rand.NewPCG(seed, 3*stream+1)),
 	})
 	if err != nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -88,18 +88,22 @@
 
 for i in 1 2; do
 	cat >"$run/settings/router-$i.ini" <<-INI
-		[Router]
+		[Host]
 		Name = router-$i
 		Zone = ${zones[i - 1]}
 		Address = 127.0.1.2$i:7200
-		Internal = 127.0.1.2$i:7201
-		Operator = 127.0.1.2$i:7202
-		Data = $run/router-$i
-		Ledgers = 127.0.1.11:7100, 127.0.1.12:7100, 127.0.1.13:7100
-		ProcessKeyFile = $run/keys/router
-		OperatorKeyFile = $run/keys/operator
+		InternalAddress = 127.0.1.2$i:7201
+		AdminAddress = 127.0.1.2$i:7202
+		Folder = $run/router-$i
 		DrainTime = 1s
 
+		[Ledger]
+		Addresses = 127.0.1.11:7100, 127.0.1.12:7100, 127.0.1.13:7100
+
+		[Keys]
+		RouterKeyFile = $run/keys/router
+		OperatorKeyFile = $run/keys/operator
+
 		[Upstream "engine-1"]
 		Service = kcw-model
 		Zone = tallinn-a
