--- a/kcw-router/dump.go
+++ b/kcw-router/dump.go
@@ -31,12 +31,15 @@
 	}
 }
 
+// timeBounds are the upper bounds of the buckets of times, in seconds.
+var timeBounds = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.46, 1, 2, 5, 10, 30, 60, 300}
+
 // newObserver returns what counts the requests that end.
 func newObserver(m *kcwmeter.Meter) func(service, code string, firstByte, total time.Duration, tokens int64) {
 	requests := m.Counter("kcw_requests", "Requests that ended, by service and code.")
 	used := m.Counter("kcw_tokens", "Tokens of requests that ended, by service.")
-	first := m.Histogram("kcw_first_byte", "Time until the first byte of an answer.", "s")
-	whole := m.Histogram("kcw_request", "Time until a request ended.", "s")
+	first := m.Histogram("kcw_first_byte", "Time until the first byte of an answer.", "s", timeBounds...)
+	whole := m.Histogram("kcw_request", "Time until a request ended.", "s", timeBounds...)
 	return func(service, code string, firstByte, total time.Duration, tokens int64) {
 		ctx := context.Background()
 		at := attribute.String("service", service)
--- a/kcw-router/main.go
+++ b/kcw-router/main.go
@@ -10,6 +10,8 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
+	"log"
 	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -90,6 +92,8 @@
 		return &usageError{err}
 	}
 	defer logger.Close()
+	// The standard logger is net/http's, whose lines may hold bytes of answers.
+	log.SetOutput(io.Discard)
 	p, err := newProcess(s, k)
 	if err != nil {
 		klog.ErrorS(err, "Router not started")
--- a/kcw-router/process.go
+++ b/kcw-router/process.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/log"
+	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
@@ -165,7 +166,7 @@
 	app := kratos.New(
 		kratos.Name("kcw-router"),
 		kratos.Logger(logger),
-		kratos.Server(p.public, p.internal, p.admin),
+		kratos.Server(p.servers()...),
 		kratos.StopTimeout(s.Host.StopTimeout),
 		kratos.BeforeStop(func(context.Context) error {
 			klog.InfoS("Router drains", "DrainTime", s.Host.DrainTime.String())
@@ -179,6 +180,41 @@
 	return errors.Join(err, p.close())
 }
 
+// servers returns the servers so that operators and other routers are
+// answered until the last caller is.
+func (p *process) servers() []transport.Server {
+	stopped := make(chan struct{})
+	return []transport.Server{
+		&firstStopped{p.public, stopped},
+		&lastStopped{p.internal, stopped},
+		&lastStopped{p.admin, stopped},
+	}
+}
+
+// firstStopped closes stopped once its Stop has returned.
+type firstStopped struct {
+	transport.Server
+	stopped chan struct{}
+}
+
+// Stop stops the server and then lets the others stop.
+func (s *firstStopped) Stop(ctx context.Context) error {
+	defer close(s.stopped)
+	return s.Server.Stop(ctx)
+}
+
+// lastStopped stops once stopped is closed.
+type lastStopped struct {
+	transport.Server
+	stopped <-chan struct{}
+}
+
+// Stop waits for the first server and stops this one.
+func (s *lastStopped) Stop(ctx context.Context) error {
+	<-s.stopped
+	return s.Server.Stop(ctx)
+}
+
 // close ends what outlasts the requests: their claims are closed first.
 func (p *process) close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Host.StopTimeout)
