Fall back on own requests in flight where a report is old

Cause: an old report was drawn towards the mean, which tells nothing of the upstream, though the router's own requests in flight there are always known. Change: the mean is scaled by the own requests in flight over an even part of them, drawn towards one by a prior of two requests.

--- a/kcw/kcwpick/picker.go
+++ b/kcw/kcwpick/picker.go
@@ -152,6 +152,7 @@
 	}
 	s.take(u)
 	u.inFlight++
+	s.inFlight++
 	u.started = append(u.started, now)
 	u.trim()
 	return u.name, true
@@ -166,6 +167,7 @@
 		return
 	}
 	u.inFlight--
+	u.service.inFlight--
 	u.finished = append(u.finished, now)
 	u.service.free(u)
 }
@@ -244,7 +246,7 @@
 	capacity := float64(u.load.Capacity)
 	reported := float64(u.load.Running+u.load.Waiting) / capacity
 	own := float64(len(u.started)-len(u.finished)) / capacity
-	return fresh*reported + (1-fresh)*u.service.mean() + own
+	return fresh*(reported+own) + (1-fresh)*u.service.mean()*u.relative()
 }
 
 // sample returns a random usable upstream of the list, or nil.
--- a/kcw/kcwpick/service.go
+++ b/kcw/kcwpick/service.go
@@ -12,6 +12,8 @@
 	near     []*upstream // in the router's zone
 	far      []*upstream
 	freed    []*upstream // where own requests ended and none was started since
+	inFlight int         // own requests in flight
+	capacity int         // of all upstreams
 	reported int         // upstreams with a report
 	sum      float64     // utilizations reported, of these
 	prefixes prefixes
@@ -34,6 +36,7 @@
 
 func (s *service) add(u *upstream) {
 	s.all = append(s.all, u)
+	s.capacity += u.load.Capacity
 	if u.near {
 		s.near = append(s.near, u)
 	} else {
@@ -42,6 +45,8 @@
 }
 
 func (s *service) remove(u *upstream) {
+	s.capacity -= u.load.Capacity
+	s.inFlight -= u.inFlight
 	same := func(other *upstream) bool { return other == u }
 	s.all = slices.DeleteFunc(s.all, same)
 	s.near = slices.DeleteFunc(s.near, same)
@@ -61,6 +66,7 @@
 	} else {
 		s.sum -= u.reported()
 	}
+	s.capacity += load.Capacity - u.load.Capacity
 	u.load = load
 	s.sum += u.reported()
 	u.started = after(u.started, load.At)
@@ -93,6 +99,17 @@
 	return max(s.sum, 0) / float64(s.reported)
 }
 
+// prior is the number of own requests in flight by which an upstream's own are
+// drawn towards the mean, as few of them say little.
+const prior = 2
+
+// relative returns the own requests in flight at u over what its part of the
+// service's capacity would have.
+func (u *upstream) relative() float64 {
+	even := float64(u.service.inFlight) * float64(u.load.Capacity) / float64(u.service.capacity)
+	return (float64(u.inFlight) + prior) / (even + prior)
+}
+
 // reported returns the utilization in the newest report.
 func (u *upstream) reported() float64 {
 	return float64(u.load.Running+u.load.Waiting) / float64(u.load.Capacity)
