Let kcwctl check settings of every program

Cause: a settings file should be checked where the operator sits, before it reaches a host; the structs stood in main packages, which can't be imported. Change: package kcwsetup in kcw-ledger, kcw-router and kcw-standin holds the settings; kcwctl check <kind> <file> reads them and contracts. Tests of kcw-ledger, kcw-router and kcwctl pass.

--- a/kcw-ledger/control_bench_test.go
+++ b/kcw-ledger/control_bench_test.go
@@ -72,12 +72,12 @@
 func benchmarkControlBytes(b *testing.B, changes int) {
 	f := newFleet(b, 3)
 	leader := f.leader(b)
-	operator := f.client(b, testKeys.operator)
+	operator := f.client(b, testKeys.Operator)
 	putContract(b, operator, "pew", 1_000_000)
 	var bytes atomic.Int64
 	c, err := kcwledger.New(kcwledger.Config{
 		Addresses: []netip.AddrPort{countingForwarder(b, f.addresses[leader], &bytes)},
-		Key:       testKeys.router,
+		Key:       testKeys.Router,
 	})
 	if err != nil {
 		b.Fatal(err)
@@ -115,12 +115,12 @@
 // a request that is opened and billed by itself.
 func BenchmarkRequestWire(b *testing.B) {
 	f := newFleet(b, 3)
-	operator := f.client(b, testKeys.operator)
+	operator := f.client(b, testKeys.Operator)
 	putContract(b, operator, "pew", 1_000_000_000)
 	var bytes atomic.Int64
 	c, err := kcwledger.New(kcwledger.Config{
 		Addresses: []netip.AddrPort{countingForwarder(b, f.addresses[f.leader(b)], &bytes)},
-		Key:       testKeys.router,
+		Key:       testKeys.Router,
 	})
 	if err != nil {
 		b.Fatal(err)
--- a/kcw-ledger/fleet_test.go
+++ b/kcw-ledger/fleet_test.go
@@ -10,13 +10,14 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"kingcupwick.example/kcw-ledger/kcwsetup"
 	"kingcupwick.example/kcw/kcwcontract"
 	"kingcupwick.example/kcw/kcwfolder"
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
 )
 
-var testKeys = keys{peer: "peer-key", router: "router-key", operator: "operator-key"}
+var testKeys = kcwsetup.Keys{Peer: "peer-key", Router: "router-key", Operator: "operator-key"}
 
 // member is one replica of a test's ledger, run in the test's process.
 type member struct {
@@ -56,16 +57,16 @@
 }
 
 // settings returns the settings of replica i.
-func (f *fleet) settings(i int, folder string) *settings {
-	s := &settings{Founder: map[string]founderSettings{}}
-	s.Host = hostSettings{Name: fmt.Sprintf("ledger-%d", i), Zone: "zone", Address: f.addresses[i], Folder: folder}
-	s.Group = groupSettings{
+func (f *fleet) settings(i int, folder string) *kcwsetup.Settings {
+	s := &kcwsetup.Settings{Founder: map[string]kcwsetup.Founder{}}
+	s.Host = kcwsetup.Host{Name: fmt.Sprintf("ledger-%d", i), Zone: "zone", Address: f.addresses[i], Folder: folder}
+	s.Group = kcwsetup.Group{
 		Name: "ledger", Bootstrap: true, Heartbeat: 50 * time.Millisecond, Election: 500 * time.Millisecond,
 		SnapshotEntries: 50_000, KeepEntries: 5_000,
 	}
-	s.Service = serviceSettings{Beat: time.Second, SilentAfter: 10 * time.Second, StopTimeout: 10 * time.Second}
+	s.Service = kcwsetup.Service{Beat: time.Second, SilentAfter: 10 * time.Second, StopTimeout: 10 * time.Second}
 	for j, address := range f.addresses {
-		s.Founder[fmt.Sprintf("ledger-%d", j)] = founderSettings{Zone: "zone", Address: address}
+		s.Founder[fmt.Sprintf("ledger-%d", j)] = kcwsetup.Founder{Zone: "zone", Address: address}
 	}
 	return s
 }
--- a/kcw-ledger/settings.go
+++ b/kcw-ledger/kcwsetup/settings.go
@@ -1,4 +1,5 @@
-package main
+// Package kcwsetup holds the settings file of a ledger replica.
+package kcwsetup
 
 import (
 	"net/netip"
@@ -13,17 +14,17 @@
 	"kingcupwick.example/kcw/kcwsettings"
 )
 
-// settings is the INI file of a ledger replica.
-type settings struct {
-	Host    hostSettings
-	Group   groupSettings
-	Founder map[string]founderSettings
+// Settings is the INI file of a ledger replica.
+type Settings struct {
+	Host    Host
+	Group   Group
+	Founder map[string]Founder
 	Keys    keySettings
-	Service serviceSettings
+	Service Service
 }
 
-// hostSettings says where the replica runs.
-type hostSettings struct {
+// Host says where the replica runs.
+type Host struct {
 	Name string `setting:"required"`
 	Zone string `setting:"required"`
 	// Address is where replicas, routers and operators reach this one.
@@ -34,8 +35,8 @@
 	LogLevel     string         `default:"info" setting:"oneof=error|warning|info|debug|trace"`
 }
 
-// groupSettings configures the replicated group.
-type groupSettings struct {
+// Group configures the replicated group.
+type Group struct {
 	Name string `default:"ledger"`
 	// Bootstrap lets a blank folder found the group with the other founders.
 	Bootstrap       bool
@@ -45,8 +46,8 @@
 	KeepEntries     uint64        `default:"5000" setting:"min=0,max=10000000"`
 }
 
-// founderSettings is one founding replica; the section's label is its name.
-type founderSettings struct {
+// Founder is one founding replica; the section's label is its name.
+type Founder struct {
 	Zone    string         `setting:"required"`
 	Address netip.AddrPort `setting:"required"`
 }
@@ -58,8 +59,8 @@
 	OperatorKeyFile string `setting:"required"`
 }
 
-// serviceSettings configures the services towards routers.
-type serviceSettings struct {
+// Service configures the services towards routers.
+type Service struct {
 	// Beat is the time between two events of a watch at the most.
 	Beat time.Duration `default:"1s" setting:"min=10ms,max=10s"`
 	// SilentAfter is how long heartbeats of a router may be missing before its
@@ -69,14 +70,14 @@
 	StopTimeout time.Duration `default:"10s" setting:"min=100ms,max=10m"`
 }
 
-// keys is the keys of the roles.
-type keys struct {
-	peer, router, operator string
+// Keys is the keys of the roles.
+type Keys struct {
+	Peer, Router, Operator string
 }
 
-// loadSettings reads and checks the settings at path.
-func loadSettings(path string) (*settings, error) {
-	s := &settings{}
+// Load reads and checks the settings at path. The error names every problem.
+func Load(path string) (*Settings, error) {
+	s := &Settings{}
 	if err := kcwsettings.Load(path, s); err != nil {
 		return nil, err
 	}
@@ -86,8 +87,8 @@
 	return s, nil
 }
 
-// founders returns the founding members by name.
-func (s *settings) founders() []*kcwpb.Member {
+// Founders returns the founding members by name.
+func (s *Settings) Founders() []*kcwpb.Member {
 	var members []*kcwpb.Member
 	for name, founder := range s.Founder {
 		members = append(members, &kcwpb.Member{Name: name, Zone: founder.Zone, Address: founder.Address.String()})
@@ -96,24 +97,24 @@
 	return members
 }
 
-// load reads the key files.
-func (k keySettings) load() (keys, error) {
-	var loaded keys
+// LoadKeys reads the key files.
+func (s *Settings) LoadKeys() (Keys, error) {
+	var loaded Keys
 	for _, file := range []struct {
 		path string
 		into *string
 	}{
-		{k.PeerKeyFile, &loaded.peer},
-		{k.RouterKeyFile, &loaded.router},
-		{k.OperatorKeyFile, &loaded.operator},
+		{s.Keys.PeerKeyFile, &loaded.Peer},
+		{s.Keys.RouterKeyFile, &loaded.Router},
+		{s.Keys.OperatorKeyFile, &loaded.Operator},
 	} {
 		data, err := os.ReadFile(file.path)
 		if err != nil {
-			return keys{}, eris.Wrap(err, "read a key file")
+			return Keys{}, eris.Wrap(err, "read a key file")
 		}
 		*file.into = strings.TrimSpace(string(data))
 		if *file.into == "" {
-			return keys{}, eris.Errorf("key file %s is empty", file.path)
+			return Keys{}, eris.Errorf("key file %s is empty", file.path)
 		}
 	}
 	return loaded, nil
--- a/kcw-ledger/main.go
+++ b/kcw-ledger/main.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw-ledger/kcwsetup"
 	"kingcupwick.example/kcw/kcwlog"
 )
 
@@ -74,11 +75,11 @@
 
 // start reads the settings and runs the replica until it is told to stop.
 func start(path string, check bool) error {
-	s, err := loadSettings(path)
+	s, err := kcwsetup.Load(path)
 	if err != nil {
 		return &usageError{err}
 	}
-	k, err := s.Keys.load()
+	k, err := s.LoadKeys()
 	if err != nil {
 		return &usageError{err}
 	}
--- a/kcw-ledger/replica.go
+++ b/kcw-ledger/replica.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw-ledger/kcwsetup"
 	"kingcupwick.example/kcw/kcwadmin"
 	"kingcupwick.example/kcw/kcwbook"
 	"kingcupwick.example/kcw/kcwfeed"
@@ -25,7 +26,7 @@
 
 // replica is the parts of one ledger replica at work.
 type replica struct {
-	settings *settings
+	settings *kcwsetup.Settings
 	folder   *kcwfolder.Folder
 	book     *kcwbook.Book
 	sender   *kcwpeer.Sender
@@ -35,7 +36,7 @@
 }
 
 // serve runs a replica until a signal stops it.
-func serve(s *settings, k keys, logger *kcwlog.Logger) error {
+func serve(s *kcwsetup.Settings, k kcwsetup.Keys, logger *kcwlog.Logger) error {
 	folder, err := kcwfolder.Open(kcwfolder.Config{Path: s.Host.Folder})
 	if err != nil {
 		return err
@@ -50,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	admin, err := r.adminServer(k.operator)
+	admin, err := r.adminServer(k.Operator)
 	if err != nil {
 		return err
 	}
@@ -74,9 +75,9 @@
 }
 
 // newReplica starts the replica of folder. The caller closes it.
-func newReplica(s *settings, k keys, folder *kcwfolder.Folder) (*replica, error) {
+func newReplica(s *kcwsetup.Settings, k kcwsetup.Keys, folder *kcwfolder.Folder) (*replica, error) {
 	r := &replica{settings: s, folder: folder, book: kcwbook.New()}
-	sender, err := kcwpeer.New(kcwpeer.Config{Group: s.Group.Name, Key: k.peer, Timeout: s.Group.Election / 2})
+	sender, err := kcwpeer.New(kcwpeer.Config{Group: s.Group.Name, Key: k.Peer, Timeout: s.Group.Election / 2})
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +89,7 @@
 		Name:            s.Host.Name,
 		Zone:            s.Host.Zone,
 		Address:         s.Host.Address,
-		Founders:        s.founders(),
+		Founders:        s.Founders(),
 		Bootstrap:       s.Group.Bootstrap,
 		Machine:         feed,
 		Send:            sender.Send,
@@ -111,14 +112,14 @@
 }
 
 // build makes the services and the metrics.
-func (r *replica) build(k keys, feed *kcwfeed.Feed) error {
+func (r *replica) build(k kcwsetup.Keys, feed *kcwfeed.Feed) error {
 	service, err := kcwservice.New(kcwservice.Config{
 		Group:       r.group,
 		Book:        r.book,
 		Changed:     feed.Changed,
-		PeerKey:     k.peer,
-		RouterKey:   k.router,
-		OperatorKey: k.operator,
+		PeerKey:     k.Peer,
+		RouterKey:   k.Router,
+		OperatorKey: k.Operator,
 		Beat:        r.settings.Service.Beat,
 		SilentAfter: r.settings.Service.SilentAfter,
 		Now:         time.Now,
--- a/kcw-ledger/replica_bench_test.go
+++ b/kcw-ledger/replica_bench_test.go
@@ -27,11 +27,11 @@
 
 func benchmarkPairs(b *testing.B, routers, workers int) {
 	f := newFleet(b, 3)
-	operator := f.client(b, testKeys.operator)
+	operator := f.client(b, testKeys.Operator)
 	putContract(b, operator, "pew", 1_000_000_000)
 	var clients []*kcwledger.Client
 	for range routers {
-		clients = append(clients, f.client(b, testKeys.router))
+		clients = append(clients, f.client(b, testKeys.Router))
 	}
 	register(b, clients[0], "r1", 1)
 	var next atomic.Int64
--- a/kcw-ledger/replica_test.go
+++ b/kcw-ledger/replica_test.go
@@ -18,7 +18,7 @@
 		used     = 3
 	)
 	f := newFleet(t, 3)
-	operator, router := f.client(t, testKeys.operator), f.client(t, testKeys.router)
+	operator, router := f.client(t, testKeys.Operator), f.client(t, testKeys.Router)
 	putContract(t, operator, "pew", 1_000_000)
 	register(t, router, "r1", 1)
 	var group sync.WaitGroup
@@ -49,7 +49,7 @@
 func TestReplicasAgreeAfterARestart(t *testing.T) {
 	const changes = 300
 	f := newFleet(t, 3)
-	operator := f.client(t, testKeys.operator)
+	operator := f.client(t, testKeys.Operator)
 	putContract(t, operator, "pew", 100)
 	for n := range changes {
 		topUp := &kcwpb.TopUp{Change: fmt.Sprint(n), Customer: "pew", Tokens: 1}
--- a/kcw-router/settings.go
+++ b/kcw-router/kcwsetup/settings.go
@@ -1,4 +1,5 @@
-package main
+// Package kcwsetup holds the settings file of a router.
+package kcwsetup
 
 import (
 	"net/netip"
@@ -10,8 +11,8 @@
 	"kingcupwick.example/kcw/kcwsettings"
 )
 
-// settings is the INI file of a router.
-type settings struct {
+// Settings is the INI file of a router.
+type Settings struct {
 	Host      hostSettings
 	Ledger    ledgerSettings
 	Keys      keySettings
@@ -19,7 +20,7 @@
 	Deadlines deadlineSettings
 	Answers   answerSettings
 	Engine    engineSettings
-	Upstream  map[string]upstreamSettings `setting:"required"`
+	Upstream  map[string]Upstream `setting:"required"`
 }
 
 // hostSettings says where the router runs.
@@ -95,8 +96,8 @@
 	Priority bool
 }
 
-// upstreamSettings is one upstream; the section's label is its name.
-type upstreamSettings struct {
+// Upstream is one upstream; the section's label is its name.
+type Upstream struct {
 	Service string         `setting:"required"`
 	Zone    string         `setting:"required"`
 	Address netip.AddrPort `setting:"required"`
@@ -104,39 +105,40 @@
 	KeyFile string
 }
 
-// keys is the keys that the settings name.
-type keys struct {
-	router, operator string
-	upstreams        map[string]string
+// Keys is the keys that the settings name.
+type Keys struct {
+	Router, Operator string
+	// Upstreams are by the names of the upstreams.
+	Upstreams map[string]string
 }
 
-// loadSettings reads and checks the settings at path.
-func loadSettings(path string) (*settings, error) {
-	s := &settings{}
+// Load reads and checks the settings at path. The error names every problem.
+func Load(path string) (*Settings, error) {
+	s := &Settings{}
 	if err := kcwsettings.Load(path, s); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
-// loadKeys reads the key files.
-func (s *settings) loadKeys() (keys, error) {
-	k := keys{upstreams: map[string]string{}}
+// LoadKeys reads the key files.
+func (s *Settings) LoadKeys() (Keys, error) {
+	k := Keys{Upstreams: map[string]string{}}
 	var err error
-	if k.router, err = kcwkeyring.ReadKey(s.Keys.RouterKeyFile); err != nil {
-		return keys{}, eris.Wrap(err, "RouterKeyFile")
+	if k.Router, err = kcwkeyring.ReadKey(s.Keys.RouterKeyFile); err != nil {
+		return Keys{}, eris.Wrap(err, "RouterKeyFile")
 	}
 	if s.Keys.OperatorKeyFile != "" {
-		if k.operator, err = kcwkeyring.ReadKey(s.Keys.OperatorKeyFile); err != nil {
-			return keys{}, eris.Wrap(err, "OperatorKeyFile")
+		if k.Operator, err = kcwkeyring.ReadKey(s.Keys.OperatorKeyFile); err != nil {
+			return Keys{}, eris.Wrap(err, "OperatorKeyFile")
 		}
 	}
 	for name, upstream := range s.Upstream {
 		if upstream.KeyFile == "" {
 			continue
 		}
-		if k.upstreams[name], err = kcwkeyring.ReadKey(upstream.KeyFile); err != nil {
-			return keys{}, eris.Wrapf(err, "KeyFile of %s", name)
+		if k.Upstreams[name], err = kcwkeyring.ReadKey(upstream.KeyFile); err != nil {
+			return Keys{}, eris.Wrapf(err, "KeyFile of %s", name)
 		}
 	}
 	return k, nil
--- a/kcw-router/main.go
+++ b/kcw-router/main.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw-router/kcwsetup"
 	"kingcupwick.example/kcw/kcwlog"
 )
 
@@ -76,11 +77,11 @@
 
 // start reads the settings and runs the router until it is told to stop.
 func start(path string, check bool) error {
-	s, err := loadSettings(path)
+	s, err := kcwsetup.Load(path)
 	if err != nil {
 		return &usageError{err}
 	}
-	k, err := s.loadKeys()
+	k, err := s.LoadKeys()
 	if err != nil {
 		return &usageError{err}
 	}
--- a/kcw-router/process.go
+++ b/kcw-router/process.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-router/kcwpresence"
+	"kingcupwick.example/kcw-router/kcwsetup"
 	"kingcupwick.example/kcw/kcwadmin"
 	"kingcupwick.example/kcw/kcwanswer"
 	"kingcupwick.example/kcw/kcwcatalog"
@@ -37,7 +38,7 @@
 
 // process is the parts of one router.
 type process struct {
-	settings *settings
+	settings *kcwsetup.Settings
 	folder   *kcwfolder.Folder
 	client   *kcwledger.Client
 	catalog  *kcwcatalog.Catalog
@@ -53,14 +54,14 @@
 }
 
 // newProcess makes the parts and listens at the addresses.
-func newProcess(s *settings, k keys) (*process, error) {
+func newProcess(s *kcwsetup.Settings, k kcwsetup.Keys) (*process, error) {
 	p := &process{settings: s}
 	p.life, p.end = context.WithCancel(context.Background())
 	incarnation, err := p.openFolder()
 	if err != nil {
 		return nil, err
 	}
-	p.client, err = kcwledger.New(kcwledger.Config{Addresses: s.Ledger.Addresses, Key: k.router})
+	p.client, err = kcwledger.New(kcwledger.Config{Addresses: s.Ledger.Addresses, Key: k.Router})
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +83,7 @@
 	path, handler := p.gateway.Answers()
 	p.internal = newServer(s.Host.InternalAddress.String(), path, handler)
 	p.admin, err = kcwadmin.New(kcwadmin.Config{
-		Address: s.Host.AdminAddress, OperatorKey: k.operator, Ready: p.gateway.Ready,
+		Address: s.Host.AdminAddress, OperatorKey: k.Operator, Ready: p.gateway.Ready,
 		Metrics: p.meter.Handler(), Dump: func(context.Context) any { return p.dump(incarnation) },
 	})
 	return p, err
@@ -108,16 +109,16 @@
 	return incarnation, folder.WriteJSON(incarnationFile, incarnation)
 }
 
-func (p *process) newGateway(k keys, incarnation uint64) error {
+func (p *process) newGateway(k kcwsetup.Keys, incarnation uint64) error {
 	s := p.settings
-	peers, err := kcwkeyring.New(kcwkeyring.Config{Keys: map[string]string{"router": k.router}})
+	peers, err := kcwkeyring.New(kcwkeyring.Config{Keys: map[string]string{"router": k.Router}})
 	if err != nil {
 		return err
 	}
 	var upstreams []*kcwupstream.Upstream
 	for name, u := range s.Upstream {
 		upstreams = append(upstreams, kcwupstream.New(kcwupstream.Config{
-			Name: name, Service: u.Service, Zone: u.Zone, Address: u.Address, Key: k.upstreams[name],
+			Name: name, Service: u.Service, Zone: u.Zone, Address: u.Address, Key: k.Upstreams[name],
 			ProgressTimeout: s.Deadlines.Progress,
 		}))
 	}
@@ -127,7 +128,7 @@
 		Answers: kcwanswer.New(kcwanswer.Config{
 			MaxBytes: s.Answers.MaxBytes, MaxAnswers: s.Answers.MaxAnswers, Retention: s.Answers.Retention,
 		}),
-		Peers: peers, PeerKey: k.router,
+		Peers: peers, PeerKey: k.Router,
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		QueueCapacity: s.Limits.QueueCapacity, UpstreamCapacity: s.Limits.UpstreamCapacity, MaxAttempts: s.Limits.MaxAttempts,
 		OpenTimeout: s.Deadlines.Open, SettleTimeout: s.Deadlines.Settle, FirstByteTimeout: s.Deadlines.FirstByte,
--- a/kcw-standin/settings.go
+++ b/kcw-standin/kcwsetup/settings.go
@@ -1,12 +1,15 @@
-package main
+// Package kcwsetup holds the settings file of a stand-in.
+package kcwsetup
 
 import (
 	"net/netip"
 	"time"
+
+	"kingcupwick.example/kcw/kcwsettings"
 )
 
-// settings is the INI file of a stand-in.
-type settings struct {
+// Settings is the INI file of a stand-in.
+type Settings struct {
 	Standin struct {
 		// Kind is what the stand-in is.
 		Kind string `setting:"required,oneof=engine|plain"`
@@ -33,3 +36,12 @@
 		Work     time.Duration `default:"5ms" setting:"min=0s"`
 	}
 }
+
+// Load reads and checks the settings at path. The error names every problem.
+func Load(path string) (*Settings, error) {
+	s := &Settings{}
+	if err := kcwsettings.Load(path, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
--- a/kcw-standin/main.go
+++ b/kcw-standin/main.go
@@ -24,8 +24,8 @@
 	"kingcupwick.example/kcw-standin/kcwfault"
 	"kingcupwick.example/kcw-standin/kcwplain"
 	"kingcupwick.example/kcw-standin/kcwrecord"
+	"kingcupwick.example/kcw-standin/kcwsetup"
 	"kingcupwick.example/kcw/kcwlog"
-	"kingcupwick.example/kcw/kcwsettings"
 )
 
 const (
@@ -43,22 +43,22 @@
 		}
 		os.Exit(exitUsage)
 	}
-	var s settings
-	if err := kcwsettings.Load(*path, &s); err != nil {
+	s, err := kcwsetup.Load(*path)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
 	}
 	if *check {
 		return
 	}
-	if err := run(&s); err != nil {
+	if err := run(s); err != nil {
 		klog.ErrorS(err, "stopped by a failure")
 		klog.Flush()
 		os.Exit(exitFailed)
 	}
 }
 
-func run(s *settings) error {
+func run(s *kcwsetup.Settings) error {
 	logger, err := kcwlog.New(kcwlog.Config{Writer: os.Stderr, Level: s.Standin.LogLevel, Program: "kcw-standin", Host: s.Standin.Address.String()})
 	if err != nil {
 		return err
@@ -100,7 +100,7 @@
 }
 
 // newServers returns the server of the stand-in and that of its controls.
-func newServers(s *settings, file *os.File) ([]transport.Server, error) {
+func newServers(s *kcwsetup.Settings, file *os.File) ([]transport.Server, error) {
 	door, err := kcwdoor.New(s.Standin.Address)
 	if err != nil {
 		return nil, err
@@ -131,7 +131,7 @@
 	return []transport.Server{&server{service}, &server{controls}}, nil
 }
 
-func newHandler(s *settings, record *kcwrecord.Record, faults *kcwfault.Switch) http.Handler {
+func newHandler(s *kcwsetup.Settings, record *kcwrecord.Record, faults *kcwfault.Switch) http.Handler {
 	if s.Standin.Kind == "plain" {
 		return kcwplain.New(kcwplain.Config{Work: s.Plain.Work, Capacity: s.Plain.Capacity, Record: record, Faults: faults})
 	}
--- a/kcwctl/kcwtool/local.go
+++ b/kcwctl/kcwtool/local.go
@@ -6,11 +6,13 @@
 	"encoding/hex"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	ledgersetup "kingcupwick.example/kcw-ledger/kcwsetup"
+	routersetup "kingcupwick.example/kcw-router/kcwsetup"
+	standinsetup "kingcupwick.example/kcw-standin/kcwsetup"
 	"kingcupwick.example/kcw/kcwsettings"
 )
 
@@ -41,35 +43,26 @@
 	return key, nil
 }
 
+// checkers check a file of each kind.
+var checkers = map[string]func(path string) error{
+	"contract": func(path string) error { _, err := readContract(path); return err },
+	"ctl":      func(path string) error { return kcwsettings.Load(path, &Settings{}) },
+	"ledger":   func(path string) error { _, err := ledgersetup.Load(path); return err },
+	"router":   func(path string) error { _, err := routersetup.Load(path); return err },
+	"standin":  func(path string) error { _, err := standinsetup.Load(path); return err },
+}
+
 func (t *Tool) checkCommand() *ffcli.Command {
-	return t.command("check", "<kind> <file>", "check a settings or contract file; kinds: contract, ctl", t.flags("check"),
+	return t.command("check", "<kind> <file>", "check a settings or contract file; kinds: contract, ctl, ledger, router, standin", t.flags("check"),
 		func(_ context.Context, args []string) error {
-			err := check(args[0], args[1])
-			if err != nil {
-				return err
+			check := checkers[args[0]]
+			if check == nil {
+				return usage("check", "unknown kind %q", args[0])
+			}
+			if err := check(args[1]); err != nil {
+				return &Error{Op: "check", Kind: Usage, Err: err}
 			}
 			fmt.Fprintln(t.cfg.Err, args[1]+": ok")
 			return nil
 		})
 }
-
-func check(kind, path string) error {
-	switch kind {
-	case "contract":
-		_, err := readContract(path)
-		return err
-	case "ctl":
-		return checkSettings(path, &Settings{})
-	}
-	return usage("check", "unknown kind %q", kind)
-}
-
-func checkSettings(path string, into any) error {
-	if _, err := os.Stat(path); err != nil {
-		return &Error{Op: "check", Kind: Usage, Err: err}
-	}
-	if err := kcwsettings.Load(path, into); err != nil {
-		return &Error{Op: "check", Kind: Usage, Err: err}
-	}
-	return nil
-}
