--- a/kcw/kcwgroup/found.go
+++ b/kcw/kcwgroup/found.go
@@ -133,7 +133,7 @@
 		return nil
 	}
 	if err := g.founding.learn(m, sender); err != nil {
-		klog.ErrorS(err, "not founding the group; waiting to be added", "group", g.cfg.Group, "replica", g.identity.ID, "heard", sender.Name)
+		klog.ErrorS(err, "not founding the group; waiting to be added", "Group", g.cfg.Group, "Replica", g.identity.ID, "Heard", sender.Name)
 		g.founding = nil
 		return nil
 	}
--- a/kcw/kcwgroup/loop.go
+++ b/kcw/kcwgroup/loop.go
@@ -255,7 +255,7 @@
 // halt ends all calls and stops the applier. What is committed is applied.
 func (g *Group) halt(err error) {
 	if !errors.Is(err, errStopped) {
-		klog.ErrorS(err, "group stopped", "group", g.cfg.Group, "replica", g.identity.ID)
+		klog.ErrorS(err, "group stopped", "Group", g.cfg.Group, "Replica", g.identity.ID)
 		g.fault.Store(&err)
 	}
 	close(g.halting)
--- a/kcw/kcwgroup/transport.go
+++ b/kcw/kcwgroup/transport.go
@@ -33,7 +33,7 @@
 func (g *Group) fillChunk(m *kcwpb.Message) bool {
 	chunk, err := g.store.Chunk(m.Chunk.Index, m.Chunk.Offset, chunkBytes)
 	if err != nil {
-		klog.ErrorS(err, "can't send a snapshot", "group", g.cfg.Group, "to", m.To)
+		klog.ErrorS(err, "can't send a snapshot", "Group", g.cfg.Group, "To", m.To)
 		g.replica.SnapshotLost(m)
 		return false
 	}
@@ -75,7 +75,7 @@
 // compact cuts the log behind a snapshot that was written.
 func (g *Group) compact(meta *kcwpb.SnapshotChunk, err error) error {
 	if err != nil {
-		klog.ErrorS(err, "can't write a snapshot", "group", g.cfg.Group, "index", meta.Index)
+		klog.ErrorS(err, "can't write a snapshot", "Group", g.cfg.Group, "Index", meta.Index)
 		return nil
 	}
 	base := g.replica.Compact(meta, g.cfg.KeepEntries)
