--- a/kcw/kcwreplica/election.go
+++ b/kcw/kcwreplica/election.go
@@ -25,6 +25,22 @@
 	r.resetElection(now)
 }
 
+// mayCampaign reports whether the replica votes in any membership that may be
+// in force: the newest committed one or one after it. A replica whose removal
+// is not committed may be the only one that can be elected (Ongaro 2014,
+// section 4.2.2).
+func (r *Replica) mayCampaign() bool {
+	for i := len(r.configs) - 1; i >= 0; i-- {
+		if hasVoter(r.configs[i].membership, r.cfg.ID) {
+			return true
+		}
+		if r.configs[i].index <= r.log.commit {
+			return false
+		}
+	}
+	return false
+}
+
 // preCampaign asks whether an election could be won, without a new term.
 func (r *Replica) preCampaign(now time.Time) {
 	r.becomeFollower(r.term, 0, now)
--- a/kcw/kcwreplica/lead.go
+++ b/kcw/kcwreplica/lead.go
@@ -66,6 +66,18 @@
 	r.leading.peers = peers
 }
 
+// peerIDs returns the other members in the order of the membership, so that
+// the same inputs give the same messages.
+func (r *Replica) peerIDs() []uint64 {
+	var ids []uint64
+	for _, m := range r.Membership().Members {
+		if m.Id != r.cfg.ID {
+			ids = append(ids, m.Id)
+		}
+	}
+	return ids
+}
+
 func (r *Replica) tickLeader(now time.Time) {
 	if r.leading.transferTo != 0 && !now.Before(r.leading.transferUntil) {
 		r.leading.transferTo = 0
@@ -85,9 +97,9 @@
 	l.heartbeatAt = now.Add(r.cfg.Heartbeat)
 	l.round++
 	l.rounds = append(l.rounds, round{l.round, now.Add(r.cfg.Election)})
-	for id, p := range l.peers {
-		p.paused = false
-		r.sendTo(id, p, true, now)
+	for _, id := range r.peerIDs() {
+		l.peers[id].paused = false
+		r.sendTo(id, l.peers[id], true, now)
 	}
 	r.confirmRounds()
 }
@@ -135,8 +147,8 @@
 }
 
 func (r *Replica) broadcast(now time.Time) {
-	for id, p := range r.leading.peers {
-		r.sendTo(id, p, false, now)
+	for _, id := range r.peerIDs() {
+		r.sendTo(id, r.leading.peers[id], false, now)
 	}
 }
 
--- a/kcw/kcwreplica/members.go
+++ b/kcw/kcwreplica/members.go
@@ -124,7 +124,8 @@
 		return false
 	}
 	var best uint64
-	for id, p := range r.leading.peers {
+	for _, id := range r.peerIDs() {
+		p := r.leading.peers[id]
 		if !r.isVoter(id) || !p.streaming {
 			continue
 		}
--- a/kcw/kcwreplica/progress.go
+++ b/kcw/kcwreplica/progress.go
@@ -150,10 +150,7 @@
 func (r *Replica) handleAccept(m *kcwpb.Message, p *progress, now time.Time) {
 	grown := m.Index > p.match
 	p.acknowledge(m.Index)
-	if p.sending != nil && p.match >= r.log.base {
-		p.sending = nil
-		p.restart(p.match + 1)
-	}
+	r.endSnapshot(p)
 	if p.sending == nil && !p.streaming {
 		p.restart(p.match + 1)
 		p.streaming = true
@@ -170,6 +167,19 @@
 	}
 }
 
+// endSnapshot goes back to sending entries once the replica has got to where
+// they begin. If they begin later by now, a newer snapshot follows.
+func (r *Replica) endSnapshot(p *progress) {
+	switch {
+	case p.sending == nil:
+	case p.match >= r.log.base:
+		p.sending = nil
+		p.restart(p.match + 1)
+	case p.match >= p.sending.Index:
+		p.sending, p.offset, p.resendAt = r.snapshot, 0, time.Time{}
+	}
+}
+
 func (r *Replica) handleReject(m *kcwpb.Message, p *progress, now time.Time) {
 	if p.sending != nil || m.Index <= p.match {
 		return
@@ -177,12 +187,21 @@
 	if !p.streaming && m.Index != p.next-1 {
 		return
 	}
-	meet, _ := r.log.lastNotAbove(m.Hint, m.LogTerm)
+	p.restart(max(r.meeting(m), p.match) + 1)
+	r.sendTo(m.From, p, false, now)
+}
+
+// meeting returns the last index at which the log that a reject describes may
+// match this one. It is before the log's base if only a snapshot helps.
+func (r *Replica) meeting(m *kcwpb.Message) uint64 {
 	if m.Hint < r.log.base {
-		meet = m.Hint
+		return m.Hint
 	}
-	p.restart(max(meet, p.match) + 1)
-	r.sendTo(m.From, p, false, now)
+	meet, term := r.log.lastNotAbove(m.Hint, m.LogTerm)
+	if term > m.LogTerm {
+		return meet - 1
+	}
+	return meet
 }
 
 func (r *Replica) handleSnapshotReply(m *kcwpb.Message, p *progress, now time.Time) {
--- a/kcw/kcwreplica/replica.go
+++ b/kcw/kcwreplica/replica.go
@@ -259,8 +259,16 @@
 }
 
 func (r *Replica) isVoter(id uint64) bool {
-	m := r.member(id)
-	return m != nil && !m.Learner
+	return hasVoter(r.Membership(), id)
+}
+
+func hasVoter(membership *kcwpb.Membership, id uint64) bool {
+	for _, m := range membership.Members {
+		if m.Id == id {
+			return !m.Learner
+		}
+	}
+	return false
 }
 
 // quorumOf returns the largest number that a majority of the voters reach.
--- /dev/null
+++ b/kcw/kcwreplica/sim_test.go
@@ -0,0 +1,333 @@
+package kcwreplica
+
+import (
+	"fmt"
+	"math/rand"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+const (
+	simHeartbeat = 20 * time.Millisecond
+	simElection  = 100 * time.Millisecond
+)
+
+// node is a replica with a disk that keeps what was saved.
+type node struct {
+	id       uint64
+	replica  *Replica
+	term     uint64
+	vote     uint64
+	entries  []*kcwpb.Entry
+	snapshot *kcwpb.SnapshotChunk
+	applied  uint64
+	reads    map[uint64]uint64
+}
+
+// sim runs replicas under a random schedule and checks what must hold. The
+// first violation is kept.
+type sim struct {
+	rnd       *rand.Rand
+	now       time.Time
+	nodes     map[uint64]*node
+	ids       []uint64
+	wire      []*kcwpb.Message
+	cuts      map[[2]uint64]bool
+	leaders   map[uint64]uint64
+	committed map[uint64]*kcwpb.Entry
+	highest   uint64
+	counter   int
+	violation string
+}
+
+func newSim(seed int64, n int) *sim {
+	s := &sim{
+		rnd: rand.New(rand.NewSource(seed)), now: time.Unix(1e9, 0),
+		nodes: map[uint64]*node{}, cuts: map[[2]uint64]bool{},
+		leaders: map[uint64]uint64{}, committed: map[uint64]*kcwpb.Entry{},
+	}
+	membership := &kcwpb.Membership{}
+	for id := uint64(1); id <= uint64(n); id++ {
+		s.ids = append(s.ids, id)
+		membership.Members = append(membership.Members, &kcwpb.Member{Id: id})
+	}
+	data, _ := proto.Marshal(membership)
+	first := &kcwpb.Entry{Index: 1, Term: 1, Kind: kcwpb.EntryKind_ENTRY_KIND_MEMBERSHIP, Data: data}
+	for _, id := range s.ids {
+		s.nodes[id] = &node{id: id, term: 1, entries: []*kcwpb.Entry{first}}
+		s.restart(s.nodes[id])
+	}
+	return s
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.violation == "" {
+		s.violation = fmt.Sprintf(format, args...)
+	}
+}
+
+// restart begins again with what is on the node's disk.
+func (s *sim) restart(n *node) {
+	replica, err := New(Config{
+		ID: n.id, Term: n.term, Vote: n.vote, Snapshot: n.snapshot, Entries: n.entries,
+		Heartbeat: simHeartbeat, Election: simElection, MessageBytes: 100, InflightBytes: 400,
+		Rand: rand.New(rand.NewSource(s.rnd.Int63())), Now: s.now,
+	})
+	if err != nil {
+		s.fail("restart of %d: %v", n.id, err)
+		return
+	}
+	n.replica = replica
+	n.applied = n.snapshot.GetIndex()
+	n.reads = map[uint64]uint64{}
+}
+
+// drive does what the replica asks for. With crash set the node fails after it
+// has sent what may go at once and before it has saved anything.
+func (s *sim) drive(n *node, crash bool) {
+	for {
+		ready, busy := n.replica.Ready()
+		if !busy {
+			break
+		}
+		s.post(ready.Messages)
+		if crash {
+			s.restart(n)
+			return
+		}
+		if ready.MustSave {
+			n.save(ready)
+		}
+		s.post(ready.Replies)
+		n.replica.Advance(ready, s.now)
+		for _, e := range ready.Committed {
+			s.commit(n, e)
+		}
+		for _, m := range ready.Chunks {
+			s.receive(n, m)
+		}
+		for _, read := range ready.Reads {
+			if read.Index < n.reads[read.ID] {
+				s.fail("read %d at %d confirmed at %d, but %d was committed", read.ID, n.id, read.Index, n.reads[read.ID])
+			}
+		}
+		s.checkLeader(n)
+	}
+}
+
+func (n *node) save(ready Ready) {
+	n.term, n.vote = ready.Term, ready.Vote
+	if len(ready.Entries) == 0 {
+		return
+	}
+	var kept []*kcwpb.Entry
+	for _, e := range n.entries {
+		if e.Index < ready.Entries[0].Index {
+			kept = append(kept, e)
+		}
+	}
+	n.entries = append(kept, ready.Entries...)
+}
+
+// receive takes a snapshot, which the simulation sends as one chunk.
+func (s *sim) receive(n *node, m *kcwpb.Message) {
+	if !n.replica.Restore(m) {
+		return
+	}
+	n.snapshot, n.entries, n.applied = snapshotMeta(m.Chunk), nil, m.Chunk.Index
+}
+
+func (s *sim) post(msgs []*kcwpb.Message) {
+	for _, m := range msgs {
+		if !s.cuts[[2]uint64{m.From, m.To}] {
+			s.wire = append(s.wire, proto.Clone(m).(*kcwpb.Message))
+		}
+	}
+}
+
+// commit checks state machine safety: all replicas apply the same entry at an
+// index, without gaps.
+func (s *sim) commit(n *node, e *kcwpb.Entry) {
+	if e.Index != n.applied+1 {
+		s.fail("%d applied entry %d after %d", n.id, e.Index, n.applied)
+	}
+	n.applied = e.Index
+	if known := s.committed[e.Index]; known != nil && !proto.Equal(known, e) {
+		s.fail("%d applied %v where %v was applied", n.id, e, known)
+	}
+	s.committed[e.Index] = e
+	s.highest = max(s.highest, e.Index)
+}
+
+// checkLeader checks election safety and leader completeness.
+func (s *sim) checkLeader(n *node) {
+	if !n.replica.IsLeader() {
+		return
+	}
+	term := n.replica.Term()
+	if other, ok := s.leaders[term]; ok {
+		if other != n.id {
+			s.fail("%d and %d lead in term %d", other, n.id, term)
+		}
+		return
+	}
+	s.leaders[term] = n.id
+	for index, e := range s.committed {
+		if index > n.replica.log.base && e.Term < term && !n.replica.log.matches(index, e.Term) {
+			s.fail("leader %d of term %d lacks committed entry %d", n.id, term, index)
+		}
+	}
+}
+
+// checkLogs checks log matching: logs that agree at an index agree up to it.
+func (s *sim) checkLogs() {
+	for _, a := range s.nodes {
+		for _, b := range s.nodes {
+			la, lb := &a.replica.log, &b.replica.log
+			agree := false
+			for index := min(la.last(), lb.last()); index > max(la.base, lb.base); index-- {
+				ea, eb := la.entries[index-la.base-1], lb.entries[index-lb.base-1]
+				if agree && !proto.Equal(ea, eb) {
+					s.fail("logs of %d and %d agree after entry %d and differ in it", a.id, b.id, index)
+				}
+				agree = agree || ea.Term == eb.Term
+			}
+		}
+	}
+}
+
+// step does one random thing.
+func (s *sim) step() {
+	n := s.nodes[s.ids[s.rnd.Intn(len(s.ids))]]
+	switch p := s.rnd.Intn(1000); {
+	case p < 700:
+		s.deliver()
+		return
+	case p < 850:
+		s.now = s.now.Add(time.Duration(s.rnd.Intn(20)) * time.Millisecond)
+		n.replica.Tick(s.now)
+	case p < 900:
+		s.counter++
+		_, _ = n.replica.Propose([][]byte{fmt.Appendf(nil, "command %d", s.counter)}, s.now)
+	case p < 920:
+		s.counter++
+		if n.replica.Confirm(uint64(s.counter), s.now) == nil {
+			n.reads[uint64(s.counter)] = s.highest
+		}
+	case p < 940:
+		s.cuts[[2]uint64{n.id, s.ids[s.rnd.Intn(len(s.ids))]}] = true
+	case p < 950:
+		s.cuts = map[[2]uint64]bool{}
+	case p < 960:
+		s.restart(n)
+	case p < 970:
+		_, _ = n.replica.Propose([][]byte{[]byte("lost")}, s.now)
+		s.drive(n, true)
+	case p < 980:
+		n.replica.Transfer(s.now)
+	case p < 985:
+		s.compact(n)
+	default:
+		kind := kcwpb.ChangeMembersRequest_Kind(1 + s.rnd.Intn(3))
+		member := &kcwpb.Member{Id: s.ids[s.rnd.Intn(len(s.ids))]}
+		_, _ = n.replica.Change(&kcwpb.ChangeMembersRequest{Kind: kind, Member: member}, s.now)
+	}
+	s.drive(n, false)
+}
+
+// deliver takes any message off the wire: it is delivered, delivered and kept,
+// or lost.
+func (s *sim) deliver() {
+	if len(s.wire) == 0 {
+		return
+	}
+	i := s.rnd.Intn(len(s.wire))
+	m := s.wire[i]
+	p := s.rnd.Intn(100)
+	if p >= 5 {
+		s.wire = append(s.wire[:i], s.wire[i+1:]...)
+	}
+	if p >= 95 || s.cuts[[2]uint64{m.From, m.To}] {
+		return
+	}
+	n := s.nodes[m.To]
+	n.replica.Step(m, s.now)
+	s.drive(n, s.rnd.Intn(200) == 0)
+}
+
+func (s *sim) compact(n *node) {
+	term, ok := n.replica.log.termAt(n.applied)
+	if !ok || n.applied == 0 {
+		return
+	}
+	meta := &kcwpb.SnapshotChunk{Index: n.applied, Term: term}
+	for _, c := range n.replica.configs {
+		if c.index <= n.applied {
+			meta.Membership = c.membership
+		}
+	}
+	base := n.replica.Compact(meta, 2)
+	n.snapshot = meta
+	for len(n.entries) > 0 && n.entries[0].Index <= base {
+		n.entries = n.entries[1:]
+	}
+}
+
+// settle heals everything and reports whether a new command is then applied by
+// all members.
+func (s *sim) settle() bool {
+	s.cuts = map[[2]uint64]bool{}
+	target := uint64(0)
+	return s.runUntil(4*time.Second, func() bool {
+		leader := s.leader()
+		if leader == nil || !leader.replica.hasCommitted() {
+			return false
+		}
+		if target == 0 {
+			target, _ = leader.replica.Propose([][]byte{[]byte("last")}, s.now)
+		}
+		done := target > 0
+		for id, n := range s.nodes {
+			done = done && (n.applied >= target || leader.replica.member(id) == nil)
+		}
+		return done
+	})
+}
+
+// runUntil lets time pass, with all messages delivered that are not cut, until
+// done reports true or the limit is reached.
+func (s *sim) runUntil(limit time.Duration, done func() bool) bool {
+	for end := s.now.Add(limit); s.now.Before(end); s.now = s.now.Add(time.Millisecond) {
+		for _, id := range s.ids {
+			s.nodes[id].replica.Tick(s.now)
+			s.drive(s.nodes[id], false)
+		}
+		if done() {
+			return true
+		}
+		wire := s.wire
+		s.wire = nil
+		for _, m := range wire {
+			if s.nodes[m.To] != nil && !s.cuts[[2]uint64{m.From, m.To}] {
+				s.nodes[m.To].replica.Step(m, s.now)
+				s.drive(s.nodes[m.To], false)
+			}
+		}
+	}
+	return false
+}
+
+// leader returns the leader of the latest term, nil if there is none.
+func (s *sim) leader() *node {
+	var found *node
+	for _, id := range s.ids {
+		n := s.nodes[id]
+		if n.replica.IsLeader() && (found == nil || n.replica.Term() > found.replica.Term()) {
+			found = n
+		}
+	}
+	return found
+}
--- a/kcw/kcwreplica/step.go
+++ b/kcw/kcwreplica/step.go
@@ -130,7 +130,7 @@
 		r.tickLeader(now)
 		return
 	}
-	if now.Before(r.electionAt) || !r.isVoter(r.cfg.ID) {
+	if now.Before(r.electionAt) || !r.mayCampaign() {
 		return
 	}
 	r.preCampaign(now)
--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -70,7 +70,11 @@
 func (l *Log) load() error {
 	for i, s := range l.segments {
 		isLast := i == len(l.segments)-1
-		size, err := l.loaded.replay(s, l.cfg.Owner, isLast)
+		data, err := os.ReadFile(s.path)
+		if err != nil {
+			return fail("open", Storage, s.path, 0, err)
+		}
+		size, err := l.loaded.replay(s, data, l.cfg.Owner, isLast)
 		if err != nil {
 			return err
 		}
