--- a/kcw/kcwgroup/helper_test.go
+++ b/kcw/kcwgroup/helper_test.go
@@ -258,13 +258,15 @@
 	}
 }
 
+// running returns copies of the hosts that run.
 func (c *cluster) running() []*host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var hosts []*host
 	for _, h := range c.hosts {
 		if h.group != nil {
-			hosts = append(hosts, h)
+			copied := *h
+			hosts = append(hosts, &copied)
 		}
 	}
 	return hosts
@@ -281,7 +283,7 @@
 			err := h.group.Confirm(ctx)
 			cancel()
 			if err == nil && !contains(except, h.name) {
-				found = h
+				found = c.hosts[h.name]
 				return true
 			}
 		}
