--- a/kcw/kcwgroup/failure_test.go
+++ b/kcw/kcwgroup/failure_test.go
@@ -355,3 +355,27 @@
 		}
 	}
 }
+
+// A replica whose disk fails stops without acknowledging anything more, and the
+// others go on.
+func TestDiskFailureStopsReplica(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	old := c.leader()
+	old.group.ask(func() { _ = old.group.wal.Close() })
+	if _, err := old.group.Propose(short(t), []byte("sent")); kindOf(err) != OutcomeUnknown {
+		t.Errorf("propose on a failed disk: %v, want outcome unknown", err)
+	}
+	<-old.group.Done()
+	if _, err := old.group.Propose(short(t), []byte("late")); kindOf(err) != Closed {
+		t.Errorf("propose after the stop: %v, want closed", err)
+	}
+	if err := old.group.Close(); kindOf(err) != Storage {
+		t.Errorf("close gave %v, want storage", err)
+	}
+	c.mu.Lock()
+	old.group = nil
+	c.mu.Unlock()
+	_ = old.folder.Close()
+	c.proposeMany("after", 3)
+}
--- a/kcw/kcwgroup/group.go
+++ b/kcw/kcwgroup/group.go
@@ -27,6 +27,9 @@
 	eventCalls = 16
 )
 
+// maxCommand bounds a command, in bytes.
+const maxCommand = 4 << 20
+
 // Group is one replica at work. Its methods may be called at the same time.
 type Group struct {
 	cfg      Config
@@ -105,6 +108,9 @@
 // OutcomeUnknown the command may or may not be carried out, after any other
 // kind it was not and will not be.
 func (g *Group) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	if len(data) > maxCommand {
+		return nil, invalid("propose", "the command is too large")
+	}
 	c := newCall()
 	c.data = data
 	o, err := g.submit(ctx, "propose", g.proposals, c)
--- a/kcw/kcwgroup/transport.go
+++ b/kcw/kcwgroup/transport.go
@@ -114,6 +114,10 @@
 	if g.founding != nil {
 		status.Role = "founding"
 	}
+	if !same {
+		klog.InfoS("leadership changed", "group", g.cfg.Group, "replica", status.Id,
+			"role", status.Role, "term", status.Term, "leader", status.LeaderAddress)
+	}
 	g.status.Store(status)
 }
 
--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -41,6 +41,8 @@
 	size     int64
 	buf      []byte
 	failure  error
+	// sync makes what was written to the file last on the disk.
+	sync func(*os.File) error
 }
 
 // Open reads the log and makes it ready for writing. The error is an *Error
@@ -52,7 +54,7 @@
 	if cfg.Path == "" || cfg.Owner == 0 {
 		return nil, failText("open", Invalid, cfg.Path, 0, "Path and Owner must be set")
 	}
-	l := &Log{cfg: cfg}
+	l := &Log{cfg: cfg, sync: syncFile}
 	var err error
 	l.segments, err = listSegments(cfg.Path)
 	if err != nil {
@@ -261,7 +263,7 @@
 func (l *Log) write(buf []byte) error {
 	_, err := l.file.Write(buf)
 	if err == nil {
-		err = unix.Fdatasync(int(l.file.Fd()))
+		err = l.sync(l.file)
 	}
 	if err != nil {
 		l.failure = fail("write", Storage, l.file.Name(), l.size, err)
@@ -271,6 +273,10 @@
 	return nil
 }
 
+func syncFile(file *os.File) error {
+	return unix.Fdatasync(int(file.Fd()))
+}
+
 func syncFolder(path string) error {
 	folder, err := os.Open(path)
 	if err != nil {
--- a/kcw/kcwwal/log_test.go
+++ b/kcw/kcwwal/log_test.go
@@ -266,6 +266,44 @@
 	}
 }
 
+// What Save acknowledges was synced, and a failed sync is not acknowledged and
+// stops the log.
+func TestSaveSyncs(t *testing.T) {
+	l := open(t, t.TempDir())
+	var synced int64
+	var failure error
+	l.sync = func(file *os.File) error {
+		info, err := file.Stat()
+		if err != nil {
+			return err
+		}
+		synced = info.Size()
+		return failure
+	}
+	for i := uint64(1); i <= 20; i++ {
+		if err := l.Save(1, 1, []*kcwpb.Entry{entry(i, 1)}); err != nil {
+			t.Fatal(err)
+		}
+		if info, err := l.file.Stat(); err != nil || info.Size() != synced {
+			t.Fatalf("entry %d: %d bytes written, %d synced, %v", i, info.Size(), synced, err)
+		}
+	}
+	failure = errors.New("no sync")
+	first := l.Save(2, 1, nil)
+	failure = nil
+	if second := l.Save(2, 1, nil); !errors.Is(first, second) || kindOf(second) != Storage {
+		t.Errorf("a failed sync gave %v, then %v", first, second)
+	}
+}
+
+func kindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return 0
+}
+
 func FuzzSegment(f *testing.F) {
 	path := f.TempDir()
 	fill(f, path, 3)
