--- a/kcw/kcwgateway/failure_test.go
+++ b/kcw/kcwgateway/failure_test.go
@@ -218,7 +218,6 @@
 	l := newLedger(t, "r1")
 	reached, release := make(chan struct{}), make(chan struct{})
 	finish := sync.OnceFunc(func() { close(release) })
-	t.Cleanup(finish)
 	app := &engine{before: func(w http.ResponseWriter, _ *http.Request) bool {
 		close(reached)
 		<-release
@@ -226,6 +225,7 @@
 		return true
 	}}
 	f := start(t, l, "r1", map[string][]http.Handler{"app": {app}}, func(c *Config) { c.AnswerTimeout = time.Minute })
+	t.Cleanup(finish)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		resp, err := f.request(ctx, call{path: "/services/app/deposits", body: "5", identity: "i"})
--- a/kcw/kcwgateway/retry_test.go
+++ b/kcw/kcwgateway/retry_test.go
@@ -38,11 +38,13 @@
 	l := newLedger(t, "r1")
 	const callers = 12
 	release := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
 	e := &engine{words: []string{"ab", "cd"}, during: func(http.ResponseWriter, int) bool {
 		<-release
 		return true
 	}}
 	f := start(t, l, "r1", map[string][]http.Handler{"engine": {e}}, nil)
+	t.Cleanup(finish)
 	replies := make(chan reply, callers)
 	for range callers {
 		go func() { replies <- f.do(call{body: streamBody, identity: "i"}) }()
@@ -51,7 +53,8 @@
 		all := f.gateway.flights.list()
 		return len(all) == 1 && all[0].Callers == callers
 	})
-	close(release)
+	checkRefusal(t, f.do(call{body: chatBody, identity: "i"}), codeIdentityReused, notRun)
+	finish()
 	first := <-replies
 	if words, done := wordsOf(first.body); words != "abcd" || !done {
 		t.Errorf("%+v", first)
