Bound every write to a caller and count routers that wait as callers

A retry through another router now keeps the request running when its first caller leaves. Each write, the last flush included, has a deadline.

--- a/kcw/kcwgateway/answers.go
+++ b/kcw/kcwgateway/answers.go
@@ -61,13 +61,14 @@
 // finished returns the answer to a request of this router, for which it waits
 // while the request is in flight.
 func (g *Gateway) finished(ctx context.Context, req *kcwpb.AnswerRequest) (*kcwpb.AnswerPart, error) {
-	if f := g.flights.find(identity{req.GetCustomer(), req.GetRequest()}); f != nil {
+	if f := g.flights.follow(identity{req.GetCustomer(), req.GetRequest()}, req.GetDigest()); f != nil {
+		defer g.flights.leave(f, errCallerGone)
 		select {
 		case <-f.done:
 		case <-ctx.Done():
 			return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
 		}
-		if f.verdict.answer != nil && string(f.digest) == string(req.GetDigest()) {
+		if f.verdict.answer != nil {
 			return f.verdict.answer, nil
 		}
 		return nil, connect.NewError(connect.CodeNotFound, eris.New("no answer"))
--- a/kcw/kcwgateway/flight.go
+++ b/kcw/kcwgateway/flight.go
@@ -64,11 +64,16 @@
 	return f, false, true
 }
 
-// find returns the flight of id, which gains no caller, or nil.
-func (t *flights) find(id identity) *flight {
+// follow adds a caller to the flight of id, if there is one for the digest.
+func (t *flights) follow(id identity, digest []byte) *flight {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table[id]
+	f := t.table[id]
+	if f == nil || !bytes.Equal(f.digest, digest) {
+		return nil
+	}
+	f.callers++
+	return f
 }
 
 // leave takes a caller off f. When the last one leaves, the request is
--- a/kcw/kcwgateway/gateway.go
+++ b/kcw/kcwgateway/gateway.go
@@ -180,6 +180,8 @@
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := g.cfg.Now()
+	// What the server still holds is written after the return.
+	defer g.limitWrite(w)
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -189,11 +191,18 @@
 		bad = g.serve(w, r, identity, named, now)
 	}
 	if bad != nil {
-		bad.write(w, identity, now)
+		g.limitWrite(w)
+		bad.write(w, identity, g.cfg.Now())
 		g.observe("", string(bad.code), now, time.Time{}, 0)
 	}
 }
 
+// limitWrite renews the time until which writes to a caller may block.
+func (g *Gateway) limitWrite(w http.ResponseWriter) {
+	// A writer without deadlines is one of a test.
+	_ = http.NewResponseController(w).SetWriteDeadline(g.cfg.Now().Add(g.cfg.WriteTimeout))
+}
+
 // serve returns the refusal of a request that is not admitted, or nil.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, identity string, named bool, now time.Time) *refusal {
 	if g.stopped.Load() {
--- a/kcw/kcwgateway/gateway_test.go
+++ b/kcw/kcwgateway/gateway_test.go
@@ -38,3 +38,26 @@
 		t.Errorf("models: %+v", r)
 	}
 }
+
+// TestRequestLinesOfServices checks what a plain service gets and gives.
+func TestRequestLinesOfServices(t *testing.T) {
+	l := newLedger(t, "r1")
+	app := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Kcw-Seen", r.Header.Get("Kcw-Customer")+" "+r.Header.Get("Kcw-Attempt")+" "+r.Header.Get("X-Own"))
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write([]byte(r.Method + " " + r.URL.RequestURI()))
+	})
+	f := start(t, l, "r1", map[string][]http.Handler{"app": {app}}, nil)
+	for _, test := range []struct{ method, path, want string }{
+		{"GET", "/services/app", "GET /"},
+		{"GET", "/services/app/a%20b?q=%2f", "GET /a%20b?q=%2f"},
+		{"POST", "/services/app/a/", "POST /a/"},
+	} {
+		r := f.do(call{method: test.method, path: test.path, header: map[string]string{"X-Own": "own"}})
+		if r.status != http.StatusTeapot || r.body != test.want || r.header.Get("Kcw-Seen") != "pew 1 own" || r.header.Get("Keep-Alive") != "" {
+			t.Errorf("%s %s: %+v", test.method, test.path, r)
+		}
+	}
+	l.checkBudget(t, "pew", 0, 0)
+}
--- a/kcw/kcwgateway/lead.go
+++ b/kcw/kcwgateway/lead.go
@@ -78,11 +78,16 @@
 	case <-r.Context().Done():
 		return refuse(codeCallerGone, g.cfg.Now(), "")
 	}
-	if f.verdict.answer == nil {
+	switch {
+	case f.verdict.answer != nil:
+		g.replay(w, req, f.verdict.answer)
+		return nil
+	case f.verdict.refusal.code == codeCallerGone:
+		// That caller is another one.
+		return refuse(codeInProgress, g.cfg.Now(), "")
+	default:
 		return f.verdict.refusal
 	}
-	g.replay(w, req, f.verdict.answer)
-	return nil
 }
 
 // lead does the work on a request and answers its first caller.
@@ -101,6 +106,7 @@
 		// Only a closed connection shows that the answer is not whole.
 		panic(http.ErrAbortHandler)
 	default:
+		g.limitWrite(w)
 		e.refusal.write(w, req.identity, g.cfg.Now())
 	}
 }
@@ -145,6 +151,7 @@
 
 // replay answers with a kept answer.
 func (g *Gateway) replay(w http.ResponseWriter, req *request, answer *kcwpb.AnswerPart) {
+	g.limitWrite(w)
 	header := w.Header()
 	header.Set("Content-Type", answer.GetContentType())
 	header.Set(RequestHeader, req.identity)
--- a/kcw/kcwupstream/upstream_test.go
+++ b/kcw/kcwupstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -110,6 +111,7 @@
 	_ = dead.Close()
 	silent := listen(t, func(conn net.Conn, _ int64) { _, _ = io.Copy(io.Discard, conn) })
 	pausing := listen(t, func(conn net.Conn, _ int64) {
+		_, _ = bufio.NewReader(conn).ReadString('\n')
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
 		_, _ = io.Copy(io.Discard, conn)
 	})
@@ -238,3 +240,16 @@
 		}
 	}
 }
+
+func TestCopyHeader(t *testing.T) {
+	from := http.Header{
+		"Connection": {"close, X-Private"}, "X-Private": {"x"}, "Keep-Alive": {"timeout=5"}, "Content-Length": {"3"},
+		"Content-Type": {"text/plain"}, "X-Kept": {"a", "b"},
+	}
+	to := http.Header{}
+	CopyHeader(to, from)
+	want := http.Header{"Content-Type": {"text/plain"}, "X-Kept": {"a", "b"}}
+	if !reflect.DeepEqual(to, want) {
+		t.Errorf("CopyHeader gave %v, want %v", to, want)
+	}
+}
