--- a/kcw/kcwgateway/dispatch.go
+++ b/kcw/kcwgateway/dispatch.go
@@ -49,35 +49,36 @@
 	}
 }
 
-// dispatch gives req to upstreams until one answers.
-func (g *Gateway) dispatch(ctx context.Context, req *request, d *delivery, l *lane) result {
+// dispatch gives req to upstreams, to first at first, until one answers.
+func (g *Gateway) dispatch(ctx context.Context, req *request, d *delivery, l *lane, first chosen) result {
 	tried := map[string]bool{}
-	last := result{code: codeNoUpstream}
+	next := first
 	l.retries.First()
-	for attempt := 1; attempt <= g.cfg.MaxAttempts; attempt++ {
+	for attempt := 1; ; attempt++ {
 		now := g.cfg.Now()
-		t, ticket, ok := g.pool.pick(now, req, tried)
-		if !ok {
-			return last
-		}
-		tried[t.upstream.Name()] = true
-		sent := last.sent
-		last = g.attempt(ctx, req, d, t, ticket, attempt)
-		last.attempt = attempt
-		if sent && !last.sent {
-			last.sent, last.code = true, codeUpstreamFailed
-		}
-		if !last.again || d.began || ctx.Err() != nil {
-			return last
-		}
-		if last.sent && (!req.repeatable || !l.retries.Retry()) {
-			return last
+		tried[next.upstream.Name()] = true
+		res := g.attempt(next.ctx, req, d, next, attempt)
+		if !g.triesAgain(ctx, req, d, l, &res) {
+			return res
 		}
 		if !sleepUntil(ctx, now, l.retries.PauseUntil(now, attempt)) {
-			return last
+			return res
+		}
+		another, ok := g.pool.pick(ctx, g.cfg.Now(), req, tried)
+		if !ok {
+			return res
 		}
+		another.sent = res.sent
+		next = another
+	}
+}
+
+// triesAgain says whether req is given to another upstream after res.
+func (g *Gateway) triesAgain(ctx context.Context, req *request, d *delivery, l *lane, res *result) bool {
+	if !res.again || res.attempt >= g.cfg.MaxAttempts || d.began || ctx.Err() != nil {
+		return false
 	}
-	return last
+	return !res.sent || (req.repeatable && l.retries.Retry())
 }
 
 // sleepUntil waits from now until at. It returns false if ctx ends first.
@@ -92,8 +93,19 @@
 	}
 }
 
-// pick chooses an upstream for req, one not tried yet if there is any.
-func (p *pool) pick(now time.Time, req *request, tried map[string]bool) (*target, uint64, bool) {
+// chosen is an upstream that was chosen for a request.
+type chosen struct {
+	*target
+	ticket uint64
+	// ctx is the request's, with a connection on its way.
+	ctx context.Context
+	// sent says that a byte of the request may have left in an earlier attempt.
+	sent bool
+}
+
+// pick chooses an upstream for req, one not tried yet if there is any, and
+// begins to connect to it.
+func (p *pool) pick(ctx context.Context, now time.Time, req *request, tried map[string]bool) (chosen, bool) {
 	var prefix uint64
 	if req.chat != nil {
 		prefix = req.chat.prefix
@@ -107,48 +119,60 @@
 		t := p.targets[name]
 		ticket, err := t.breaker.Begin(now)
 		if err == nil {
-			return t, ticket, true
+			return chosen{target: t, ticket: ticket, ctx: t.upstream.Connect(ctx)}, true
 		}
 		p.picker.Finished(now, name)
 	}
-	return nil, 0, false
+	return chosen{}, false
+}
+
+// drop gives up an upstream that was chosen and is not used.
+func (p *pool) drop(c chosen) {
+	c.breaker.Cancel(c.ticket)
+	p.picker.Finished(p.now(), c.upstream.Name())
 }
 
 // attempt gives req to one upstream.
-func (g *Gateway) attempt(ctx context.Context, req *request, d *delivery, t *target, ticket uint64, number int) result {
+func (g *Gateway) attempt(ctx context.Context, req *request, d *delivery, c chosen, number int) result {
 	began := g.cfg.Now()
-	defer func() { g.pool.picker.Finished(g.cfg.Now(), t.upstream.Name()) }()
+	defer func() { g.pool.picker.Finished(g.cfg.Now(), c.upstream.Name()) }()
+	res := g.call(ctx, req, d, c, number, began)
+	res.upstream, res.attempt = c.upstream.Name(), number
+	if c.sent && !res.sent {
+		res.sent, res.code = true, codeUpstreamFailed
+	}
+	return res
+}
+
+// call sends req to one upstream and takes its answer.
+func (g *Gateway) call(ctx context.Context, req *request, d *delivery, c chosen, number int, began time.Time) result {
 	out, err := outgoing(ctx, req, number)
 	if err != nil {
-		t.breaker.Cancel(ticket)
-		return result{upstream: t.upstream.Name(), err: err, code: codeUnknownPath}
+		c.breaker.Cancel(c.ticket)
+		return result{err: err, code: codeUnknownPath}
 	}
 	limit := g.cfg.AnswerTimeout
 	if req.streams() {
 		limit = g.cfg.FirstByteTimeout
 	}
-	resp, err := t.upstream.Send(ctx, out, began.Add(limit))
+	resp, err := c.upstream.Send(ctx, out, began.Add(limit))
 	if err != nil {
-		return g.failed(ctx, req, t, ticket, err)
+		return g.failed(ctx, req, c, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode >= http.StatusInternalServerError {
-		t.breaker.Fail(g.cfg.Now(), ticket)
+		c.breaker.Fail(g.cfg.Now(), c.ticket)
 	} else {
-		t.breaker.Succeed(g.cfg.Now(), ticket, began)
+		c.breaker.Succeed(g.cfg.Now(), c.ticket, began)
 	}
-	var res result
 	if kcwupstream.Refused(resp) {
-		g.pool.leave(t.upstream, true)
-		return result{upstream: t.upstream.Name(), code: codeNoUpstream, again: true}
+		g.pool.leave(c.upstream, true)
+		return result{code: codeNoUpstream, again: true}
 	}
 	if req.streams() && resp.StatusCode == http.StatusOK && isEvents(resp.Header) {
-		res = g.stream(ctx, req, d, resp)
-	} else {
-		res = g.buffered(ctx, req, resp)
+		return g.stream(ctx, req, d, resp)
 	}
-	res.upstream = t.upstream.Name()
-	return res
+	return g.buffered(ctx, req, resp)
 }
 
 // outgoing returns the request for an upstream.
@@ -171,15 +195,14 @@
 }
 
 // failed returns the result of a call that gave no answer.
-func (g *Gateway) failed(ctx context.Context, req *request, t *target, ticket uint64, err error) result {
+func (g *Gateway) failed(ctx context.Context, req *request, c chosen, err error) result {
 	res := g.broken(ctx, req, err)
-	res.upstream = t.upstream.Name()
 	if res.code == codeCallerGone {
-		t.breaker.Cancel(ticket)
+		c.breaker.Cancel(c.ticket)
 		return res
 	}
-	t.breaker.Fail(g.cfg.Now(), ticket)
-	g.pool.leave(t.upstream, false)
+	c.breaker.Fail(g.cfg.Now(), c.ticket)
+	g.pool.leave(c.upstream, false)
 	return res
 }
 
--- a/kcw/kcwgateway/failure_test.go
+++ b/kcw/kcwgateway/failure_test.go
@@ -351,7 +351,7 @@
 	} {
 		var got string
 		l := newLedger(t, "r1")
-		e := &engine{words: []string{"a"}, before: func(w http.ResponseWriter, r *http.Request) bool { return false }}
+		e := &engine{words: []string{"a"}}
 		spy := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			raw, _ := io.ReadAll(r.Body)
 			got = string(raw)
--- a/kcw/kcwgateway/run.go
+++ b/kcw/kcwgateway/run.go
@@ -15,8 +15,14 @@
 	}
 	var cost int64
 	defer func() { at.release(cost) }()
+	// The connection is opened while the claim is.
+	first, ok := g.pool.pick(ctx, g.cfg.Now(), req, nil)
+	if !ok {
+		return ending{refusal: refuse(codeNoUpstream, g.cfg.Now(), "")}
+	}
 	opened, e := g.open(ctx, req)
 	if !opened {
+		g.pool.drop(first)
 		return e
 	}
 	if !req.repeatable {
@@ -24,7 +30,7 @@
 		// is kept for a retry.
 		g.flights.hold(f)
 	}
-	res := g.dispatch(ctx, req, d, at.lane)
+	res := g.dispatch(ctx, req, d, at.lane, first)
 	cost = res.tokens
 	return g.close(ctx, req, d, res)
 }
--- a/kcw/kcwupstream/upstream.go
+++ b/kcw/kcwupstream/upstream.go
@@ -60,6 +60,7 @@
 // Upstream is one upstream. It is safe for concurrent use.
 type Upstream struct {
 	cfg      Config
+	dialer   *net.Dialer
 	calls    *http.Transport
 	polls    *http.Transport
 	inFlight atomic.Int64
@@ -84,19 +85,20 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	u := &Upstream{cfg: cfg, calls: newTransport(cfg), polls: newTransport(cfg)}
+	u := &Upstream{cfg: cfg, dialer: &net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: keepAlivePeriod}}
+	u.polls = newTransport(u.dialer.DialContext)
+	u.calls = newTransport(u.dial)
 	u.calls.DisableKeepAlives = true
 	return u
 }
 
 // newTransport returns a Transport that follows no proxy of the environment
 // and changes neither request nor answer.
-func newTransport(cfg Config) *http.Transport {
-	dialer := &net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: keepAlivePeriod}
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		DisableCompression:     true,
 		IdleConnTimeout:        pollIdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- a/kcw/kcwupstream/upstream_test.go
+++ b/kcw/kcwupstream/upstream_test.go
@@ -253,3 +253,46 @@
 		t.Errorf("CopyHeader gave %v, want %v", to, want)
 	}
 }
+
+// TestConnect checks that a connection opened ahead serves its one call, and
+// is closed if there is none.
+func TestConnect(t *testing.T) {
+	var opened, closed atomic.Int64
+	address := listen(t, func(conn net.Conn, _ int64) {
+		opened.Add(1)
+		defer closed.Add(1)
+		defer conn.Close()
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	u := New(Config{Name: "u", Address: address})
+	for _, calls := range []int{1, 0, 2} {
+		opened.Store(0)
+		closed.Store(0)
+		ctx, cancel := context.WithCancel(t.Context())
+		ahead := u.Connect(ctx)
+		for opened.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		for range calls {
+			req, _ := http.NewRequest(http.MethodPost, "http://upstream/", strings.NewReader("x"))
+			resp, err := u.Send(ahead, req, time.Now().Add(time.Minute))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+		}
+		cancel()
+		want := int64(max(calls, 1))
+		for closed.Load() < want {
+			time.Sleep(time.Millisecond)
+		}
+		if opened.Load() != want {
+			t.Errorf("%d calls opened %d connections, want %d", calls, opened.Load(), want)
+		}
+	}
+}
