--- a/kcw/kcwgateway/config.go
+++ b/kcw/kcwgateway/config.go
@@ -24,6 +24,8 @@
 	defaultQueueCapacity    = 1000
 	defaultCapacity         = 16
 	defaultMaxAttempts      = 3
+	// pruneInterval is the time between two prunings of the limits.
+	pruneInterval = time.Minute
 )
 
 // withDefaults returns cfg with what it leaves open filled in.
--- a/kcw/kcwgateway/failure_test.go
+++ b/kcw/kcwgateway/failure_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"kingcupwick.example/kcw/kcwlimit"
 	"kingcupwick.example/kcw/kcwpb"
 )
 
@@ -370,3 +371,41 @@
 		}
 	}
 }
+
+// TestLimitsAwayFromLedger checks that a router applies its share of a limit
+// to claims out of a grant, and lets go of it when they end.
+func TestLimitsAwayFromLedger(t *testing.T) {
+	l := newLedger(t, "r1")
+	c := contractOf("pew")
+	c.Limits.OpenRequests = 2
+	l.put(t, c)
+	limits, err := kcwlimit.New(kcwlimit.Config{Routers: 2, Rank: 0, Burst: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	release := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
+	e := &engine{words: []string{"a"}, before: func(http.ResponseWriter, *http.Request) bool {
+		<-release
+		return false
+	}}
+	f := start(t, l, "r1", map[string][]http.Handler{"engine": {e}}, func(cfg *Config) { cfg.Limits = limits })
+	t.Cleanup(finish)
+	l.set(func(claim *kcwpb.OpenClaim) (*kcwpb.Result, error) {
+		result := l.apply(&kcwpb.Command{Op: &kcwpb.Command_OpenClaim{OpenClaim: claim}})
+		result.GetClaim().FromGrant = true
+		return result, nil
+	}, nil)
+	first := make(chan reply, 1)
+	go func() { first <- f.do(call{body: chatBody}) }()
+	eventually(t, "first request at the engine", func() bool { return e.runs.Load() == 1 })
+	checkRefusal(t, f.do(call{body: chatBody}), codeLimitReached, notRun)
+	finish()
+	if r := <-first; r.status != 200 {
+		t.Errorf("%+v", r)
+	}
+	if r := f.do(call{body: chatBody}); r.status != 200 {
+		t.Errorf("%+v", r)
+	}
+	l.checkBudget(t, "pew", 8, 0)
+}
--- a/kcw/kcwgateway/gateway.go
+++ b/kcw/kcwgateway/gateway.go
@@ -22,6 +22,7 @@
 	"kingcupwick.example/kcw/kcwcatalog"
 	"kingcupwick.example/kcw/kcwcontract"
 	"kingcupwick.example/kcw/kcwkeyring"
+	"kingcupwick.example/kcw/kcwlimit"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwtoken"
 	"kingcupwick.example/kcw/kcwupstream"
@@ -49,6 +50,9 @@
 	// Contracts and Accounts are required.
 	Contracts contracts
 	Accounts  accounts
+	// Limits applies this router's share of a contract's limits to claims that
+	// are opened out of a grant; there is no limit then if it is nil.
+	Limits *kcwlimit.Limiter
 	// Answers keeps finished answers, a Store with its defaults if nil.
 	Answers *kcwanswer.Store
 	// Upstreams lists every upstream of every service.
@@ -136,8 +140,27 @@
 	}, nil
 }
 
-// Run asks the upstreams for their load until ctx ends.
-func (g *Gateway) Run(ctx context.Context) { g.pool.poll(ctx, g.cfg.PollInterval) }
+// Run asks the upstreams for their load, and forgets the limits of customers
+// that are gone, until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	if g.cfg.Limits != nil {
+		go g.prune(ctx)
+	}
+	g.pool.poll(ctx, g.cfg.PollInterval)
+}
+
+func (g *Gateway) prune(ctx context.Context) {
+	ticker := time.NewTicker(pruneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			g.cfg.Limits.Prune(g.cfg.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
 // Drain begins a planned stop: Ready fails, and callers are told to take new
 // connections, while requests are still served.
--- a/kcw/kcwgateway/request.go
+++ b/kcw/kcwgateway/request.go
@@ -39,6 +39,8 @@
 	reserve int64
 	// attempt is this router's number of the opening of the claim.
 	attempt uint64
+	// limited says that the request counts against the Config's Limits.
+	limited bool
 	// chat is nil for a plain service.
 	chat *chatTerms
 	// cost is what a plain call takes from the budget, in tokens.
--- a/kcw/kcwgateway/run.go
+++ b/kcw/kcwgateway/run.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"kingcupwick.example/kcw/kcwlimit"
 	"kingcupwick.example/kcw/kcwpb"
 )
 
@@ -25,6 +27,9 @@
 		g.pool.drop(first)
 		return e
 	}
+	if req.limited {
+		defer g.cfg.Limits.Close(req.contract.Customer)
+	}
 	if !req.repeatable {
 		// Cancelled halfway its outcome would be unknown; finished, its answer
 		// is kept for a retry.
@@ -67,10 +72,29 @@
 func (g *Gateway) opened(req *request, reply *kcwpb.Result) (bool, ending) {
 	claim := reply.GetClaim()
 	ours := claim.GetRouter() == g.cfg.Router && claim.GetIncarnation() == g.cfg.Incarnation
-	if claim == nil || (ours && claim.GetAttempt() == req.attempt && claim.GetState() == kcwpb.ClaimState_CLAIM_STATE_OPEN) {
+	if claim != nil && (!ours || claim.GetAttempt() != req.attempt || claim.GetState() != kcwpb.ClaimState_CLAIM_STATE_OPEN) {
+		return false, ending{refusal: refuse(codeInProgress, g.cfg.Now(), "")}
+	}
+	if claim.GetFromGrant() && g.cfg.Limits != nil {
+		return g.limit(req)
+	}
+	return true, ending{}
+}
+
+// limit counts a request away from the ledger, which else applies the limits.
+func (g *Gateway) limit(req *request) (bool, ending) {
+	now := g.cfg.Now()
+	err := g.cfg.Limits.Open(now, req.contract.Customer, req.contract.Message().GetLimits(), req.reserve)
+	if err == nil {
+		req.limited = true
 		return true, ending{}
 	}
-	return false, ending{refusal: refuse(codeInProgress, g.cfg.Now(), "")}
+	bad := refuse(codeLimitReached, now, "")
+	var failure *kcwlimit.Error
+	if errors.As(err, &failure) && !failure.RetryAt.IsZero() {
+		bad.until(failure.RetryAt)
+	}
+	return false, ending{refusal: bad, result: result{err: err}, settle: g.settlement(req, result{}, kcwpb.Outcome_OUTCOME_NOT_RUN, 0, nil)}
 }
 
 // openRefusal returns the refusal for a claim that was not opened.
