Find the home of a prefix by rendezvous hashing

Cause: each router learned by itself where a prefix had gone, so that ten routers spread one prefix over as many engines. Change: two homes a prefix, the same for all routers, by rendezvous hashing over the usable upstreams; the learned table and its bound are gone (Config.Prefixes).

--- a/kcw/kcwgateway/pool.go
+++ b/kcw/kcwgateway/pool.go
@@ -32,7 +32,6 @@
 	zoneMargin       = 0.25
 	prefixMargin     = 0.25
 	pickRoom         = 0.8
-	prefixes         = 4096
 	retryRatio       = 0.1
 	retryBurst       = 10
 	retryPauseFirst  = 10 * time.Millisecond
@@ -87,7 +86,7 @@
 	}
 	picker, err := kcwpick.New(kcwpick.Config{
 		Zone: cfg.Zone, HalfLife: loadHalfLife, ZoneMargin: zoneMargin, PrefixMargin: prefixMargin, Room: pickRoom,
-		Prefixes: prefixes, Rand: rand.New(rand.NewPCG(seed, 0)),
+		Rand: rand.New(rand.NewPCG(seed, 0)),
 	})
 	if err != nil {
 		return nil, eris.Wrap(err, "picker")
--- a/kcw/kcwpick/picker.go
+++ b/kcw/kcwpick/picker.go
@@ -6,10 +6,15 @@
 // Information, 2000). The Picker compares only a few upstreams taken at random
 // (Mitzenmacher, The Power of Two Choices in Randomized Load Balancing, 2001)
 // and the one where a request ended last (Mitzenmacher, Prabhakar and Shah, Load
-// Balancing with Memory, 2002), adds to each report what it has itself started and finished since the report
-// was made, and draws the report towards the mean as it ages. It prefers its own
-// availability zone, and the upstream that a prompt's prefix was sent to before,
-// as long as those are not loaded more by a stated margin.
+// Balancing with Memory, 2002). It adds to each report what it has itself started
+// and finished since the report was made, and relies, as the report ages, on its
+// own requests in flight.
+//
+// A request with a prefix goes to one of two homes of that prefix, which all
+// routers compute alike by rendezvous hashing (Thaler and Ravishankar, Using
+// Name-Based Mappings to Increase Hit Rates, 1998), as long as the home is not
+// loaded more than the others by a stated margin; in the same way upstreams of the
+// own availability zone are preferred.
 //
 // The Picker does no I/O, starts no goroutine, and takes its clock and random
 // source from outside.
@@ -20,6 +25,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Config holds the rules of a Picker.
@@ -33,12 +40,10 @@
 	// may exceed that of one elsewhere and still be preferred; 1 is the whole
 	// capacity.
 	ZoneMargin float64
-	// PrefixMargin is the same for the upstream that the prefix belongs to.
+	// PrefixMargin is the same for the homes of the prefix.
 	PrefixMargin float64
 	// Room is the utilization above which neither preference counts.
 	Room float64
-	// Prefixes is the number of prefixes that are remembered.
-	Prefixes int
 	// Rand is the source of the random choices, used by this Picker alone.
 	Rand *rand.Rand
 }
@@ -66,8 +71,8 @@
 }
 
 // New returns a picker without upstreams. It returns an *Error of KindInvalid
-// if the half-life or the number of prefixes is not positive, a margin is
-// negative, or there is no random source.
+// if the half-life or the room is not positive, a margin is negative, or there is
+// no random source.
 func New(cfg Config) (*Picker, error) {
 	bad := func(detail string) (*Picker, error) {
 		return nil, &Error{Op: "New", Kind: KindInvalid, Detail: detail}
@@ -75,8 +80,6 @@
 	switch {
 	case cfg.HalfLife <= 0:
 		return bad("HalfLife must be positive")
-	case cfg.Prefixes < 1:
-		return bad("Prefixes must be at least 1")
 	case !(cfg.Room > 0):
 		return bad("Room must be positive")
 	case !(cfg.ZoneMargin >= 0) || !(cfg.PrefixMargin >= 0):
@@ -102,10 +105,10 @@
 	}
 	s := p.services[serviceName]
 	if s == nil {
-		s = newService()
+		s = &service{}
 		p.services[serviceName] = s
 	}
-	u := &upstream{name: name, service: s, near: zone == p.cfg.Zone, load: Load{Capacity: capacity}}
+	u := &upstream{name: name, hash: xxhash.Sum64String(name), service: s, near: zone == p.cfg.Zone, load: Load{Capacity: capacity}}
 	p.byName[name] = u
 	s.add(u)
 	return nil
@@ -210,12 +213,12 @@
 	if best == nil || prefix == 0 {
 		return best
 	}
-	if home := s.prefixes.get(prefix); home != nil && usable(home.name) {
-		if p.utilization(now, home) <= p.cfg.Room && p.lighter(now, home, best, p.cfg.PrefixMargin) == home {
+	homes := s.homes(prefix, usable)
+	for _, home := range homes {
+		if home != nil && p.utilization(now, home) <= p.cfg.Room && p.lighter(now, home, best, p.cfg.PrefixMargin) == home {
 			return home
 		}
 	}
-	s.prefixes.put(prefix, best, p.cfg.Prefixes)
 	return best
 }
 
--- a/kcw/kcwpick/service.go
+++ b/kcw/kcwpick/service.go
@@ -1,7 +1,6 @@
 package kcwpick
 
 import (
-	"container/list"
 	"slices"
 	"time"
 )
@@ -16,13 +15,13 @@
 	capacity int         // of all upstreams
 	reported int         // upstreams with a report
 	sum      float64     // utilizations reported, of these
-	prefixes prefixes
 }
 
 // upstream is what is known of the load of one upstream.
 type upstream struct {
 	name     string
 	service  *service
+	hash     uint64
 	near     bool
 	load     Load
 	inFlight int
@@ -30,10 +29,6 @@
 	finished []time.Time // own ends since the report was made
 }
 
-func newService() *service {
-	return &service{prefixes: prefixes{places: make(map[uint64]*list.Element)}}
-}
-
 func (s *service) add(u *upstream) {
 	s.all = append(s.all, u)
 	s.capacity += u.load.Capacity
@@ -56,7 +51,6 @@
 		s.reported--
 	}
 	s.freed = slices.DeleteFunc(s.freed, same)
-	s.prefixes.drop(u)
 }
 
 // replace puts a newer report in the place of the last one.
@@ -134,50 +128,29 @@
 	return slices.DeleteFunc(times, func(t time.Time) bool { return !t.After(at) })
 }
 
-// prefixes is a bounded table from prefixes to upstreams, which forgets the
-// prefix that was used longest ago.
-type prefixes struct {
-	places map[uint64]*list.Element
-	order  list.List // of *place, the newest use first
-}
-
-// place is where a prefix was sent last.
-type place struct {
-	prefix   uint64
-	upstream *upstream
-}
-
-func (t *prefixes) get(prefix uint64) *upstream {
-	e := t.places[prefix]
-	if e == nil {
-		return nil
-	}
-	t.order.MoveToFront(e)
-	return e.Value.(*place).upstream
-}
-
-func (t *prefixes) put(prefix uint64, u *upstream, bound int) {
-	if e := t.places[prefix]; e != nil {
-		e.Value.(*place).upstream = u
-		t.order.MoveToFront(e)
-		return
-	}
-	t.places[prefix] = t.order.PushFront(&place{prefix: prefix, upstream: u})
-	for t.order.Len() > bound {
-		oldest := t.order.Back()
-		t.order.Remove(oldest)
-		delete(t.places, oldest.Value.(*place).prefix)
+// homes returns the two usable upstreams of a prefix, of the largest weights by
+// rendezvous hashing; nil stands for none.
+func (s *service) homes(prefix uint64, usable func(string) bool) [2]*upstream {
+	var homes [2]*upstream
+	var weights [2]uint64
+	for _, u := range s.all {
+		w := mix(prefix ^ u.hash)
+		switch {
+		case w <= weights[1] || !usable(u.name):
+		case w > weights[0]:
+			homes[0], homes[1] = u, homes[0]
+			weights[0], weights[1] = w, weights[0]
+		default:
+			homes[1], weights[1] = u, w
+		}
 	}
+	return homes
 }
 
-// drop forgets the prefixes of an upstream.
-func (t *prefixes) drop(u *upstream) {
-	for e := t.order.Front(); e != nil; {
-		next := e.Next()
-		if p := e.Value.(*place); p.upstream == u {
-			t.order.Remove(e)
-			delete(t.places, p.prefix)
-		}
-		e = next
-	}
+// mix scatters the bits of x: the finalizer of SplitMix64 (Steele, Lea and Flood,
+// Fast Splittable Pseudorandom Number Generators, 2014).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- a/kcw/kcwpolicy/report_test.go
+++ b/kcw/kcwpolicy/report_test.go
@@ -259,7 +259,7 @@
 	{name: "no queue", pick: "picker", budget: true, guard: true},
 	{name: "unlimited retries", pick: "picker", queue: true, guard: true},
 	{name: "no breaker, no members", pick: "picker", queue: true, budget: true},
-	{name: "no prefix affinity", pick: "picker", queue: true, budget: true, guard: true, tune: func(c *kcwpick.Config) { c.PrefixMargin = 0; c.Prefixes = 1 }},
+	{name: "no prefix affinity", pick: "picker", queue: true, budget: true, guard: true, plain: true},
 	{name: "no zone preference", pick: "picker", queue: true, budget: true, guard: true, tune: func(c *kcwpick.Config) { c.ZoneMargin = 0 }},
 	full,
 }
--- a/kcw/kcwpolicy/router_test.go
+++ b/kcw/kcwpolicy/router_test.go
@@ -24,6 +24,7 @@
 	queue  bool
 	budget bool // of retries; else unlimited up to maxTries
 	guard  bool // breakers and membership
+	plain  bool // requests without a prefix
 	tune   func(*kcwpick.Config)
 }
 
@@ -61,7 +62,7 @@
 		fleet: f, zone: f.engines[i%3].zone, rng: source(f.seed, uint64(1000+i)), turn: i,
 		breakers: make(map[string]*kcwbreaker.Breaker), own: make(map[string]int), waiting: make(map[uint64]*request),
 	}
-	cfg := kcwpick.Config{Zone: r.zone, HalfLife: 300 * time.Millisecond, ZoneMargin: 0.1, PrefixMargin: 0.5, Room: 0.95, Prefixes: 10000, Rand: r.rng}
+	cfg := kcwpick.Config{Zone: r.zone, HalfLife: 300 * time.Millisecond, ZoneMargin: 0.1, PrefixMargin: 0.5, Room: 0.95, Rand: r.rng}
 	if f.variant.tune != nil {
 		f.variant.tune(&cfg)
 	}
@@ -237,7 +238,11 @@
 		return !r.fleet.variant.guard || r.member.Usable(now, name) && r.breakers[name].Ready(now)
 	}
 	if r.fleet.variant.pick == "picker" {
-		return r.picker.Pick(now, "model", req.prefix, usable)
+		prefix := req.prefix
+		if r.fleet.variant.plain {
+			prefix = 0
+		}
+		return r.picker.Pick(now, "model", prefix, usable)
 	}
 	best := ""
 	for i := range r.fleet.engines {
--- a/kcw/kcwqueue/queue.go
+++ b/kcw/kcwqueue/queue.go
@@ -32,7 +32,7 @@
 	// their shares may take, in [0, 1). Zero makes the queue work-conserving.
 	Reserve float64
 	// Memory is the time constant of the mean use of slots, by which a contract is
-	// inside its share or not.
+	// inside its share or not. It is not used where Reserve is zero.
 	Memory time.Duration
 	// Capacity is the number of requests that may wait.
 	Capacity int
@@ -95,8 +95,10 @@
 		return nil, invalid("New", "Reserve must be in [0, 1)")
 	case cfg.Slots < 0 || cfg.Capacity < 1 || cfg.Priorities < 1:
 		return nil, invalid("New", "Capacity and Priorities must be at least 1 and Slots 0")
-	case cfg.Aging <= 0 || cfg.Hold <= 0 || cfg.Memory <= 0:
-		return nil, invalid("New", "Aging, Hold and Memory must be positive")
+	case cfg.Aging <= 0 || cfg.Hold <= 0:
+		return nil, invalid("New", "Aging and Hold must be positive")
+	case cfg.Reserve > 0 && cfg.Memory <= 0:
+		return nil, invalid("New", "Memory must be positive where there is a Reserve")
 	case cfg.Rand == nil:
 		return nil, invalid("New", "Rand must be set")
 	}
