Let a line rise also while its items are refused or given up

Cause: an item of low priority that was given up at its deadline, or refused because it would start too late, left no trace, so that a line whose deadlines are shorter than its way up the levels starved. Change: the line remembers since when it is passed over, and an offer is weighed at the level that its line has risen to.

--- a/kcw/kcwqueue/line.go
+++ b/kcw/kcwqueue/line.go
@@ -14,16 +14,9 @@
 	index int // place in the heap of deadlines
 }
 
-// level returns the priority that the entry has risen to. It rises with the time
-// for which its line was passed over, not with its own time in the line: else
-// the long line of a flood would rise above the fresh items of other shares.
+// level returns the priority that the entry has risen to.
 func (e *entry) level(now time.Time, cfg *Config) int {
-	since := e.since
-	if served := e.flow.served[e.item.Priority]; served.After(since) {
-		since = served
-	}
-	risen := int64(now.Sub(since) / cfg.Aging)
-	return int(min(int64(e.item.Priority)+max(risen, 0), int64(cfg.Priorities-1)))
+	return e.flow.level(now, cfg, e.item.Priority)
 }
 
 // deadlines is a heap of the waiting entries, the earliest deadline first.
@@ -80,7 +73,7 @@
 	contract *share
 	team     *share
 	lines    [][]*entry  // by base priority, the oldest first
-	served   []time.Time // by base priority, when an item last started
+	hungry   []time.Time // by base priority, since when it is passed over, or zero
 }
 
 // flow returns the flow of an item and makes it if there is none.
@@ -95,7 +88,7 @@
 			contract: contract,
 			team:     team,
 			lines:    make([][]*entry, q.cfg.Priorities),
-			served:   make([]time.Time, q.cfg.Priorities),
+			hungry:   make([]time.Time, q.cfg.Priorities),
 		}
 	}
 	return team.flow
@@ -152,16 +145,20 @@
 	return contract.used <= part && float64(contract.running) <= atOnce*part
 }
 
-// prune forgets a share that holds nothing, has no debt, and was idle of late.
+// prune forgets a share that holds nothing, has no debt, was idle of late, and was
+// not passed over since it was last served.
 func (s *shares) prune(name string, n *share) {
-	if n.held == 0 && n.tag <= s.virtual && n.used <= idleUse {
+	if n.held == 0 && n.tag <= s.virtual && n.used <= idleUse && len(n.teams.nodes) == 0 && !n.flow.passedOver() {
 		delete(s.nodes, name)
 	}
 }
 
 // charge counts an item that starts against its shares.
 func (q *Queue) charge(now time.Time, f *flow, item Item) {
-	f.served[item.Priority] = now
+	f.hungry[item.Priority] = time.Time{}
+	if len(f.lines[item.Priority]) > 0 {
+		f.hungry[item.Priority] = now
+	}
 	q.contracts.serve(f.contract, item.Cost)
 	f.contract.teams.serve(f.team, item.Cost)
 	f.contract.use(now, q.cfg.Memory)
@@ -223,6 +220,30 @@
 	f.team.held--
 }
 
+// level returns the level that the line of a priority has risen to. It rises with
+// the time for which the line is passed over, not with an item's own time in it:
+// else the long line of a flood would rise above the fresh items of other shares,
+// and a line whose items are refused or given up before they rise would starve.
+func (f *flow) level(now time.Time, cfg *Config, priority int) int {
+	if f.hungry[priority].IsZero() {
+		return priority
+	}
+	risen := max(int64(now.Sub(f.hungry[priority])/cfg.Aging), 0)
+	return int(min(int64(priority)+risen, int64(cfg.Priorities-1)))
+}
+
+// passOver notes that an item of the priority was offered and did not start.
+func (f *flow) passOver(now time.Time, priority int) {
+	if f.hungry[priority].IsZero() {
+		f.hungry[priority] = now
+	}
+}
+
+// passedOver reports whether a line has been passed over since it was served.
+func (f *flow) passedOver() bool {
+	return f != nil && slices.ContainsFunc(f.hungry, func(t time.Time) bool { return !t.IsZero() })
+}
+
 // above returns how many items of the given base priority or a larger one wait.
 func (n *share) above(priority int) int {
 	sum := 0
--- a/kcw/kcwqueue/order.go
+++ b/kcw/kcwqueue/order.go
@@ -95,14 +95,14 @@
 			worst = e
 		}
 	}
-	level := worst.level(now, &q.cfg)
-	if level != item.Priority {
-		if level < item.Priority {
+	mine := q.flow(item)
+	level, own := q.rank(now, worst), mine.level(now, &q.cfg, item.Priority)
+	if level != own {
+		if level < own {
 			return worst
 		}
 		return nil
 	}
-	mine := q.flow(item)
 	if mine.contract != worst.flow.contract {
 		if worst.flow.contract.excess(0) > mine.contract.excess(1) {
 			return worst
@@ -115,9 +115,18 @@
 	return nil
 }
 
+// rank returns the level by which an entry keeps its place: only the first of a
+// line gains by the time for which the line is passed over.
+func (q *Queue) rank(now time.Time, e *entry) int {
+	if e.flow.lines[e.item.Priority][0] == e {
+		return e.level(now, &q.cfg)
+	}
+	return e.item.Priority
+}
+
 // worse reports whether a is evicted before b.
 func (q *Queue) worse(now time.Time, a, b *entry) bool {
-	if la, lb := a.level(now, &q.cfg), b.level(now, &q.cfg); la != lb {
+	if la, lb := q.rank(now, a), q.rank(now, b); la != lb {
 		return la < lb
 	}
 	if ea, eb := a.flow.contract.excess(0), b.flow.contract.excess(0); ea != eb {
@@ -142,34 +151,27 @@
 	if q.slots == 0 {
 		return now
 	}
-	contract := q.contracts.nodes[item.Contract]
-	inContract, inTeam := 0, 0
-	ahead := 0.0
-	if contract != nil {
-		inContract = contract.above(item.Priority)
-		if team := contract.teams.nodes[item.Team]; team != nil {
-			inTeam = team.above(item.Priority)
-		}
-		ahead = contract.teams.ahead(item.Team, item.TeamWeight, item.Priority, float64(inTeam))
-	}
-	ahead = min(ahead, float64(inContract))
-	ahead = q.contracts.ahead(item.Contract, item.ContractWeight, item.Priority, ahead)
+	f := q.flow(item)
+	level := f.level(now, &q.cfg, item.Priority)
+	ahead := f.contract.teams.ahead(f.team, level, float64(f.team.above(level)))
+	ahead = min(ahead, float64(f.contract.above(level)))
+	ahead = q.contracts.ahead(f.contract, level, ahead)
 	wait := (ahead + 1) * float64(q.hold) / float64(q.slots)
 	return now.Add(time.Duration(min(wait, math.MaxInt64/4)))
 }
 
 // ahead returns how many items of all shares start before one that has own
 // items of its own share before it.
-func (s *shares) ahead(name string, weight float64, priority int, own float64) float64 {
-	total, weights := 0, weight
-	for other, n := range s.nodes {
-		waiting := n.above(priority)
+func (s *shares) ahead(mine *share, level int, own float64) float64 {
+	total, weights := 0, mine.weight
+	for _, n := range s.nodes {
+		waiting := n.above(level)
 		total += waiting
-		if waiting > 0 && other != name {
+		if waiting > 0 && n != mine {
 			weights += n.weight
 		}
 	}
-	return min(float64(total), (own+1)*weights/weight-1)
+	return min(float64(total), (own+1)*weights/mine.weight-1)
 }
 
 // learn takes the time that an ended request held its slot into the mean.
--- a/kcw/kcwqueue/queue.go
+++ b/kcw/kcwqueue/queue.go
@@ -126,10 +126,12 @@
 	if !item.Deadline.After(now) {
 		return false, nil, &Error{Op: "Offer", Kind: KindLate, Detail: "its deadline has passed", RetryAt: now}
 	}
-	if len(q.running) < q.slots && (!q.guarded() || q.inside(now, q.flow(item).contract)) {
-		q.run(now, q.flow(item), item)
+	f := q.flow(item)
+	if len(q.running) < q.slots && (!q.guarded() || q.inside(now, f.contract)) {
+		q.run(now, f, item)
 		return true, nil, nil
 	}
+	f.passOver(now, item.Priority)
 	if start := q.expected(now, item); start.After(item.Deadline) {
 		return false, nil, &Error{Op: "Offer", Kind: KindLate, Detail: "can't start by its deadline", RetryAt: q.retryAt(now, item)}
 	}
