--- /dev/null
+++ b/kcw/kcwretry/budget_test.go
@@ -0,0 +1,87 @@
+package kcwretry
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func newBudget(t testing.TB, burst int) *Budget {
+	t.Helper()
+	b, err := New(Config{
+		Ratio: 0.1, Burst: burst, PauseFirst: 10 * time.Millisecond, PauseMost: 100 * time.Millisecond,
+		Rand: rand.New(rand.NewPCG(1, 1)),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestRetry(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		first   int
+		asked   int
+		granted uint64
+	}{
+		{name: "empty at the start", first: 0, asked: 1, granted: 0},
+		{name: "nine earn none", first: 9, asked: 1, granted: 0},
+		{name: "ten earn one", first: 10, asked: 2, granted: 1},
+		{name: "no more saved than the burst", first: 1000, asked: 50, granted: 5},
+	} {
+		b := newBudget(t, 5)
+		for range test.first {
+			b.First()
+		}
+		for range test.asked {
+			b.Retry()
+		}
+		if _, retries, denied := b.Counts(); retries != test.granted || int(retries+denied) != test.asked {
+			t.Errorf("%s: %d granted, want %d", test.name, retries, test.granted)
+		}
+	}
+}
+
+func TestProperties(t *testing.T) {
+	seed := int64(1)
+	if text := os.Getenv("KCW_SEED"); text != "" {
+		var err error
+		if seed, err = strconv.ParseInt(text, 10, 64); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(seed))
+	p.Property("retries are never more than a tenth of the first tries, at any time", prop.ForAll(
+		func(calls []bool) bool {
+			b := newBudget(t, 20)
+			for _, retry := range calls {
+				if retry {
+					b.Retry()
+				} else {
+					b.First()
+				}
+				if first, retries, _ := b.Counts(); 10*retries > first {
+					return false
+				}
+			}
+			return true
+		}, gen.SliceOfN(2000, gen.Bool())))
+	p.Property("a pause lies within its bound", prop.ForAll(
+		func(attempt int) bool {
+			now := time.Unix(1_800_000_000, 0)
+			pause := newBudget(t, 1).PauseUntil(now, attempt).Sub(now)
+			bound := 100 * time.Millisecond
+			if attempt < 4 {
+				bound = 10 * time.Millisecond << max(attempt-1, 0)
+			}
+			return pause >= 0 && pause <= bound
+		}, gen.IntRange(-1, 100)))
+	p.TestingRun(t)
+}
