--- a/kcw/kcwpick/picker.go
+++ b/kcw/kcwpick/picker.go
@@ -55,7 +55,8 @@
 	Waiting int
 	// Capacity is the number of requests it can work on at once, at least 1.
 	Capacity int
-	// At is when the report was made.
+	// At is when the report was made, by the router's own clock: when its poll was
+	// sent.
 	At time.Time
 }
 
