Give a shortfall back to its grant when the bill comes out of the grant

Cause: a router whose opening with use_grant timed out and which then ran the request out of its grant lost the shortfall and the bill, and its own view of the grant stood above the ledger's. Result: the package's tests pass.

--- a/kcw/kcwbook/granted.go
+++ b/kcw/kcwbook/granted.go
@@ -19,7 +19,11 @@
 		released = old.tokens
 		next.reserved -= released
 	}
-	drafts, next, ok := a.draft(op, next, released)
+	own := a.grantOf(op.GetRouter(), op.GetIncarnation())
+	back := a.shortfall(old, own, released)
+	own.tokens += back
+	next.granted += back
+	drafts, next, ok := a.draft(op, own, next, released-back)
 	if !ok {
 		result := refused(kcwpb.Code_CODE_EXHAUSTED, "neither the grant nor the budget holds the tokens")
 		result.Grant = a.grantOf(op.GetRouter(), op.GetIncarnation()).message(a.customer)
@@ -37,9 +41,10 @@
 	a = s.owned(a)
 	c := s.settled(nil, op)
 	c.fromGrant = true
-	if old != nil && old.belongsTo(op.GetRouter(), op.GetIncarnation()) {
-		c.grantTokens = old.grantTokens
+	if back > 0 && len(drafts) == 0 {
+		drafts = []grant{own}
 	}
+	c.grantTokens = back
 	for _, g := range drafts {
 		c.grantTokens += a.grantOf(g.router, g.incarnation).tokens - g.tokens
 		a.putGrant(g)
@@ -52,6 +57,17 @@
 	return result
 }
 
+// shortfall returns what of the reservation released of old came out of the
+// grant own. It goes back there first, so that the grant ends short of just what
+// the bill takes.
+func (a *account) shortfall(old *claim, own grant, released int64) int64 {
+	_, found := a.findGrant(own.router, own.incarnation)
+	if !found || old == nil || old.router != own.router || old.incarnation != own.incarnation {
+		return 0
+	}
+	return min(old.grantTokens, released)
+}
+
 // contestGranted returns the result of settling out of a grant a request that
 // has the claim old, nil if op decides its outcome.
 func contestGranted(old *claim, op *kcwpb.SettleClaim) *kcwpb.Result {
@@ -71,11 +87,11 @@
 	return nil
 }
 
-// draft takes the tokens of op out of the grant of its incarnation, then out of
+// draft takes the tokens of op out of own, the grant of its incarnation, then out of
 // released, the reservation that the bill replaces, then out of the orphaned
 // grants of the same router, then out of what is free in next. It returns the
 // changed grants and the budget without their part.
-func (a *account) draft(op *kcwpb.SettleClaim, next budget, released int64) ([]grant, budget, bool) {
+func (a *account) draft(op *kcwpb.SettleClaim, own grant, next budget, released int64) ([]grant, budget, bool) {
 	var drafts []grant
 	need := op.GetTokens()
 	take := func(g grant) {
@@ -89,7 +105,7 @@
 		drafts = append(drafts, g)
 	}
 	free := next.free()
-	take(a.grantOf(op.GetRouter(), op.GetIncarnation()))
+	take(own)
 	covered := min(need, released)
 	need -= covered
 	for _, g := range a.grants {
