--- /dev/null
+++ b/kcw/kcwgrant/policy_test.go
@@ -0,0 +1,53 @@
+package kcwgrant_test
+
+import (
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwgrant"
+)
+
+func TestPlan(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	p := kcwgrant.New(kcwgrant.Config{Endurance: 100 * time.Second, Divisor: 4, IdleAfter: time.Minute})
+	demand := kcwgrant.Demand{Rate: 10, Peak: 50, At: now}
+	for _, test := range []struct {
+		name    string
+		holding kcwgrant.Holding
+		now     time.Time
+		want    int64
+	}{
+		{"no demand yet", kcwgrant.Holding{Available: 10_000}, now, 0},
+		{"first draw", kcwgrant.Holding{Available: 10_000, Demand: demand}, now, 1000},
+		{"topped up", kcwgrant.Holding{Available: 10_000, Free: 500, Demand: demand}, now, 500},
+		{"close enough", kcwgrant.Holding{Available: 10_000, Free: 800, Demand: demand}, now, 0},
+		{"budget drains", kcwgrant.Holding{Available: 400, Demand: demand}, now, 100},
+		{"too much for a drained budget", kcwgrant.Holding{Free: 1000, Demand: demand}, now, -750},
+		{"at least one request", kcwgrant.Holding{Available: 10_000, Demand: kcwgrant.Demand{Peak: 50, At: now}}, now, 50},
+		{"idle", kcwgrant.Holding{Available: 10_000, Free: 500, Demand: demand}, now.Add(time.Minute), -500},
+		{"recalled", kcwgrant.Holding{Available: 10_000, Free: 1000, Demand: demand, Recalled: true}, now, -500},
+	} {
+		if got := p.Plan(test.holding, test.now); got != test.want {
+			t.Errorf("%s: plan %d, want %d", test.name, got, test.want)
+		}
+	}
+	if got := kcwgrant.New(kcwgrant.Config{IdleAfter: time.Minute}).Plan(kcwgrant.Holding{Available: 10_000, Demand: demand}, now); got != 0 {
+		t.Errorf("without endurance: plan %d", got)
+	}
+}
+
+func TestDemand(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	p := kcwgrant.New(kcwgrant.Config{Endurance: time.Second, IdleAfter: time.Hour, Memory: 10 * time.Second})
+	var d kcwgrant.Demand
+	for range 1000 {
+		now = now.Add(100 * time.Millisecond)
+		d = p.Add(d, 10, now)
+	}
+	if d.Rate < 95 || d.Rate > 105 {
+		t.Errorf("100 tokens a second are averaged as %.1f", d.Rate)
+	}
+	if got := p.Target(kcwgrant.Holding{Available: 1 << 40, Demand: d}, now.Add(100*time.Second)); got != 10 {
+		t.Errorf("after ten time constants the target is %d", got)
+	}
+}
--- /dev/null
+++ b/kcw/kcwjournal/journal.go
@@ -0,0 +1,249 @@
+// Package kcwjournal holds a router's durable record of the claims that it
+// opens and settles out of grants while the ledger can't be reached, and of the
+// grants that it may hold.
+package kcwjournal
+
+import (
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+const (
+	// fileName is the journal's file in its folder.
+	fileName = "Journal"
+	// compactBytes is the size from which on a journal that mostly holds what
+	// needs no settling any more is written anew.
+	compactBytes = 1 << 20
+	// compactRatio is how many records there are for each live one then.
+	compactRatio = 4
+	// maxRecordBytes bounds one record.
+	maxRecordBytes = 1 << 16
+)
+
+// Config configures a Journal.
+type Config struct {
+	// Folder is an existing folder that no other process writes to.
+	Folder string
+}
+
+// Journal is a file of checksummed records. It may be used by many goroutines
+// at once. Appends that wait for the disk share one sync.
+type Journal struct {
+	folder string
+	// syncing guards synced and is taken before mu.
+	syncing sync.Mutex
+	synced  int64
+	// mu guards the fields below.
+	mu      sync.Mutex
+	file    *os.File
+	size    int64
+	records int
+	live    *live
+	err     error
+}
+
+// Open opens the journal in the folder of cfg, or makes an empty one. A record
+// that was cut off at the end of the file is dropped; any other damage is an
+// *Error of KindDamaged.
+func Open(cfg Config) (*Journal, error) {
+	path := filepath.Join(cfg.Folder, fileName)
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, storage("Open", err)
+	}
+	j := &Journal{folder: cfg.Folder, file: file, live: newLive()}
+	if err := j.load(); err != nil {
+		_ = file.Close()
+		return nil, err
+	}
+	return j, nil
+}
+
+// storage returns an *Error of KindStorage.
+func storage(op string, err error) *Error {
+	return &Error{Op: op, Kind: KindStorage, Err: eris.Wrap(err, "file system")}
+}
+
+// load reads the file, cuts a torn tail off and syncs.
+func (j *Journal) load() error {
+	data, err := os.ReadFile(j.file.Name())
+	if err != nil {
+		return storage("Open", err)
+	}
+	records, size, err := scan(data)
+	if err != nil {
+		return &Error{Op: "Open", Kind: KindDamaged, Err: err}
+	}
+	for _, record := range records {
+		j.live.apply(record)
+	}
+	j.records = len(records)
+	j.size = int64(size)
+	j.synced = j.size
+	if err := j.file.Truncate(j.size); err != nil {
+		return storage("Open", err)
+	}
+	if err := j.file.Sync(); err != nil {
+		return storage("Open", err)
+	}
+	return syncFolder(j.folder)
+}
+
+// syncFolder makes the names in folder durable.
+func syncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return storage("sync folder", err)
+	}
+	defer func() { _ = f.Close() }()
+	if err := f.Sync(); err != nil {
+		return storage("sync folder", err)
+	}
+	return nil
+}
+
+// Append adds record and returns when it is durable. After a failure the
+// journal takes no more records.
+func (j *Journal) Append(record *kcwpb.JournalRecord) error {
+	end, err := j.write(record)
+	if err != nil {
+		return err
+	}
+	return j.sync(end)
+}
+
+// Note adds record, which may be lost if the host stops: one that only spares
+// work after a restart.
+func (j *Journal) Note(record *kcwpb.JournalRecord) error {
+	_, err := j.write(record)
+	return err
+}
+
+// write adds record to the file and returns where it ends.
+func (j *Journal) write(record *kcwpb.JournalRecord) (int64, error) {
+	payload, err := proto.Marshal(record)
+	if err != nil || record.GetRecord() == nil || len(payload) > maxRecordBytes {
+		return 0, &Error{Op: "Append", Kind: KindInvalid, Err: eris.New("the record is empty, too long or not UTF-8")}
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.err != nil {
+		return 0, j.err
+	}
+	frame := encode(payload)
+	if _, err := j.file.WriteAt(frame, j.size); err != nil {
+		j.err = storage("Append", err)
+		return 0, j.err
+	}
+	j.size += int64(len(frame))
+	j.records++
+	j.live.apply(record)
+	return j.size, nil
+}
+
+// sync makes the file durable up to end.
+func (j *Journal) sync(end int64) error {
+	j.syncing.Lock()
+	defer j.syncing.Unlock()
+	if j.synced >= end {
+		return nil
+	}
+	j.mu.Lock()
+	file, size, err := j.file, j.size, j.err
+	j.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		return j.fail(storage("Append", err))
+	}
+	j.synced = size
+	return nil
+}
+
+// fail makes err the result of every further append.
+func (j *Journal) fail(err error) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.err = err
+	return err
+}
+
+// Live returns the records that still need settling or releasing, in the order
+// of their first mention.
+func (j *Journal) Live() []*kcwpb.JournalRecord {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.live.list()
+}
+
+// Compact writes the file anew without what needs no settling any more, if that
+// is most of a long file. It returns when the new file is durable.
+func (j *Journal) Compact() error {
+	j.syncing.Lock()
+	defer j.syncing.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.err != nil {
+		return j.err
+	}
+	records := j.live.list()
+	if j.size < compactBytes || j.records < compactRatio*len(records) {
+		return nil
+	}
+	if err := j.rewrite(records); err != nil {
+		j.err = err
+		return err
+	}
+	return nil
+}
+
+// rewrite replaces the file by one that holds records.
+func (j *Journal) rewrite(records []*kcwpb.JournalRecord) error {
+	var data []byte
+	for _, record := range records {
+		payload, err := proto.Marshal(record)
+		if err != nil {
+			return &Error{Op: "Compact", Kind: KindInvalid, Err: eris.Wrap(err, "marshal")}
+		}
+		data = append(data, encode(payload)...)
+	}
+	path := filepath.Join(j.folder, fileName)
+	next, err := os.OpenFile(path+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return storage("Compact", err)
+	}
+	if _, err = next.Write(data); err == nil {
+		err = next.Sync()
+	}
+	if err == nil {
+		err = os.Rename(path+".new", path)
+	}
+	if err != nil {
+		_ = next.Close()
+		return storage("Compact", err)
+	}
+	_ = j.file.Close()
+	j.file = next
+	j.size, j.synced, j.records = int64(len(data)), int64(len(data)), len(records)
+	return syncFolder(j.folder)
+}
+
+// Close closes the file. What was appended is durable.
+func (j *Journal) Close() error {
+	j.syncing.Lock()
+	defer j.syncing.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.err = &Error{Op: "Append", Kind: KindStorage, Err: eris.New("the journal is closed")}
+	if err := j.file.Close(); err != nil {
+		return storage("Close", err)
+	}
+	return nil
+}
