--- a/kcw/kcwbook/settle.go
+++ b/kcw/kcwbook/settle.go
@@ -24,6 +24,9 @@
 		return s.settleUnopened(a, op)
 	}
 	if !old.belongsTo(op.GetRouter(), op.GetIncarnation()) {
+		if old.state == kcwpb.ClaimState_CLAIM_STATE_NOT_RUN && op.GetOutcome() == kcwpb.Outcome_OUTCOME_RAN {
+			return s.settleLate(a, old, op)
+		}
 		return showing(kcwpb.Code_CODE_FENCED, "the claim belongs to another router incarnation", old)
 	}
 	if old.isClosed() {
@@ -47,6 +50,24 @@
 	return showing(kcwpb.Code_CODE_OK, "", c)
 }
 
+// settleLate bills a request that ran at a router from which another adopted the
+// claim old and then did not run it. The reservation is gone, so that the bill
+// comes out of what is free.
+func (s *state) settleLate(a *account, old *claim, op *kcwpb.SettleClaim) *kcwpb.Result {
+	next := a.budget
+	next.billed += op.GetTokens()
+	if !next.valid() {
+		return showing(kcwpb.Code_CODE_FENCED, "the claim belongs to another router incarnation", old)
+	}
+	a = s.owned(a)
+	a.budget = next
+	c := s.settled(nil, op)
+	s.file(a, c)
+	result := showing(kcwpb.Code_CODE_OK, "", c)
+	result.Budget = a.message()
+	return result
+}
+
 // settleClosed returns the result of settling a claim that is closed.
 func (s *state) settleClosed(a *account, old *claim, op *kcwpb.SettleClaim) *kcwpb.Result {
 	if old.state == kcwpb.ClaimState_CLAIM_STATE_BILLED {
--- a/kcw/kcwjournal/live.go
+++ b/kcw/kcwjournal/live.go
@@ -11,6 +11,7 @@
 	customer    string
 	request     string
 	incarnation uint64
+	attempt     uint64
 }
 
 // live holds the newest record of each claim and grant that is not finished.
@@ -33,11 +34,11 @@
 func (l *live) apply(record *kcwpb.JournalRecord) {
 	switch r := record.GetRecord().(type) {
 	case *kcwpb.JournalRecord_Opened:
-		l.put(key{r.Opened.GetCustomer(), r.Opened.GetRequest(), r.Opened.GetIncarnation()}, record)
+		l.put(key{r.Opened.GetCustomer(), r.Opened.GetRequest(), r.Opened.GetIncarnation(), r.Opened.GetAttempt()}, record)
 	case *kcwpb.JournalRecord_Settled:
-		l.put(key{r.Settled.GetCustomer(), r.Settled.GetRequest(), r.Settled.GetIncarnation()}, record)
+		l.put(key{r.Settled.GetCustomer(), r.Settled.GetRequest(), r.Settled.GetIncarnation(), r.Settled.GetAttempt()}, record)
 	case *kcwpb.JournalRecord_Confirmed:
-		delete(l.entries, key{r.Confirmed.GetCustomer(), r.Confirmed.GetRequest(), r.Confirmed.GetIncarnation()})
+		delete(l.entries, key{r.Confirmed.GetCustomer(), r.Confirmed.GetRequest(), r.Confirmed.GetIncarnation(), r.Confirmed.GetAttempt()})
 	case *kcwpb.JournalRecord_Drawn:
 		l.put(key{customer: r.Drawn.GetCustomer(), incarnation: r.Drawn.GetIncarnation()}, record)
 	case *kcwpb.JournalRecord_Released:
--- /dev/null
+++ b/kcw/kcwwallet/fixture_test.go
@@ -0,0 +1,196 @@
+package kcwwallet_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwbook"
+	"kingcupwick.example/kcw/kcwgrant"
+	"kingcupwick.example/kcw/kcwjournal"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwwallet"
+)
+
+const customer = "granite-pew"
+
+const (
+	codeOK   = kcwpb.Code_CODE_OK
+	ran      = kcwpb.Outcome_OUTCOME_RAN
+	notRun   = kcwpb.Outcome_OUTCOME_NOT_RUN
+	unknown  = kcwpb.Outcome_OUTCOME_UNKNOWN
+	endured  = 5 * time.Minute
+	allOfIt  = 1
+	idleTime = 10 * time.Minute
+)
+
+// fault is what becomes of a command on its way to the ledger and back.
+type fault int
+
+const (
+	noFault fault = iota
+	lostRequest
+	lostAnswer
+	lateRequest
+)
+
+var errSilent = errors.New("the ledger does not answer")
+
+// world is a ledger, its routers' links to it, and a clock.
+type world struct {
+	t     testing.TB
+	mu    sync.Mutex
+	book  *kcwbook.Book
+	index uint64
+	now   time.Time
+	late  []*kcwpb.Command
+	// overdrawn is the first broken rule that was seen.
+	overdrawn error
+}
+
+func newWorld(t testing.TB, prepaid int64) *world {
+	w := &world{t: t, book: kcwbook.New(), now: time.Unix(1_700_000_000, 0)}
+	w.apply(&kcwpb.Command{Op: &kcwpb.Command_PutContract{PutContract: &kcwpb.PutContract{
+		Change: "c-1", Contract: &kcwpb.Contract{Customer: customer, PrepaidTokens: prepaid},
+	}}})
+	return w
+}
+
+func (w *world) clock() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.now
+}
+
+func (w *world) pass(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.now = w.now.Add(d)
+}
+
+// apply has the book carry out cmd now.
+func (w *world) apply(cmd *kcwpb.Command) *kcwpb.Result {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cmd = proto.Clone(cmd).(*kcwpb.Command)
+	cmd.At = w.now.UnixNano()
+	w.index++
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	result := new(kcwpb.Result)
+	if err := proto.Unmarshal(w.book.Apply(w.index, data), result); err != nil {
+		w.t.Fatal(err)
+	}
+	if err := w.book.Check(); err != nil && w.overdrawn == nil {
+		w.overdrawn = err
+	}
+	return result
+}
+
+// link is one router's way to the ledger.
+type link struct {
+	world *world
+	cut   bool
+	next  fault
+}
+
+func (l *link) Submit(_ context.Context, cmd *kcwpb.Command) (*kcwpb.Result, error) {
+	f := l.next
+	l.next = noFault
+	switch {
+	case l.cut || f == lostRequest:
+		return nil, errSilent
+	case f == lateRequest:
+		l.world.late = append(l.world.late, proto.Clone(cmd).(*kcwpb.Command))
+		return nil, errSilent
+	case f == lostAnswer:
+		l.world.apply(cmd)
+		return nil, errSilent
+	}
+	return l.world.apply(cmd), nil
+}
+
+// router is one router with its wallet and journal.
+type router struct {
+	world       *world
+	name        string
+	folder      string
+	policy      kcwgrant.Config
+	link        *link
+	journal     *kcwjournal.Journal
+	wallet      *kcwwallet.Wallet
+	incarnation uint64
+	attempt     uint64
+}
+
+func newRouter(w *world, name string, policy kcwgrant.Config) *router {
+	folder, err := os.MkdirTemp("", "kcwwallet")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = os.RemoveAll(folder) })
+	r := &router{world: w, name: name, folder: folder, policy: policy, link: &link{world: w}}
+	r.start()
+	return r
+}
+
+// start begins a new incarnation, as after a crash if one is at work.
+func (r *router) start() {
+	if r.journal != nil {
+		_ = r.journal.Close()
+	}
+	r.incarnation++
+	r.world.apply(&kcwpb.Command{Op: &kcwpb.Command_RegisterRouter{RegisterRouter: &kcwpb.RegisterRouter{
+		Router: r.name, Incarnation: r.incarnation, Address: r.name + ":1",
+	}}})
+	var err error
+	if r.folder != "" {
+		if r.journal, err = kcwjournal.Open(kcwjournal.Config{Folder: r.folder}); err != nil {
+			r.world.t.Fatal(err)
+		}
+	}
+	r.wallet, err = kcwwallet.New(kcwwallet.Config{
+		Ledger: r.link, Journal: r.journal, Policy: kcwgrant.New(r.policy), Router: r.name, Incarnation: r.incarnation,
+		LedgerDeadline: time.Second, ProbeAfter: time.Second, Now: r.world.clock,
+	})
+	if err != nil {
+		r.world.t.Fatal(err)
+	}
+}
+
+// open opens a claim and returns its settling, nil if the request may not run.
+func (r *router) open(request string, tokens int64, repeatable bool) (*kcwpb.SettleClaim, *kcwpb.Result, error) {
+	r.attempt++
+	settle := &kcwpb.SettleClaim{
+		Customer: customer, Request: request, Router: r.name, Incarnation: r.incarnation,
+		Attempt: r.attempt, Repeatable: repeatable, Tokens: tokens,
+	}
+	result, err := r.wallet.Open(context.Background(), &kcwpb.OpenClaim{
+		Customer: customer, Request: request, Router: r.name, Incarnation: r.incarnation, Attempt: r.attempt,
+		Repeatable: repeatable, Tokens: tokens, LeaseNanos: int64(time.Minute),
+	})
+	return settle, result, err
+}
+
+// settle closes a claim.
+func (r *router) settle(claim *kcwpb.SettleClaim, outcome kcwpb.Outcome, tokens int64) (*kcwpb.Result, error) {
+	claim = proto.Clone(claim).(*kcwpb.SettleClaim)
+	claim.Outcome, claim.Tokens = outcome, tokens
+	return r.wallet.Settle(context.Background(), claim)
+}
+
+func (r *router) tend() { r.wallet.Tend(context.Background()) }
+
+// budget returns the parts of the budget as text.
+func (w *world) budget() string {
+	b := w.book.Budget(customer)
+	return fmt.Sprintf("billed %d reserved %d granted %d", b.GetBilled(), b.GetReserved(), b.GetGranted())
+}
--- /dev/null
+++ b/kcw/kcwwallet/wallet.go
@@ -0,0 +1,232 @@
+// Package kcwwallet holds a router's access to the money: it opens and settles
+// claims at the ledger, or out of grants and into the journal while the ledger
+// can't be reached.
+package kcwwallet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwgrant"
+	"kingcupwick.example/kcw/kcwjournal"
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// ledger is what a Wallet needs of the ledger's client. An error means that the
+// command may or may not be carried out.
+type ledger interface {
+	Submit(ctx context.Context, cmd *kcwpb.Command) (*kcwpb.Result, error)
+}
+
+// Config configures a Wallet.
+type Config struct {
+	Ledger ledger
+	// Journal makes claims out of grants durable. Without one nothing is drawn,
+	// and requests are refused while the ledger can't be reached.
+	Journal *kcwjournal.Journal
+	Policy  *kcwgrant.Policy
+	Router  string
+	// Incarnation is the one that is registered at the ledger.
+	Incarnation uint64
+	// LedgerDeadline bounds the wait for the ledger before the grant is used;
+	// 300 ms if zero.
+	LedgerDeadline time.Duration
+	// ProbeAfter is how long after a failed call the ledger is asked again; 500
+	// ms if zero.
+	ProbeAfter time.Duration
+	// TendPeriod is the time between two calls of Tend in Run; a second if zero.
+	TendPeriod time.Duration
+	// Now is the clock; time.Now if nil.
+	Now func() time.Time
+}
+
+// Wallet opens and settles claims. It may be used by many goroutines at once.
+type Wallet struct {
+	cfg Config
+	// tending keeps one Tend at work; it is taken before mu.
+	tending sync.Mutex
+	// mu guards the fields below. It is not held across calls of the ledger or
+	// the journal.
+	mu     sync.Mutex
+	purses map[string]*purse
+	// claims holds the claims that are not the ledger's alone, by name.
+	claims map[name]*entry
+	// pending holds the claims whose outcome the ledger is to be told, oldest
+	// first.
+	pending []*entry
+	// refused counts outcomes that the ledger would not take. They stay in the
+	// journal.
+	refused int
+	// olds are the grants of older incarnations, to be released once their
+	// claims are settled.
+	olds []*kcwpb.Grant
+	// silentUntil is until when the ledger is not asked by requests.
+	silentUntil time.Time
+	fenced      bool
+}
+
+// name identifies a claim.
+type name struct {
+	customer string
+	request  string
+}
+
+// entry is a claim that the wallet keeps track of.
+type entry struct {
+	name name
+	open *kcwpb.OpenClaim
+	// hold is the tokens of the purse that the claim keeps from others.
+	hold int64
+	// asked says that the ledger may have opened the claim.
+	asked bool
+	// local says that the claim runs out of the grant.
+	local bool
+	// busy says that a call of the ledger or the journal is under way for it.
+	busy bool
+	// settle is the outcome that the journal holds and the ledger lacks.
+	settle *kcwpb.SettleClaim
+}
+
+// New returns a wallet that has taken over what the journal holds of older
+// incarnations. It returns an *Error of KindInvalid if cfg lacks a part.
+func New(cfg Config) (*Wallet, error) {
+	if cfg.Ledger == nil || cfg.Policy == nil || cfg.Router == "" || cfg.Incarnation == 0 {
+		return nil, &Error{Op: "New", Kind: KindInvalid, Err: eris.New("a ledger, a policy, a router and an incarnation are needed")}
+	}
+	if cfg.LedgerDeadline <= 0 {
+		cfg.LedgerDeadline = 300 * time.Millisecond
+	}
+	if cfg.ProbeAfter <= 0 {
+		cfg.ProbeAfter = 500 * time.Millisecond
+	}
+	if cfg.TendPeriod <= 0 {
+		cfg.TendPeriod = time.Second
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	w := &Wallet{cfg: cfg, purses: make(map[string]*purse), claims: make(map[name]*entry)}
+	if cfg.Journal != nil {
+		w.recover(cfg.Journal.Live())
+	}
+	return w, nil
+}
+
+// recover takes over the records of older incarnations. What became of a claim
+// that was opened and not settled is not known.
+func (w *Wallet) recover(records []*kcwpb.JournalRecord) {
+	for _, record := range records {
+		if grant := record.GetDrawn(); grant != nil {
+			w.olds = append(w.olds, grant)
+			continue
+		}
+		settle := record.GetSettled()
+		if opened := record.GetOpened(); opened != nil {
+			settle = &kcwpb.SettleClaim{
+				Customer: opened.GetCustomer(), Request: opened.GetRequest(),
+				Router: opened.GetRouter(), Incarnation: opened.GetIncarnation(), Attempt: opened.GetAttempt(),
+				Outcome: kcwpb.Outcome_OUTCOME_UNKNOWN, Tokens: opened.GetTokens(), FromGrant: true,
+				Repeatable: opened.GetRepeatable(), Digest: opened.GetDigest(),
+			}
+		}
+		e := &entry{name: name{settle.GetCustomer(), settle.GetRequest()}, settle: settle}
+		w.claims[e.name] = e
+		w.pending = append(w.pending, e)
+	}
+}
+
+// Run tends the grants and the journal until ctx ends.
+func (w *Wallet) Run(ctx context.Context) {
+	ticker := time.NewTicker(w.cfg.TendPeriod)
+	defer ticker.Stop()
+	for {
+		w.Tend(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Recall notes that the ledger wants the idle grants of customers back.
+func (w *Wallet) Recall(customers []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, customer := range customers {
+		if p := w.purses[customer]; p != nil {
+			p.recalled = true
+		}
+	}
+}
+
+// Pending returns how many outcomes the ledger is still to be told, and how many
+// it would not take.
+func (w *Wallet) Pending() (pending, refused int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.pending), w.refused
+}
+
+// submit sends op to the ledger and notes whether it answers.
+func (w *Wallet) submit(ctx context.Context, cmd *kcwpb.Command) (*kcwpb.Result, error) {
+	limited, cancel := context.WithTimeout(ctx, w.cfg.LedgerDeadline)
+	defer cancel()
+	result, err := w.cfg.Ledger.Submit(limited, cmd)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		// A caller that went away says nothing about the ledger.
+		if ctx.Err() == nil {
+			w.silentUntil = w.cfg.Now().Add(w.cfg.ProbeAfter)
+		}
+		return nil, err
+	}
+	w.silentUntil = time.Time{}
+	if b := result.GetBudget(); b != nil {
+		w.purse(b.GetCustomer()).available = b.GetPrepaid() - b.GetBilled() - b.GetReserved() - b.GetGranted()
+	}
+	return result, nil
+}
+
+// asks says whether a request is to ask the ledger at the time now. While the
+// ledger is silent one request in each ProbeAfter does.
+func (w *Wallet) asks(now time.Time) bool {
+	if w.silentUntil.IsZero() {
+		return true
+	}
+	if now.Before(w.silentUntil) {
+		return false
+	}
+	w.silentUntil = now.Add(w.cfg.ProbeAfter)
+	return true
+}
+
+// claim returns the claim of e in state, with tokens.
+func (e *entry) claim(state kcwpb.ClaimState, tokens int64) *kcwpb.Claim {
+	c := &kcwpb.Claim{Customer: e.name.customer, Request: e.name.request, State: state, Tokens: tokens, FromGrant: true}
+	if e.open != nil {
+		c.Router, c.Incarnation, c.Attempt = e.open.GetRouter(), e.open.GetIncarnation(), e.open.GetAttempt()
+		c.Repeatable, c.Digest = e.open.GetRepeatable(), e.open.GetDigest()
+		return c
+	}
+	c.Router, c.Incarnation, c.Attempt = e.settle.GetRouter(), e.settle.GetIncarnation(), e.settle.GetAttempt()
+	c.Repeatable, c.Digest = e.settle.GetRepeatable(), e.settle.GetDigest()
+	return c
+}
+
+// drop forgets e.
+func (w *Wallet) drop(e *entry) {
+	if w.claims[e.name] == e {
+		delete(w.claims, e.name)
+	}
+}
+
+// journaled adds record to the journal durably.
+func (w *Wallet) journaled(record *kcwpb.JournalRecord) error {
+	return w.cfg.Journal.Append(proto.Clone(record).(*kcwpb.JournalRecord))
+}
