Bill a run that the claim's owner did not do or does not know of

Cause: a router ran a request, its claim was adopted while it was cut off, and the adopter ended not run or unknown: the first router's bill was refused as fenced for ever and the run had no bill. The random test of faults printed 'r-11 ran and has no bill' after 58 sequences. Change: such a bill is taken; a claim at work at its adopter still refuses it.

--- a/kcw/kcwbook/settle.go
+++ b/kcw/kcwbook/settle.go
@@ -24,7 +24,7 @@
 		return s.settleUnopened(a, op)
 	}
 	if !old.belongsTo(op.GetRouter(), op.GetIncarnation()) {
-		if old.state == kcwpb.ClaimState_CLAIM_STATE_NOT_RUN && op.GetOutcome() == kcwpb.Outcome_OUTCOME_RAN {
+		if old.isDecidedBy(op.GetOutcome()) {
 			return s.settleLate(a, old, op)
 		}
 		return showing(kcwpb.Code_CODE_FENCED, "the claim belongs to another router incarnation", old)
@@ -50,12 +50,24 @@
 	return showing(kcwpb.Code_CODE_OK, "", c)
 }
 
+// isDecidedBy says whether an outcome told by another router than the owner
+// decides c: a run does where the owner did not run the request or does not
+// know.
+func (c *claim) isDecidedBy(outcome kcwpb.Outcome) bool {
+	undecided := c.state == kcwpb.ClaimState_CLAIM_STATE_NOT_RUN || c.state == kcwpb.ClaimState_CLAIM_STATE_UNKNOWN
+	return undecided && outcome == kcwpb.Outcome_OUTCOME_RAN
+}
+
 // settleLate bills a request that ran at a router from which another adopted the
-// claim old and then did not run it. The reservation is gone, so that the bill
-// comes out of what is free.
+// claim old. The bill comes out of the reservation, if there still is one, and
+// out of what is free.
 func (s *state) settleLate(a *account, old *claim, op *kcwpb.SettleClaim) *kcwpb.Result {
 	next := a.budget
+	if !old.isClosed() {
+		next.reserved -= old.tokens
+	}
 	next.billed += op.GetTokens()
+	next = next.absorb()
 	if !next.valid() {
 		return showing(kcwpb.Code_CODE_FENCED, "the claim belongs to another router incarnation", old)
 	}
--- /dev/null
+++ b/kcw/kcwwallet/property_test.go
@@ -0,0 +1,229 @@
+package kcwwallet_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"kingcupwick.example/kcw/kcwgrant"
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// seed is the seed of the random sequences unless KCW_SEED holds another.
+const seed = 20261204
+
+// parameters returns gopter's parameters with the seed.
+func parameters(t *testing.T, sequences int) *gopter.TestParameters {
+	t.Helper()
+	s := int64(seed)
+	if text := os.Getenv("KCW_SEED"); text != "" {
+		var err error
+		if s, err = strconv.ParseInt(text, 10, 64); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p := gopter.DefaultTestParametersWithSeed(s)
+	p.MinSuccessfulTests = sequences
+	p.MinSize = 40
+	p.MaxSize = 200
+	p.MaxShrinkCount = 50
+	return p
+}
+
+// dice hands out small numbers from one random number.
+type dice uint64
+
+func (d *dice) roll(sides uint64) uint64 {
+	n := uint64(*d) % sides
+	*d /= dice(sides)
+	return n
+}
+
+// work is a request that a router may run, or must settle as not run.
+type work struct {
+	claim  *kcwpb.SettleClaim
+	bound  int64
+	refuse bool
+}
+
+// fleet is a world with three routers and what their gateways know.
+type fleet struct {
+	world   *world
+	routers []*router
+	works   [][]work
+	// billable holds the requests whose run was settled with success.
+	billable map[string]bool
+	// runs counts how often each request that may run once ran or may have.
+	runs map[string]int
+}
+
+func newFleet(t testing.TB) *fleet {
+	f := &fleet{world: newWorld(t, 2000), billable: make(map[string]bool), runs: make(map[string]int)}
+	policy := kcwgrant.Config{Endurance: endured, Divisor: 3, IdleAfter: idleTime}
+	for _, name := range []string{"a", "b", "c"} {
+		f.routers = append(f.routers, newRouter(f.world, name, policy))
+	}
+	f.works = make([][]work, len(f.routers))
+	return f
+}
+
+// step carries out what the random number n says.
+func (f *fleet) step(n uint64) {
+	d := dice(n)
+	i := int(d.roll(3))
+	r := f.routers[i]
+	r.link.next = fault(max(0, int(d.roll(10))-6))
+	switch d.roll(20) {
+	case 0, 1, 2, 3, 4, 5:
+		f.open(i, &d)
+	case 6, 7, 8, 9, 10:
+		f.settle(i, int(d.roll(8)), &d)
+	case 11, 12:
+		r.tend()
+	case 13:
+		r.link.cut = !r.link.cut
+	case 14:
+		r.start()
+		f.works[i] = nil
+	case 15:
+		f.deliver(int(d.roll(8)))
+	case 16:
+		f.world.apply(&kcwpb.Command{Op: &kcwpb.Command_TopUp{TopUp: &kcwpb.TopUp{
+			Change: fmt.Sprint("t-", n), Customer: customer, Tokens: int64(d.roll(300)) - 150,
+		}}})
+	default:
+		f.world.pass(time.Duration(1+d.roll(90)) * time.Second)
+	}
+}
+
+// open has router i open a request.
+func (f *fleet) open(i int, d *dice) {
+	number := d.roll(30)
+	request, repeatable := fmt.Sprint("r-", number), number%3 > 0
+	tokens := int64(1 + d.roll(80))
+	claim, result, err := f.routers[i].open(request, tokens, repeatable)
+	switch {
+	case err != nil:
+		f.works[i] = append(f.works[i], work{claim: claim, refuse: true})
+	case result.GetCode() == codeOK:
+		if !repeatable {
+			f.runs[request]++
+		}
+		f.works[i] = append(f.works[i], work{claim: claim, bound: tokens})
+	}
+}
+
+// settle has router i settle one of its requests.
+func (f *fleet) settle(i, place int, d *dice) {
+	if len(f.works[i]) == 0 {
+		return
+	}
+	place %= len(f.works[i])
+	w := f.works[i][place]
+	outcome, tokens := kcwpb.Outcome(1+d.roll(5)%3), int64(d.roll(uint64(w.bound)+1))
+	if w.refuse || outcome == notRun {
+		outcome, tokens = notRun, 0
+	}
+	result, err := f.routers[i].settle(w.claim, outcome, tokens)
+	if err != nil || result.GetCode() == kcwpb.Code_CODE_LIMITED {
+		return
+	}
+	f.works[i] = append(f.works[i][:place:place], f.works[i][place+1:]...)
+	settled := result.GetCode() == codeOK || result.GetCode() == kcwpb.Code_CODE_REPEATED
+	if settled && outcome == ran {
+		f.billable[w.claim.GetRequest()] = true
+	}
+	if settled && outcome == notRun && !w.refuse && !w.claim.GetRepeatable() {
+		f.runs[w.claim.GetRequest()]--
+	}
+}
+
+// deliver has the ledger receive a command that was held up.
+func (f *fleet) deliver(place int) {
+	if len(f.world.late) == 0 {
+		return
+	}
+	place %= len(f.world.late)
+	f.world.apply(f.world.late[place])
+	f.world.late = append(f.world.late[:place:place], f.world.late[place+1:]...)
+}
+
+// heal ends all faults and lets every router finish.
+func (f *fleet) heal() {
+	for len(f.world.late) > 0 {
+		f.deliver(0)
+	}
+	for i, r := range f.routers {
+		r.link.cut, r.link.next = false, noFault
+		for len(f.works[i]) > 0 {
+			before := len(f.works[i])
+			d := dice(0)
+			f.settle(i, 0, &d)
+			if len(f.works[i]) == before {
+				f.world.pass(time.Second)
+			}
+		}
+	}
+	for range 4 {
+		f.world.pass(2 * time.Second)
+		for _, r := range f.routers {
+			r.tend()
+		}
+	}
+}
+
+// fault returns what is wrong at the end, empty if nothing is.
+func (f *fleet) fault() string {
+	book := f.world.book
+	if f.world.overdrawn != nil {
+		return f.world.overdrawn.Error()
+	}
+	for request, runs := range f.runs {
+		if runs > 1 {
+			return fmt.Sprintf("%s may run once and ran %d times", request, runs)
+		}
+	}
+	var billed int64
+	for _, c := range book.Claims(customer) {
+		if c.GetState() == kcwpb.ClaimState_CLAIM_STATE_BILLED {
+			billed += c.GetTokens()
+		}
+	}
+	b := book.Budget(customer)
+	if billed != b.GetBilled() || billed > b.GetPrepaid() {
+		return fmt.Sprintf("bills add up to %d: %v", billed, b)
+	}
+	for request := range f.billable {
+		if c := book.Claim(customer, request); c.GetState() != kcwpb.ClaimState_CLAIM_STATE_BILLED {
+			return fmt.Sprintf("%s ran and has no bill: %v", request, c)
+		}
+	}
+	for _, r := range f.routers {
+		if pending, refused := r.wallet.Pending(); pending > 0 || refused > 0 {
+			return fmt.Sprintf("router %s: %d outcomes wait, %d are refused", r.name, pending, refused)
+		}
+	}
+	return ""
+}
+
+func TestRandomFaultsKeepTheMoney(t *testing.T) {
+	properties := gopter.NewProperties(parameters(t, 120))
+	properties.Property("nothing is overspent, every run has one bill", prop.ForAll(func(list []uint64) string {
+		f := newFleet(t)
+		for i, n := range list {
+			f.step(n)
+			if f.world.overdrawn != nil {
+				return fmt.Sprintf("step %d: %v", i, f.world.overdrawn)
+			}
+		}
+		f.heal()
+		return f.fault()
+	}, gen.SliceOf(gen.UInt64())))
+	properties.TestingRun(t)
+}
