--- a/kcw/kcwbook/open.go
+++ b/kcw/kcwbook/open.go
@@ -10,6 +10,11 @@
 	if refusal := s.actor(op.GetRouter(), op.GetIncarnation()); refusal != nil {
 		return refusal
 	}
+	r := s.routers[op.GetRouter()]
+	if op.GetSerial() != 0 && op.GetSerial() < r.over {
+		return invalid("the opening has ended at its router")
+	}
+	r.ended(op.GetIncarnation(), op.GetOver())
 	a := s.live(op.GetCustomer())
 	if a == nil {
 		return refused(kcwpb.Code_CODE_NOT_FOUND, "the customer is not known")
--- a/kcw/kcwbook/restore.go
+++ b/kcw/kcwbook/restore.go
@@ -126,6 +126,7 @@
 		incarnation: m.GetIncarnation(),
 		retired:     m.GetRetired(),
 		address:     m.GetAddress(),
+		over:        m.GetOver(),
 		holders:     make(map[string]bool),
 	}
 	return nil
--- a/kcw/kcwbook/router.go
+++ b/kcw/kcwbook/router.go
@@ -25,6 +25,7 @@
 	}
 	s.fence(r, op.GetIncarnation())
 	r.incarnation = op.GetIncarnation()
+	r.over = 0
 	r.zone = op.GetZone()
 	r.address = op.GetAddress()
 	r.retired = false
@@ -103,6 +104,14 @@
 	}
 }
 
+// ended notes that the openings of the router incarnation with serials below
+// over have ended.
+func (r *router) ended(incarnation, over uint64) {
+	if incarnation == r.incarnation {
+		r.over = max(r.over, over)
+	}
+}
+
 // actor returns the refusal of a command by a router incarnation that may not
 // act, nil if it may.
 func (s *state) actor(routerName string, incarnation uint64) *kcwpb.Result {
--- a/kcw/kcwbook/settle.go
+++ b/kcw/kcwbook/settle.go
@@ -12,6 +12,7 @@
 	if r == nil || op.GetIncarnation() > r.incarnation {
 		return refused(kcwpb.Code_CODE_NOT_FOUND, "the router incarnation is not registered")
 	}
+	r.ended(op.GetIncarnation(), op.GetOver())
 	a := s.accounts[op.GetCustomer()]
 	if a == nil {
 		return refused(kcwpb.Code_CODE_NOT_FOUND, "the customer is not known")
@@ -88,6 +89,9 @@
 		}
 		return showing(kcwpb.Code_CODE_BILLED, "the request is billed", old)
 	}
+	if op.GetOutcome() == kcwpb.Outcome_OUTCOME_RAN && op.GetAttempt() != old.attempt {
+		return s.settleLate(a, old, op)
+	}
 	if op.GetOutcome() != kcwpb.Outcome_OUTCOME_NOT_RUN {
 		return showing(kcwpb.Code_CODE_INVALID, "the request was settled as not run", old)
 	}
--- a/kcw/kcwbook/state.go
+++ b/kcw/kcwbook/state.go
@@ -67,6 +67,8 @@
 	incarnation uint64
 	retired     bool
 	address     string
+	// over is the serial below which the incarnation's openings have ended.
+	over uint64
 	// holders are the customers that may have open claims or grants of the
 	// router's incarnations.
 	holders map[string]bool
@@ -167,6 +169,7 @@
 		Incarnation: r.incarnation,
 		Retired:     r.retired,
 		Address:     r.address,
+		Over:        r.over,
 	}
 }
 
--- a/kcw/kcwwallet/open.go
+++ b/kcw/kcwwallet/open.go
@@ -58,6 +58,9 @@
 		p.take(e.hold)
 		p.asking++
 		p.takes++
+		w.serial++
+		w.sent[w.serial] = true
+		e.open.Serial, e.open.Over = w.serial, w.over()
 	}
 	return e, nil
 }
@@ -84,6 +87,7 @@
 func (w *Wallet) opened(e *entry, result *kcwpb.Result) *kcwpb.Result {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	delete(w.sent, e.open.GetSerial())
 	p := w.purse(e.name.customer)
 	p.asking--
 	p.give(e.hold, taken(e, result))
@@ -111,6 +115,7 @@
 	defer w.mu.Unlock()
 	p := w.purse(e.name.customer)
 	if e.asked {
+		delete(w.sent, e.open.GetSerial())
 		p.asking--
 	}
 	more := e.open.GetTokens() - e.hold
--- a/kcw/kcwwallet/settle.go
+++ b/kcw/kcwwallet/settle.go
@@ -21,7 +21,7 @@
 		return w.settleLocal(e, claim)
 	}
 	settle := proto.Clone(claim).(*kcwpb.SettleClaim)
-	if w.answering() {
+	if w.answering(settle) {
 		answer, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_SettleClaim{SettleClaim: settle}})
 		if err == nil {
 			w.settled(e, answer)
@@ -31,10 +31,11 @@
 	return w.settleLater(e, settle)
 }
 
-// answering says whether the ledger is worth a call.
-func (w *Wallet) answering() bool {
+// answering says whether the ledger is worth a call, and readies claim for it.
+func (w *Wallet) answering(claim *kcwpb.SettleClaim) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	claim.Over = w.over()
 	return w.cfg.Journal == nil || w.asks(w.cfg.Now())
 }
 
--- a/kcw/kcwwallet/tend.go
+++ b/kcw/kcwwallet/tend.go
@@ -59,6 +59,9 @@
 		w.mu.Lock()
 		e := w.pending[0]
 		takes := w.purse(e.name.customer).takes
+		if e.settle.GetIncarnation() == w.cfg.Incarnation {
+			e.settle.Over = w.over()
+		}
 		w.mu.Unlock()
 		result, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_SettleClaim{SettleClaim: e.settle}})
 		if err != nil {
--- a/kcw/kcwwallet/wallet.go
+++ b/kcw/kcwwallet/wallet.go
@@ -67,6 +67,10 @@
 	// silentUntil is until when the ledger is not asked by requests.
 	silentUntil time.Time
 	fenced      bool
+	// serial numbers the openings sent to the ledger, and sent holds those whose
+	// calls have not ended.
+	serial uint64
+	sent   map[uint64]bool
 }
 
 // name identifies a claim.
@@ -109,7 +113,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	w := &Wallet{cfg: cfg, purses: make(map[string]*purse), claims: make(map[name]*entry)}
+	w := &Wallet{cfg: cfg, purses: make(map[string]*purse), claims: make(map[name]*entry), sent: make(map[uint64]bool)}
 	if cfg.Journal != nil {
 		w.recover(cfg.Journal.Live())
 	}
@@ -193,6 +197,15 @@
 	return result, nil
 }
 
+// over returns the serial below which all openings have ended.
+func (w *Wallet) over() uint64 {
+	oldest := w.serial + 1
+	for serial := range w.sent {
+		oldest = min(oldest, serial)
+	}
+	return oldest
+}
+
 // asks says whether a request is to ask the ledger at the time now. While the
 // ledger is silent one request in each ProbeAfter does.
 func (w *Wallet) asks(now time.Time) bool {
