Take a claim as not run only from the opening that made it

Cause: a router restarted and a new try of a request that must not be repeated timed out; settling the new try as not run closed the claim of the older incarnation, which may have run, and another router ran it again.

--- a/kcw/kcwbook/book_test.go
+++ b/kcw/kcwbook/book_test.go
@@ -351,6 +351,28 @@
 			l.is(l.settle(done), kcwpb.Code_CODE_FENCED)
 			l.parts(1000, 0, 100, 0, 0)
 		}},
+		{"run at a router that lost the claim", func(l *ledger) {
+			l.is(l.open(opening("a", "r", 100)), ok)
+			l.at += int64(time.Minute)
+			l.is(l.open(opening("b", "r", 100)), ok)
+			l.is(l.settle(settling("a", "r", ran, 40)), kcwpb.Code_CODE_FENCED)
+			l.is(l.settle(settling("b", "r", notRun, 0)), ok)
+			l.is(l.settle(settling("a", "r", ran, 40)), ok)
+			l.is(l.settle(settling("b", "r", ran, 40)), kcwpb.Code_CODE_FENCED)
+			l.parts(1000, 40, 0, 0, 0)
+		}},
+		{"copy of an opening that has ended", func(l *ledger) {
+			late := opening("a", "r", 100)
+			late.Serial, late.Over = 1, 1
+			next := opening("a", "q", 10)
+			next.Serial, next.Over = 2, 2
+			l.is(l.open(next), ok)
+			l.is(l.open(late), kcwpb.Code_CODE_INVALID)
+			l.parts(1000, 0, 10, 0, 0)
+			l.is(l.register("a", 2), ok)
+			late.Incarnation = 2
+			l.is(l.open(late), ok)
+		}},
 		{"fenced opener", func(l *ledger) {
 			l.is(l.register("a", 2), ok)
 			l.is(l.open(opening("a", "r", 100)), kcwpb.Code_CODE_FENCED)
@@ -360,7 +382,11 @@
 		{"settled by the newer incarnation", func(l *ledger) {
 			l.is(l.open(opening("a", "r", 100)), ok)
 			l.is(l.register("a", 2), ok)
-			op := settling("a", "r", ran, 30)
+			op := settling("a", "r", notRun, 0)
+			op.Incarnation = 2
+			l.is(l.settle(op), kcwpb.Code_CODE_FENCED)
+			l.parts(1000, 0, 100, 0, 0)
+			op = settling("a", "r", ran, 30)
 			op.Incarnation = 2
 			l.is(l.settle(op), ok)
 			l.parts(1000, 30, 0, 0, 0)
--- a/kcw/kcwbook/property_test.go
+++ b/kcw/kcwbook/property_test.go
@@ -111,6 +111,7 @@
 		command.Op = &kcwpb.Command_OpenClaim{OpenClaim: &kcwpb.OpenClaim{
 			Customer: name, Request: request, Tokens: tokens, Router: router, Incarnation: incarnation - d.roll(8)/7,
 			Repeatable: d.roll(3) > 0, LeaseNanos: int64(30 * time.Second), UseGrant: d.roll(2) == 0, Attempt: d.roll(4),
+			Serial: d.roll(6), Over: d.roll(5),
 		}}
 	case kind < 18:
 		command.Op = &kcwpb.Command_SettleClaim{SettleClaim: &kcwpb.SettleClaim{
--- a/kcw/kcwbook/settle.go
+++ b/kcw/kcwbook/settle.go
@@ -24,19 +24,27 @@
 	if old == nil {
 		return s.settleUnopened(a, op)
 	}
-	if !old.belongsTo(op.GetRouter(), op.GetIncarnation()) {
-		if old.isDecidedBy(op.GetOutcome()) {
-			return s.settleLate(a, old, op)
-		}
-		return showing(kcwpb.Code_CODE_FENCED, "the claim belongs to another router incarnation", old)
-	}
-	if old.isClosed() {
+	own := old.belongsTo(op.GetRouter(), op.GetIncarnation())
+	if own && old.isClosed() {
 		return s.settleClosed(a, old, op)
 	}
-	if old.incarnation == op.GetIncarnation() && op.GetAttempt() != 0 && op.GetAttempt() != old.attempt {
-		return showing(kcwpb.Code_CODE_FENCED, "the claim was opened by another attempt", old)
+	if own && old.isOpening(op) {
+		return s.settleOpen(a, old, op)
 	}
-	return s.settleOpen(a, old, op)
+	if old.isDecidedBy(op.GetOutcome()) {
+		return s.settleLate(a, old, op)
+	}
+	return showing(kcwpb.Code_CODE_FENCED, "the claim belongs to another router incarnation or attempt", old)
+}
+
+// isOpening says whether op, by the router of c, is about the opening that made
+// c. A newer incarnation knows that a request ran from its journal, but never
+// that an opening of an older one did not run.
+func (c *claim) isOpening(op *kcwpb.SettleClaim) bool {
+	if c.incarnation != op.GetIncarnation() {
+		return op.GetOutcome() != kcwpb.Outcome_OUTCOME_NOT_RUN
+	}
+	return op.GetAttempt() == 0 || op.GetAttempt() == c.attempt
 }
 
 // settleUnopened notes that a request did not run whose opening may still come,
--- a/kcw/kcwwallet/fixture_test.go
+++ b/kcw/kcwwallet/fixture_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -50,6 +51,8 @@
 	index uint64
 	now   time.Time
 	late  []*kcwpb.Command
+	// trace has a line for each command.
+	trace []string
 	// overdrawn is the first broken rule that was seen.
 	overdrawn error
 }
@@ -89,6 +92,7 @@
 	if err := proto.Unmarshal(w.book.Apply(w.index, data), result); err != nil {
 		w.t.Fatal(err)
 	}
+	w.trace = append(w.trace, fmt.Sprintf("%v => %s %s %v", cmd, result.GetCode(), result.GetDetail(), result.GetClaim()))
 	if err := w.book.Check(); err != nil && w.overdrawn == nil {
 		w.overdrawn = err
 	}
@@ -189,6 +193,17 @@
 
 func (r *router) tend() { r.wallet.Tend(context.Background()) }
 
+// story returns the commands about request.
+func (w *world) story(request string) string {
+	var lines strings.Builder
+	for _, line := range w.trace {
+		if strings.Contains(line, `request:"`+request+`"`) || strings.Contains(line, "register_router") {
+			lines.WriteString("\n" + line)
+		}
+	}
+	return lines.String()
+}
+
 // budget returns the parts of the budget as text.
 func (w *world) budget() string {
 	b := w.book.Budget(customer)
--- a/kcw/kcwwallet/property_test.go
+++ b/kcw/kcwwallet/property_test.go
@@ -186,7 +186,7 @@
 	}
 	for request, runs := range f.runs {
 		if runs > 1 {
-			return fmt.Sprintf("%s may run once and ran %d times", request, runs)
+			return fmt.Sprintf("%s may run once and ran %d times:%s", request, runs, f.world.story(request))
 		}
 	}
 	var billed int64
@@ -201,7 +201,7 @@
 	}
 	for request := range f.billable {
 		if c := book.Claim(customer, request); c.GetState() != kcwpb.ClaimState_CLAIM_STATE_BILLED {
-			return fmt.Sprintf("%s ran and has no bill: %v", request, c)
+			return fmt.Sprintf("%s ran and has no bill: %v:%s", request, c, f.world.story(request))
 		}
 	}
 	for _, r := range f.routers {
