Give back a grant that covers less than one request

Cause: near exhaustion the ten routers kept remainders that no request fitted into, while the budget refused. Change: the target is zero once a router's share is below its largest request of late.

--- a/kcw/kcwgrant/policy.go
+++ b/kcw/kcwgrant/policy.go
@@ -81,13 +81,18 @@
 	Recalled bool
 }
 
-// Target returns the free tokens that a router should hold at the time now.
+// Target returns the free tokens that a router should hold at the time now. A
+// share that does not cover one request is of no use to a router that is cut
+// off, so that it is left to the others.
 func (p *Policy) Target(h Holding, now time.Time) int64 {
 	if p.cfg.Endurance <= 0 || h.Demand.At.IsZero() || now.Sub(h.Demand.At) >= p.cfg.IdleAfter {
 		return 0
 	}
 	want := p.rate(h.Demand, now) * p.cfg.Endurance.Seconds()
 	share := (max(0, h.Available) + h.Free) / p.cfg.Divisor
+	if share < h.Demand.Peak {
+		return 0
+	}
 	want = min(max(want, float64(h.Demand.Peak)), float64(share))
 	return int64(want)
 }
--- a/kcw/kcwgrant/policy_test.go
+++ b/kcw/kcwgrant/policy_test.go
@@ -22,6 +22,7 @@
 		{"topped up", kcwgrant.Holding{Available: 10_000, Free: 500, Demand: demand}, now, 500},
 		{"close enough", kcwgrant.Holding{Available: 10_000, Free: 800, Demand: demand}, now, 0},
 		{"budget drains", kcwgrant.Holding{Available: 400, Demand: demand}, now, 100},
+		{"less than one request is given back", kcwgrant.Holding{Available: 100, Free: 90, Demand: demand}, now, -90},
 		{"too much for a drained budget", kcwgrant.Holding{Free: 1000, Demand: demand}, now, -750},
 		{"at least one request", kcwgrant.Holding{Available: 10_000, Demand: kcwgrant.Demand{Peak: 50, At: now}}, now, 50},
 		{"idle", kcwgrant.Holding{Available: 10_000, Free: 500, Demand: demand}, now.Add(time.Minute), -500},
