--- a/kcw/kcwbook/settle.go
+++ b/kcw/kcwbook/settle.go
@@ -12,6 +12,7 @@
 	if r == nil || op.GetIncarnation() > r.incarnation {
 		return refused(kcwpb.Code_CODE_NOT_FOUND, "the router incarnation is not registered")
 	}
+	r.ended(op.GetIncarnation(), op.GetOver())
 	a := s.accounts[op.GetCustomer()]
 	if a == nil {
 		return refused(kcwpb.Code_CODE_NOT_FOUND, "the customer is not known")
@@ -23,16 +24,27 @@
 	if old == nil {
 		return s.settleUnopened(a, op)
 	}
-	if !old.belongsTo(op.GetRouter(), op.GetIncarnation()) {
-		return showing(kcwpb.Code_CODE_FENCED, "the claim belongs to another router incarnation", old)
-	}
-	if old.isClosed() {
+	own := old.belongsTo(op.GetRouter(), op.GetIncarnation())
+	if own && old.isClosed() {
 		return s.settleClosed(a, old, op)
 	}
-	if old.incarnation == op.GetIncarnation() && op.GetAttempt() != 0 && op.GetAttempt() != old.attempt {
-		return showing(kcwpb.Code_CODE_FENCED, "the claim was opened by another attempt", old)
+	if own && old.isOpening(op) {
+		return s.settleOpen(a, old, op)
+	}
+	if old.isDecidedBy(op.GetOutcome()) {
+		return s.settleLate(a, old, op)
 	}
-	return s.settleOpen(a, old, op)
+	return showing(kcwpb.Code_CODE_FENCED, "the claim belongs to another router incarnation or attempt", old)
+}
+
+// isOpening says whether op, by the router of c, is about the opening that made
+// c. A newer incarnation knows that a request ran from its journal, but never
+// that an opening of an older one did not run.
+func (c *claim) isOpening(op *kcwpb.SettleClaim) bool {
+	if c.incarnation != op.GetIncarnation() {
+		return op.GetOutcome() != kcwpb.Outcome_OUTCOME_NOT_RUN
+	}
+	return op.GetAttempt() == 0 || op.GetAttempt() == c.attempt
 }
 
 // settleUnopened notes that a request did not run whose opening may still come,
@@ -47,6 +59,36 @@
 	return showing(kcwpb.Code_CODE_OK, "", c)
 }
 
+// isDecidedBy says whether an outcome told by another router than the owner
+// decides c: a run does where the owner did not run the request or does not
+// know.
+func (c *claim) isDecidedBy(outcome kcwpb.Outcome) bool {
+	undecided := c.state == kcwpb.ClaimState_CLAIM_STATE_NOT_RUN || c.state == kcwpb.ClaimState_CLAIM_STATE_UNKNOWN
+	return undecided && outcome == kcwpb.Outcome_OUTCOME_RAN
+}
+
+// settleLate bills a request that ran at a router from which another adopted the
+// claim old. The bill comes out of the reservation, if there still is one, and
+// out of what is free.
+func (s *state) settleLate(a *account, old *claim, op *kcwpb.SettleClaim) *kcwpb.Result {
+	next := a.budget
+	if !old.isClosed() {
+		next.reserved -= old.tokens
+	}
+	next.billed += op.GetTokens()
+	next = next.absorb()
+	if !next.valid() {
+		return showing(kcwpb.Code_CODE_FENCED, "the claim belongs to another router incarnation", old)
+	}
+	a = s.owned(a)
+	a.budget = next
+	c := s.settled(nil, op)
+	s.file(a, c)
+	result := showing(kcwpb.Code_CODE_OK, "", c)
+	result.Budget = a.message()
+	return result
+}
+
 // settleClosed returns the result of settling a claim that is closed.
 func (s *state) settleClosed(a *account, old *claim, op *kcwpb.SettleClaim) *kcwpb.Result {
 	if old.state == kcwpb.ClaimState_CLAIM_STATE_BILLED {
@@ -55,6 +97,9 @@
 		}
 		return showing(kcwpb.Code_CODE_BILLED, "the request is billed", old)
 	}
+	if op.GetOutcome() == kcwpb.Outcome_OUTCOME_RAN && op.GetAttempt() != old.attempt {
+		return s.settleLate(a, old, op)
+	}
 	if op.GetOutcome() != kcwpb.Outcome_OUTCOME_NOT_RUN {
 		return showing(kcwpb.Code_CODE_INVALID, "the request was settled as not run", old)
 	}
