--- a/kcw/kcwpeer/link.go
+++ b/kcw/kcwpeer/link.go
@@ -31,13 +31,12 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 
+	transport *http.Transport
+	client    kcwpbconnect.PeerClient
+
 	mu    sync.Mutex
 	queue []*kcwpb.Message
 	bytes int
-
-	// Below belong to the goroutine of run.
-	transport *http.Transport
-	client    kcwpbconnect.PeerClient
 }
 
 func newLink(s *Sender, address string) *link {
@@ -46,25 +45,16 @@
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	l.ctx, l.stop = context.WithCancel(context.Background())
-	l.connect()
-	return l
-}
-
-// connect begins anew with a connection of its own, so that one that has gone
-// silent is not used again.
-func (l *link) connect() {
-	if l.transport != nil {
-		l.transport.CloseIdleConnections()
-	}
-	dialer := &net.Dialer{Timeout: l.sender.cfg.Timeout}
+	dialer := &net.Dialer{Timeout: s.cfg.Timeout}
 	l.transport = &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     l.sender.cfg.Idle,
+		IdleConnTimeout:     s.cfg.Idle,
 		DisableCompression:  true,
 	}
 	client := &http.Client{Transport: l.transport}
-	l.client = kcwpbconnect.NewPeerClient(client, "http://"+l.address)
+	l.client = kcwpbconnect.NewPeerClient(client, "http://"+address)
+	return l
 }
 
 // push queues messages. When the queue is full, what it held is dropped: the
@@ -118,7 +108,7 @@
 // stopped.
 func (l *link) run() {
 	defer close(l.done)
-	defer func() { l.transport.CloseIdleConnections() }()
+	defer l.transport.CloseIdleConnections()
 	idle := time.NewTimer(l.sender.cfg.Idle)
 	defer idle.Stop()
 	for {
@@ -143,15 +133,14 @@
 		if len(batch) == 0 || l.ctx.Err() != nil {
 			return
 		}
-		if l.send(batch) != nil {
-			l.connect()
-		}
+		l.send(batch)
 	}
 }
 
 // send makes one call. A batch that fails is not sent again: the replicas
-// repeat what matters.
-func (l *link) send(batch []*kcwpb.Message) error {
+// repeat what matters. At the timeout the connection is closed, so that one
+// that has gone silent is not used again.
+func (l *link) send(batch []*kcwpb.Message) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.sender.cfg.Timeout)
 	defer cancel()
 	msg := &kcwpb.ExchangeRequest{Group: l.sender.cfg.Group, Messages: batch}
@@ -159,9 +148,8 @@
 	if l.sender.cfg.Key != "" {
 		req.Header().Set("Authorization", "Bearer "+l.sender.cfg.Key)
 	}
-	_, err := l.client.Exchange(ctx, req)
-	if err == nil {
-		l.sender.sent.Add(int64(proto.Size(msg)))
+	if _, err := l.client.Exchange(ctx, req); err != nil {
+		return
 	}
-	return err
+	l.sender.sent.Add(int64(proto.Size(msg)))
 }
--- a/kcw/kcwsnapshot/store.go
+++ b/kcw/kcwsnapshot/store.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 
+	"k8s.io/klog/v2"
+
 	"kingcupwick.example/kcw/kcwpb"
 )
 
@@ -82,6 +84,7 @@
 	meta, err := check(path, index)
 	var damage *Error
 	if errors.As(err, &damage) && damage.Kind == Damaged {
+		klog.ErrorS(err, "a damaged snapshot is passed over", "file", path)
 		return nil
 	}
 	if err != nil {
