--- a/kcw/kcwgroup/helper_test.go
+++ b/kcw/kcwgroup/helper_test.go
@@ -13,12 +13,21 @@
 	"testing"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"kingcupwick.example/kcw/kcwfolder"
 	"kingcupwick.example/kcw/kcwpb"
 )
 
 const waitBound = 60 * time.Second
 
+// TestMain keeps the log of the groups out of the output.
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
 // seed returns the seed of a random test: fixed, or KCW_SEED.
 func seed(t testing.TB, fixed int64) int64 {
 	if text := os.Getenv("KCW_SEED"); text != "" {
--- a/kcw/kcwreplica/sim_test.go
+++ b/kcw/kcwreplica/sim_test.go
@@ -280,14 +280,18 @@
 // all members.
 func (s *sim) settle() bool {
 	s.cuts = map[[2]uint64]bool{}
-	target := uint64(0)
+	target, term := uint64(0), uint64(0)
 	return s.runUntil(4*time.Second, func() bool {
 		leader := s.leader()
 		if leader == nil || !leader.replica.hasCommitted() {
 			return false
 		}
-		if target == 0 {
-			target, _ = leader.replica.Propose([][]byte{[]byte("last")}, s.now)
+		if term != leader.replica.Term() {
+			index, err := leader.replica.Propose([][]byte{[]byte("last")}, s.now)
+			if err != nil {
+				return false
+			}
+			term, target = leader.replica.Term(), index
 		}
 		done := target > 0
 		for id, n := range s.nodes {
