Refuse a log whose last record is damaged or whose newest segment is gone

Cause: a flipped byte in the last batch was taken for a torn write and cut, so that the replica could lose an entry that it had acknowledged; and the newest segment could go missing unnoticed.

Change: headers have a checksum of their own. A record is torn only if the file ends before it does, or if its last sectors are zeros and no later batch follows; anything else is damage. A segment is marked closed once its successor is on the disk, so that a closed one at the end means a missing one.

Tests: two cases of TestDamage are replaced by stricter ones. Rubbish after the end was expected to be cut and must now be refused, since file systems expose no stale blocks; nine cleared bytes, which no sector write leaves behind, give way to a cleared last sector. New cases flip the last record, its length, and a byte before trailing zeros, and remove the newest segment.

--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -1,6 +1,6 @@
 // Package kcwwal holds a replica's log on disk: entries, term and vote in
-// segment files, each record with a checksum. A write that was torn at the end
-// of the last segment is cut; damage anywhere else refuses to open.
+// segment files, each record with checksums. A write that was torn at the end
+// of the last segment is cut; any other damage refuses to open.
 package kcwwal
 
 import (
@@ -87,6 +87,10 @@
 		return l.roll(1)
 	}
 	last := l.segments[len(l.segments)-1]
+	if last.closed {
+		next := filepath.Join(l.cfg.Path, segmentName(last.sequence+1))
+		return failText("open", Missing, next, 0, "the segment before it is closed")
+	}
 	if l.size == 0 {
 		return l.replaceLast(last)
 	}
@@ -128,14 +132,10 @@
 	return nil
 }
 
-// roll closes the segment in use and begins one with the sequence given.
+// roll begins a segment with the sequence given, and then closes the one in
+// use. A closed segment thus always has a successor on the disk.
 func (l *Log) roll(sequence uint64) error {
-	if l.file != nil {
-		if err := l.file.Close(); err != nil {
-			return fail("roll", Storage, l.file.Name(), l.size, err)
-		}
-		l.file = nil
-	}
+	old, oldSize := l.file, l.size
 	path := filepath.Join(l.cfg.Path, segmentName(sequence))
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_EXCL, fileMode)
 	if err != nil {
@@ -152,6 +152,23 @@
 	if err := syncFolder(l.cfg.Path); err != nil {
 		return fail("roll", Storage, path, 0, err)
 	}
+	if old == nil {
+		return nil
+	}
+	return l.closeSegment(old, oldSize)
+}
+
+func (l *Log) closeSegment(file *os.File, size int64) error {
+	_, err := file.Write(appendClose(nil, size))
+	if err == nil {
+		err = l.sync(file)
+	}
+	if closed := file.Close(); err == nil {
+		err = closed
+	}
+	if err != nil {
+		return fail("roll", Storage, file.Name(), size, err)
+	}
 	return nil
 }
 
--- a/kcw/kcwwal/log_test.go
+++ b/kcw/kcwwal/log_test.go
@@ -1,6 +1,7 @@
 package kcwwal
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"os"
@@ -60,6 +61,16 @@
 	}
 }
 
+// lastRecord returns the length of the last record.
+func lastRecord(data []byte) int {
+	offset, last := 0, 0
+	for offset < len(data) {
+		_, next, _ := readRecord(data, offset)
+		offset, last = next, next-offset
+	}
+	return last
+}
+
 func flip(at func(n int) int) func([]byte) []byte {
 	return func(data []byte) []byte {
 		data[at(len(data))] ^= 0x10
@@ -82,23 +93,49 @@
 		{"last record short", last, func(t *testing.T, file string) {
 			edit(t, file, func(b []byte) []byte { return b[:len(b)-5] })
 		}, 0, 1},
-		{"last record's end not written", last, func(t *testing.T, file string) {
+		{"last record's header short", last, func(t *testing.T, file string) {
+			edit(t, file, func(b []byte) []byte { return b[:len(b)-lastRecord(b)+5] })
+		}, 0, 1},
+		{"last sector not written", last, func(t *testing.T, file string) {
 			edit(t, file, func(b []byte) []byte {
-				clear(b[len(b)-9:])
+				b = appendRecord(b, int64(len(b)), kindEntry, func(p []byte) []byte {
+					return append(p, bytes.Repeat([]byte{1}, sectorBytes)...)
+				})
+				clear(b[sectorBytes:])
 				return b
 			})
-		}, 0, 1},
+		}, 0, 0},
+		{"flipped byte in the last record", last, func(t *testing.T, file string) {
+			edit(t, file, flip(func(n int) int { return n - 3 }))
+		}, Damaged, 0},
+		{"flipped length in the last record", last, func(t *testing.T, file string) {
+			edit(t, file, func(b []byte) []byte {
+				b[len(b)-lastRecord(b)+9] ^= 0x10
+				return b
+			})
+		}, Damaged, 0},
+		{"flipped byte with zeros after the end", last, func(t *testing.T, file string) {
+			edit(t, file, func(b []byte) []byte {
+				b[30] ^= 1
+				return append(b, make([]byte, 4096)...)
+			})
+		}, Damaged, 0},
+		{"newest segment missing", last, func(t *testing.T, file string) {
+			if err := os.Remove(file); err != nil {
+				t.Fatal(err)
+			}
+		}, Missing, 0},
 		{"zeros after the end", last, func(t *testing.T, file string) {
 			edit(t, file, func(b []byte) []byte { return append(b, make([]byte, 4096)...) })
 		}, 0, 0},
 		{"rubbish after the end", last, func(t *testing.T, file string) {
 			edit(t, file, func(b []byte) []byte { return append(b, "rubbish that is longer than a header"...) })
-		}, 0, 0},
+		}, Damaged, 0},
 		{"flipped byte in the first record of the last segment", last, func(t *testing.T, file string) {
 			edit(t, file, flip(func(int) int { return 20 }))
 		}, Damaged, 0},
 		{"flipped length in the last segment", last, func(t *testing.T, file string) {
-			edit(t, file, flip(func(int) int { return headerBytes + 25 + 4 }))
+			edit(t, file, flip(func(int) int { return headerBytes + 25 + 8 }))
 		}, Damaged, 0},
 		{"flipped byte in the middle of the first segment", first, func(t *testing.T, file string) {
 			edit(t, file, flip(func(n int) int { return n / 2 }))
@@ -270,22 +307,22 @@
 // stops the log.
 func TestSaveSyncs(t *testing.T) {
 	l := open(t, t.TempDir())
-	var synced int64
+	synced := map[string]int64{}
 	var failure error
 	l.sync = func(file *os.File) error {
 		info, err := file.Stat()
 		if err != nil {
 			return err
 		}
-		synced = info.Size()
+		synced[file.Name()] = info.Size()
 		return failure
 	}
 	for i := uint64(1); i <= 20; i++ {
 		if err := l.Save(1, 1, []*kcwpb.Entry{entry(i, 1)}); err != nil {
 			t.Fatal(err)
 		}
-		if info, err := l.file.Stat(); err != nil || info.Size() != synced {
-			t.Fatalf("entry %d: %d bytes written, %d synced, %v", i, info.Size(), synced, err)
+		if info, err := l.file.Stat(); err != nil || info.Size() != synced[l.file.Name()] {
+			t.Fatalf("entry %d: %d bytes written, %d synced, %v", i, info.Size(), synced[l.file.Name()], err)
 		}
 	}
 	failure = errors.New("no sync")
@@ -315,7 +352,7 @@
 	f.Add(data[:len(data)-3])
 	f.Add([]byte(nil))
 	huge := append([]byte(nil), data...)
-	binary.LittleEndian.PutUint32(huge[4:], 1<<31)
+	binary.LittleEndian.PutUint32(huge[8:], 1<<31)
 	f.Add(huge)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		once, size, err := replayAlone(data)
--- a/kcw/kcwwal/record.go
+++ b/kcw/kcwwal/record.go
@@ -11,20 +11,24 @@
 
 // A segment is a sequence of records:
 //
-//	checksum uint32  CRC-32C of all that follows
-//	length   uint32  of the payload, in bytes
-//	batch    uint64  offset of the first record written along with this one
-//	payload          one byte of kind, then the body
+//	header checksum   uint32  CRC-32C of the three fields that follow
+//	payload checksum  uint32  CRC-32C of the payload
+//	length            uint32  of the payload, in bytes
+//	batch             uint64  offset of the first record written along with
+//	                          this one, in bytes
+//	payload                   one byte of kind, then the body
 //
 // All integers are little-endian. What stands before a record's batch was
-// synced before the record was written. A bad record is therefore a torn write
-// only if no good record of a later batch follows it.
+// synced before the record was written. A write is torn where the file ends
+// before it, or where its last sectors still hold zeros; any other bad record
+// is damage.
 const (
-	headerBytes = 16
+	headerBytes = 20
+	sectorBytes = 512
 	// maxPayload bounds the payload of a record, in bytes.
 	maxPayload = 64 << 20
 
-	magic = "KCWWAL01"
+	magic = "KCWWAL02"
 )
 
 type recordKind byte
@@ -34,6 +38,7 @@
 	kindState
 	kindEntry
 	kindReset
+	kindClose
 )
 
 // header is the first record of a segment.
@@ -57,9 +62,10 @@
 	buf = append(buf, byte(kind))
 	buf = fill(buf)
 	record := buf[start:]
-	binary.LittleEndian.PutUint32(record[4:], uint32(len(record)-headerBytes))
-	binary.LittleEndian.PutUint64(record[8:], uint64(batch))
-	binary.LittleEndian.PutUint32(record, crc32.Checksum(record[4:], castagnoli))
+	binary.LittleEndian.PutUint32(record[4:], crc32.Checksum(record[headerBytes:], castagnoli))
+	binary.LittleEndian.PutUint32(record[8:], uint32(len(record)-headerBytes))
+	binary.LittleEndian.PutUint64(record[12:], uint64(batch))
+	binary.LittleEndian.PutUint32(record, crc32.Checksum(record[4:headerBytes], castagnoli))
 	return buf
 }
 
@@ -87,34 +93,64 @@
 	return buf, err
 }
 
+// appendClose appends the record that says that another segment follows.
+func appendClose(buf []byte, batch int64) []byte {
+	return appendRecord(buf, batch, kindClose, func(b []byte) []byte { return b })
+}
+
+// readLength returns the length of the payload of the record at offset. Ok is
+// false if no whole header with a right checksum is there.
+func readLength(data []byte, offset int) (length int, ok bool) {
+	if len(data)-offset < headerBytes {
+		return 0, false
+	}
+	h := data[offset : offset+headerBytes]
+	if binary.LittleEndian.Uint32(h) != crc32.Checksum(h[4:], castagnoli) {
+		return 0, false
+	}
+	length = int(binary.LittleEndian.Uint32(h[8:]))
+	batch := binary.LittleEndian.Uint64(h[12:])
+	return length, length > 0 && length <= maxPayload && batch <= uint64(offset)
+}
+
 // readRecord returns the payload of the record at offset of data and the
 // offset after it. Ok is false if no whole record with a right checksum is
 // there.
 func readRecord(data []byte, offset int) (payload []byte, next int, ok bool) {
-	if len(data)-offset < headerBytes+1 {
+	length, ok := readLength(data, offset)
+	if !ok || length > len(data)-offset-headerBytes {
 		return nil, 0, false
 	}
-	record := data[offset:]
-	length := int(binary.LittleEndian.Uint32(record[4:]))
-	if length == 0 || length > maxPayload || length > len(record)-headerBytes {
+	payload = data[offset+headerBytes : offset+headerBytes+length]
+	if binary.LittleEndian.Uint32(data[offset+4:]) != crc32.Checksum(payload, castagnoli) {
 		return nil, 0, false
 	}
-	record = record[:headerBytes+length]
-	batch := binary.LittleEndian.Uint64(record[8:])
-	if batch > uint64(offset) {
-		return nil, 0, false
+	return payload, offset + headerBytes + length, true
+}
+
+// isTorn reports whether the bad record at offset may be a write that did not
+// finish.
+func isTorn(data []byte, offset int) bool {
+	if len(data)-offset < headerBytes {
+		return true
 	}
-	if binary.LittleEndian.Uint32(record) != crc32.Checksum(record[4:], castagnoli) {
-		return nil, 0, false
+	if length, ok := readLength(data, offset); ok && length > len(data)-offset-headerBytes {
+		return true
+	}
+	sector := (len(data) - 1) / sectorBytes * sectorBytes
+	for _, b := range data[max(offset, sector):] {
+		if b != 0 {
+			return false
+		}
 	}
-	return record[headerBytes:], offset + len(record), true
+	return !laterBatch(data, offset)
 }
 
 // laterBatch reports whether a good record of a batch that began after offset
 // follows offset, so that what stands at offset had been synced.
 func laterBatch(data []byte, offset int) bool {
 	for at := offset + 1; at+headerBytes < len(data); at++ {
-		batch := binary.LittleEndian.Uint64(data[at+8:])
+		batch := binary.LittleEndian.Uint64(data[at+12:])
 		if batch <= uint64(offset) || batch > uint64(at) {
 			continue
 		}
--- a/kcw/kcwwal/replay.go
+++ b/kcw/kcwwal/replay.go
@@ -24,6 +24,8 @@
 	path     string
 	// last is the largest index of the entries in it, zero if none.
 	last uint64
+	// closed says that another segment follows.
+	closed bool
 }
 
 // content is what the records of the log add up to.
@@ -89,8 +91,8 @@
 	if offset == len(data) && offset > 0 {
 		return int64(offset), nil
 	}
-	if !isLast || laterBatch(data, offset) {
-		return 0, failText("open", Damaged, s.path, int64(offset), "bad record before synced ones")
+	if !isLast || !isTorn(data, offset) {
+		return 0, failText("open", Damaged, s.path, int64(offset), "bad record that is no torn write")
 	}
 	return int64(offset), nil
 }
@@ -126,6 +128,9 @@
 		return nil
 	case kindEntry:
 		return c.applyEntry(s, body, offset)
+	case kindClose:
+		s.closed = true
+		return nil
 	}
 	return failText("open", Damaged, s.path, offset, "unknown kind of record")
 }
