--- a/kcw/kcwgroup/apply.go
+++ b/kcw/kcwgroup/apply.go
@@ -10,6 +10,10 @@
 	"kingcupwick.example/kcw/kcwpb"
 )
 
+// holdFactor is by how much the bounds on the log may be exceeded while a
+// snapshot is being sent.
+const holdFactor = 8
+
 // work is one piece for the applier: entries to apply, a snapshot to restore,
 // or calls to finish once all before is applied.
 type work struct {
@@ -40,6 +44,9 @@
 	// whether it was taken; load restores the machine from a stored snapshot.
 	freeze func(meta *kcwpb.SnapshotChunk, image func(io.Writer) error)
 	load   func(index uint64) error
+	// hold reports whether a snapshot is being sent to another replica. A newer
+	// one then waits, since cutting the log behind it would outdate the other.
+	hold   func() bool
 	idle   atomic.Bool
 	broken func(error)
 }
@@ -156,7 +163,7 @@
 // freezeIfDue takes an image of the machine when enough was applied since the
 // last one and none is being written.
 func (a *applier) freezeIfDue() {
-	if a.entries < a.limits.SnapshotEntries && a.bytes < a.limits.SnapshotBytes {
+	if !a.exceeds(1) || (a.hold() && !a.exceeds(holdFactor)) {
 		return
 	}
 	if !a.idle.CompareAndSwap(true, false) {
@@ -168,3 +175,10 @@
 	}
 	a.freeze(meta, a.machine.Freeze())
 }
+
+// exceeds reports whether factor times the bounds of Config was applied since
+// the last snapshot.
+func (a *applier) exceeds(factor uint64) bool {
+	return a.entries >= factor*a.limits.SnapshotEntries ||
+		a.bytes >= int64(factor)*a.limits.SnapshotBytes
+}
--- a/kcw/kcwgroup/failure_test.go
+++ b/kcw/kcwgroup/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -156,6 +157,32 @@
 	}
 }
 
+// While a snapshot is being sent the next one waits, up to a bound.
+func TestSnapshotWaitsForTransfer(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		sending bool
+		entries uint64
+		taken   int
+	}{
+		{"below the bound", false, 9, 0},
+		{"at the bound", false, 10, 1},
+		{"at the bound while sending", true, 10, 0},
+		{"far beyond the bound while sending", true, 10 * holdFactor, 1},
+	} {
+		a := newApplier(Config{Machine: &counter{}, SnapshotEntries: 10}.withDefaults(), &waiters{})
+		taken := 0
+		a.hold = func() bool { return test.sending }
+		a.freeze = func(*kcwpb.SnapshotChunk, func(io.Writer) error) { taken++ }
+		for index := uint64(1); index <= test.entries; index++ {
+			a.do(work{entries: []*kcwpb.Entry{{Index: index, Term: 1}}})
+		}
+		if taken != test.taken {
+			t.Errorf("%s: %d snapshots, want %d", test.name, taken, test.taken)
+		}
+	}
+}
+
 func TestClockSteppedBackAndForth(t *testing.T) {
 	c := newCluster(t, 3, nil)
 	c.startAll()
--- a/kcw/kcwgroup/group.go
+++ b/kcw/kcwgroup/group.go
@@ -52,7 +52,9 @@
 	closeOnce   sync.Once
 	fault       atomic.Pointer[error]
 	status      atomic.Pointer[kcwpb.GroupStatus]
-	heard       atomic.Pointer[time.Time]
+	// sendingUntil is when a snapshot that is being sent counts as given up.
+	sendingUntil atomic.Pointer[time.Time]
+	heard        atomic.Pointer[time.Time]
 
 	// Below belong to the loop.
 	replica     *kcwreplica.Replica
@@ -88,6 +90,7 @@
 	}
 	g.applier.freeze = g.freeze
 	g.applier.load = g.load
+	g.applier.hold = g.isSending
 	g.applier.broken = func(err error) { g.post(func() error { return err }) }
 	if err := g.open(); err != nil {
 		g.closeFiles()
--- a/kcw/kcwgroup/transport.go
+++ b/kcw/kcwgroup/transport.go
@@ -11,6 +11,11 @@
 // chunkBytes is the size of the parts in which a snapshot is sent.
 const chunkBytes = 256 << 10
 
+// sendingElections is for how many election timeouts after its last part a
+// snapshot counts as being sent: the receiver then has it and begins to take
+// entries.
+const sendingElections = 2
+
 const snapshotKind = kcwpb.MessageKind_MESSAGE_KIND_SNAPSHOT
 
 // sendAll hands messages over by receiver, in order.
@@ -38,9 +43,17 @@
 		return false
 	}
 	m.Chunk = chunk
+	until := g.cfg.Now().Add(sendingElections * g.cfg.Election)
+	g.sendingUntil.Store(&until)
 	return true
 }
 
+// isSending reports whether a part of a snapshot was sent lately.
+func (g *Group) isSending() bool {
+	until := g.sendingUntil.Load()
+	return until != nil && g.cfg.Now().Before(*until)
+}
+
 // contact returns where the replica id is, nil if that is not known.
 func (g *Group) contact(id uint64) *kcwpb.Member {
 	for _, m := range g.replica.Membership().GetMembers() {
