--- a/kcw/kcwgroup/group_bench_test.go
+++ b/kcw/kcwgroup/group_bench_test.go
@@ -1,6 +1,7 @@
 package kcwgroup
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -151,3 +152,39 @@
 	close(queue)
 	wait.Wait()
 }
+
+// BenchmarkRepair loses the disk of a follower of three while 64 writers go on,
+// and measures the time until its new identity is a voter in its place.
+func BenchmarkRepair(b *testing.B) {
+	const changes, writers = 200_000, 64
+	c := newCluster(b, 3, benchConfig)
+	overConnect(c)
+	c.startAll()
+	fillGroup(b, c.leader().group, changes)
+	var repaired time.Duration
+	for b.Loop() {
+		leader := c.leader()
+		lost := "h1"
+		if leader.name == lost {
+			lost = "h2"
+		}
+		old := c.hosts[lost].group.Status().Id
+		ctx, cancel := context.WithCancel(b.Context())
+		var wait sync.WaitGroup
+		for id := range writers {
+			wait.Go(func() {
+				for i := 0; ctx.Err() == nil; i++ {
+					_, _ = leader.group.Propose(ctx, benchCommand(int64(id)))
+				}
+			})
+		}
+		c.loseDisk(lost)
+		start := time.Now()
+		c.repair(c.start(lost, false), old)
+		repaired += time.Since(start)
+		cancel()
+		wait.Wait()
+	}
+	b.ReportMetric(float64(repaired.Milliseconds())/float64(b.N), "repair-ms")
+	b.ReportMetric(float64(c.leader().group.Status().Commit), "commits")
+}
