--- a/kcw/kcwgateway/failure_test.go
+++ b/kcw/kcwgateway/failure_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -385,8 +386,11 @@
 	}
 	release := make(chan struct{})
 	finish := sync.OnceFunc(func() { close(release) })
+	var calls atomic.Int64
 	e := &engine{words: []string{"a"}, before: func(http.ResponseWriter, *http.Request) bool {
-		<-release
+		if calls.Add(1) == 1 {
+			<-release
+		}
 		return false
 	}}
 	f := start(t, l, "r1", map[string][]http.Handler{"engine": {e}}, func(cfg *Config) { cfg.Limits = limits })
--- a/kcw/kcwgateway/retry_test.go
+++ b/kcw/kcwgateway/retry_test.go
@@ -110,10 +110,13 @@
 		name, key string
 		running   bool
 		fetched   bool
+		// tampered says that the answer is not the one that was billed.
+		tampered bool
 	}{
-		{"finished", processKey, false, true},
-		{"running", processKey, true, true},
-		{"wrong key", "another-key-for-processes", false, false},
+		{"finished", processKey, false, true, false},
+		{"running", processKey, true, true, false},
+		{"wrong key", "another-key-for-processes", false, false, false},
+		{"another answer", processKey, false, false, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			l := newLedger(t, "r1", "r2")
@@ -141,6 +144,9 @@
 				if result.GetCode() != kcwpb.Code_CODE_OK {
 					result.OwnerAddress = internal.Listener.Addr().String()
 				}
+				if test.tampered && result.GetCode() == kcwpb.Code_CODE_BILLED {
+					result.Claim.AnswerDigest = make([]byte, 32)
+				}
 				return result, nil
 			}, nil)
 			first := make(chan reply, 1)
