--- a/kcw-router/dump.go
+++ b/kcw-router/dump.go
@@ -20,12 +20,17 @@
 	// from a replica that was in touch with a quorum.
 	Contracts int
 	FreshAt   time.Time
-	Gateway   any
+	// PendingOutcomes is how many outcomes the ledger is still to be told, and
+	// RefusedOutcomes how many it would not take.
+	PendingOutcomes, RefusedOutcomes int
+	Gateway                          any
 }
 
 func (p *process) dump(incarnation uint64) dump {
 	contracts, freshAt := p.catalog.Size()
+	pending, refused := p.wallet.Pending()
 	return dump{
+		PendingOutcomes: pending, RefusedOutcomes: refused,
 		Router: p.settings.Host.Name, Zone: p.settings.Host.Zone, Incarnation: incarnation,
 		Revision: p.catalog.Revision(), Contracts: contracts, FreshAt: freshAt, Gateway: p.gateway.Dump(),
 	}
--- a/kcw-router/kcwsetup/settings.go
+++ b/kcw-router/kcwsetup/settings.go
@@ -16,6 +16,7 @@
 	Host      hostSettings
 	Ledger    ledgerSettings
 	Keys      keySettings
+	Grants    grantSettings
 	Limits    limitSettings
 	Deadlines deadlineSettings
 	Answers   answerSettings
@@ -58,6 +59,25 @@
 	OperatorKeyFile string
 }
 
+// grantSettings says how the router serves while it can't reach the ledger. It
+// needs a folder for that.
+type grantSettings struct {
+	// Endurance is how long the router should serve its demand by itself; zero
+	// draws no grants.
+	Endurance time.Duration `default:"1m" setting:"min=0s,max=24h"`
+	// Divisor is the fraction of a budget's free tokens that one router may
+	// hold at most, as its divisor.
+	Divisor int64 `default:"40" setting:"min=1,max=1000000"`
+	// IdleAfter is how long a grant without demand is kept.
+	IdleAfter time.Duration `default:"10m" setting:"min=1s,max=24h"`
+	// LedgerDeadline bounds the wait for the ledger before a grant is used.
+	LedgerDeadline time.Duration `default:"300ms" setting:"min=1ms,max=1m"`
+	// Routers share the limits of a contract then, and Rank is this router's
+	// place among them, from zero.
+	Routers int `default:"10" setting:"min=1,max=100000"`
+	Rank    int `default:"0" setting:"min=0,max=99999"`
+}
+
 // limitSettings bounds what one router holds.
 type limitSettings struct {
 	MaxBodyBytes     int64 `default:"4194304" setting:"min=1024,max=1073741824"`
--- a/kcw-router/process.go
+++ b/kcw-router/process.go
@@ -20,26 +20,39 @@
 	"kingcupwick.example/kcw/kcwcatalog"
 	"kingcupwick.example/kcw/kcwfolder"
 	"kingcupwick.example/kcw/kcwgateway"
+	"kingcupwick.example/kcw/kcwgrant"
+	"kingcupwick.example/kcw/kcwjournal"
 	"kingcupwick.example/kcw/kcwkeyring"
 	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwlimit"
 	"kingcupwick.example/kcw/kcwmeter"
+	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwupstream"
+	"kingcupwick.example/kcw/kcwwallet"
 )
 
 const (
 	// incarnationFile holds the incarnation of the last start.
 	incarnationFile = "incarnation.json"
+	// journalFolder holds the claims that were opened away from the ledger.
+	journalFolder = "journal"
+	// limitBurst is the fraction of a minute's limit that may come at once.
+	limitBurst = 0.5
 	// headerTimeout bounds the wait for a request's header, idleTimeout how
 	// long a caller's connection is kept without one.
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// returnTimeout bounds the return of the grants at a stop.
+	returnTimeout = 10 * time.Second
 )
 
 // process is the parts of one router.
 type process struct {
 	settings *kcwsetup.Settings
 	folder   *kcwfolder.Folder
+	journal  *kcwjournal.Journal
+	wallet   *kcwwallet.Wallet
 	client   *kcwledger.Client
 	catalog  *kcwcatalog.Catalog
 	gateway  *kcwgateway.Gateway
@@ -72,12 +85,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := p.newWallet(incarnation); err != nil {
+		return nil, err
+	}
 	if err := p.newGateway(k, incarnation); err != nil {
 		return nil, err
 	}
 	p.presence = kcwpresence.New(kcwpresence.Config{
 		Ledger: p.client, Router: s.Host.Name, Zone: s.Host.Zone, Incarnation: incarnation,
 		Address: s.Host.InternalAddress, Revision: p.catalog.Revision, Fenced: p.gateway.Fence,
+		Beat: func(answer *kcwpb.HeartbeatResponse) { p.wallet.Recall(answer.GetRecalls()) },
 	})
 	p.public = newServer(s.Host.Address.String(), "/", p.gateway)
 	path, handler := p.gateway.Answers()
@@ -100,6 +117,13 @@
 		return 0, err
 	}
 	p.folder = folder
+	path, err := folder.Sub(journalFolder)
+	if err != nil {
+		return 0, err
+	}
+	if p.journal, err = kcwjournal.Open(kcwjournal.Config{Folder: path}); err != nil {
+		return 0, err
+	}
 	var last uint64
 	var failure *kcwfolder.Error
 	if err := folder.ReadJSON(incarnationFile, &last); err != nil && (!errors.As(err, &failure) || failure.Kind != kcwfolder.Missing) {
@@ -109,12 +133,29 @@
 	return incarnation, folder.WriteJSON(incarnationFile, incarnation)
 }
 
+// newWallet makes the wallet, which takes over what the journal holds of
+// earlier starts.
+func (p *process) newWallet(incarnation uint64) error {
+	s := p.settings.Grants
+	wallet, err := kcwwallet.New(kcwwallet.Config{
+		Ledger: p.client, Journal: p.journal, Router: p.settings.Host.Name, Incarnation: incarnation,
+		Policy:         kcwgrant.New(kcwgrant.Config{Endurance: s.Endurance, Divisor: s.Divisor, IdleAfter: s.IdleAfter}),
+		LedgerDeadline: s.LedgerDeadline,
+	})
+	p.wallet = wallet
+	return err
+}
+
 func (p *process) newGateway(k kcwsetup.Keys, incarnation uint64) error {
 	s := p.settings
 	peers, err := kcwkeyring.New(kcwkeyring.Config{Keys: map[string]string{"router": k.Router}})
 	if err != nil {
 		return err
 	}
+	limits, err := kcwlimit.New(kcwlimit.Config{Routers: s.Grants.Routers, Rank: s.Grants.Rank, Burst: limitBurst})
+	if err != nil {
+		return err
+	}
 	var upstreams []*kcwupstream.Upstream
 	for name, u := range s.Upstream {
 		upstreams = append(upstreams, kcwupstream.New(kcwupstream.Config{
@@ -124,7 +165,7 @@
 	}
 	p.gateway, err = kcwgateway.New(kcwgateway.Config{
 		Router: s.Host.Name, Incarnation: incarnation, Zone: s.Host.Zone,
-		Contracts: p.catalog, Accounts: &accounts{p.client}, Upstreams: upstreams,
+		Contracts: p.catalog, Accounts: p.wallet, Limits: limits, Upstreams: upstreams,
 		Answers: kcwanswer.New(kcwanswer.Config{
 			MaxBytes: s.Answers.MaxBytes, MaxAnswers: s.Answers.MaxAnswers, Retention: s.Answers.Retention,
 		}),
@@ -159,6 +200,7 @@
 	}
 	go p.presence.Run(p.life)
 	go p.gateway.Run(p.life)
+	go p.wallet.Run(p.life)
 	go func() {
 		if err := p.catalog.Run(p.life); err != nil && p.life.Err() == nil {
 			klog.ErrorS(err, "Watch ended")
@@ -221,10 +263,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Host.StopTimeout)
 	defer cancel()
 	err := p.gateway.Stop(ctx)
+	// What the wallet can't give back is taken over by the next start.
+	returning, done := context.WithTimeout(context.Background(), returnTimeout)
+	defer done()
+	if left := p.wallet.Close(returning); left != nil {
+		klog.ErrorS(left, "Grants not given back")
+	}
 	p.end()
 	p.client.Close()
 	if p.folder != nil {
-		err = errors.Join(err, p.folder.Close())
+		err = errors.Join(err, p.journal.Close(), p.folder.Close())
 	}
 	if err != nil {
 		return eris.Wrap(err, "stop")
--- a/kcw/kcwwallet/open.go
+++ b/kcw/kcwwallet/open.go
@@ -44,6 +44,9 @@
 	if w.fenced {
 		return nil, &kcwpb.Result{Code: kcwpb.Code_CODE_FENCED, Detail: "the router incarnation was replaced"}
 	}
+	if w.closing {
+		return nil, &kcwpb.Result{Code: kcwpb.Code_CODE_FENCED, Detail: "the router is stopping"}
+	}
 	now := w.cfg.Now()
 	e := &entry{name: name{claim.GetCustomer(), claim.GetRequest()}, open: claim, busy: true}
 	if old := w.claims[e.name]; old != nil {
--- a/kcw/kcwwallet/tend.go
+++ b/kcw/kcwwallet/tend.go
@@ -220,6 +220,9 @@
 	tokens := w.cfg.Policy.Plan(kcwgrant.Holding{
 		Free: p.free, Available: p.available, Demand: p.demand, Recalled: p.recalled,
 	}, now)
+	if w.closing {
+		tokens = -p.free
+	}
 	switch {
 	case tokens > 0 && p.available > 0:
 		p.move = w.draw(customer, p, tokens)
--- a/kcw/kcwwallet/wallet.go
+++ b/kcw/kcwwallet/wallet.go
@@ -67,6 +67,8 @@
 	// silentUntil is until when the ledger is not asked by requests.
 	silentUntil time.Time
 	fenced      bool
+	// closing is set when all grants are to go back.
+	closing bool
 	// serial numbers the openings sent to the ledger, and sent holds those whose
 	// calls have not ended.
 	serial uint64
--- a/kcw/kcwwallet/wallet_test.go
+++ b/kcw/kcwwallet/wallet_test.go
@@ -1,6 +1,7 @@
 package kcwwallet_test
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -183,3 +184,24 @@
 		t.Fatal(err)
 	}
 }
+
+func TestClose(t *testing.T) {
+	w, r := stocked(t)
+	r.link.cut = true
+	claim, result, err := r.open("r", 60, true)
+	r.mustSettle(mayRun(t, claim, result, err), ran, 40)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	if r.wallet.Close(ended) == nil {
+		t.Error("closed without the ledger")
+	}
+	r.link.cut = false
+	w.pass(time.Minute)
+	if err := r.wallet.Close(t.Context()); err != nil {
+		t.Error(err)
+	}
+	w.is("billed 50 reserved 0 granted 0")
+	if _, result, _ := r.open("q", 1, true); result.GetCode() != kcwpb.Code_CODE_FENCED {
+		t.Errorf("a closed wallet gave %v", result)
+	}
+}
