Test a planned stop and a killed router with real processes

Three ledgers, two routers, an engine and a plain service. A router told to stop with 16 streams open cuts none and gives its grants back; one killed with 8 streams and a receipt open leaves broken answers, whose retries through the other router are whole and billed once, and the receipt runs once.

--- /dev/null
+++ b/kcw-router/process_test.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// betweenTokens makes a stream of the engine last about a second.
+const betweenTokens = 20 * time.Millisecond
+
+func streamOf(word string) string {
+	return fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":"Write at length about %s."}],"max_tokens":400,"stream":true}`, word)
+}
+
+// claim is one claim in the ledger's dump.
+type claim struct {
+	Request, State string
+	Tokens         int64
+}
+
+// checkBills fails the test unless each identity is billed once, with what the
+// one finished run in the engine's record took.
+func (f *fleet) checkBills(identities []string) {
+	f.t.Helper()
+	var dump struct{ Claims []claim }
+	if err := json.Unmarshal(f.ctl("dump"), &dump); err != nil {
+		f.t.Fatal(err)
+	}
+	bills := map[string][]claim{}
+	for _, c := range dump.Claims {
+		bills[c.Request] = append(bills[c.Request], c)
+	}
+	used := map[string][]int64{}
+	for _, e := range f.record(engineControl) {
+		if e.Outcome == "Finished" {
+			used[e.Request] = append(used[e.Request], e.PromptTokens+e.CompletionTokens)
+		}
+	}
+	for _, identity := range identities {
+		b, u := bills[identity], used[identity]
+		if len(b) != 1 || len(u) != 1 || b[0].State != "Billed" || b[0].Tokens != u[0] {
+			f.t.Errorf("%s: billed %+v for runs of %v tokens", identity, b, u)
+		}
+	}
+}
+
+// askAll sends streams at once through a router and returns when each has
+// begun, and where the answers will be.
+func askAll(url string, identities []string) <-chan answer {
+	answers := make(chan answer, len(identities))
+	var began sync.WaitGroup
+	for _, identity := range identities {
+		began.Add(1)
+		go func() { answers <- ask(url, "/v1/chat/completions", identity, streamOf(identity), began.Done) }()
+	}
+	began.Wait()
+	return answers
+}
+
+func names(prefix string, n int) []string {
+	var all []string
+	for i := range n {
+		all = append(all, fmt.Sprint(prefix, "-", i))
+	}
+	return all
+}
+
+// TestPlannedStop checks that a router told to stop cuts no stream, gives its
+// grants back and ends well, while another serves.
+func TestPlannedStop(t *testing.T) {
+	f := startFleet(t, 2, betweenTokens)
+	long := names("long", 16)
+	answers := askAll(routerURL(1), long)
+	f.signal("router-1", syscall.SIGTERM)
+	other := ask(routerURL(2), "/v1/chat/completions", "other", streamOf("other"), nil)
+	if other.err != nil || !strings.HasSuffix(other.body, "data: [DONE]\n\n") {
+		t.Errorf("through the other router: %+v", other)
+	}
+	for range long {
+		if a := <-answers; a.err != nil || a.status != 200 || !strings.HasSuffix(a.body, "data: [DONE]\n\n") {
+			t.Errorf("cut by the stop: %+v", a)
+		}
+	}
+	if err := f.ended("router-1"); err != nil {
+		t.Errorf("the router ended with %v", err)
+	}
+	f.checkBills(append(long, "other"))
+	var dump struct {
+		Grants []struct {
+			Router string
+			Tokens int64
+		}
+	}
+	if err := json.Unmarshal(f.ctl("dump"), &dump); err != nil {
+		t.Fatal(err)
+	}
+	for _, g := range dump.Grants {
+		if g.Router == "router-1" && g.Tokens > 0 {
+			t.Errorf("router-1 still holds %d tokens", g.Tokens)
+		}
+	}
+}
+
+// TestKilledRouter checks what a router leaves that is killed with streams and
+// a call open that must not be repeated: broken answers, retries through
+// another router that are whole and billed once, and one run of that call.
+func TestKilledRouter(t *testing.T) {
+	f := startFleet(t, 2, betweenTokens)
+	open := names("open", 8)
+	answers := askAll(routerURL(1), open)
+	receipt := make(chan answer, 1)
+	go func() { receipt <- ask(routerURL(1), "/services/app/receipts", "receipt", `{"Donor":"x"}`, nil) }()
+	for deadline := time.Now().Add(fleetDeadline); len(f.record(appControl)) == 0 && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.signal("router-1", syscall.SIGKILL)
+	for range open {
+		if a := <-answers; a.err == nil {
+			t.Errorf("passed on as complete: %+v", a)
+		}
+	}
+	if a := <-receipt; a.err == nil {
+		t.Errorf("passed on as complete: %+v", a)
+	}
+	_ = f.ended("router-1")
+	for _, identity := range open {
+		a := f.askUntilAnswered(identity)
+		if a.err != nil || !strings.HasSuffix(a.body, "data: [DONE]\n\n") {
+			t.Errorf("%s again: %+v", identity, a)
+		}
+	}
+	f.checkBills(open)
+	again := ask(routerURL(2), "/services/app/receipts", "receipt", `{"Donor":"x"}`, nil)
+	if again.status != 409 || !strings.Contains(again.body, `"outcome":"unknown"`) {
+		t.Errorf("the receipt again: %+v", again)
+	}
+	if n := len(f.record(appControl)); n != 1 {
+		t.Errorf("the receipt ran %d times", n)
+	}
+}
+
+// askUntilAnswered sends a stream through the second router until it is not
+// told to come back later.
+func (f *fleet) askUntilAnswered(identity string) answer {
+	f.t.Helper()
+	for deadline := time.Now().Add(fleetDeadline); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		a := ask(routerURL(2), "/v1/chat/completions", identity, streamOf(identity), nil)
+		if a.status != 409 {
+			return a
+		}
+	}
+	f.t.Fatalf("%s is not answered", identity)
+	return answer{}
+}
--- a/kcw/kcwgateway/run.go
+++ b/kcw/kcwgateway/run.go
@@ -123,6 +123,10 @@
 	if at := reply.GetRetryAt(); at > 0 {
 		bad.until(time.Unix(0, at))
 	}
+	// An owner that is gone is noticed long before its lease ends.
+	if soon := now.Add(longWait); reply.GetCode() == kcwpb.Code_CODE_IN_PROGRESS && bad.retryAt.After(soon) {
+		bad.until(soon)
+	}
 	return bad
 }
 
