Assert the goals that hold, and report at the design size

Change: TestPolicyGoals (retries within a tenth, no contract inside its share served less than nine tenths, first token in a burst within twice the steady p95 without affinity); TestPolicyDesignReport with 690 workers.

--- a/kcw/kcwpolicy/report_test.go
+++ b/kcw/kcwpolicy/report_test.go
@@ -130,11 +130,13 @@
 			running, waiting := e.load()
 			load := kcwpick.Load{Running: running, Waiting: waiting, Capacity: engineSlots, At: f.clock.now}
 			ok := !e.dead
-			for _, r := range f.routers {
-				if rng.Float64() >= f.scenario.lost {
-					f.clock.after(f.scenario.lag, func() { r.poll(e, load, ok) })
+			f.clock.after(f.scenario.lag, func() {
+				for _, r := range f.routers {
+					if f.scenario.lost == 0 || rng.Float64() >= f.scenario.lost {
+						r.poll(e, load, ok)
+					}
 				}
-			}
+			})
 			if f.clock.now.Before(end) {
 				f.clock.after(period, next)
 			}
@@ -275,16 +277,60 @@
 	return s
 }
 
-// TestPolicyReport prints the figures of docs/BENCHMARKS-policy.md.
-func TestPolicyReport(t *testing.T) {
+// report prints the table of some variants in some scenarios.
+func report(t *testing.T, scenarios []scenario, variants []variant) {
+	t.Helper()
 	if !testing.Verbose() {
 		t.Skip("prints its table with -v only")
 	}
-	for _, s := range today {
+	for _, s := range scenarios {
 		var b strings.Builder
 		for _, v := range variants {
-			fmt.Fprintln(&b, run(sized(s, 20, 10), v, 1).row())
+			fmt.Fprintln(&b, run(s, v, 1).row())
+		}
+		t.Logf("%s: %d workers, %d routers\n%s\n%s", s.name, s.workers, s.routers, header, b.String())
+	}
+}
+
+// TestPolicyReport prints the figures of docs/BENCHMARKS-policy.md.
+func TestPolicyReport(t *testing.T) {
+	var scenarios []scenario
+	for _, s := range today {
+		scenarios = append(scenarios, sized(s, 20, 10))
+	}
+	report(t, scenarios, variants)
+}
+
+// TestPolicyDesignReport prints the figures at the design size, over 20 s.
+func TestPolicyDesignReport(t *testing.T) {
+	var scenarios []scenario
+	for _, s := range today {
+		s = sized(s, 690, 100)
+		s.lasts, s.surges = 20*time.Second, 20*time.Second
+		s.slow, s.dead = s.slow*20, s.dead*20
+		scenarios = append(scenarios, s)
+	}
+	report(t, scenarios, []variant{variants[0], variants[3], variants[7], full})
+}
+
+// TestPolicyGoals checks the goals that hold, on the virtual clock.
+func TestPolicyGoals(t *testing.T) {
+	plain := variants[7]
+	steady := percentile(run(sized(today[0], 20, 10), plain, 1).inside, .95)
+	for _, s := range today {
+		for _, v := range []variant{full, plain} {
+			f := run(sized(s, 20, 10), v, 1)
+			if 10*f.retries > f.firstTries {
+				t.Errorf("%s, %s: %d retries of %d first tries", s.name, v.name, f.retries, f.firstTries)
+			}
+			for c := bursting; c < contracts; c++ {
+				if float64(f.served[c]) < 0.9*float64(f.offered[c]) {
+					t.Errorf("%s, %s: contract %d had %d of %d served", s.name, v.name, c, f.served[c], f.offered[c])
+				}
+			}
+			if p95 := percentile(f.inside, .95); s.surge > 0 && p95 > 2*steady {
+				t.Errorf("%s, %s: first token inside shares %v, over twice %v", s.name, v.name, p95, steady)
+			}
 		}
-		t.Logf("%s: 20 workers, 10 routers\n%s\n%s", s.name, header, b.String())
 	}
 }
