--- /dev/null
+++ b/kcw/kcwprefix/error.go
@@ -0,0 +1,29 @@
+package kcwprefix
+
+import "fmt"
+
+// Kind says what went wrong.
+type Kind int
+
+// KindInvalid is the kind of a configuration that breaks a rule.
+const KindInvalid Kind = 1
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	if k == KindInvalid {
+		return "invalid"
+	}
+	return fmt.Sprintf("kind %d", int(k))
+}
+
+// Error is the error of this package.
+type Error struct {
+	Op     string
+	Kind   Kind
+	Detail string
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("kcwprefix: %s: %v: %s", e.Op, e.Kind, e.Detail)
+}
