Use the stable prefix hash in the gateway

Cause: the gateway hashed a prompt's beginning with a seed of its own process, so that the routers' homes of a prefix differed. Change: kcwprefix over the model and the first message (1 KiB). Its constructor panics on bad bounds, which are constants, in place of an error type. Result: go test ./kcwgateway and ./kcwprefix pass.

--- a/kcw/kcwgateway/chat.go
+++ b/kcw/kcwgateway/chat.go
@@ -4,25 +4,26 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"hash/maphash"
 	"net/http"
 	"strconv"
 	"time"
 	"unicode/utf8"
 
 	"kingcupwick.example/kcw/kcwcontract"
+	"kingcupwick.example/kcw/kcwprefix"
 	"kingcupwick.example/kcw/kcwtoken"
 )
 
 const (
 	chatPath   = "/v1/chat/completions"
 	modelsPath = "/v1/models"
-	// prefixBytes is how much of the messages stands for their prefix.
-	prefixBytes = 1024
+	// prefixMessages and prefixBytes are how much of the messages stands for their
+	// prefix, by which all routers find the same engine.
+	prefixMessages = 1
+	prefixBytes    = 1024
 )
 
-// prefixSeed makes prefix hashes, which never leave this process.
-var prefixSeed = maphash.MakeSeed()
+var prefixes = kcwprefix.New(kcwprefix.Config{Messages: prefixMessages, Bytes: prefixBytes})
 
 // admitChat checks a chat completion and fills in its part of req.
 func (g *Gateway) admitChat(req *request, body []byte, now time.Time) *refusal {
@@ -104,8 +105,7 @@
 		return nil, refuse(codeMalformedBody, now, "stream_options is malformed.")
 	}
 	terms.wantsUsage = options.IncludeUsage
-	head := fields["messages"]
-	terms.prefix = maphash.Bytes(prefixSeed, head[:min(len(head), prefixBytes)])
+	terms.prefix = prefixes.Sum(string(fields["model"]), fields["messages"])
 	return terms, nil
 }
 
--- a/kcw/kcwprefix/hash.go
+++ b/kcw/kcwprefix/hash.go
@@ -25,13 +25,12 @@
 	cfg Config
 }
 
-// New returns a hasher. It returns an *Error of KindInvalid if a bound is not
-// positive.
-func New(cfg Config) (*Hasher, error) {
+// New returns a hasher. It panics if a bound is not positive.
+func New(cfg Config) *Hasher {
 	if cfg.Messages < 1 || cfg.Bytes < 1 {
-		return nil, &Error{Op: "New", Kind: KindInvalid, Detail: "Messages and Bytes must be positive"}
+		panic("kcwprefix: Messages and Bytes must be positive")
 	}
-	return &Hasher{cfg: cfg}, nil
+	return &Hasher{cfg: cfg}
 }
 
 // Sum returns the hash, by xxHash64 (Collet, xxHash, 2012), of the model's name
--- a/kcw/kcwprefix/hash_test.go
+++ b/kcw/kcwprefix/hash_test.go
@@ -5,18 +5,11 @@
 	"testing"
 )
 
-func newHasher(t testing.TB) *Hasher {
-	t.Helper()
-	h, err := New(Config{Messages: 1, Bytes: 64})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return h
-}
+func newHasher() *Hasher { return New(Config{Messages: 1, Bytes: 64}) }
 
 func TestSum(t *testing.T) {
 	const system = `[{"role":"system","content":"You draft surveys."},{"role":"user","content":"A pew."}]`
-	h := newHasher(t)
+	h := newHasher()
 	want := h.Sum("m", json.RawMessage(system))
 	if want != 0xfe8bc4626cafe7b1 {
 		t.Errorf("the hash has changed: %#x", want)
@@ -44,15 +37,17 @@
 	}
 }
 
-// FuzzSum checks that any bytes are taken and always give the same hash.
+// FuzzSum checks that any bytes are taken, and that leading white space makes
+// no difference.
 func FuzzSum(f *testing.F) {
 	for _, seed := range []string{"", "[]", `[{"role":"user","content":"x"}]`, "[1,", "[[[", "[\"\\ud800\"]", "{\"a\":[]}"} {
 		f.Add("m", []byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, model string, messages []byte) {
-		h := newHasher(t)
-		if h.Sum(model, messages) != h.Sum(model, messages) {
-			t.Error("two hashes of one request differ")
+		h := newHasher()
+		spaced := append([]byte(" \n"), messages...)
+		if h.Sum(model, messages) != h.Sum(model, spaced) {
+			t.Error("white space makes a difference")
 		}
 	})
 }
