Let homes of a prefix yield gradually where many routers share the engines

Cause: at the design size each router sees a hundredth of the traffic, so between two reports the homes of frequent prefixes are overrun. Change: Config.Yield, the range below Room in which a home is passed over with rising probability; zero is as before.

--- a/kcw/kcwpick/picker.go
+++ b/kcw/kcwpick/picker.go
@@ -44,6 +44,11 @@
 	PrefixMargin float64
 	// Room is the utilization above which neither preference counts.
 	Room float64
+	// Yield is the range of utilization below Room over which the part of the
+	// requests that go to their homes falls from all to none. With many routers
+	// it keeps the homes from being overrun between two reports; with few, whose
+	// own counts tell more, zero is better.
+	Yield float64
 	// Rand is the source of the random choices, used by this Picker alone.
 	Rand *rand.Rand
 }
@@ -72,8 +77,8 @@
 }
 
 // New returns a picker without upstreams. It returns an *Error of KindInvalid
-// if the half-life or the room is not positive, a margin is negative, or there is
-// no random source.
+// if the half-life or the room is not positive, a margin or the yield is
+// negative, or there is no random source.
 func New(cfg Config) (*Picker, error) {
 	bad := func(detail string) (*Picker, error) {
 		return nil, &Error{Op: "New", Kind: KindInvalid, Detail: detail}
@@ -83,8 +88,8 @@
 		return bad("HalfLife must be positive")
 	case !(cfg.Room > 0):
 		return bad("Room must be positive")
-	case !(cfg.ZoneMargin >= 0) || !(cfg.PrefixMargin >= 0):
-		return bad("margins must not be negative")
+	case !(cfg.ZoneMargin >= 0) || !(cfg.PrefixMargin >= 0) || !(cfg.Yield >= 0):
+		return bad("margins and Yield must not be negative")
 	case cfg.Rand == nil:
 		return bad("Rand must be set")
 	}
@@ -216,13 +221,22 @@
 	}
 	homes := s.homes(prefix, usable)
 	for _, home := range homes {
-		if home != nil && p.utilization(now, home) <= p.cfg.Room && p.lighter(now, home, best, p.cfg.PrefixMargin) == home {
+		if home != nil && p.welcome(now, home) && p.lighter(now, home, best, p.cfg.PrefixMargin) == home {
 			return home
 		}
 	}
 	return best
 }
 
+// welcome reports whether a home has room for one more request: surely below the
+// range of Yield, never above Room, and between with a falling probability, as in
+// Floyd and Jacobson, Random Early Detection Gateways for Congestion Avoidance,
+// 1993.
+func (p *Picker) welcome(now time.Time, home *upstream) bool {
+	room := p.cfg.Room - p.utilization(now, home)
+	return room >= p.cfg.Yield || room >= 0 && p.cfg.Rand.Float64()*p.cfg.Yield < room
+}
+
 // lighter returns a unless b is less utilized by more than the margin, and the
 // other one if one is nil. The margin falls away where a is nearly full: a
 // preference would only make the request wait.
--- a/kcw/kcwpick/picker_test.go
+++ b/kcw/kcwpick/picker_test.go
@@ -104,6 +104,26 @@
 	}
 }
 
+func TestYield(t *testing.T) {
+	for _, test := range []struct {
+		running     int
+		least, most int
+	}{
+		{running: 4, least: 100, most: 100},
+		{running: 7, least: 30, most: 75},
+		{running: 10},
+	} {
+		p := newPicker(t, 1, 20)
+		p.cfg.Yield, p.cfg.PrefixMargin = 0.5, 1
+		home, _ := p.Pick(at(0), "s", 7, always)
+		p.Finished(at(0), home)
+		p.Report(home, Load{Running: test.running, Capacity: 10, At: at(1)})
+		if got := share(p, at(1), 7, home); got < test.least || got > test.most {
+			t.Errorf("%d of 100 go to a home with %d of 10", got, test.running)
+		}
+	}
+}
+
 func TestOwnRequests(t *testing.T) {
 	p := newPicker(t, 1, 3)
 	for i := range 3 {
