--- a/kcw/kcwpolicy/report_test.go
+++ b/kcw/kcwpolicy/report_test.go
@@ -319,6 +319,9 @@
 func TestPolicyGoals(t *testing.T) {
 	plain := variants[7]
 	steady := percentile(run(sized(today[0], 20, 10), plain, 1).inside, .95)
+	if f := run(sized(today[1], 20, 10), variants[4], 1); 10*f.retries > f.firstTries {
+		t.Errorf("burst without a queue: %d retries of %d first tries", f.retries, f.firstTries)
+	}
 	for _, s := range today {
 		for _, v := range []variant{full, plain} {
 			f := run(sized(s, 20, 10), v, 1)
