--- a/kcw/kcwqueue/queue_test.go
+++ b/kcw/kcwqueue/queue_test.go
@@ -128,9 +128,9 @@
 	}
 }
 
-// drive keeps the flows of the given contract weights backlogged, one priority
-// each, frees a slot each step of time, and returns the items started by flow.
-func drive(q *Queue, weights []float64, priorities []int, steps int, step, patience time.Duration) []int {
+// drive keeps flows of the given weights backlogged, each a contract or a team of
+// one contract, one priority each, frees a slot each step of time, and returns the items started by flow.
+func drive(q *Queue, byTeam bool, weights []float64, priorities []int, steps int, step, patience time.Duration) []int {
 	counts := make([]int, len(weights))
 	flows := make(map[uint64]int)
 	waiting := make([]int, len(weights))
@@ -152,7 +152,12 @@
 			for range 3 - waiting[i] {
 				id++
 				it := item(id, fmt.Sprint("contract-", i), "t", priorities[i])
-				it.ContractWeight, it.Deadline = weight, now.Add(patience)
+				it.Deadline = now.Add(patience)
+				if byTeam {
+					it.Contract, it.Team, it.TeamWeight = "c", it.Contract, weight
+				} else {
+					it.ContractWeight = weight
+				}
 				flows[id] = i
 				started, evicted, err := q.Offer(now, it)
 				if err == nil {
@@ -182,11 +187,11 @@
 
 func TestShares(t *testing.T) {
 	p := properties(t)
-	p.Property("backlogged contracts of one priority get their weights' parts", prop.ForAll(
-		func(a, b, c int) bool {
+	p.Property("backlogged contracts or teams of one priority get their weights' parts", prop.ForAll(
+		func(byTeam bool, a, b, c int) bool {
 			q := newQueue(t, func(cfg *Config) { cfg.Slots, cfg.Capacity = 4, 100 })
 			weights := []float64{float64(a), float64(b), float64(c)}
-			counts := drive(q, weights, []int{0, 0, 0}, 1000, 10*time.Millisecond, time.Hour)
+			counts := drive(q, byTeam, weights, []int{0, 0, 0}, 1000, 10*time.Millisecond, time.Hour)
 			for i := range weights {
 				want := 1000 * weights[i] / float64(a+b+c)
 				if diff := float64(counts[i]) - want; diff > 0.05*want+10 || diff < -0.05*want-10 {
@@ -194,11 +199,11 @@
 				}
 			}
 			return true
-		}, gen.IntRange(1, 5), gen.IntRange(1, 5), gen.IntRange(1, 5)))
+		}, gen.Bool(), gen.IntRange(1, 5), gen.IntRange(1, 5), gen.IntRange(1, 5)))
 	p.Property("no line starves, whatever its priority and however short its deadlines", prop.ForAll(
 		func(low, high, patience int) bool {
 			q := newQueue(t, func(cfg *Config) { cfg.Slots, cfg.Capacity, cfg.Hold = 1, 6, 100*time.Millisecond })
-			counts := drive(q, []float64{1, 1, 1}, []int{low, high, high}, 300, 100*time.Millisecond, time.Duration(patience)*time.Millisecond)
+			counts := drive(q, false, []float64{1, 1, 1}, []int{low, high, high}, 300, 100*time.Millisecond, time.Duration(patience)*time.Millisecond)
 			return counts[0] >= 300/100 // once in each 10 s; the way up takes 2
 		}, gen.IntRange(0, 1), gen.IntRange(1, 2), gen.IntRange(300, 3000)))
 	p.TestingRun(t)
