--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,7 +3,8 @@
 # routers, a model engine and a plain service. It writes a contract, sends
 # requests of each sort, and compares answers and bills with the stand-ins'
 # records. The exit code is 0 only if every answer was whole and every request
-# billed once.
+# billed once. With the argument hold it leaves the fleet up after that, until
+# it is interrupted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -186,6 +187,12 @@
 "$bin/kcw-demo" compare -calls "$run/calls.json" -dump "$run/dump.json" \
 	-records http://127.0.1.31:7301/record,http://127.0.1.32:7301/record
 
+if [ "${1:-}" = hold ]; then
+	say "The fleet stays up; interrupt to stop it"
+	for name in "${names[@]}"; do echo "  $name is process ${pids[$name]}"; done
+	wait "${pids[engine-1]}"
+fi
+
 say "Stop everything"
 stop_all
 echo "every answer was whole and every request billed once"
