--- a/kcw/kcwwallet/refusals_bench_test.go
+++ b/kcw/kcwwallet/refusals_bench_test.go
@@ -192,47 +192,58 @@
 	name   string
 	policy kcwgrant.Config
 }{
-	{"Kviitung", kcwgrant.Config{Endurance: time.Minute, Divisor: 40, IdleAfter: 2 * time.Minute}},
+	{"Kviitung", kcwgrant.Config{Endurance: 10 * time.Minute, Divisor: 40, IdleAfter: 2 * time.Minute}},
 	{"GranitePew", kcwgrant.Config{Endurance: 15 * time.Minute, Divisor: 12, IdleAfter: 30 * time.Minute}},
 }
 
 // BenchmarkRefusals reports overspend and false refusals by way and deployment:
-// until a budget of five minutes of demand is exhausted, and through ten minutes
-// in which half of the routers are cut off.
+// until a budget of five minutes of demand is exhausted, through ten minutes in
+// which half of the routers are cut off, and through the same with a budget that
+// ends meanwhile.
 func BenchmarkRefusals(b *testing.B) {
 	for _, deployment := range deployments {
 		for _, w := range []way{quorum, escrow, both} {
-			b.Run(fmt.Sprintf("%s/exhaustion/%s", deployment.name, w), func(b *testing.B) {
-				for range b.N {
-					d := newDrill(b, w, 430_000, deployment.policy)
-					d.hide()
-					for range 360 {
-						d.second()
+			for _, test := range []struct {
+				name     string
+				prepaid  int64
+				cutAfter int
+				cutFor   int
+			}{
+				{"exhaustion", 430_000, 360, 0},
+				{"cut", 40_000_000, 300, 600},
+				{"cut-and-exhaustion", 700_000, 300, 600},
+			} {
+				b.Run(fmt.Sprintf("%s/%s/%s", deployment.name, test.name, w), func(b *testing.B) {
+					for range b.N {
+						d := newDrill(b, w, test.prepaid, deployment.policy)
+						d.cutHalf(test.cutAfter, test.cutFor)
+						d.report(b)
 					}
-					d.report(b)
-				}
-			})
-			b.Run(fmt.Sprintf("%s/cut/%s", deployment.name, w), func(b *testing.B) {
-				for range b.N {
-					d := newDrill(b, w, 40_000_000, deployment.policy)
-					d.hide()
-					for range 300 {
-						d.second()
-					}
-					d.asked, d.refused, d.falsely, d.ontime = 0, 0, 0, 0
-					for i := range drillRouters {
-						d.routers[i].link.cut = i%2 == 0
-					}
-					for range 600 {
-						d.second()
-					}
-					d.report(b)
-				}
-			})
+				})
+			}
 		}
 	}
 }
 
+// cutHalf runs for after seconds, and then, if cutFor is not zero, cuts half of
+// the routers off for so many seconds and counts only these.
+func (d *drill) cutHalf(after, cutFor int) {
+	d.hide()
+	for range after {
+		d.second()
+	}
+	if cutFor == 0 {
+		return
+	}
+	d.asked, d.refused, d.falsely, d.ontime = 0, 0, 0, 0
+	for i := range drillRouters {
+		d.routers[i].link.cut = i%2 == 0
+	}
+	for range cutFor {
+		d.second()
+	}
+}
+
 // hide hides openings from the ledger if all are to be out of grants.
 func (d *drill) hide() {
 	if d.way != escrow {
