--- a/kcw/kcwbook/book_test.go
+++ b/kcw/kcwbook/book_test.go
@@ -498,6 +498,18 @@
 			}
 			l.parts(1000, 0, 920, 80, 0)
 		}},
+		{"shortfall back into the grant", func(l *ledger) {
+			l.is(l.draw("a", 100, 1, 1), ok)
+			l.is(l.open(opening("b", "q", 870)), ok)
+			op := opening("a", "r", 50)
+			op.UseGrant = true
+			l.is(l.open(op), ok)
+			l.parts(1000, 0, 920, 80, 0)
+			bill := settling("a", "r", ran, 40)
+			bill.FromGrant = true
+			l.is(l.settle(bill), ok)
+			l.parts(1000, 40, 870, 60, 0)
+		}},
 		{"withheld from what returns", func(l *ledger) {
 			l.is(l.draw("a", 800, 1, 1), ok)
 			l.is(l.topUp("t", -500), ok)
--- a/kcw/kcwwallet/wallet_test.go
+++ b/kcw/kcwwallet/wallet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -150,6 +152,61 @@
 				t.Errorf("result %v", result)
 			}
 		}},
+		{"a lost answer keeps the shortfall from others", func(t *testing.T, w *world, r *router) {
+			other := newRouter(w, "b", kcwgrant.Config{})
+			claim, result, err := other.open("all", 890, true)
+			mayRun(t, claim, result, err)
+			r.link.next = lostAnswer
+			claim, result, err = r.open("once", 60, false)
+			mayNotRun(t, claim, result, err)
+			w.is("billed 10 reserved 950 granted 40")
+			r.link.cut = true
+			refuses(t, r, "q", 60, true)
+			r.link.cut = false
+			w.pass(time.Minute)
+			r.mustSettle(claim, notRun, 0)
+			w.is("billed 10 reserved 890 granted 40")
+			r.link.cut = true
+			refuses(t, r, "p", 60, true)
+		}},
+		{"settled again", func(t *testing.T, _ *world, r *router) {
+			r.link.cut = true
+			claim, result, err := r.open("r", 60, true)
+			r.mustSettle(mayRun(t, claim, result, err), ran, 40)
+			if again, err := r.settle(claim, ran, 40); err != nil || again.GetCode() != kcwpb.Code_CODE_REPEATED {
+				t.Errorf("result %v, error %v", again, err)
+			}
+			if pending, _ := r.wallet.Pending(); pending != 1 {
+				t.Errorf("%d outcomes wait", pending)
+			}
+		}},
+		{"a copy of an opening that comes after it was given up", func(t *testing.T, w *world, r *router) {
+			claim, result, err := r.open("r", 60, true)
+			mayRun(t, claim, result, err)
+			other := newRouter(w, "b", kcwgrant.Config{})
+			other.link.next = lateRequest
+			refuses(t, other, "r", 60, true)
+			other.tend()
+			w.pass(2 * time.Minute)
+			w.apply(w.late[0])
+			if c := w.book.Claim(customer, "r"); c.GetRouter() != "a" {
+				t.Errorf("the claim went to %s", c.GetRouter())
+			}
+			r.mustSettle(claim, ran, 40)
+		}},
+		{"grants are released after what they paid for is billed", func(t *testing.T, w *world, r *router) {
+			r.link.cut = true
+			claim, result, err := r.open("r", 60, true)
+			r.mustSettle(mayRun(t, claim, result, err), ran, 40)
+			r.link.cut = false
+			r.start()
+			r.tend()
+			billed := slices.IndexFunc(w.trace, func(line string) bool { return strings.Contains(line, "from_grant:true") })
+			freed := slices.IndexFunc(w.trace, func(line string) bool { return strings.Contains(line, "release_grant") })
+			if billed < 0 || freed < billed {
+				t.Errorf("billed by command %d, released by command %d", billed, freed)
+			}
+		}},
 		{"without a data folder", func(t *testing.T, w *world, _ *router) {
 			r := newRouter(w, "b", kcwgrant.Config{Endurance: endured, Divisor: allOfIt, IdleAfter: idleTime})
 			r.folder, r.journal = "", nil
