Give each try of a gateway test a prompt of its own

Cause: TestRetryElsewhere asks until the bad upstream was tried. Ruled out: a fault of the gateway; every answer was whole. Change: each try begins with another prompt, so that both are homes. The checks are as they were.

--- a/kcw/kcwgateway/failure_test.go
+++ b/kcw/kcwgateway/failure_test.go
@@ -136,7 +136,10 @@
 			var asked int64
 			for ; bad.runs.Load() == 0; asked++ {
 				earn(f, "engine")
-				r := f.do(call{body: streamBody})
+				// A prompt of its own, since requests that begin alike go to one
+				// upstream.
+				prompt := fmt.Sprintf("hello %d", asked)
+				r := f.do(call{body: strings.Replace(streamBody, "hello", prompt, 1)})
 				if words, done := wordsOf(r.body); words != "whole" || !done || r.err != nil {
 					t.Fatalf("%+v", r)
 				}
