--- a/kcw/kcwgroup/transport.go
+++ b/kcw/kcwgroup/transport.go
@@ -128,8 +128,8 @@
 		status.Role = "founding"
 	}
 	if !same {
-		klog.InfoS("leadership changed", "group", g.cfg.Group, "replica", status.Id,
-			"role", status.Role, "term", status.Term, "leader", status.LeaderAddress)
+		klog.InfoS("leadership changed", "Group", g.cfg.Group, "Replica", status.Id,
+			"Role", status.Role, "Term", status.Term, "Leader", status.LeaderAddress)
 	}
 	g.status.Store(status)
 }
--- a/kcw/kcwsnapshot/store.go
+++ b/kcw/kcwsnapshot/store.go
@@ -84,7 +84,7 @@
 	meta, err := check(path, index)
 	var damage *Error
 	if errors.As(err, &damage) && damage.Kind == Damaged {
-		klog.ErrorS(err, "a damaged snapshot is passed over", "file", path)
+		klog.ErrorS(err, "a damaged snapshot is passed over", "File", path)
 		return nil
 	}
 	if err != nil {
