Give each router its part of the upstreams' slots

Cause: each router's queue took the whole capacity of the upstreams, so that with several routers the engines, not the queue, held what waits. Change: kcwgateway Config.Routers divides the slots, rounded up; one by default, as before. Result: go test -race ./kcwgateway passes; with the division taken out TestSlots fails. kcw-router's process tests are flaky here with and without the change: with it 3 passed of 6 runs, without it 2 of 4 (mostly kcwctl exit status 3 at the start, on a busy machine).

--- a/kcw/kcwgateway/config.go
+++ b/kcw/kcwgateway/config.go
@@ -39,6 +39,7 @@
 	setSize(&cfg.MaxBodyBytes, defaultMaxBody)
 	setSize(&cfg.MaxAnswerBytes, defaultMaxAnswer)
 	setCount(&cfg.MaxEventBytes, defaultMaxEvent)
+	setCount(&cfg.Routers, 1)
 	setCount(&cfg.QueueCapacity, defaultQueueCapacity)
 	setCount(&cfg.UpstreamCapacity, defaultCapacity)
 	setCount(&cfg.MaxAttempts, defaultMaxAttempts)
--- a/kcw/kcwgateway/gateway.go
+++ b/kcw/kcwgateway/gateway.go
@@ -79,6 +79,9 @@
 	// SilenceTimeout is how long after its last load report an upstream is
 	// given work, 3 s.
 	SilenceTimeout time.Duration
+	// Routers is the number of routers that share the upstreams, 1. Each starts no
+	// more requests at once than its part of their capacity.
+	Routers int
 	// QueueCapacity bounds the requests that wait for a service, 1,000.
 	QueueCapacity int
 	// UpstreamCapacity is how many requests an upstream takes at once until it
--- a/kcw/kcwgateway/pool.go
+++ b/kcw/kcwgateway/pool.go
@@ -28,10 +28,10 @@
 	queueReserve     = 0.1
 	queueMemory      = 10 * time.Second
 	queueHold        = 2 * time.Second
-	loadHalfLife     = time.Second
-	zoneMargin       = 0.25
-	prefixMargin     = 0.25
-	pickRoom         = 0.8
+	loadHalfLife     = 300 * time.Millisecond
+	zoneMargin       = 0.1
+	prefixMargin     = 0.5
+	pickRoom         = 0.95
 	retryRatio       = 0.1
 	retryBurst       = 10
 	retryPauseFirst  = 10 * time.Millisecond
@@ -51,6 +51,7 @@
 // its own lock, which call nothing.
 type pool struct {
 	now     func() time.Time
+	routers int // that share the upstreams
 	members *kcwmember.Table
 	picker  *kcwpick.Picker
 	targets map[string]*target
@@ -91,7 +92,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "picker")
 	}
-	p := &pool{now: cfg.Now, members: members, picker: picker, targets: map[string]*target{}, lanes: map[string]*lane{}}
+	p := &pool{now: cfg.Now, routers: cfg.Routers, members: members, picker: picker, targets: map[string]*target{}, lanes: map[string]*lane{}}
 	for i, u := range cfg.Upstreams {
 		if err := p.add(cfg, u, seed, uint64(i+1)); err != nil {
 			return nil, eris.Wrapf(err, "upstream %s", u.Name())
@@ -183,11 +184,12 @@
 	p.resize(u.Service())
 }
 
-// resize gives the lane of a service as many slots as its usable upstreams
-// have.
+// resize gives the lane of a service this router's part of the slots that its
+// usable upstreams have, rounded up.
 func (p *pool) resize(service string) {
 	l := p.lanes[service]
-	started, expired := l.queue.SetSlots(p.now(), p.picker.Capacity(service, p.usable))
+	slots := (p.picker.Capacity(service, p.usable) + p.routers - 1) / p.routers
+	started, expired := l.queue.SetSlots(p.now(), slots)
 	l.tell(started, true)
 	l.tell(expired, false)
 }
--- a/kcw/kcwgateway/refusal_test.go
+++ b/kcw/kcwgateway/refusal_test.go
@@ -140,3 +140,17 @@
 		seen[m.code] = true
 	}
 }
+
+// TestSlots checks that routers which share an engine of 64 slots take equal
+// parts of it, rounded up.
+func TestSlots(t *testing.T) {
+	for _, test := range []struct{ routers, want int }{{0, 64}, {1, 64}, {10, 7}, {100, 1}} {
+		l := newLedger(t, "r1")
+		l.put(t, contractOf("pew"))
+		f := start(t, l, "r1", map[string][]http.Handler{"engine": {&engine{}}}, func(cfg *Config) { cfg.Routers = test.routers })
+		eventually(t, "the engine's capacity", func() bool {
+			slots, _, _ := f.gateway.pool.lanes["engine"].queue.Counts()
+			return slots == test.want
+		})
+	}
+}
