Share the names of customers and upstreams among claims

Cause: each claim kept its own copy of both names. Change: a claim takes the account's name and the bytes of an upstream's name that were first seen.

--- a/kcw/kcwbook/limits.go
+++ b/kcw/kcwbook/limits.go
@@ -34,6 +34,8 @@
 	removalsPerCommand = 4
 	// changesKept bounds the changes kept for one customer.
 	changesKept = 1024
+	// sharedNames bounds the names of upstreams whose bytes claims share.
+	sharedNames = 4096
 	// historySlack is how far the list of revisions may outgrow the contracts.
 	historySlack = 1024
 )
--- a/kcw/kcwbook/retention.go
+++ b/kcw/kcwbook/retention.go
@@ -89,6 +89,8 @@
 // file puts c, whose state is set, into the tables of a in place of the claim
 // that the request has.
 func (s *state) file(a *account, c *claim) {
+	c.customer = a.customer
+	c.upstream = s.shared(c.upstream)
 	if old := a.closed[c.request]; old != nil {
 		old.replace(s.steps)
 		delete(a.closed, c.request)
@@ -102,6 +104,18 @@
 	s.queue(c).push(c)
 }
 
+// shared returns name as the claims before used it, so that claims of one
+// upstream share its bytes.
+func (s *state) shared(name string) string {
+	if known, found := s.upstreams[name]; found {
+		return known
+	}
+	if len(s.upstreams) < sharedNames {
+		s.upstreams[name] = name
+	}
+	return name
+}
+
 // queue returns the retention queue for c.
 func (s *state) queue(c *claim) *retained {
 	if c.repeatable {
--- a/kcw/kcwbook/state.go
+++ b/kcw/kcwbook/state.go
@@ -28,6 +28,9 @@
 	// history holds one entry for each revision, in rising order.
 	history []revised
 
+	// upstreams holds names that claims share.
+	upstreams map[string]string
+
 	repeatables retained
 	onces       retained
 }
@@ -79,6 +82,8 @@
 		accounts: make(map[string]*account),
 		keys:     make(map[[digestSize]byte]string),
 		routers:  make(map[string]*router),
+
+		upstreams: make(map[string]string),
 	}
 }
 
