--- /dev/null
+++ b/kcw-proof/fleet_test.go
@@ -0,0 +1,329 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"kingcupwick.example/kcw-demo/kcwaudit"
+	"kingcupwick.example/kcw-standin/kcwrecord"
+	"kingcupwick.example/kcw/kcwcontract"
+	"kingcupwick.example/kcw/kcwkeyring"
+	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+const (
+	ledgers  = 3
+	routers  = 2
+	customer = "granite-pew"
+	key      = "customer" + keySuffix
+	// keySuffix makes a key long enough.
+	keySuffix = "-key-0123456789"
+	cost      = 20
+	prepaid   = 1_000_000
+)
+
+// fleets counts the fleets, each of which has loopback addresses of its own.
+var fleets atomic.Int32
+
+// fleet is three ledgers, two routers, an engine and a plain service. The
+// ledgers are reached through links, by each other too, and so are the
+// upstreams, by each router through links of its own.
+type fleet struct {
+	folder      string
+	network     [2]byte
+	ledgers     [ledgers]*process
+	routers     [routers]*process
+	engine      *process
+	desk        *process
+	ledgerLinks [ledgers]*link
+	engineLinks [routers]*link
+	operator    *kcwledger.Client
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	const firstNet, nets = 64, 128
+	f := &fleet{folder: t.TempDir(), network: [2]byte{byte(firstNet + os.Getpid()%nets), byte(fleets.Add(1))}}
+	for _, name := range []string{"peer", "router", "operator"} {
+		f.write(t, name, name+keySuffix)
+	}
+	f.engine = f.process(t, "engine", "kcw-standin", f.at(30, 1), f.standin("engine", 30)+"[Engine]\nModels = kcw-model\nBetweenTokens = 10ms\n")
+	f.desk = f.process(t, "desk", "kcw-standin", f.at(31, 1), f.standin("plain", 31)+"[Plain]\nWork = 300ms\n")
+	for i := range ledgers {
+		f.ledgers[i] = f.process(t, fmt.Sprintf("ledger-%d", i), "kcw-ledger", f.at(10+i, 1), f.ledgerSettings(i))
+		f.ledgerLinks[i] = newLink(t, f.at(50+i, 0), f.at(10+i, 0))
+	}
+	for i := range routers {
+		f.routers[i] = f.process(t, fmt.Sprintf("router-%d", i), "kcw-router", f.at(20+i, 1), f.routerSettings(i))
+		f.engineLinks[i] = newLink(t, f.at(60+i, 0), f.at(30, 0))
+	}
+	all := f.all()
+	for _, p := range all {
+		p.launch(t)
+	}
+	t.Cleanup(func() { f.stop(t) })
+	for _, p := range all {
+		p.await(t)
+	}
+	var addresses []netip.AddrPort
+	for i := range ledgers {
+		addresses = append(addresses, f.at(50+i, 0))
+	}
+	operator, err := kcwledger.New(kcwledger.Config{Addresses: addresses, Key: "operator" + keySuffix})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.operator = operator
+	t.Cleanup(operator.Close)
+	f.sign(t)
+	return f
+}
+
+// all returns the processes in the order in which they start.
+func (f *fleet) all() []*process {
+	return append(append([]*process{f.engine, f.desk}, f.ledgers[:]...), f.routers[:]...)
+}
+
+func (f *fleet) stop(t *testing.T) {
+	all := f.all()
+	for i := len(all) - 1; i >= 0; i-- {
+		all[i].stop(t)
+	}
+	if t.Failed() {
+		for _, p := range all {
+			t.Logf("%s:\n%s", p.name, p.tail())
+		}
+	}
+}
+
+// at returns an address of a host of the fleet.
+func (f *fleet) at(host, port int) netip.AddrPort {
+	const firstPort = 7100
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, f.network[0], f.network[1], byte(host)}), uint16(firstPort+port))
+}
+
+func (f *fleet) write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(f.folder, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func (f *fleet) process(t *testing.T, name, program string, ready netip.AddrPort, settings string) *process {
+	t.Helper()
+	settings = strings.ReplaceAll(settings, "FOLDER", f.folder)
+	return &process{
+		name: name, program: program, ready: ready.String(), log: filepath.Join(f.folder, name+".log"),
+		settings: f.write(t, name+".ini", settings),
+	}
+}
+
+func (f *fleet) standin(kind string, host int) string {
+	return fmt.Sprintf("[Standin]\nKind = %s\nAddress = %s\nControl = %s\nStopTimeout = 1s\n", kind, f.at(host, 0), f.at(host, 1))
+}
+
+func (f *fleet) ledgerSettings(i int) string {
+	text := fmt.Sprintf(`[Host]
+Name = ledger-%d
+Zone = zone-%d
+Address = %s
+AdminAddress = %s
+Folder = FOLDER/ledger-%d
+[Group]
+Bootstrap = true
+[Keys]
+PeerKeyFile = FOLDER/peer
+RouterKeyFile = FOLDER/router
+OperatorKeyFile = FOLDER/operator
+[Service]
+Beat = 200ms
+SilentAfter = 2s
+`, i, i, f.at(10+i, 0), f.at(10+i, 1), i)
+	for j := range ledgers {
+		text += fmt.Sprintf("[Founder \"ledger-%d\"]\nZone = zone-%d\nAddress = %s\n", j, j, f.at(50+j, 0))
+	}
+	return text
+}
+
+func (f *fleet) routerSettings(i int) string {
+	return fmt.Sprintf(`[Host]
+Name = router-%d
+Zone = zone-%d
+Address = %s
+InternalAddress = %s
+AdminAddress = %s
+Folder = FOLDER/router-%d
+DrainTime = 500ms
+StopTimeout = 30s
+[Ledger]
+Addresses = %s, %s, %s
+[Keys]
+RouterKeyFile = FOLDER/router
+OperatorKeyFile = FOLDER/operator
+[Deadlines]
+Progress = 2s
+FirstByte = 5s
+[Upstream "engine"]
+Service = kcw-model
+Zone = zone-0
+Address = %s
+[Upstream "desk"]
+Service = parish-desk
+Zone = zone-0
+Address = %s
+`, i, i, f.at(20+i, 0), f.at(20+i, 2), f.at(20+i, 1), i, f.at(50, 0), f.at(51, 0), f.at(52, 0), f.at(60+i, 0), f.at(31, 0))
+}
+
+// sign puts the customer's contract in force at every router.
+func (f *fleet) sign(t *testing.T) {
+	t.Helper()
+	contract, err := kcwcontract.Decode([]byte(fmt.Sprintf(`{
+		"Customer": %q, "PrepaidTokens": %d,
+		"Limits": {"OpenRequests": 0, "RequestsPerMinute": 0, "TokensPerMinute": 0, "MaxPromptTokens": 8000,
+			"MaxCompletionTokens": 4000, "DefaultCompletionTokens": 500, "QueueDeadline": "5s"},
+		"Keys": [{"Name": "bench", "Hash": "%x"}],
+		"Models": [{"Name": "kcw-model", "Upstream": "kcw-model"}],
+		"Services": [{"Name": "parish-desk", "PathPrefix": "/services/parish-desk", "Methods": ["GET", "POST"],
+			"CostTokens": %d, "NotRepeatable": ["/services/parish-desk/receipts"]}]
+	}`, customer, prepaid, kcwkeyring.Hash(key), cost)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := &kcwpb.PutContract{Change: "contract", Contract: contract.Message()}
+	f.change(t, &kcwpb.Command{Op: &kcwpb.Command_PutContract{PutContract: put}})
+	f.awaitRevision(t, 1)
+}
+
+func (f *fleet) change(t *testing.T, cmd *kcwpb.Command) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), bound)
+	defer cancel()
+	result, err := f.operator.Change(ctx, cmd)
+	if err != nil || result.Code != kcwpb.Code_CODE_OK {
+		t.Fatalf("change: %v %v", result, err)
+	}
+}
+
+// awaitRevision waits until every router has the revision in force.
+func (f *fleet) awaitRevision(t *testing.T, revision uint64) {
+	t.Helper()
+	until(t, fmt.Sprintf("every router at revision %d", revision), func() bool {
+		response, err := f.operator.Fleet(t.Context())
+		if err != nil || len(response.Routers) < routers {
+			return false
+		}
+		for _, status := range response.Routers {
+			if status.Revision < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// leader returns the number of the ledger that leads.
+func (f *fleet) leader(t *testing.T) int {
+	t.Helper()
+	leader := -1
+	until(t, "a leader", func() bool {
+		response, err := f.operator.Fleet(t.Context())
+		if err == nil {
+			_, err = fmt.Sscanf(nameOf(response.Group), "ledger-%d", &leader)
+		}
+		return err == nil
+	})
+	return leader
+}
+
+func nameOf(group *kcwpb.GroupStatus) string {
+	for _, m := range group.GetMembership().GetMembers() {
+		if m.Id == group.Leader {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// fault orders faults at a stand-in.
+func (f *fleet) fault(t *testing.T, standin *process, order string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPut, "http://"+standin.ready+"/fault", bytes.NewBufferString(order))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+}
+
+// records returns what reached the stand-ins.
+func (f *fleet) records(t *testing.T) []kcwrecord.Entry {
+	t.Helper()
+	var all []kcwrecord.Entry
+	for _, standin := range []*process{f.engine, f.desk} {
+		response, err := http.Get("http://" + standin.ready + "/record")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var entries []kcwrecord.Entry
+		err = json.NewDecoder(response.Body).Decode(&entries)
+		response.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, entries...)
+	}
+	return all
+}
+
+var stateNames = map[kcwpb.ClaimState]string{
+	kcwpb.ClaimState_CLAIM_STATE_OPEN: "Open", kcwpb.ClaimState_CLAIM_STATE_BILLED: "Billed",
+	kcwpb.ClaimState_CLAIM_STATE_NOT_RUN: "NotRun", kcwpb.ClaimState_CLAIM_STATE_UNKNOWN: "Unknown",
+}
+
+// audit holds the calls, the ledger's claims and the stand-ins' records against
+// each other, once the ledger shows at most the given number of open claims.
+func (f *fleet) audit(t *testing.T, calls []kcwaudit.Call, open int) {
+	t.Helper()
+	var list *kcwpb.ListResponse
+	until(t, "the claims are closed", func() bool {
+		var err error
+		list, err = f.operator.List(t.Context(), &kcwpb.ListRequest{WithClaims: true})
+		return err == nil && countOpen(list) <= open
+	})
+	cfg := kcwaudit.Config{Calls: calls, Entries: f.records(t), AllowOpen: open > 0}
+	for _, b := range list.Budgets {
+		cfg.Customers = append(cfg.Customers, kcwaudit.Budget{Customer: b.Customer, Prepaid: b.Prepaid, Billed: b.Billed, Reserved: b.Reserved, Granted: b.Granted})
+	}
+	for _, c := range list.Claims {
+		cfg.Claims = append(cfg.Claims, kcwaudit.Claim{Customer: c.Customer, Request: c.Request, State: stateNames[c.State], Tokens: c.Tokens})
+	}
+	for _, problem := range kcwaudit.New(cfg).Problems() {
+		t.Error(problem)
+	}
+	t.Logf("%d calls, %d claims, %d requests at the stand-ins", len(calls), len(cfg.Claims), len(cfg.Entries))
+}
+
+func countOpen(list *kcwpb.ListResponse) int {
+	open := 0
+	for _, c := range list.Claims {
+		if c.State == kcwpb.ClaimState_CLAIM_STATE_OPEN || c.State == kcwpb.ClaimState_CLAIM_STATE_UNKNOWN {
+			open++
+		}
+	}
+	return open
+}
