--- a/kcw-ledger/fleet_test.go
+++ b/kcw-ledger/fleet_test.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	r, err := newReplica(f.settings(i, folder), testKeys, opened)
+	r, err := newReplica(f.settings(i, folder), testKeys, opened, direct)
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/kcw-ledger/replica.go
+++ b/kcw-ledger/replica.go
@@ -20,6 +20,7 @@
 	"kingcupwick.example/kcw/kcwgroup"
 	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwmeter"
+	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpeer"
 	"kingcupwick.example/kcw/kcwservice"
 )
@@ -42,7 +43,7 @@
 		return err
 	}
 	defer func() { _ = folder.Close() }()
-	r, err := newReplica(s, k, folder)
+	r, err := newReplica(s, k, folder, direct)
 	if err != nil {
 		return err
 	}
@@ -74,14 +75,23 @@
 	return r.group.Close()
 }
 
+// route returns where messages for another replica are sent.
+type route func(to *kcwpb.Member) *kcwpb.Member
+
+// direct is the route to the address that the other replica announces.
+func direct(to *kcwpb.Member) *kcwpb.Member {
+	return to
+}
+
 // newReplica starts the replica of folder. The caller closes it.
-func newReplica(s *kcwsetup.Settings, k kcwsetup.Keys, folder *kcwfolder.Folder) (*replica, error) {
+func newReplica(s *kcwsetup.Settings, k kcwsetup.Keys, folder *kcwfolder.Folder, via route) (*replica, error) {
 	r := &replica{settings: s, folder: folder, book: kcwbook.New()}
 	sender, err := kcwpeer.New(kcwpeer.Config{Group: s.Group.Name, Key: k.Peer, Timeout: s.Group.Election / 2})
 	if err != nil {
 		return nil, err
 	}
 	r.sender = sender
+	send := func(to *kcwpb.Member, msgs []*kcwpb.Message) { sender.Send(via(to), msgs) }
 	feed := kcwfeed.New(kcwfeed.Config{Machine: r.book, Revision: r.book.Revision})
 	group, err := kcwgroup.New(kcwgroup.Config{
 		Folder:          folder,
@@ -92,7 +102,7 @@
 		Founders:        s.Founders(),
 		Bootstrap:       s.Group.Bootstrap,
 		Machine:         feed,
-		Send:            sender.Send,
+		Send:            send,
 		Heartbeat:       s.Group.Heartbeat,
 		Election:        s.Group.Election,
 		SnapshotEntries: s.Group.SnapshotEntries,
@@ -164,12 +174,17 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen")
 	}
+	return r.serverOn(listener), nil
+}
+
+// serverOn returns the public server on listener.
+func (r *replica) serverOn(listener net.Listener) *khttp.Server {
 	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
 	server.Protocols = &http.Protocols{}
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(true)
 	server.HandlePrefix("/", r.service.Handler())
-	return server, nil
+	return server
 }
 
 // adminServer returns the server of the operator address.
