Pass by replicas that can't be reached when members are changed

Cause: a change of the members ended with an outcome that is not known when the client's first replica refused the connection, though none had received it, and the next call went to the same replica, also after that had fallen silent. An operator's client whose first replica is lost could not replace it. Change: the client moves on after every failure. It asks the next replica as long as none can have received the change, and after one may have, it reports the outcome as unknown and leaves the next call to another replica.

--- a/kcw/kcwledger/change.go
+++ b/kcw/kcwledger/change.go
@@ -20,10 +20,7 @@
 	var result *kcwpb.Result
 	sent := false
 	err := c.try(ctx, "change", func(ctx context.Context, l *link) error {
-		var connected atomic.Bool
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-			GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-		})
+		ctx, connected := traceConnected(ctx)
 		r, err := l.operator.Submit(ctx, connect.NewRequest(&kcwpb.SubmitRequest{Commands: []*kcwpb.Command{cmd}}))
 		if err == nil && (len(r.Msg.Results) != 1 || r.Msg.Results[0].GetCode() == kcwpb.Code_CODE_UNSPECIFIED) {
 			err = errors.New("the leader doesn't know the command's fate")
@@ -44,3 +41,12 @@
 	}
 	return result, err
 }
+
+// traceConnected returns a context for one call, and whether the call was given
+// a connection: without one, no replica can have received it.
+func traceConnected(ctx context.Context) (context.Context, *atomic.Bool) {
+	connected := &atomic.Bool{}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}), connected
+}
--- a/kcw/kcwledger/read.go
+++ b/kcw/kcwledger/read.go
@@ -71,25 +71,30 @@
 	return response, err
 }
 
-// ChangeMembers adds, promotes or removes one replica. It is sent once to the
-// leader and not resent after it may have arrived: the error is then of kind
-// OutcomeUnknown, and Fleet shows the members in force.
+// ChangeMembers adds, promotes or removes one replica. It is sent to the next
+// replica as long as none can have received it, and not resent after one may
+// have: the error is then of kind OutcomeUnknown, and Fleet shows the members in
+// force. The next call turns to another replica. The error is of kind NotSent
+// if ctx ended before any replica can have received it.
 func (c *Client) ChangeMembers(ctx context.Context, req *kcwpb.ChangeMembersRequest) (*kcwpb.Membership, error) {
+	const op = "change members"
 	for {
 		l := c.links.leader()
-		r, err := l.operator.ChangeMembers(ctx, connect.NewRequest(req))
+		traced, connected := traceConnected(ctx)
+		r, err := l.operator.ChangeMembers(traced, connect.NewRequest(req))
 		switch {
 		case err == nil:
 			return r.Msg.Membership, nil
 		case isRefusal(err):
-			return nil, &Error{Op: "change members", Kind: Refused, Err: err}
-		case !isNotLeader(err):
-			return nil, &Error{Op: "change members", Kind: OutcomeUnknown, Err: err}
+			return nil, &Error{Op: op, Kind: Refused, Err: err}
 		}
 		c.links.failed(l, err)
+		if connected.Load() && !isNotLeader(err) {
+			return nil, &Error{Op: op, Kind: OutcomeUnknown, Err: err}
+		}
 		c.pause()
 		if ctx.Err() != nil || c.isClosed() {
-			return nil, &Error{Op: "change members", Kind: NotSent, Err: ctx.Err()}
+			return nil, &Error{Op: op, Kind: NotSent, Err: err}
 		}
 	}
 }
