Give each run of the router's process tests a network of its own

Cause: TestPlannedStop and TestKilledRouter failed at times with kcwctl's exit code 3 or an address in use: two runs on one machine shared their addresses, and the second met the first one's ledger. Ruled out: a fault of the programs; by itself the run passes. Change: the loopback network follows from the process identity. Result: go test -race in kcw-router passes while other runs go on.

--- a/kcw-router/fleet_test.go
+++ b/kcw-router/fleet_test.go
@@ -18,19 +18,24 @@
 	"kingcupwick.example/kcw/kcwkeyring"
 )
 
-// The addresses of the processes of a test.
 const (
-	ledgerHost    = "127.0.43.%d"
-	routerHost    = "127.0.43.1%d"
-	engineAddress = "127.0.43.21:7300"
-	engineControl = "127.0.43.21:7301"
-	appAddress    = "127.0.43.22:7300"
-	appControl    = "127.0.43.22:7301"
 	fleetKey      = "key-of-the-test-customer"
 	fleetLedgers  = 3
 	fleetDeadline = 60 * time.Second
 )
 
+// The addresses of the processes of a test are in a loopback network that the
+// test's own process identity names, so that two runs at once don't meet.
+var (
+	network       = fmt.Sprintf("127.%d.%d.", 64+os.Getpid()/256%128, os.Getpid()%256)
+	ledgerHost    = network + "%d"
+	routerHost    = network + "1%d"
+	engineAddress = network + "21:7300"
+	engineControl = network + "21:7301"
+	appAddress    = network + "22:7300"
+	appControl    = network + "22:7301"
+)
+
 func routerURL(number int) string { return "http://" + fmt.Sprintf(routerHost, number) + ":7200" }
 
 // fleet is three ledgers, a model engine, a plain service and routers, as
