Share the upstreams by the number of routers that the ledger counts

Cause: the queue's measured figures hold only if each router starts its part of what the upstreams take, and kcw-router did not say how many share them. Change: the setting Routers to begin with, then the count in each heartbeat's answer. Result: TestSlots, which now also follows a change of the count, and the gateway's and router's tests pass under the race detector.

--- a/kcw-router/process.go
+++ b/kcw-router/process.go
@@ -94,7 +94,7 @@
 	p.presence = kcwpresence.New(kcwpresence.Config{
 		Ledger: p.client, Router: s.Host.Name, Zone: s.Host.Zone, Incarnation: incarnation,
 		Address: s.Host.InternalAddress, Revision: p.catalog.Revision, Fenced: p.gateway.Fence,
-		Beat: func(answer *kcwpb.HeartbeatResponse) { p.wallet.Recall(answer.GetRecalls()) },
+		Beat: p.heard,
 	})
 	p.public = newServer(s.Host.Address.String(), "/", p.gateway)
 	path, handler := p.gateway.Answers()
@@ -165,7 +165,7 @@
 	}
 	p.gateway, err = kcwgateway.New(kcwgateway.Config{
 		Router: s.Host.Name, Incarnation: incarnation, Zone: s.Host.Zone,
-		Contracts: p.catalog, Accounts: p.wallet, Limits: limits, Upstreams: upstreams,
+		Contracts: p.catalog, Accounts: p.wallet, Limits: limits, Upstreams: upstreams, Routers: s.Grants.Routers,
 		Answers: kcwanswer.New(kcwanswer.Config{
 			MaxBytes: s.Answers.MaxBytes, MaxAnswers: s.Answers.MaxAnswers, Retention: s.Answers.Retention,
 		}),
@@ -181,6 +181,12 @@
 	return err
 }
 
+// heard takes what the ledger tells in answer to a heartbeat.
+func (p *process) heard(answer *kcwpb.HeartbeatResponse) {
+	p.wallet.Recall(answer.GetRecalls())
+	p.gateway.Share(int(answer.GetRouters()))
+}
+
 // newServer returns a server at address without a deadline for answers.
 func newServer(address, prefix string, handler http.Handler) *khttp.Server {
 	server := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
--- a/kcw/kcwgateway/gateway.go
+++ b/kcw/kcwgateway/gateway.go
@@ -165,6 +165,14 @@
 	}
 }
 
+// Share sets how many routers share the upstreams, as the ledger counts them. A
+// count below one, as of a ledger that has heard none yet, changes nothing.
+func (g *Gateway) Share(routers int) {
+	if routers > 0 {
+		g.pool.routers.Store(int64(routers))
+	}
+}
+
 // Drain begins a planned stop: Ready fails, and callers are told to take new
 // connections, while requests are still served.
 func (g *Gateway) Drain() { g.draining.Store(true) }
--- a/kcw/kcwgateway/pool.go
+++ b/kcw/kcwgateway/pool.go
@@ -50,8 +50,9 @@
 // held while a policy is called; the Picker calls members and breakers under
 // its own lock, which call nothing.
 type pool struct {
-	now     func() time.Time
-	routers int // that share the upstreams
+	now func() time.Time
+	// routers is how many routers share the upstreams.
+	routers atomic.Int64
 	members *kcwmember.Table
 	picker  *kcwpick.Picker
 	targets map[string]*target
@@ -92,7 +93,8 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "picker")
 	}
-	p := &pool{now: cfg.Now, routers: cfg.Routers, members: members, picker: picker, targets: map[string]*target{}, lanes: map[string]*lane{}}
+	p := &pool{now: cfg.Now, members: members, picker: picker, targets: map[string]*target{}, lanes: map[string]*lane{}}
+	p.routers.Store(int64(cfg.Routers))
 	for i, u := range cfg.Upstreams {
 		if err := p.add(cfg, u, seed, uint64(i+1)); err != nil {
 			return nil, eris.Wrapf(err, "upstream %s", u.Name())
@@ -188,7 +190,8 @@
 // usable upstreams have, rounded up.
 func (p *pool) resize(service string) {
 	l := p.lanes[service]
-	slots := (p.picker.Capacity(service, p.usable) + p.routers - 1) / p.routers
+	routers := int(p.routers.Load())
+	slots := (p.picker.Capacity(service, p.usable) + routers - 1) / routers
 	started, expired := l.queue.SetSlots(p.now(), slots)
 	l.tell(started, true)
 	l.tell(expired, false)
--- a/kcw/kcwgateway/refusal_test.go
+++ b/kcw/kcwgateway/refusal_test.go
@@ -148,9 +148,15 @@
 		l := newLedger(t, "r1")
 		l.put(t, contractOf("pew"))
 		f := start(t, l, "r1", map[string][]http.Handler{"engine": {&engine{}}}, func(cfg *Config) { cfg.Routers = test.routers })
-		eventually(t, "the engine's capacity", func() bool {
-			slots, _, _ := f.gateway.pool.lanes["engine"].queue.Counts()
-			return slots == test.want
-		})
+		shows := func(want int) func() bool {
+			return func() bool {
+				slots, _, _ := f.gateway.pool.lanes["engine"].queue.Counts()
+				return slots == want
+			}
+		}
+		eventually(t, "the engine's capacity", shows(test.want))
+		f.gateway.Share(4)
+		f.gateway.Share(0)
+		eventually(t, "a quarter of the capacity", shows(16))
 	}
 }
