Notice a router that stands still while its answer is waited for

Cause: TestFrozenRouter, a router stopped by SIGSTOP with streams open; a retry through another router waited a minute for its answer. Change: a router sends an empty part twice a second until its answer is finished, and the other gives up after two seconds without one.

--- a/kcw/kcwgateway/answers.go
+++ b/kcw/kcwgateway/answers.go
@@ -21,6 +21,10 @@
 	partBytes = 64 << 10
 	// peerIdleTimeout is how long an unused connection to a router is kept.
 	peerIdleTimeout = 30 * time.Second
+	// peerBeat is the time between two empty parts from a router whose answer
+	// is not finished, and peerSilence how long another waits for a part.
+	peerBeat    = 500 * time.Millisecond
+	peerSilence = 2 * time.Second
 )
 
 // Answers returns the path and handler of the Answers service, for the
@@ -40,7 +44,8 @@
 	if peers == nil || !peers.Admits(req.Header()) {
 		return connect.NewError(connect.CodeUnauthenticated, eris.New("unknown process key"))
 	}
-	answer, err := s.gateway.finished(ctx, req.Msg)
+	beat := func() error { return stream.Send(&kcwpb.AnswerPart{}) }
+	answer, err := s.gateway.finished(ctx, req.Msg, beat)
 	if err != nil {
 		return err
 	}
@@ -59,14 +64,12 @@
 }
 
 // finished returns the answer to a request of this router, for which it waits
-// while the request is in flight.
-func (g *Gateway) finished(ctx context.Context, req *kcwpb.AnswerRequest) (*kcwpb.AnswerPart, error) {
+// while the request is in flight, calling beat meanwhile.
+func (g *Gateway) finished(ctx context.Context, req *kcwpb.AnswerRequest, beat func() error) (*kcwpb.AnswerPart, error) {
 	if f := g.flights.follow(identity{req.GetCustomer(), req.GetRequest()}, req.GetDigest()); f != nil {
 		defer g.flights.leave(f, errCallerGone)
-		select {
-		case <-f.done:
-		case <-ctx.Done():
-			return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+		if err := await(ctx, f, beat); err != nil {
+			return nil, err
 		}
 		if f.verdict.answer != nil {
 			return f.verdict.answer, nil
@@ -80,6 +83,24 @@
 	return answer, nil
 }
 
+// await waits for the end of f, calling beat meanwhile.
+func await(ctx context.Context, f *flight, beat func() error) error {
+	ticker := time.NewTicker(peerBeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.done:
+			return nil
+		case <-ticker.C:
+			if err := beat(); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+		}
+	}
+}
+
 // peers holds the connections to other routers.
 type peers struct {
 	key    string
@@ -112,8 +133,11 @@
 	if err != nil {
 		return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.Wrap(err, "owner address")}
 	}
-	ctx, cancel := context.WithTimeout(ctx, g.cfg.FirstByteTimeout)
+	ctx, cancel := context.WithTimeout(ctx, g.cfg.AnswerTimeout)
 	defer cancel()
+	// A router that stands still keeps its connections, but sends nothing.
+	watch := time.AfterFunc(peerSilence, cancel)
+	defer watch.Stop()
 	call := connect.NewRequest(&kcwpb.AnswerRequest{Customer: req.contract.Customer, Request: req.identity, Digest: req.digest})
 	call.Header().Set("Authorization", "Bearer "+g.peers.key)
 	stream, err := g.peers.at(parsed).Fetch(ctx, call)
@@ -121,7 +145,7 @@
 		return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.Wrap(err, "call")}
 	}
 	defer func() { _ = stream.Close() }()
-	whole, err := g.assemble(stream)
+	whole, err := g.assemble(stream, watch)
 	if err != nil {
 		return nil, err
 	}
@@ -133,11 +157,16 @@
 	return whole, nil
 }
 
-// assemble returns the answer that the parts of a stream make up.
-func (g *Gateway) assemble(stream *connect.ServerStreamForClient[kcwpb.AnswerPart]) (*kcwpb.AnswerPart, error) {
+// assemble returns the answer that the parts of a stream make up, and renews
+// watch with each.
+func (g *Gateway) assemble(stream *connect.ServerStreamForClient[kcwpb.AnswerPart], watch *time.Timer) (*kcwpb.AnswerPart, error) {
 	whole := &kcwpb.AnswerPart{}
 	for stream.Receive() {
+		watch.Reset(peerSilence)
 		part := stream.Msg()
+		if part.GetStatus() == 0 {
+			continue
+		}
 		whole.Status, whole.ContentType = part.GetStatus(), part.GetContentType()
 		whole.Body = append(whole.Body, part.GetBody()...)
 		if int64(len(whole.Body)) > g.cfg.MaxAnswerBytes {
