Let each start of a linked replica listen at a port of its own

Cause: the tests' replicas listened at ports found free a moment before, and one run of TestIsolatedLeader ended with 'bind: address already in use'. Change: replicas listen at port 0 and their forwarders are aimed there.

--- a/kcw-ledger/link_test.go
+++ b/kcw-ledger/link_test.go
@@ -25,10 +25,10 @@
 // connection is held up too.
 type forwarder struct {
 	listener net.Listener
-	target   netip.AddrPort
 
 	mu      sync.Mutex
 	changed *sync.Cond
+	target  netip.AddrPort
 	held    [2]bool
 	refuse  bool
 	pipes   map[*pipe]bool
@@ -41,14 +41,14 @@
 	closed bool
 }
 
-// newForwarder returns a forwarder to target that ends with the test.
-func newForwarder(tb testing.TB, target netip.AddrPort) *forwarder {
+// newForwarder returns a forwarder without a target that ends with the test.
+func newForwarder(tb testing.TB) *forwarder {
 	tb.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
 	}
-	f := &forwarder{listener: listener, target: target, pipes: map[*pipe]bool{}}
+	f := &forwarder{listener: listener, pipes: map[*pipe]bool{}}
 	f.changed = sync.NewCond(&f.mu)
 	go f.accept()
 	tb.Cleanup(func() {
@@ -62,6 +62,13 @@
 	return f.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// aim makes target what new connections are joined to.
+func (f *forwarder) aim(target netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.target = target
+}
+
 func (f *forwarder) accept() {
 	for {
 		conn, err := f.listener.Accept()
@@ -73,7 +80,10 @@
 }
 
 func (f *forwarder) join(conn net.Conn) {
-	far, err := net.Dial("tcp", f.target.String())
+	f.mu.Lock()
+	target := f.target
+	f.mu.Unlock()
+	far, err := net.Dial("tcp", target.String())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -172,7 +182,8 @@
 
 // linkedFleet is a fleet whose replicas reach each other through a forwarder
 // for each sender and receiver, and are reached by clients through doors, whose
-// addresses are those that the replicas announce.
+// addresses are those that the replicas announce. Each start of a replica
+// listens at a new port.
 type linkedFleet struct {
 	*fleet
 	listen []netip.AddrPort
@@ -185,13 +196,13 @@
 // not nil, changes the settings of each.
 func newLinkedFleet(tb testing.TB, n int, tune func(*kcwsetup.Settings)) *linkedFleet {
 	tb.Helper()
-	f := &linkedFleet{fleet: &fleet{}, listen: freeAddresses(tb, n), tune: tune}
-	for i, address := range f.listen {
-		f.doors = append(f.doors, newForwarder(tb, address))
+	f := &linkedFleet{fleet: &fleet{}, listen: make([]netip.AddrPort, n), tune: tune}
+	for i := range n {
+		f.doors = append(f.doors, newForwarder(tb))
 		f.addresses = append(f.addresses, f.doors[i].address())
 		var links []*forwarder
-		for _, to := range f.listen {
-			links = append(links, newForwarder(tb, to))
+		for range n {
+			links = append(links, newForwarder(tb))
 		}
 		f.links = append(f.links, links)
 	}
@@ -216,10 +227,15 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", f.listen[i].String())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
 	}
+	f.listen[i] = listener.Addr().(*net.TCPAddr).AddrPort()
+	f.doors[i].aim(f.listen[i])
+	for _, links := range f.links {
+		links[i].aim(f.listen[i])
+	}
 	m := &member{replica: r, server: r.serverOn(listener)}
 	go func() { _ = m.server.Start(context.Background()) }()
 	tb.Cleanup(m.stop)
