Refuse to undo a top-up by an old contract file

Cause: a contract file carries PrepaidTokens. Applied with a base newer than the file (by -base, or a .base file from elsewhere) it set the budget back to what stood before a top-up, without a word. The ledger's check of the base can't see this, as the base is the newest.

Change: apply reads the contract that stands before it sends the change. If it isn't at the base, apply ends with 3; if its prepaid tokens differ from the file's, apply shows both and ends with 7, unless -set-prepaid is given. The ledger accepts the change from the same base only, so a top-up between the check and the change ends with 3 too. A change that was carried out under the same identity is not compared: the ledger repeats its result. apply moves to a file of its own.

get and apply without a base: get -file wrote the revision beside the file already, and a missing base is 0, which the ledger refuses for a contract in force.

Before the change there was no such check: the old file with the newest base was accepted (read off the code, not run).

Conclusion: an old file undoes no top-up unless the operator asks for it.

--- a/kcwctl/kcwtool/contract.go
+++ b/kcwctl/kcwtool/contract.go
@@ -7,8 +7,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"strconv"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -19,13 +17,6 @@
 	"kingcupwick.example/kcw/kcwpb"
 )
 
-// baseSuffix is put after the name of a contract file for the file that holds
-// the revision which it was read at.
-const baseSuffix = ".base"
-
-// noBase stands for a -base flag that was not given.
-const noBase = -1
-
 // changed is the row printed for a change.
 type changed struct {
 	Customer string
@@ -42,78 +33,6 @@
 	HeardAt  time.Time
 }
 
-func (t *Tool) applyCommand() *ffcli.Command {
-	set := t.flags("apply")
-	base := set.Int64("base", noBase, "revision that the file was made from, 0 for a new contract (default what get wrote beside the file, or 0)")
-	change := changeFlag(set)
-	wait := set.Duration("wait", 0, "how long to wait until every router has confirmed the change")
-	return t.command("apply", "<file>", "create or amend a contract from a file", set, func(ctx context.Context, args []string) error {
-		return t.apply(ctx, args[0], *base, changeIdentity(*change), *wait)
-	})
-}
-
-func (t *Tool) apply(ctx context.Context, path string, base int64, change string, wait time.Duration) error {
-	contract, err := readContract(path)
-	if err != nil {
-		return err
-	}
-	if base == noBase {
-		if base, err = readBase(path); err != nil {
-			return err
-		}
-	}
-	return t.call(ctx, func(bounded context.Context, client *kcwledger.Client) error {
-		put := &kcwpb.PutContract{Change: change, Base: uint64(base), Contract: contract.Message()}
-		result, err := t.submit(bounded, client, "apply", change, &kcwpb.Command{Op: &kcwpb.Command_PutContract{PutContract: put}})
-		if err != nil {
-			return err
-		}
-		if err := writeBase(path, result.Revision); err != nil {
-			return err
-		}
-		if err := t.print([]changed{{contract.Customer, result.Revision, change, result.Code == kcwpb.Code_CODE_REPEATED}}); err != nil {
-			return err
-		}
-		return t.confirm(ctx, client, result.Revision, wait)
-	})
-}
-
-func readContract(path string) (*kcwcontract.Contract, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, &Error{Op: "apply", Kind: Usage, Err: err}
-	}
-	contract, err := kcwcontract.Decode(data)
-	if err != nil {
-		return nil, &Error{Op: "apply " + path, Kind: Usage, Err: err}
-	}
-	return contract, nil
-}
-
-// readBase returns the revision in the file that get wrote beside the contract,
-// zero if there is none.
-func readBase(path string) (int64, error) {
-	data, err := os.ReadFile(path + baseSuffix)
-	if errors.Is(err, os.ErrNotExist) {
-		return 0, nil
-	}
-	if err != nil {
-		return 0, &Error{Op: "apply", Kind: Usage, Err: err}
-	}
-	base, err := strconv.ParseInt(strings.TrimSpace(string(data)), 10, 64)
-	if err != nil || base < 0 {
-		return 0, usage("apply", "%s holds no revision", path+baseSuffix)
-	}
-	return base, nil
-}
-
-func writeBase(path string, revision uint64) error {
-	if err := os.WriteFile(path+baseSuffix, []byte(strconv.FormatUint(revision, 10)+"\n"), 0o644); err != nil {
-		return &Error{Op: "write", Kind: Failed, Err: err}
-	}
-	return nil
-}
-
 func (t *Tool) getCommand() *ffcli.Command {
 	set := t.flags("get")
 	file := set.String("file", "", "write the contract to `file`, and its revision beside it, for a later apply")
--- a/kcwctl/kcwtool/exit.go
+++ b/kcwctl/kcwtool/exit.go
@@ -33,7 +33,8 @@
 	// Unknown means that the answer was lost: the change may or may not be
 	// carried out. It may be sent again with the same change identity.
 	Unknown
-	// Refused means that the ledger refused the command; nothing was changed.
+	// Refused means that the ledger refused the command, or that a contract file
+	// would set other prepaid tokens than the ledger has; nothing was changed.
 	Refused
 	// Forbidden means that the ledger or process did not accept the key.
 	Forbidden
--- a/kcwctl/kcwtool/tool.go
+++ b/kcwctl/kcwtool/tool.go
@@ -233,14 +233,16 @@
 	case kcwpb.Code_CODE_OK, kcwpb.Code_CODE_REPEATED:
 		return result, nil
 	case kcwpb.Code_CODE_STALE_REVISION:
-		return nil, &Error{Op: op, Kind: Stale, Err: staleError(result)}
+		return nil, &Error{Op: op, Kind: Stale, Err: staleError(result.Revision, result.GetContract())}
 	}
 	name := strings.ToLower(strings.TrimPrefix(result.Code.String(), "CODE_"))
 	return nil, &Error{Op: op, Kind: Refused, Err: fmt.Errorf("%s: %s", name, result.Detail)}
 }
 
-func staleError(result *kcwpb.Result) error {
-	return fmt.Errorf("the contract stands at revision %d, by change %s", result.Revision, result.GetContract().GetChange())
+// staleError names the revision that the contract stands at. The contract may be
+// nil.
+func staleError(revision uint64, contract *kcwpb.Contract) error {
+	return fmt.Errorf("the contract stands at revision %d, by change %s", revision, contract.GetChange())
 }
 
 func refusalKind(err error) Kind {
