--- a/kcw-ledger/main.go
+++ b/kcw-ledger/main.go
@@ -7,98 +7,46 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
-	"fmt"
 	"os"
 
-	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-ledger/kcwsetup"
 	"kingcupwick.example/kcw/kcwlog"
+	"kingcupwick.example/kcw/kcwprogram"
 )
 
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-// usageError is bad settings or arguments.
-type usageError struct {
-	err error
-}
-
-func (e *usageError) Error() string { return e.err.Error() }
-
-func (e *usageError) Unwrap() error { return e.err }
+// name is the program's name.
+const name = "kcw-ledger"
 
 func main() {
-	os.Exit(run(os.Args[1:]))
-}
-
-// run carries out the command line and returns the exit code.
-func run(args []string) int {
-	err := command().ParseAndRun(context.Background(), args)
-	var usage *usageError
-	switch {
-	case err == nil, errors.Is(err, flag.ErrHelp):
-		return exitOK
-	case errors.As(err, &usage):
-		fmt.Fprintln(os.Stderr, "kcw-ledger:", err)
-		return exitUsage
-	}
-	fmt.Fprintln(os.Stderr, "kcw-ledger:", err)
-	return exitFailed
-}
-
-func command() *ffcli.Command {
-	flags := flag.NewFlagSet("kcw-ledger", flag.ContinueOnError)
-	path := flags.String("settings", "", "path of the INI settings `file`")
-	check := flags.Bool("check", false, "check the settings and exit")
-	return &ffcli.Command{
-		Name:       "kcw-ledger",
-		ShortUsage: "kcw-ledger -settings FILE [-check]",
-		ShortHelp:  "Runs one replica of the ledger.",
-		FlagSet:    flags,
-		Exec: func(_ context.Context, args []string) error {
-			if *path == "" || len(args) > 0 {
-				return &usageError{errors.New("give -settings FILE and nothing more")}
-			}
-			return start(*path, *check)
-		},
-	}
+	p := kcwprogram.New(kcwprogram.Config{Name: name, Help: "Runs one replica of the ledger.", Load: load, Errors: os.Stderr})
+	os.Exit(p.Run(context.Background(), os.Args[1:]))
 }
 
-// start reads the settings and runs the replica until it is told to stop.
-func start(path string, check bool) error {
+// load reads the settings and keys, and returns what runs the replica.
+func load(path string) (func() error, error) {
 	s, err := kcwsetup.Load(path)
 	if err != nil {
-		return &usageError{err}
+		return nil, err
 	}
 	k, err := s.LoadKeys()
 	if err != nil {
-		return &usageError{err}
+		return nil, err
 	}
-	if check {
-		return nil
-	}
-	logger, err := kcwlog.New(kcwlog.Config{
-		Writer:  os.Stderr,
-		Level:   s.Host.LogLevel,
-		Program: "kcw-ledger",
-		Host:    s.Host.Name,
-	})
+	return func() error { return run(s, k) }, nil
+}
+
+// run serves until the replica is told to stop.
+func run(s *kcwsetup.Settings, k kcwsetup.Keys) error {
+	logger, err := kcwlog.New(kcwlog.Config{Writer: os.Stderr, Level: s.Host.LogLevel, Program: name, Host: s.Host.Name})
 	if err != nil {
-		return &usageError{err}
+		return err
 	}
 	defer logger.Close()
 	if err := serve(s, k, logger); err != nil {
 		klog.ErrorS(err, "Ledger replica failed")
-		return eris.Wrap(err, "run")
+		return err
 	}
 	return nil
 }
--- a/kcw-router/main.go
+++ b/kcw-router/main.go
@@ -7,90 +7,43 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
-	"fmt"
 	"io"
 	"log"
 	"os"
 
-	"github.com/peterbourgon/ff/v3/ffcli"
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-router/kcwsetup"
 	"kingcupwick.example/kcw/kcwlog"
+	"kingcupwick.example/kcw/kcwprogram"
 )
 
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-// usageError is bad settings or arguments.
-type usageError struct {
-	err error
-}
-
-func (e *usageError) Error() string { return e.err.Error() }
-
-func (e *usageError) Unwrap() error { return e.err }
+// name is the program's name.
+const name = "kcw-router"
 
 func main() {
-	os.Exit(run(os.Args[1:]))
-}
-
-// run carries out the command line and returns the exit code.
-func run(args []string) int {
-	err := command().ParseAndRun(context.Background(), args)
-	var usage *usageError
-	switch {
-	case err == nil, errors.Is(err, flag.ErrHelp):
-		return exitOK
-	case errors.As(err, &usage):
-		fmt.Fprintln(os.Stderr, "kcw-router:", err)
-		return exitUsage
-	}
-	fmt.Fprintln(os.Stderr, "kcw-router:", err)
-	return exitFailed
-}
-
-func command() *ffcli.Command {
-	flags := flag.NewFlagSet("kcw-router", flag.ContinueOnError)
-	path := flags.String("settings", "", "path of the INI settings `file`")
-	check := flags.Bool("check", false, "check the settings and exit")
-	return &ffcli.Command{
-		Name:       "kcw-router",
-		ShortUsage: "kcw-router -settings FILE [-check]",
-		ShortHelp:  "Runs one router.",
-		FlagSet:    flags,
-		Exec: func(_ context.Context, args []string) error {
-			if *path == "" || len(args) > 0 {
-				return &usageError{errors.New("give -settings FILE and nothing more")}
-			}
-			return start(*path, *check)
-		},
-	}
+	p := kcwprogram.New(kcwprogram.Config{Name: name, Help: "Runs one router.", Load: load, Errors: os.Stderr})
+	os.Exit(p.Run(context.Background(), os.Args[1:]))
 }
 
-// start reads the settings and runs the router until it is told to stop.
-func start(path string, check bool) error {
+// load reads the settings and keys, and returns what runs the router.
+func load(path string) (func() error, error) {
 	s, err := kcwsetup.Load(path)
 	if err != nil {
-		return &usageError{err}
+		return nil, err
 	}
 	k, err := s.LoadKeys()
 	if err != nil {
-		return &usageError{err}
+		return nil, err
 	}
-	if check {
-		return nil
-	}
-	logger, err := kcwlog.New(kcwlog.Config{Writer: os.Stderr, Level: s.Host.LogLevel, Program: "kcw-router", Host: s.Host.Name})
+	return func() error { return serve(s, k) }, nil
+}
+
+// serve runs the router until it is told to stop.
+func serve(s *kcwsetup.Settings, k kcwsetup.Keys) error {
+	logger, err := kcwlog.New(kcwlog.Config{Writer: os.Stderr, Level: s.Host.LogLevel, Program: name, Host: s.Host.Name})
 	if err != nil {
-		return &usageError{err}
+		return err
 	}
 	defer logger.Close()
 	// The standard logger is net/http's, whose lines may hold bytes of answers.
@@ -98,11 +51,11 @@
 	p, err := newProcess(s, k)
 	if err != nil {
 		klog.ErrorS(err, "Router not started")
-		return eris.Wrap(err, "start")
+		return err
 	}
 	if err := p.run(logger); err != nil {
 		klog.ErrorS(err, "Router failed")
-		return eris.Wrap(err, "run")
+		return err
 	}
 	return nil
 }
