Make the prefix's yield a setting, and bound headers at the ledger

A connection that never sends its header stayed open at a ledger for ever. Change: [Engine] PrefixYield, zero by default; ten seconds for a header, as at the router. TestReference and the gateway's tests pass.

--- a/kcw-ledger/replica.go
+++ b/kcw-ledger/replica.go
@@ -25,6 +25,9 @@
 	"kingcupwick.example/kcw/kcwservice"
 )
 
+// headerTimeout bounds the wait for a request's header.
+const headerTimeout = 10 * time.Second
+
 // replica is the parts of one ledger replica at work.
 type replica struct {
 	settings *kcwsetup.Settings
@@ -180,6 +183,7 @@
 // serverOn returns the public server on listener.
 func (r *replica) serverOn(listener net.Listener) *khttp.Server {
 	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
+	server.ReadHeaderTimeout = headerTimeout
 	server.Protocols = &http.Protocols{}
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(true)
--- a/kcw-router/kcwsetup/settings.go
+++ b/kcw-router/kcwsetup/settings.go
@@ -114,6 +114,10 @@
 	ContinuousUsage bool
 	// Priority sends the priority of each request, the lowest number first.
 	Priority bool
+	// PrefixYield is the range of utilization over which an engine that has a
+	// prompt's prefix gives way to others. Zero suits tens of engines, 0.4
+	// hundreds.
+	PrefixYield float64 `default:"0" setting:"min=0,max=1"`
 }
 
 // Upstream is one upstream; the section's label is its name.
--- a/kcw-router/process.go
+++ b/kcw-router/process.go
@@ -175,7 +175,7 @@
 		OpenTimeout: s.Deadlines.Open, SettleTimeout: s.Deadlines.Settle, FirstByteTimeout: s.Deadlines.FirstByte,
 		AnswerTimeout: s.Deadlines.Answer, WriteTimeout: s.Deadlines.Write, ReadTimeout: s.Deadlines.Read,
 		PollInterval: s.Deadlines.Poll, SilenceTimeout: s.Deadlines.Silence,
-		ContinuousUsage: s.Engine.ContinuousUsage, EnginePriority: s.Engine.Priority,
+		ContinuousUsage: s.Engine.ContinuousUsage, EnginePriority: s.Engine.Priority, PrefixYield: s.Engine.PrefixYield,
 		Observe: newObserver(p.meter),
 	})
 	return err
--- a/kcw/kcwgateway/gateway.go
+++ b/kcw/kcwgateway/gateway.go
@@ -94,6 +94,8 @@
 	// EnginePriority tells engines the priority of each request, the lowest
 	// number first.
 	EnginePriority bool
+	// PrefixYield is the Yield of the kcwpick.Picker.
+	PrefixYield float64
 	// Observe is told of each request that ends; it may be nil.
 	Observe func(service, code string, firstByte, total time.Duration, tokens int64)
 	// Seed makes the random choices repeatable; zero takes any.
