--- a/kcw-proof/caller_test.go
+++ b/kcw-proof/caller_test.go
@@ -38,6 +38,15 @@
 // insist sends the request through the routers in turn until it is answered
 // whole, and fails the test if it never is.
 func (c *caller) insist(t *testing.T, router int, request string, call sort) kcwaudit.Call {
+	return c.repeat(t, router, 1, request, call)
+}
+
+// insistAt does so through one router alone.
+func (c *caller) insistAt(t *testing.T, router int, request string, call sort) kcwaudit.Call {
+	return c.repeat(t, router, 0, request, call)
+}
+
+func (c *caller) repeat(t *testing.T, router, step int, request string, call sort) kcwaudit.Call {
 	const pause = 200 * time.Millisecond
 	var last kcwaudit.Call
 	for deadline := time.Now().Add(bound); time.Now().Before(deadline); time.Sleep(pause) {
@@ -45,7 +54,7 @@
 		if last.Outcome == kcwaudit.Whole {
 			return last
 		}
-		router++
+		router += step
 	}
 	t.Errorf("%s was never answered whole: %+v", request, last)
 	return last
--- a/kcw-proof/failure_test.go
+++ b/kcw-proof/failure_test.go
@@ -171,7 +171,7 @@
 	f.routers[0].signal(t, syscall.SIGSTOP)
 	// Meanwhile the claims are taken over through the other router.
 	for i := range 4 {
-		c.insist(t, 1, fmt.Sprintf("stream-%d", i), stream(300))
+		c.insistAt(t, 1, fmt.Sprintf("stream-%d", i), stream(300))
 	}
 	f.routers[0].signal(t, syscall.SIGCONT)
 	wait()
--- a/kcw-proof/fleet_test.go
+++ b/kcw-proof/fleet_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -256,20 +255,6 @@
 	return ""
 }
 
-// fault orders faults at a stand-in.
-func (f *fleet) fault(t *testing.T, standin *process, order string) {
-	t.Helper()
-	request, err := http.NewRequest(http.MethodPut, "http://"+standin.ready+"/fault", bytes.NewBufferString(order))
-	if err != nil {
-		t.Fatal(err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		t.Fatal(err)
-	}
-	response.Body.Close()
-}
-
 // records returns what reached the stand-ins.
 func (f *fleet) records(t *testing.T) []kcwrecord.Entry {
 	t.Helper()
@@ -296,14 +281,15 @@
 }
 
 // audit holds the calls, the ledger's claims and the stand-ins' records against
-// each other, once the ledger shows at most the given number of open claims.
+// each other, once the ledger shows at most the given number of open claims and
+// has what the routers billed out of their grants while it had no leader.
 func (f *fleet) audit(t *testing.T, calls []kcwaudit.Call, open int) {
 	t.Helper()
 	var list *kcwpb.ListResponse
-	until(t, "the claims are closed", func() bool {
+	until(t, "the claims are closed and the routers' journals settled", func() bool {
 		var err error
 		list, err = f.operator.List(t.Context(), &kcwpb.ListRequest{WithClaims: true})
-		return err == nil && countOpen(list) <= open
+		return err == nil && countOpen(list) <= open && hasAll(list, calls)
 	})
 	cfg := kcwaudit.Config{Calls: calls, Entries: f.records(t), AllowOpen: open > 0}
 	for _, b := range list.Budgets {
@@ -318,6 +304,20 @@
 	t.Logf("%d calls, %d claims, %d requests at the stand-ins", len(calls), len(cfg.Claims), len(cfg.Entries))
 }
 
+// hasAll tells whether the ledger has a claim for each answered call.
+func hasAll(list *kcwpb.ListResponse, calls []kcwaudit.Call) bool {
+	known := map[string]bool{}
+	for _, claim := range list.Claims {
+		known[claim.Request] = true
+	}
+	for _, call := range calls {
+		if call.Outcome == kcwaudit.Whole && !known[call.Request] {
+			return false
+		}
+	}
+	return true
+}
+
 func countOpen(list *kcwpb.ListResponse) int {
 	open := 0
 	for _, c := range list.Claims {
