--- a/kcw-proof/process_test.go
+++ b/kcw-proof/process_test.go
@@ -122,13 +122,16 @@
 	p.cmd = nil
 }
 
-// tail returns the end of the process's log.
+// tail returns the end of the process's log, or the first race that it tells of.
 func (p *process) tail() string {
-	const lines = 30
+	const lines, raceBytes = 30, 6000
 	data, err := os.ReadFile(p.log)
 	if err != nil {
 		return err.Error()
 	}
+	if _, race, found := strings.Cut(string(data), "WARNING: DATA RACE"); found {
+		return race[:min(len(race), raceBytes)]
+	}
 	all := strings.Split(string(data), "\n")
 	return strings.Join(all[max(0, len(all)-lines):], "\n")
 }
