Send a copy of an outcome that the wallet may send again

Cause: TestLeaderKilledWhileClaimsCommit ended with a data race in kcw-router: replay set Over in the message of a SettleClaim whose earlier sending, given up by its caller, the ledger's client was still encoding. The ledger could have read an Over that belonged to a later sending. Change: each sending has a copy. No test of the wallet alone shows the race.

--- a/kcw/kcwwallet/tend.go
+++ b/kcw/kcwwallet/tend.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw/kcwgrant"
@@ -59,11 +60,13 @@
 		w.mu.Lock()
 		e := w.pending[0]
 		takes := w.purse(e.name.customer).takes
-		if e.settle.GetIncarnation() == w.cfg.Incarnation {
-			e.settle.Over = w.over()
+		// A copy, since the client may still be sending an earlier one.
+		settle := proto.Clone(e.settle).(*kcwpb.SettleClaim)
+		if settle.GetIncarnation() == w.cfg.Incarnation {
+			settle.Over = w.over()
 		}
 		w.mu.Unlock()
-		result, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_SettleClaim{SettleClaim: e.settle}})
+		result, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_SettleClaim{SettleClaim: settle}})
 		if err != nil {
 			return false
 		}
