--- a/kcw-ledger/config_test.go
+++ b/kcw-ledger/config_test.go
@@ -160,6 +160,9 @@
 	}
 	for i, m := range f.members {
 		f.members[i] = f.startLinked(t, i, m.settings.Host.Folder)
+		if f.members[i].group.Status().Snapshot == 0 {
+			t.Errorf("replica %d restarts without a snapshot", i)
+		}
 	}
 	for _, w := range watchers {
 		if got := w.weight("pew"); got != (changes-1)%100+1 {
@@ -173,6 +176,15 @@
 	inForce(t, watchers, last, "pew", 7)
 	for i, m := range f.members {
 		await(t, fmt.Sprintf("replica %d at revision %d", i, last), func() bool { return m.book.Revision() == last })
+		kept := m.book.Changes("pew")
+		if len(kept) != changes+2 {
+			t.Fatalf("replica %d has %d changes, want %d", i, len(kept), changes+2)
+		}
+		for n, c := range kept {
+			if c.Revision != uint64(n+1) {
+				t.Errorf("replica %d has change %q at revision %d, want %d", i, c.Change, c.Revision, n+1)
+			}
+		}
 	}
 }
 
