Answer as fresh only after catching up with the own log

Cause: a replica counted as fresh as soon as it had heard a leader. A router that starts then had an outdated contract in force, or refused a key. Change: the service is fresh only once its replica has been a voter that had applied the log of its start, less what a leader has cut off. This holds for Lookup, Watch and Heartbeat. The fake group of the service's tests names its members, as a real one does. Before: TestRevisionsOverRestarts: 'answers at revision 242, found true, want 301 or more'; TestLostDiskThenLostHost: 'answers at revision 0, found false, want 81 or more'.

--- a/kcw-ledger/config_test.go
+++ b/kcw-ledger/config_test.go
@@ -163,6 +163,7 @@
 		if f.members[i].group.Status().Snapshot == 0 {
 			t.Errorf("replica %d restarts without a snapshot", i)
 		}
+		defer askUntil(t, f.listen[i], "pew", revision)()
 	}
 	for _, w := range watchers {
 		if got := w.weight("pew"); got != (changes-1)%100+1 {
@@ -238,6 +239,7 @@
 	f.members[lost].stop()
 	serve(n)
 	f.members[lost] = f.startLinked(t, lost, t.TempDir())
+	defer askUntil(t, f.listen[lost], "pew", revision)()
 	host := f.members[lost].settings.Host
 	fresh := f.members[lost].group.Status().Id
 	if fresh == old {
--- a/kcw-ledger/watcher_test.go
+++ b/kcw-ledger/watcher_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +17,7 @@
 	"kingcupwick.example/kcw/kcwkeyring"
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
 )
 
 // waitBound is for how long a condition is waited for.
@@ -137,6 +141,39 @@
 	return contract.Weight
 }
 
+// askUntil looks customer up at the replica at address over and over, as routers
+// that know nothing yet do, and fails the test at an answer below revision. It
+// ends when the returned function is called, after at least one answer.
+func askUntil(tb testing.TB, address netip.AddrPort, customer string, revision uint64) func() {
+	tb.Helper()
+	ledger := kcwpbconnect.NewLedgerClient(http.DefaultClient, "http://"+address.String())
+	var done sync.WaitGroup
+	var ended atomic.Bool
+	done.Go(func() {
+		answers := 0
+		for end := time.Now().Add(waitBound); !ended.Load() || answers == 0; {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			answer, err := ledger.Lookup(ctx, bearing(testKeys.Router, &kcwpb.LookupRequest{Customer: customer}))
+			cancel()
+			if err == nil {
+				answers++
+			}
+			if err == nil && answer.Msg.Revision < revision {
+				tb.Errorf("%s answers at revision %d, found %v, want %d or more", address, answer.Msg.Revision, answer.Msg.Found, revision)
+				return
+			}
+			if time.Now().After(end) {
+				tb.Errorf("%s doesn't answer", address)
+				return
+			}
+		}
+	})
+	return func() {
+		ended.Store(true)
+		done.Wait()
+	}
+}
+
 // inForce waits until every watcher has revision, and customer's weight.
 func inForce(tb testing.TB, watchers []*watcher, revision uint64, customer string, weight int64) {
 	tb.Helper()
--- a/kcw/kcwservice/ledger.go
+++ b/kcw/kcwservice/ledger.go
@@ -14,7 +14,7 @@
 const watchBatch = 512
 
 var (
-	errNotFresh = errors.New("no leader heard lately")
+	errNotFresh = errors.New("no leader heard lately, or not caught up since the start")
 	errStopping = errors.New("the replica is stopping")
 )
 
@@ -42,9 +42,9 @@
 	return false
 }
 
-// Lookup returns a contract from this replica, if it has heard a leader lately.
+// Lookup returns a contract from this replica, if it is fresh.
 func (s *ledgerService) Lookup(_ context.Context, req *connect.Request[kcwpb.LookupRequest]) (*connect.Response[kcwpb.LookupResponse], error) {
-	if !s.cfg.Group.Fresh() {
+	if !s.isFresh() {
 		return nil, unavailable(s.cfg.Group.Status(), errNotFresh)
 	}
 	// The revision is read first: the contract is then at least as new.
@@ -106,14 +106,14 @@
 		Contracts: contracts,
 		Revision:  revision,
 		Term:      s.cfg.Group.Status().Term,
-		Fresh:     s.cfg.Group.Fresh(),
+		Fresh:     s.isFresh(),
 	}
 }
 
 // Heartbeat takes down that a router is alive. Only the leader answers.
 func (s *ledgerService) Heartbeat(_ context.Context, req *connect.Request[kcwpb.HeartbeatRequest]) (*connect.Response[kcwpb.HeartbeatResponse], error) {
 	status := s.cfg.Group.Status()
-	if status.Leader != status.Id || !s.cfg.Group.Fresh() {
+	if status.Leader != status.Id || !s.isFresh() {
 		return nil, notLeader(status)
 	}
 	now := s.cfg.Now()
--- a/kcw/kcwservice/service.go
+++ b/kcw/kcwservice/service.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -69,6 +70,10 @@
 	recalls *recalls
 	stopped chan struct{}
 	once    sync.Once
+	// lastAtStart is the last index of the replica's log when the service was
+	// made, caughtUp whether it was applied since.
+	lastAtStart uint64
+	caughtUp    atomic.Bool
 }
 
 // New returns a Service. It returns an Error of kind Invalid if a field of cfg
@@ -77,7 +82,10 @@
 	if err := check(cfg); err != nil {
 		return nil, &Error{Op: "new", Kind: Invalid, Err: err}
 	}
-	return &Service{cfg: cfg, roster: newRoster(), recalls: newRecalls(), stopped: make(chan struct{})}, nil
+	return &Service{
+		cfg: cfg, roster: newRoster(), recalls: newRecalls(), stopped: make(chan struct{}),
+		lastAtStart: cfg.Group.Status().GetLast(),
+	}, nil
 }
 
 func check(cfg Config) error {
--- a/kcw/kcwservice/service_test.go
+++ b/kcw/kcwservice/service_test.go
@@ -57,10 +57,11 @@
 }
 
 func (g *fakeGroup) Status() *kcwpb.GroupStatus {
+	members := &kcwpb.Membership{Members: []*kcwpb.Member{{Id: 1}, {Id: 2}}}
 	if g.follows != "" {
-		return &kcwpb.GroupStatus{Id: 1, Leader: 2, LeaderAddress: g.follows}
+		return &kcwpb.GroupStatus{Id: 1, Leader: 2, LeaderAddress: g.follows, Membership: members}
 	}
-	return &kcwpb.GroupStatus{Id: 1, Leader: 1}
+	return &kcwpb.GroupStatus{Id: 1, Leader: 1, Membership: members}
 }
 
 func (g *fakeGroup) Fresh() bool { return !g.stale }
