Drill a router's death and leader changes in the wallet

Cause: the drill of false refusals had neither.

Change: BenchmarkRefusals also kills the busiest router for ten minutes, with a budget that lasts and one that ends, and has the ledger silent for two seconds of each minute. The fixture's ledger can take a router for silent.

--- a/kcw/kcwwallet/fixture_test.go
+++ b/kcw/kcwwallet/fixture_test.go
@@ -53,6 +53,8 @@
 	late  []*kcwpb.Command
 	// fast leaves out the trace and the check at each command.
 	fast bool
+	// silent is a router that the ledger has not heard of for long, if any.
+	silent *router
 	// trace has a line for each command.
 	trace []string
 	// overdrawn is the first broken rule that was seen.
@@ -85,6 +87,9 @@
 	defer w.mu.Unlock()
 	cmd = proto.Clone(cmd).(*kcwpb.Command)
 	cmd.At = w.now.UnixNano()
+	if op := cmd.GetOpenClaim(); op != nil && w.silent != nil {
+		op.SilentRouter, op.SilentIncarnation = w.silent.name, w.silent.incarnation
+	}
 	w.index++
 	data, err := proto.Marshal(cmd)
 	if err != nil {
--- a/kcw/kcwwallet/refusals_bench_test.go
+++ b/kcw/kcwwallet/refusals_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,11 +45,15 @@
 
 // drill is ten routers under skewed demand.
 type drill struct {
-	way      way
-	world    *world
-	routers  []*router
-	random   *rand.Rand
-	runs     []run
+	way     way
+	world   *world
+	routers []*router
+	random  *rand.Rand
+	runs    []run
+	// dead is the router that died, nil if none did, and lost holds the runs that
+	// died with it and were not run again.
+	dead     *router
+	lost     []run
 	number   int
 	asked    int
 	refused  int
@@ -95,7 +100,9 @@
 	}
 	d.runs = left
 	for _, r := range d.routers {
-		r.tend()
+		if r != d.dead {
+			r.tend()
+		}
 	}
 	b := d.world.book.Budget(customer)
 	d.overflow = max(d.overflow, b.GetBilled()-b.GetPrepaid())
@@ -132,7 +139,7 @@
 // away from the ledger, at most.
 func (d *drill) away() int64 {
 	var sum int64
-	for _, r := range d.runs {
+	for _, r := range slices.Concat(d.lost, d.runs) {
 		if d.world.book.Claim(customer, r.claim.GetRequest()) == nil {
 			sum += r.tokens
 		}
@@ -140,7 +147,16 @@
 	return sum
 }
 
+// pick draws a router, another one in place of a dead one.
 func (d *drill) pick() int {
+	i := d.draw()
+	for d.routers[i] == d.dead {
+		i = d.draw()
+	}
+	return i
+}
+
+func (d *drill) draw() int {
 	var total float64
 	for i := range drillRouters {
 		total += 1 / float64(i+1)
@@ -199,24 +215,28 @@
 // BenchmarkRefusals reports overspend and false refusals by way and deployment:
 // until a budget of five minutes of demand is exhausted, through ten minutes in
 // which half of the routers are cut off, and through the same with a budget that
-// ends meanwhile.
+// ends meanwhile; through ten minutes after the death of the busiest router, with
+// both budgets, and through ten minutes with as many leader changes.
 func BenchmarkRefusals(b *testing.B) {
+	const large, ending = 40_000_000, 700_000
 	for _, deployment := range deployments {
 		for _, w := range []way{quorum, escrow, both} {
 			for _, test := range []struct {
-				name     string
-				prepaid  int64
-				cutAfter int
-				cutFor   int
+				name    string
+				prepaid int64
+				run     func(*drill, *testing.B)
 			}{
-				{"exhaustion", 430_000, 360, 0},
-				{"cut", 40_000_000, 300, 600},
-				{"cut-and-exhaustion", 700_000, 300, 600},
+				{"exhaustion", 430_000, func(d *drill, _ *testing.B) { d.cutHalf(360, 0) }},
+				{"cut", large, func(d *drill, _ *testing.B) { d.cutHalf(300, 600) }},
+				{"cut-and-exhaustion", ending, func(d *drill, _ *testing.B) { d.cutHalf(300, 600) }},
+				{"death", large, (*drill).death},
+				{"death-and-exhaustion", ending, (*drill).death},
+				{"leader-change", large, (*drill).leaderChanges},
 			} {
 				b.Run(fmt.Sprintf("%s/%s/%s", deployment.name, test.name, w), func(b *testing.B) {
 					for range b.N {
 						d := newDrill(b, w, test.prepaid, deployment.policy)
-						d.cutHalf(test.cutAfter, test.cutFor)
+						test.run(d, b)
 						d.report(b)
 					}
 				})
@@ -235,7 +255,7 @@
 	if cutFor == 0 {
 		return
 	}
-	d.asked, d.refused, d.falsely, d.ontime = 0, 0, 0, 0
+	d.count()
 	for i := range drillRouters {
 		d.routers[i].link.cut = i%2 == 0
 	}
@@ -244,6 +264,9 @@
 	}
 }
 
+// count starts the counts anew.
+func (d *drill) count() { d.asked, d.refused, d.falsely, d.ontime = 0, 0, 0, 0 }
+
 // hide hides openings from the ledger if all are to be out of grants.
 func (d *drill) hide() {
 	if d.way != escrow {
