Send copies of commands from the ledger's client

Cause: a caller whose command timed out got its message back while a sender was still encoding it; the wallet changed one then, and the race detector ended a router in TestLeaderKilledWhileClaimsCommit. Change: Submit takes a copy. Result: TestCommandMayChangeAfterSubmit reports a data race without the copy and passes with it.

--- a/kcw/kcwledger/client.go
+++ b/kcw/kcwledger/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"kingcupwick.example/kcw/kcwpb"
 )
@@ -107,9 +108,10 @@
 // Submit has cmd carried out and returns its result. It resends until ctx ends.
 // The error is of kind NotSent when no replica can have received cmd, of kind
 // OutcomeUnknown when cmd may still be carried out, and of kind Refused when
-// the ledger refused it.
+// the ledger refused it. The caller may change cmd once Submit has returned.
 func (c *Client) Submit(ctx context.Context, cmd *kcwpb.Command) (*kcwpb.Result, error) {
-	w := &call{ctx: ctx, cmd: cmd, done: make(chan struct{})}
+	// A copy, since a sender may still hold it when ctx has ended.
+	w := &call{ctx: ctx, cmd: proto.Clone(cmd).(*kcwpb.Command), done: make(chan struct{})}
 	select {
 	case c.queue <- w:
 	case <-ctx.Done():
--- a/kcw/kcwledger/client_test.go
+++ b/kcw/kcwledger/client_test.go
@@ -255,6 +255,22 @@
 	}
 }
 
+// TestCommandMayChangeAfterSubmit gives up commands at random moments of their
+// sending and changes them; the race detector is the check.
+func TestCommandMayChangeAfterSubmit(t *testing.T) {
+	c := newClient(t, start(t, &replica{submit: ok}))
+	for n := range 300 {
+		cmd := open(1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(n)*5*time.Microsecond)
+		result, err := c.Submit(ctx, cmd)
+		cancel()
+		cmd.GetOpenClaim().Tokens = 2
+		if err == nil && result.Tokens != 1 {
+			t.Fatalf("got the result of a command with %d tokens, want 1", result.Tokens)
+		}
+	}
+}
+
 func TestSubmitEndsWhenTheClientCloses(t *testing.T) {
 	c := newClient(t, netip.MustParseAddrPort("127.0.0.1:1"))
 	ended := make(chan error, 1)
