Tell callers of a running request to come back within seconds

Cause: a retry that met its request at another router was told to come back at the end of the claim's lease, ten minutes, although the request ends in seconds and a claim of a silent router may be adopted after ten. That is a false refusal for as long. Change: at the latest five seconds from now.

--- a/kcw/kcwbook/limits.go
+++ b/kcw/kcwbook/limits.go
@@ -46,3 +46,8 @@
 
 // retryPause is when a caller may ask again for what depends on others.
 const retryPause = time.Second
+
+// progressPause is when at the latest a caller may ask again for a request that
+// runs at another router: it may end, or its router may fall silent, long before
+// the lease does.
+const progressPause = 5 * time.Second
--- a/kcw/kcwbook/open.go
+++ b/kcw/kcwbook/open.go
@@ -70,7 +70,7 @@
 		return nil
 	}
 	result := s.shown(kcwpb.Code_CODE_IN_PROGRESS, "the request is running", old, op)
-	result.RetryAt = max(old.leaseUntil, s.at+int64(retryPause))
+	result.RetryAt = min(max(old.leaseUntil, s.at+int64(retryPause)), s.at+int64(progressPause))
 	return result
 }
 
