--- a/kcw-proof/caller_test.go
+++ b/kcw-proof/caller_test.go
@@ -22,6 +22,8 @@
 	fleet *fleet
 	mu    sync.Mutex
 	calls []kcwaudit.Call
+	// said is what the last refusal of each request said of it.
+	said map[string]string
 }
 
 // send makes one call through a router and notes it. Began, if not nil, is
@@ -101,7 +103,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode >= http.StatusBadRequest {
-		return refusalOf(response.Body), ""
+		return c.refusalOf(request, response.Body), ""
 	}
 	if began != nil {
 		began()
@@ -126,10 +128,19 @@
 	return kcwaudit.Whole, kcwrecord.Digest([]byte(answer.Choices[0].Message.Content))
 }
 
-// refusalOf returns what a refusal says of the request.
-func refusalOf(body io.Reader) string {
+// refusalOf returns what a refusal comes to and notes what it says.
+func (c *caller) refusalOf(request string, body io.Reader) string {
 	var refusal struct{ Error struct{ Outcome string } }
-	if json.NewDecoder(body).Decode(&refusal) == nil && refusal.Error.Outcome == "not-run" {
+	if json.NewDecoder(body).Decode(&refusal) != nil {
+		return kcwaudit.Broken
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.said == nil {
+		c.said = map[string]string{}
+	}
+	c.said[request] = refusal.Error.Outcome
+	if refusal.Error.Outcome == "not-run" {
 		return kcwaudit.NotRun
 	}
 	return kcwaudit.Broken
--- a/kcw-proof/fleet_test.go
+++ b/kcw-proof/fleet_test.go
@@ -31,6 +31,8 @@
 	prepaid   = 1_000_000
 )
 
+const engineSettings = "[Engine]\nModels = kcw-model\nBetweenTokens = 10ms\n"
+
 // fleets counts the fleets, each of which has loopback addresses of its own.
 var fleets atomic.Int32
 
@@ -38,26 +40,36 @@
 // ledgers are reached through links, by each other too, and so are the
 // upstreams, by each router through links of its own.
 type fleet struct {
-	folder      string
-	network     [2]byte
-	ledgers     [ledgers]*process
-	routers     [routers]*process
-	engine      *process
-	desk        *process
+	folder  string
+	answer  string
+	network [2]byte
+	ledgers [ledgers]*process
+	routers [routers]*process
+	engine  *process
+	desk    *process
+	// spare is a second engine for the model, nil in most fleets.
+	spare       *process
 	ledgerLinks [ledgers]*link
 	engineLinks [routers]*link
 	operator    *kcwledger.Client
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T) *fleet { return newFleetOf(t, false, "10m") }
+
+// newFleetOf returns a fleet at work, with a second engine if asked for, whose
+// routers have the given deadline for answers in one piece.
+func newFleetOf(t *testing.T, hasSpare bool, answer string) *fleet {
 	t.Helper()
 	const firstNet, nets = 64, 128
-	f := &fleet{folder: t.TempDir(), network: [2]byte{byte(firstNet + os.Getpid()%nets), byte(fleets.Add(1))}}
+	f := &fleet{folder: t.TempDir(), answer: answer, network: [2]byte{byte(firstNet + os.Getpid()%nets), byte(fleets.Add(1))}}
 	for _, name := range []string{"peer", "router", "operator"} {
 		f.write(t, name, name+keySuffix)
 	}
-	f.engine = f.process(t, "engine", "kcw-standin", f.at(30, 1), f.standin("engine", 30)+"[Engine]\nModels = kcw-model\nBetweenTokens = 10ms\n")
+	f.engine = f.process(t, "engine", "kcw-standin", f.at(30, 1), f.standin("engine", 30)+engineSettings)
 	f.desk = f.process(t, "desk", "kcw-standin", f.at(31, 1), f.standin("plain", 31)+"[Plain]\nWork = 300ms\n")
+	if hasSpare {
+		f.spare = f.process(t, "spare", "kcw-standin", f.at(32, 1), f.standin("engine", 32)+engineSettings)
+	}
 	for i := range ledgers {
 		f.ledgers[i] = f.process(t, fmt.Sprintf("ledger-%d", i), "kcw-ledger", f.at(10+i, 1), f.ledgerSettings(i))
 		f.ledgerLinks[i] = newLink(t, f.at(50+i, 0), f.at(10+i, 0))
@@ -90,7 +102,15 @@
 
 // all returns the processes in the order in which they start.
 func (f *fleet) all() []*process {
-	return append(append([]*process{f.engine, f.desk}, f.ledgers[:]...), f.routers[:]...)
+	return append(append(f.standins(), f.ledgers[:]...), f.routers[:]...)
+}
+
+// standins returns the upstreams.
+func (f *fleet) standins() []*process {
+	if f.spare == nil {
+		return []*process{f.engine, f.desk}
+	}
+	return []*process{f.engine, f.desk, f.spare}
 }
 
 func (f *fleet) stop(t *testing.T) {
@@ -157,6 +177,10 @@
 }
 
 func (f *fleet) routerSettings(i int) string {
+	spare := ""
+	if f.spare != nil {
+		spare = fmt.Sprintf("[Upstream \"spare\"]\nService = kcw-model\nZone = zone-0\nAddress = %s\n", f.at(32, 0))
+	}
 	return fmt.Sprintf(`[Host]
 Name = router-%d
 Zone = zone-%d
@@ -174,6 +198,7 @@
 [Deadlines]
 Progress = 2s
 FirstByte = 5s
+Answer = %s
 [Upstream "engine"]
 Service = kcw-model
 Zone = zone-0
@@ -182,7 +207,7 @@
 Service = parish-desk
 Zone = zone-0
 Address = %s
-`, i, i, f.at(20+i, 0), f.at(20+i, 2), f.at(20+i, 1), i, f.at(50, 0), f.at(51, 0), f.at(52, 0), f.at(60+i, 0), f.at(31, 0))
+`, i, i, f.at(20+i, 0), f.at(20+i, 2), f.at(20+i, 1), i, f.at(50, 0), f.at(51, 0), f.at(52, 0), f.answer, f.at(60+i, 0), f.at(31, 0)) + spare
 }
 
 // sign puts the customer's contract in force at every router.
@@ -259,22 +284,27 @@
 func (f *fleet) records(t *testing.T) []kcwrecord.Entry {
 	t.Helper()
 	var all []kcwrecord.Entry
-	for _, standin := range []*process{f.engine, f.desk} {
-		response, err := http.Get("http://" + standin.ready + "/record")
-		if err != nil {
-			t.Fatal(err)
-		}
-		var entries []kcwrecord.Entry
-		err = json.NewDecoder(response.Body).Decode(&entries)
-		response.Body.Close()
-		if err != nil {
-			t.Fatal(err)
-		}
-		all = append(all, entries...)
+	for _, standin := range f.standins() {
+		all = append(all, recordOf(t, standin)...)
 	}
 	return all
 }
 
+// recordOf returns what reached one stand-in.
+func recordOf(t *testing.T, standin *process) []kcwrecord.Entry {
+	t.Helper()
+	response, err := http.Get("http://" + standin.ready + "/record")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var entries []kcwrecord.Entry
+	if err := json.NewDecoder(response.Body).Decode(&entries); err != nil {
+		t.Fatal(err)
+	}
+	return entries
+}
+
 var stateNames = map[kcwpb.ClaimState]string{
 	kcwpb.ClaimState_CLAIM_STATE_OPEN: "Open", kcwpb.ClaimState_CLAIM_STATE_BILLED: "Billed",
 	kcwpb.ClaimState_CLAIM_STATE_NOT_RUN: "NotRun", kcwpb.ClaimState_CLAIM_STATE_UNKNOWN: "Unknown",
