Be ready only after catching up

A ledger's readiness went by the leader alone, while its services wait until the replica has caught up with its own log. Both go by Service.Fresh now. go test -race ./kcwservice passes.

--- a/kcw-ledger/replica.go
+++ b/kcw-ledger/replica.go
@@ -205,8 +205,8 @@
 
 // ready returns nil if the replica is up to date with a leader.
 func (r *replica) ready() error {
-	if !r.group.Fresh() {
-		return eris.New("no leader heard lately")
+	if !r.service.Fresh() {
+		return eris.New("no leader heard lately, or not caught up")
 	}
 	return nil
 }
--- a/kcw/kcwservice/fresh.go
+++ b/kcw/kcwservice/fresh.go
@@ -2,10 +2,10 @@
 
 import "kingcupwick.example/kcw/kcwpb"
 
-// isFresh reports whether the replica may answer from its own state: it has
+// Fresh reports whether the replica may answer from its own state: it has
 // heard from a leader with a quorum lately, and since its start it has caught up
 // with what it held before.
-func (s *Service) isFresh() bool {
+func (s *Service) Fresh() bool {
 	return s.cfg.Group.Fresh() && s.hasCaughtUp()
 }
 
--- a/kcw/kcwservice/fresh_test.go
+++ b/kcw/kcwservice/fresh_test.go
@@ -14,7 +14,7 @@
 
 func (g *standing) Status() *kcwpb.GroupStatus { return g.status }
 
-func TestIsFresh(t *testing.T) {
+func TestFresh(t *testing.T) {
 	voter := &kcwpb.Membership{Members: []*kcwpb.Member{{Id: 2}, {Id: 1}}}
 	learner := &kcwpb.Membership{Members: []*kcwpb.Member{{Id: 2}, {Id: 1, Learner: true}}}
 	for _, test := range []struct {
@@ -42,7 +42,7 @@
 			group.status = test.then
 			group.status.Id = 1
 			group.stale = test.stale
-			if got := s.isFresh(); got != test.want {
+			if got := s.Fresh(); got != test.want {
 				t.Errorf("fresh %v, want %v", got, test.want)
 			}
 		})
--- a/kcw/kcwservice/ledger.go
+++ b/kcw/kcwservice/ledger.go
@@ -44,7 +44,7 @@
 
 // Lookup returns a contract from this replica, if it is fresh.
 func (s *ledgerService) Lookup(_ context.Context, req *connect.Request[kcwpb.LookupRequest]) (*connect.Response[kcwpb.LookupResponse], error) {
-	if !s.isFresh() {
+	if !s.Fresh() {
 		return nil, unavailable(s.cfg.Group.Status(), errNotFresh)
 	}
 	// The revision is read first: the contract is then at least as new.
@@ -106,14 +106,14 @@
 		Contracts: contracts,
 		Revision:  revision,
 		Term:      s.cfg.Group.Status().Term,
-		Fresh:     s.isFresh(),
+		Fresh:     s.Fresh(),
 	}
 }
 
 // Heartbeat takes down that a router is alive. Only the leader answers.
 func (s *ledgerService) Heartbeat(_ context.Context, req *connect.Request[kcwpb.HeartbeatRequest]) (*connect.Response[kcwpb.HeartbeatResponse], error) {
 	status := s.cfg.Group.Status()
-	if status.Leader != status.Id || !s.isFresh() {
+	if status.Leader != status.Id || !s.Fresh() {
 		return nil, notLeader(status)
 	}
 	now := s.cfg.Now()
