--- a/kcw-proof/upstream_test.go
+++ b/kcw-proof/upstream_test.go
@@ -105,6 +105,68 @@
 	return n
 }
 
+func TestFrozenUpstream(t *testing.T) {
+	f := newFleetOf(t, true, answerTime)
+	c := &caller{fleet: f}
+	const streams, asks = 8, 6
+	// A router may try one request again for each ten that it was given first,
+	// and starts with none, so that each must earn what the asks below need.
+	const warm = 10 * asks
+	var earned sync.WaitGroup
+	for i := range routers {
+		for part := range 4 {
+			earned.Go(func() {
+				for n := range warm / 4 {
+					c.insistAt(t, i, fmt.Sprintf("warm-%d-%d-%d", i, part, n), ask(3))
+				}
+			})
+		}
+	}
+	earned.Wait()
+	wait := opened(t, c, 0, streams, 400)
+	if running(t, f.engine) == 0 {
+		t.Fatal("no stream runs at the engine to freeze")
+	}
+	f.engine.signal(t, syscall.SIGSTOP)
+	var work sync.WaitGroup
+	for i := range asks {
+		work.Go(func() {
+			call := c.send(t, i%routers, fmt.Sprintf("frozen-%d", i), ask(3+i), nil)
+			if call.Outcome != kcwaudit.Whole {
+				c.mu.Lock()
+				said := c.said[call.Request]
+				c.mu.Unlock()
+				t.Errorf("%s ended %s and said %q, and another engine was free", call.Request, call.Outcome, said)
+			}
+		})
+	}
+	work.Wait()
+	broken := 0
+	for _, call := range wait() {
+		if call.Outcome == kcwaudit.Broken {
+			broken++
+		}
+	}
+	if broken == 0 {
+		t.Error("no stream of the frozen engine broke")
+	}
+	f.engine.signal(t, syscall.SIGCONT)
+	for i := range streams {
+		c.insist(t, i, fmt.Sprintf("stream-%d", i), stream(400))
+	}
+	for i := range asks {
+		c.insist(t, i, fmt.Sprintf("frozen-%d", i), ask(3+i))
+	}
+	both := 0
+	for _, entry := range recordOf(t, f.engine) {
+		if strings.HasPrefix(entry.Request, "frozen-") {
+			both++
+		}
+	}
+	t.Logf("%d of %d streams broke; %d of %d asks were first sent to the frozen engine", broken, streams, both, asks)
+	f.audit(t, c.calls, 0)
+}
+
 func TestSilentUpstreamNotRepeated(t *testing.T) {
 	f := newFleetOf(t, false, answerTime)
 	c := &caller{fleet: f}
