Try a whole answer elsewhere when its upstream stands still

Two reasons: such a call had no progress deadline before that of the answer, ten minutes, though load reports had stopped; and a new router's retry budget is empty, so its first requests could not be tried again. Change: a repeatable call that waits for an answer in one piece is given up when its upstream has sent no load report for three silence timeouts and another upstream is usable. Not given up: calls that must not be repeated, and all calls where nothing else is usable. Result: TestFrozenUpstreamWholeAnswer fails after 15 s without the rule (context deadline exceeded) and passes in 1.2 s with it; kcwgateway and kcwretry pass under the race detector.

--- a/kcw-router/kcwsetup/settings.go
+++ b/kcw-router/kcwsetup/settings.go
@@ -86,6 +86,9 @@
 	QueueCapacity    int   `default:"1000" setting:"min=1,max=1000000"`
 	UpstreamCapacity int   `default:"16" setting:"min=1,max=100000"`
 	MaxAttempts      int   `default:"3" setting:"min=1,max=10"`
+	// FirstRetries is how many retries of a service a router may spend before
+	// its first requests have earned any.
+	FirstRetries int `default:"10" setting:"min=0,max=10"`
 }
 
 // deadlineSettings bounds each wait.
--- a/kcw-router/process.go
+++ b/kcw-router/process.go
@@ -171,7 +171,7 @@
 		}),
 		Peers: peers, PeerKey: k.Router,
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
-		QueueCapacity: s.Limits.QueueCapacity, UpstreamCapacity: s.Limits.UpstreamCapacity, MaxAttempts: s.Limits.MaxAttempts,
+		QueueCapacity: s.Limits.QueueCapacity, UpstreamCapacity: s.Limits.UpstreamCapacity, MaxAttempts: s.Limits.MaxAttempts, FirstRetries: s.Limits.FirstRetries,
 		OpenTimeout: s.Deadlines.Open, SettleTimeout: s.Deadlines.Settle, FirstByteTimeout: s.Deadlines.FirstByte,
 		AnswerTimeout: s.Deadlines.Answer, WriteTimeout: s.Deadlines.Write, ReadTimeout: s.Deadlines.Read,
 		PollInterval: s.Deadlines.Poll, SilenceTimeout: s.Deadlines.Silence,
--- a/kcw/kcwgateway/dispatch.go
+++ b/kcw/kcwgateway/dispatch.go
@@ -136,7 +136,7 @@
 func (g *Gateway) attempt(ctx context.Context, req *request, d *delivery, c chosen, number int) result {
 	began := g.cfg.Now()
 	defer func() { g.pool.picker.Finished(g.cfg.Now(), c.upstream.Name()) }()
-	res := g.call(ctx, req, d, c, number, began)
+	res := g.watched(ctx, req, d, c, number, began)
 	res.upstream, res.attempt = c.upstream.Name(), number
 	if c.sent && !res.sent {
 		res.sent, res.code = true, codeUpstreamFailed
@@ -144,6 +144,24 @@
 	return res
 }
 
+// watched calls one upstream, and gives up a call whose answer comes in one
+// piece when the upstream has sent no load report for long and another one is
+// free: the progress of such a call can't be seen. A call that must not be
+// repeated is waited for.
+func (g *Gateway) watched(ctx context.Context, req *request, d *delivery, c chosen, number int, began time.Time) result {
+	if !req.repeatable || req.streams() {
+		return g.call(ctx, req, d, c, number, began)
+	}
+	waiting, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	defer c.await(g.pool.nextID.Add(1), giveUp)()
+	res := g.call(waiting, req, d, c, number, began)
+	if res.code == codeUpstreamFailed && waiting.Err() != nil && ctx.Err() == nil {
+		res.code = codeUpstreamSilent
+	}
+	return res
+}
+
 // call sends req to one upstream and takes its answer.
 func (g *Gateway) call(ctx context.Context, req *request, d *delivery, c chosen, number int, began time.Time) result {
 	out, err := outgoing(ctx, req, number)
--- a/kcw/kcwgateway/gateway.go
+++ b/kcw/kcwgateway/gateway.go
@@ -89,6 +89,9 @@
 	UpstreamCapacity int
 	// MaxAttempts bounds the tries of one request, 3.
 	MaxAttempts int
+	// FirstRetries is how many retries of a service a new gateway may spend
+	// before its first requests have earned any, 10 at most.
+	FirstRetries int
 	// ContinuousUsage asks engines for the usage with each event.
 	ContinuousUsage bool
 	// EnginePriority tells engines the priority of each request, the lowest
--- a/kcw/kcwgateway/pool.go
+++ b/kcw/kcwgateway/pool.go
@@ -25,13 +25,16 @@
 	queueAging = 2 * time.Second
 	// queueReserve is the part of the slots kept for contracts inside their shares,
 	// queueMemory the time over which shares are measured.
-	queueReserve     = 0.1
-	queueMemory      = 10 * time.Second
-	queueHold        = 2 * time.Second
-	loadHalfLife     = 300 * time.Millisecond
-	zoneMargin       = 0.1
-	prefixMargin     = 0.5
-	pickRoom         = 0.95
+	queueReserve = 0.1
+	queueMemory  = 10 * time.Second
+	queueHold    = 2 * time.Second
+	loadHalfLife = 300 * time.Millisecond
+	zoneMargin   = 0.1
+	prefixMargin = 0.5
+	pickRoom     = 0.95
+	// abandonAfter is after how many silence timeouts without a load report a
+	// call that waits for an answer in one piece is tried elsewhere.
+	abandonAfter     = 3
 	retryRatio       = 0.1
 	retryBurst       = 10
 	retryPauseFirst  = 10 * time.Millisecond
@@ -58,12 +61,54 @@
 	targets map[string]*target
 	lanes   map[string]*lane
 	nextID  atomic.Uint64
+	// silence is how long after its last load report an upstream is given work.
+	silence time.Duration
 }
 
 // target is one upstream with its breaker.
 type target struct {
 	upstream *kcwupstream.Upstream
 	breaker  *kcwbreaker.Breaker
+
+	// mu guards the fields below; no other lock is taken under it.
+	mu sync.Mutex
+	// answeredAt is when the last load report came.
+	answeredAt time.Time
+	// waiting holds what gives up the calls that wait for an answer.
+	waiting map[uint64]func()
+}
+
+// await notes a call that waits for an answer in one piece, and what gives it up
+// if the upstream falls silent. The caller calls forget once it waits no longer.
+func (t *target) await(id uint64, giveUp func()) (forget func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waiting[id] = giveUp
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.waiting, id)
+	}
+}
+
+// answered notes a load report at now.
+func (t *target) answered(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answeredAt = now
+}
+
+// abandon gives up the calls that wait if the last load report is older than
+// limit at now.
+func (t *target) abandon(now time.Time, limit time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.answeredAt) <= limit {
+		return
+	}
+	for _, giveUp := range t.waiting {
+		giveUp()
+	}
 }
 
 // lane is the queue and retry budget of one service.
@@ -93,7 +138,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "picker")
 	}
-	p := &pool{now: cfg.Now, members: members, picker: picker, targets: map[string]*target{}, lanes: map[string]*lane{}}
+	p := &pool{now: cfg.Now, silence: cfg.SilenceTimeout, members: members, picker: picker, targets: map[string]*target{}, lanes: map[string]*lane{}}
 	p.routers.Store(int64(cfg.Routers))
 	for i, u := range cfg.Upstreams {
 		if err := p.add(cfg, u, seed, uint64(i+1)); err != nil {
@@ -117,7 +162,7 @@
 		return err
 	}
 	p.members.Add(u.Name())
-	p.targets[u.Name()] = &target{upstream: u, breaker: breaker}
+	p.targets[u.Name()] = &target{upstream: u, breaker: breaker, answeredAt: p.now(), waiting: map[uint64]func(){}}
 	if p.lanes[u.Service()] != nil {
 		return nil
 	}
@@ -130,7 +175,7 @@
 		return err
 	}
 	retries, err := kcwretry.New(kcwretry.Config{
-		Ratio: retryRatio, Burst: retryBurst, PauseFirst: retryPauseFirst, PauseMost: retryPauseMost,
+		Ratio: retryRatio, Burst: retryBurst, Start: cfg.FirstRetries, PauseFirst: retryPauseFirst, PauseMost: retryPauseMost,
 		Rand: rand.New(rand.NewPCG(seed, 3*stream+2)),
 	})
 	if err != nil {
@@ -176,7 +221,11 @@
 	}
 	if err != nil {
 		p.members.Suspect(p.now(), u.Name())
+		if p.hasOther(u) {
+			p.targets[u.Name()].abandon(p.now(), abandonAfter*p.silence)
+		}
 	} else {
+		p.targets[u.Name()].answered(p.now())
 		p.members.Answered(p.now(), u.Name(), sent, u.Draining())
 		running, waiting, capacity, at := u.Load()
 		if capacity > 0 {
@@ -186,6 +235,16 @@
 	p.resize(u.Service())
 }
 
+// hasOther says whether another upstream of the service may be given work.
+func (p *pool) hasOther(u *kcwupstream.Upstream) bool {
+	for name, t := range p.targets {
+		if name != u.Name() && t.upstream.Service() == u.Service() && p.usable(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // resize gives the lane of a service this router's part of the slots that its
 // usable upstreams have, rounded up.
 func (p *pool) resize(service string) {
--- /dev/null
+++ b/kcw/kcwgateway/silent_test.go
@@ -0,0 +1,69 @@
+package kcwgateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwupstream"
+)
+
+// freezing runs an upstream that stands still, load reports included, from its
+// first request until the test ends.
+func freezing(t *testing.T, frozen *atomic.Bool) netip.AddrPort {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" && !frozen.Load() {
+			_, _ = io.WriteString(w, `{"Running":0,"Waiting":0,"Capacity":64}`)
+			return
+		}
+		frozen.Store(true)
+		<-release
+	}))
+	t.Cleanup(func() {
+		close(release)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// TestFrozenUpstreamWholeAnswer checks that a request whose answer comes in one
+// piece is tried elsewhere when its upstream stands still, long before the
+// deadline of the answer.
+func TestFrozenUpstreamWholeAnswer(t *testing.T) {
+	l := newLedger(t, "r1")
+	l.put(t, contractOf("pew"))
+	var frozen atomic.Bool
+	address := freezing(t, &frozen)
+	good := &engine{words: []string{"whole"}}
+	f := start(t, l, "r1", map[string][]http.Handler{"engine": {good}}, func(cfg *Config) {
+		cfg.Upstreams = append(cfg.Upstreams, kcwupstream.New(kcwupstream.Config{
+			Name: "frozen", Service: "engine", Zone: "a", Address: address,
+			DialTimeout: 50 * time.Millisecond, ProgressTimeout: time.Minute,
+		}))
+		cfg.SilenceTimeout = 50 * time.Millisecond
+		cfg.FirstRetries = 10
+	})
+	for n := 0; !frozen.Load(); n++ {
+		prompt := fmt.Sprintf("hello %d", n)
+		ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
+		resp, err := f.request(ctx, call{body: strings.Replace(chatBody, "hello", prompt, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		cancel()
+		if err != nil || resp.StatusCode != http.StatusOK || !strings.Contains(string(body), "whole") {
+			t.Fatalf("status %d, error %v: %s", resp.StatusCode, err, body)
+		}
+	}
+}
--- a/kcw/kcwretry/budget.go
+++ b/kcw/kcwretry/budget.go
@@ -21,6 +21,9 @@
 	Ratio float64
 	// Burst is the largest number of unspent retries that is kept.
 	Burst int
+	// Start is the number of retries that a new Budget holds, at most Burst, so
+	// that the first requests of a process may be tried again as well.
+	Start int
 	// PauseFirst bounds the pause before the first retry of a request, and
 	// doubles with each retry up to PauseMost.
 	PauseFirst time.Duration
@@ -29,9 +32,8 @@
 	Rand *rand.Rand
 }
 
-// Budget says whether a request to one service may be tried again. It starts
-// empty, so that at any time retries <= Ratio * first tries. It is safe for
-// concurrent use.
+// Budget says whether a request to one service may be tried again: at any time
+// retries <= Start + Ratio * first tries. It is safe for concurrent use.
 type Budget struct {
 	cfg Config
 
@@ -42,9 +44,9 @@
 	denied  uint64
 }
 
-// New returns an empty budget. It returns an *Error of KindInvalid if the
-// ratio is not in (0, 1], the burst is below one, a pause is not positive, or
-// there is no random source.
+// New returns a budget that holds cfg.Start retries. It returns an *Error of
+// KindInvalid if the ratio is not in (0, 1], the burst is below one, Start is not
+// in [0, Burst], a pause is not positive, or there is no random source.
 func New(cfg Config) (*Budget, error) {
 	bad := func(detail string) (*Budget, error) {
 		return nil, &Error{Op: "New", Kind: KindInvalid, Detail: detail}
@@ -54,12 +56,14 @@
 		return bad("Ratio must be in (0, 1]")
 	case cfg.Burst < 1:
 		return bad("Burst must be at least 1")
+	case cfg.Start < 0 || cfg.Start > cfg.Burst:
+		return bad("Start must be in [0, Burst]")
 	case cfg.PauseFirst <= 0 || cfg.PauseMost < cfg.PauseFirst:
 		return bad("PauseFirst must be positive and at most PauseMost")
 	case cfg.Rand == nil:
 		return bad("Rand must be set")
 	}
-	return &Budget{cfg: cfg}, nil
+	return &Budget{cfg: cfg, earned: float64(cfg.Start)}, nil
 }
 
 // First notes the first try of a request.
--- a/kcw/kcwretry/budget_test.go
+++ b/kcw/kcwretry/budget_test.go
@@ -49,6 +49,42 @@
 	}
 }
 
+func TestStart(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		start, first   int
+		granted, error int
+	}{
+		{"none", 0, 0, 0, 0},
+		{"three", 3, 0, 3, 0},
+		{"three and what is earned", 3, 10, 4, 0},
+		{"no more than the burst", 5, 1000, 5, 0},
+		{"above the burst", 6, 0, 0, 1},
+		{"negative", -1, 0, 0, 1},
+	} {
+		b, err := New(Config{
+			Ratio: 0.1, Burst: 5, Start: test.start, PauseFirst: time.Millisecond, PauseMost: time.Millisecond,
+			Rand: rand.New(rand.NewPCG(1, 1)),
+		})
+		if (err != nil) != (test.error > 0) {
+			t.Errorf("%s: error %v", test.name, err)
+		}
+		if err != nil {
+			continue
+		}
+		for range test.first {
+			b.First()
+		}
+		granted := 0
+		for b.Retry() {
+			granted++
+		}
+		if granted != test.granted {
+			t.Errorf("%s: %d granted, want %d", test.name, granted, test.granted)
+		}
+	}
+}
+
 func TestProperties(t *testing.T) {
 	seed := int64(1)
 	if text := os.Getenv("KCW_SEED"); text != "" {
