--- a/kcw-proof/upstream_test.go
+++ b/kcw-proof/upstream_test.go
@@ -106,23 +106,9 @@
 }
 
 func TestFrozenUpstream(t *testing.T) {
-	f := newFleetOf(t, true, answerTime)
+	f := newFleetOf(t, true, "10m")
 	c := &caller{fleet: f}
-	const streams, asks = 8, 6
-	// A router may try one request again for each ten that it was given first,
-	// and starts with none, so that each must earn what the asks below need.
-	const warm = 10 * asks
-	var earned sync.WaitGroup
-	for i := range routers {
-		for part := range 4 {
-			earned.Go(func() {
-				for n := range warm / 4 {
-					c.insistAt(t, i, fmt.Sprintf("warm-%d-%d-%d", i, part, n), ask(3))
-				}
-			})
-		}
-	}
-	earned.Wait()
+	const streams, asks = 8, 12
 	wait := opened(t, c, 0, streams, 400)
 	if running(t, f.engine) == 0 {
 		t.Fatal("no stream runs at the engine to freeze")
