--- a/kcw/kcwwallet/purse.go
+++ b/kcw/kcwwallet/balance.go
@@ -7,9 +7,9 @@
 	"kingcupwick.example/kcw/kcwpb"
 )
 
-// purse is what the wallet knows of one customer's budget and of its grant. The
+// balance is what the wallet knows of one customer's budget and of its grant. The
 // ledger's grant is at least free, held and spent together.
-type purse struct {
+type balance struct {
 	// free is granted and neither held nor spent.
 	free int64
 	// held is kept for claims.
@@ -37,30 +37,30 @@
 	recalled  bool
 }
 
-// purse returns the purse of customer.
-func (w *Wallet) purse(customer string) *purse {
-	p := w.purses[customer]
+// balance returns the balance of customer.
+func (w *Wallet) balance(customer string) *balance {
+	p := w.balances[customer]
 	if p == nil {
-		p = new(purse)
-		w.purses[customer] = p
+		p = new(balance)
+		w.balances[customer] = p
 	}
 	return p
 }
 
 // take holds tokens that are free.
-func (p *purse) take(tokens int64) {
+func (p *balance) take(tokens int64) {
 	p.free -= tokens
 	p.held += tokens
 }
 
 // give ends a hold of tokens, of which the ledger took some out of the grant.
-func (p *purse) give(hold, taken int64) {
+func (p *balance) give(hold, taken int64) {
 	p.held -= hold
 	p.free += hold - min(hold, taken)
 }
 
 // spend ends a hold of tokens, of which some are spent.
-func (p *purse) spend(hold, tokens int64) {
+func (p *balance) spend(hold, tokens int64) {
 	p.held -= hold
 	p.free += hold - tokens
 	p.spent += tokens
@@ -68,13 +68,13 @@
 
 // isQuiet says whether nothing but draws and returns changes the grant now, so
 // that all that was spent out of it is settled.
-func (p *purse) isQuiet() bool {
+func (p *balance) isQuiet() bool {
 	return p.asking == 0 && p.local == 0 && p.unconfirmed == 0 && p.held == 0 && p.move == nil
 }
 
 // compare takes the ledger's view of the grant if nothing could change the grant
 // since takes was read.
-func (p *purse) compare(grant *kcwpb.Grant, takes uint64) {
+func (p *balance) compare(grant *kcwpb.Grant, takes uint64) {
 	if grant != nil && p.takes == takes && p.isQuiet() {
 		p.free = grant.GetTokens()
 	}
--- a/kcw/kcwwallet/close.go
+++ b/kcw/kcwwallet/close.go
@@ -38,7 +38,7 @@
 	if len(w.pending) > 0 {
 		return false
 	}
-	for _, p := range w.purses {
+	for _, p := range w.balances {
 		if p.free != 0 || p.held != 0 || p.spent != 0 || p.move != nil {
 			return false
 		}
--- a/kcw/kcwwallet/open.go
+++ b/kcw/kcwwallet/open.go
@@ -52,7 +52,7 @@
 	if old := w.claims[e.name]; old != nil {
 		return nil, w.contested(old, now)
 	}
-	p := w.purse(e.name.customer)
+	p := w.balance(e.name.customer)
 	p.demand = w.cfg.Policy.Add(p.demand, claim.GetTokens(), now)
 	w.claims[e.name] = e
 	if e.asked = w.asks(now); e.asked {
@@ -91,7 +91,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.sent, e.open.GetSerial())
-	p := w.purse(e.name.customer)
+	p := w.balance(e.name.customer)
 	p.asking--
 	p.give(e.hold, taken(e, result))
 	w.drop(e)
@@ -116,7 +116,7 @@
 func (w *Wallet) fallBack(e *entry, wanted bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := w.purse(e.name.customer)
+	p := w.balance(e.name.customer)
 	if e.asked {
 		delete(w.sent, e.open.GetSerial())
 		p.asking--
@@ -138,7 +138,7 @@
 func (w *Wallet) withdraw(e *entry) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := w.purse(e.name.customer)
+	p := w.balance(e.name.customer)
 	p.local--
 	e.local, e.busy = false, false
 	if !e.asked {
--- a/kcw/kcwwallet/settle.go
+++ b/kcw/kcwwallet/settle.go
@@ -102,7 +102,7 @@
 	if c.GetRouter() == e.open.GetRouter() && c.GetIncarnation() == e.open.GetIncarnation() && c.GetAttempt() == e.open.GetAttempt() {
 		gone = c.GetGrantTokens()
 	}
-	w.purse(e.name.customer).give(e.hold, gone)
+	w.balance(e.name.customer).give(e.hold, gone)
 	e.hold = 0
 	w.drop(e)
 }
@@ -127,7 +127,7 @@
 	_ = w.cfg.Journal.Note(&kcwpb.JournalRecord{Record: &kcwpb.JournalRecord_Confirmed{Confirmed: settle}})
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := w.purse(e.name.customer)
+	p := w.balance(e.name.customer)
 	p.local--
 	p.give(e.hold, 0)
 	w.drop(e)
@@ -146,7 +146,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := w.purse(e.name.customer)
+	p := w.balance(e.name.customer)
 	if e.local {
 		p.local--
 	}
--- a/kcw/kcwwallet/tend.go
+++ b/kcw/kcwwallet/tend.go
@@ -38,12 +38,12 @@
 	}
 }
 
-// customers returns the customers of the purses in order.
+// customers returns the customers of the balances in order.
 func (w *Wallet) customers() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	list := make([]string, 0, len(w.purses))
-	for customer := range w.purses {
+	list := make([]string, 0, len(w.balances))
+	for customer := range w.balances {
 		list = append(list, customer)
 	}
 	slices.Sort(list)
@@ -59,7 +59,7 @@
 	for range rounds {
 		w.mu.Lock()
 		e := w.pending[0]
-		takes := w.purse(e.name.customer).takes
+		takes := w.balance(e.name.customer).takes
 		// A copy, since the client may still be sending an earlier one.
 		settle := proto.Clone(e.settle).(*kcwpb.SettleClaim)
 		if settle.GetIncarnation() == w.cfg.Incarnation {
@@ -95,7 +95,7 @@
 }
 
 // confirm takes the ledger's answer to the outcome of e, which was sent when the
-// purse had takes.
+// balance had takes.
 func (w *Wallet) confirm(e *entry, result *kcwpb.Result, takes uint64) {
 	code := result.GetCode()
 	final := code != kcwpb.Code_CODE_EXHAUSTED && code != kcwpb.Code_CODE_INVALID
@@ -116,15 +116,15 @@
 	}
 	if e.settle.GetIncarnation() == w.cfg.Incarnation {
 		w.account(e, code == kcwpb.Code_CODE_OK || code == kcwpb.Code_CODE_REPEATED || !final, result)
-		w.purse(e.name.customer).compare(result.GetGrant(), takes)
+		w.balance(e.name.customer).compare(result.GetGrant(), takes)
 	}
 	w.drop(e)
 }
 
-// account ends the part of e in its purse. Taken says that the ledger took the
+// account ends the part of e in its balance. Taken says that the ledger took the
 // tokens of the outcome out of the grant.
 func (w *Wallet) account(e *entry, taken bool, result *kcwpb.Result) {
-	p := w.purse(e.name.customer)
+	p := w.balance(e.name.customer)
 	p.unconfirmed--
 	if e.settle.GetFromGrant() && e.settle.GetOutcome() != kcwpb.Outcome_OUTCOME_NOT_RUN {
 		p.spent -= e.settle.GetTokens()
@@ -190,7 +190,7 @@
 // that a later incarnation releases it. It returns false if nothing may be drawn.
 func (w *Wallet) note(customer string) bool {
 	w.mu.Lock()
-	p := w.purses[customer]
+	p := w.balances[customer]
 	noted, wanted := p.noted, p.available > 0 && !p.demand.At.IsZero()
 	w.mu.Unlock()
 	if noted || !wanted {
@@ -208,11 +208,11 @@
 }
 
 // plan returns the draw or return that is due, nil if none is, and the takes of
-// the purse.
+// the balance.
 func (w *Wallet) plan(customer string) (*kcwpb.Command, uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := w.purses[customer]
+	p := w.balances[customer]
 	now := w.cfg.Now()
 	if p.move != nil || w.fenced {
 		return p.move, p.takes
@@ -239,7 +239,7 @@
 }
 
 // draw returns the command that draws tokens.
-func (w *Wallet) draw(customer string, p *purse, tokens int64) *kcwpb.Command {
+func (w *Wallet) draw(customer string, p *balance, tokens int64) *kcwpb.Command {
 	return &kcwpb.Command{Op: &kcwpb.Command_DrawGrant{DrawGrant: &kcwpb.DrawGrant{
 		Customer: customer, Router: w.cfg.Router, Incarnation: w.cfg.Incarnation,
 		Tokens: tokens, Sequence: p.sequence + 1, Divisor: w.cfg.Policy.Divisor(),
@@ -247,7 +247,7 @@
 }
 
 // giveBack returns the command that returns tokens.
-func (w *Wallet) giveBack(customer string, p *purse, tokens int64) *kcwpb.Command {
+func (w *Wallet) giveBack(customer string, p *balance, tokens int64) *kcwpb.Command {
 	return &kcwpb.Command{Op: &kcwpb.Command_ReturnGrant{ReturnGrant: &kcwpb.ReturnGrant{
 		Customer: customer, Router: w.cfg.Router, Incarnation: w.cfg.Incarnation,
 		Tokens: tokens, Sequence: p.sequence + 1,
@@ -255,11 +255,11 @@
 }
 
 // moved takes the ledger's answer to a draw or return that was sent when the
-// purse had takes.
+// balance had takes.
 func (w *Wallet) moved(customer string, cmd *kcwpb.Command, result *kcwpb.Result, takes uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := w.purses[customer]
+	p := w.balances[customer]
 	p.move = nil
 	switch result.GetCode() {
 	case kcwpb.Code_CODE_OK, kcwpb.Code_CODE_REPEATED:
--- a/kcw/kcwwallet/wallet.go
+++ b/kcw/kcwwallet/wallet.go
@@ -51,8 +51,8 @@
 	tending sync.Mutex
 	// mu guards the fields below. It is not held across calls of the ledger or
 	// the journal.
-	mu     sync.Mutex
-	purses map[string]*purse
+	mu       sync.Mutex
+	balances map[string]*balance
 	// claims holds the claims that are not the ledger's alone, by name.
 	claims map[name]*entry
 	// pending holds the claims whose outcome the ledger is to be told, oldest
@@ -85,7 +85,7 @@
 type entry struct {
 	name name
 	open *kcwpb.OpenClaim
-	// hold is the tokens of the purse that the claim keeps from others.
+	// hold is the tokens of the balance that the claim keeps from others.
 	hold int64
 	// asked says that the ledger may have opened the claim.
 	asked bool
@@ -115,7 +115,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	w := &Wallet{cfg: cfg, purses: make(map[string]*purse), claims: make(map[name]*entry), sent: make(map[uint64]bool)}
+	w := &Wallet{cfg: cfg, balances: make(map[string]*balance), claims: make(map[name]*entry), sent: make(map[uint64]bool)}
 	if cfg.Journal != nil {
 		w.recover(cfg.Journal.Live())
 	}
@@ -164,7 +164,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, customer := range customers {
-		if p := w.purses[customer]; p != nil {
+		if p := w.balances[customer]; p != nil {
 			p.recalled = true
 		}
 	}
@@ -194,7 +194,7 @@
 	}
 	w.silentUntil = time.Time{}
 	if b := result.GetBudget(); b != nil {
-		w.purse(b.GetCustomer()).available = b.GetPrepaid() - b.GetBilled() - b.GetReserved() - b.GetGranted()
+		w.balance(b.GetCustomer()).available = b.GetPrepaid() - b.GetBilled() - b.GetReserved() - b.GetGranted()
 	}
 	return result, nil
 }
