--- a/kcw/kcwqueue/queue.go
+++ b/kcw/kcwqueue/queue.go
@@ -2,15 +2,18 @@
 //
 // A request starts at once while one of the service's slots is free, and else
 // waits. The last free slots may be reserved for contracts that use no more than
-// their share, so that these need not wait for a slot behind a flood. Waiting requests go by strict priority, in which the requests of a
-// team rise one level with each period that none of them started, so that no team
-// starves. Within a
-// level contracts, and teams within a contract, share by weight: start-time
-// fair queueing (Goyal, Vin and Cheng, Start-time Fair Queueing: A Scheduling
-// Algorithm for Integrated Services Packet Switching Networks, 1996) at both
-// steps. A request that can't be expected to start by its deadline is refused
-// at once, and so is one that finds the queue full of requests which go before
-// it; else a request beyond its share is evicted for it.
+// their share, so that these need not wait for a slot behind a flood.
+//
+// Waiting requests go by strict priority, in which the requests of a team rise
+// one level with each period in which none of them started, so that no team
+// starves. Within a level contracts, and teams within a contract, share by
+// weight: start-time fair queueing (Goyal, Vin and Cheng, Start-time Fair
+// Queueing: A Scheduling Algorithm for Integrated Services Packet Switching
+// Networks, 1996) at both steps.
+//
+// A request that can't be expected to start by its deadline is refused at once,
+// and so is one that finds the queue full of requests which go before it; else a
+// request beyond its share is evicted for it.
 //
 // The queue does no I/O, starts no goroutine, and takes its clock as an
 // argument: its caller answers the items that the methods return.
