--- /dev/null
+++ b/kcw/kcwallowance/image.go
@@ -0,0 +1,120 @@
+package kcwallowance
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// Kind classifies an Error.
+type Kind int
+
+// Kinds of errors.
+const (
+	// Write means that an image could not be written.
+	Write Kind = iota + 1
+	// Damaged means that an image can't be read.
+	Damaged
+)
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error describes the failure.
+func (e *Error) Error() string { return "kcwallowance: " + e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Freeze returns a function that writes the state as of the call. The function
+// may be called from any goroutine while the table goes on applying commands,
+// and returns an *Error if w fails. Tables in the same state write the same
+// bytes.
+func (t *Table) Freeze() func(io.Writer) error {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	image := t.image()
+	return func(w io.Writer) error {
+		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(image)
+		if err == nil {
+			_, err = w.Write(data)
+		}
+		if err != nil {
+			return &Error{Op: "freeze", Kind: Write, Err: eris.Wrap(err, "write the image")}
+		}
+		return nil
+	}
+}
+
+func (t *Table) image() *kcwpb.FleetImage {
+	image := &kcwpb.FleetImage{Document: t.document}
+	for _, name := range t.names() {
+		r := t.routers[name]
+		image.Routers = append(image.Routers, &kcwpb.SyncAllowances{Router: name, Incarnation: r.incarnation, Serial: r.serial})
+		for _, team := range slices.Sorted(maps.Keys(r.teams)) {
+			held := r.teams[team]
+			image.Holdings = append(image.Holdings, &kcwpb.FleetHolding{
+				Router: name, Incarnation: r.incarnation, Team: team,
+				Granted: held.granted, Returned: held.returned, Spent: held.spent,
+			})
+		}
+	}
+	for _, team := range slices.Sorted(maps.Keys(t.budgets)) {
+		image.Retired = append(image.Retired, &kcwpb.TeamBudget{Team: team, Prepaid: t.budgets[team].retired})
+	}
+	return image
+}
+
+// Restore replaces the state by the one that r holds. It returns an *Error of
+// kind Damaged and leaves the table as it was if r can't be read.
+func (t *Table) Restore(r io.Reader) error {
+	data, err := io.ReadAll(r)
+	image := &kcwpb.FleetImage{}
+	if err == nil {
+		err = proto.Unmarshal(data, image)
+	}
+	if err == nil && image.GetDocument() == nil {
+		err = errors.New("no document record")
+	}
+	if err != nil {
+		return &Error{Op: "restore", Kind: Damaged, Err: eris.Wrap(err, "read the image")}
+	}
+	next := New()
+	next.load(image)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.document, t.routers, t.budgets = next.document, next.routers, next.budgets
+	return nil
+}
+
+func (t *Table) load(image *kcwpb.FleetImage) {
+	t.document = image.GetDocument()
+	for _, b := range t.document.GetBudgets() {
+		t.budget(b.GetTeam()).prepaid = b.GetPrepaid()
+	}
+	for _, b := range image.GetRetired() {
+		t.budget(b.GetTeam()).retired = b.GetPrepaid()
+		t.budget(b.GetTeam()).outstanding = b.GetPrepaid()
+	}
+	for _, r := range image.GetRouters() {
+		t.routers[r.GetRouter()] = &router{incarnation: r.GetIncarnation(), serial: r.GetSerial(), teams: map[string]*totals{}}
+	}
+	for _, h := range image.GetHoldings() {
+		r := t.routers[h.GetRouter()]
+		if r == nil {
+			continue
+		}
+		r.teams[h.GetTeam()] = &totals{granted: h.GetGranted(), returned: h.GetReturned(), spent: h.GetSpent()}
+		t.budget(h.GetTeam()).outstanding += h.GetGranted() - h.GetReturned()
+	}
+}
--- /dev/null
+++ b/kcw/kcwallowance/table.go
@@ -0,0 +1,242 @@
+// Package kcwallowance holds the state machine of a document-driven core: the
+// newest configuration document, and how many prepaid tokens each router
+// incarnation may use.
+//
+// For each incarnation and team it keeps two totals that only rise, tokens
+// granted and tokens returned. Granted less returned, summed over all
+// incarnations that ever were, never exceeds the prepaid tokens when a grant is
+// made, so that no router can overspend whatever happens to it or to messages.
+// The state machine is deterministic and reads no clock.
+package kcwallowance
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// grantDivisor bounds one grant to this fraction of a budget's free tokens, so
+// that the first router to ask does not take what the others need. A router that
+// lacks tokens for one request gets these in any case.
+const grantDivisor = 4
+
+// totals is what one router incarnation holds for one team.
+type totals struct {
+	granted, returned, spent int64
+}
+
+// router is the newest incarnation of one router.
+type router struct {
+	incarnation uint64
+	serial      uint64
+	teams       map[string]*totals
+}
+
+// budget is the prepaid tokens of one team and the tokens granted and not
+// returned, by incarnations that were replaced and in all.
+type budget struct {
+	prepaid, retired, outstanding int64
+}
+
+// Table is the state. Its methods are safe for concurrent use. Messages that
+// they return may be shared and must not be changed.
+type Table struct {
+	// mu guards the state, which Apply and Restore change.
+	mu       sync.RWMutex
+	document *kcwpb.PutDocument
+	routers  map[string]*router
+	budgets  map[string]*budget
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{document: &kcwpb.PutDocument{}, routers: map[string]*router{}, budgets: map[string]*budget{}}
+}
+
+// Document returns the newest document; its version is zero if there is none.
+func (t *Table) Document() *kcwpb.PutDocument {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.document
+}
+
+// Version returns the version of the newest document.
+func (t *Table) Version() uint64 { return t.Document().GetVersion() }
+
+// Apply carries out the marshalled kcwpb.FleetCommand data and returns the
+// marshalled kcwpb.FleetResult. The index of the log entry decides nothing. A
+// malformed command gives CODE_INVALID and changes nothing.
+func (t *Table) Apply(_ uint64, data []byte) []byte {
+	command := &kcwpb.FleetCommand{}
+	if err := proto.Unmarshal(data, command); err != nil {
+		return encode(&kcwpb.FleetResult{Code: kcwpb.Code_CODE_INVALID, Detail: "the command cannot be decoded"})
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch op := command.GetOp().(type) {
+	case *kcwpb.FleetCommand_PutDocument:
+		return encode(t.putDocument(op.PutDocument))
+	case *kcwpb.FleetCommand_SyncAllowances:
+		return encode(t.sync(op.SyncAllowances))
+	}
+	return encode(&kcwpb.FleetResult{Code: kcwpb.Code_CODE_INVALID, Detail: "the operation is not known"})
+}
+
+func encode(result *kcwpb.FleetResult) []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(result)
+	if err != nil {
+		// Only text that is not UTF-8 cannot be marshalled, and commands with
+		// such text cannot be decoded.
+		return nil
+	}
+	return data
+}
+
+// putDocument takes a document if its version is the highest. An older one, or
+// another of the same version, changes nothing.
+func (t *Table) putDocument(put *kcwpb.PutDocument) *kcwpb.FleetResult {
+	if put.GetVersion() <= t.document.GetVersion() {
+		return &kcwpb.FleetResult{Code: kcwpb.Code_CODE_REPEATED, Version: t.document.GetVersion()}
+	}
+	t.document = put
+	for _, b := range t.budgets {
+		b.prepaid = 0
+	}
+	for _, b := range put.GetBudgets() {
+		t.budget(b.GetTeam()).prepaid = b.GetPrepaid()
+	}
+	return &kcwpb.FleetResult{Code: kcwpb.Code_CODE_OK, Version: put.GetVersion()}
+}
+
+func (t *Table) budget(team string) *budget {
+	b := t.budgets[team]
+	if b == nil {
+		b = &budget{}
+		t.budgets[team] = b
+	}
+	return b
+}
+
+// sync takes the reports of a router and grants what it wants.
+func (t *Table) sync(s *kcwpb.SyncAllowances) *kcwpb.FleetResult {
+	result := &kcwpb.FleetResult{Code: kcwpb.Code_CODE_OK, Version: t.document.GetVersion()}
+	r := t.admit(s)
+	if r == nil {
+		result.Code = kcwpb.Code_CODE_FENCED
+		if newest := t.routers[s.GetRouter()]; newest != nil {
+			result.Incarnation = newest.incarnation
+		}
+		return result
+	}
+	result.Incarnation = r.incarnation
+	late := s.GetSerial() <= r.serial
+	r.serial = max(r.serial, s.GetSerial())
+	for _, report := range s.GetReports() {
+		held := r.holding(report.GetTeam())
+		t.take(held, report)
+		if !late {
+			t.grant(held, report)
+		}
+		result.Allowances = append(result.Allowances, t.allowance(held, report.GetTeam()))
+	}
+	return result
+}
+
+// admit returns the router of s, nil if a newer incarnation is known. What an
+// older incarnation held counts as spent from then on.
+func (t *Table) admit(s *kcwpb.SyncAllowances) *router {
+	r := t.routers[s.GetRouter()]
+	switch {
+	case s.GetRouter() == "", r != nil && s.GetIncarnation() < r.incarnation:
+		return nil
+	case r != nil && s.GetIncarnation() == r.incarnation:
+		return r
+	case r != nil:
+		for team, held := range r.teams {
+			t.budget(team).retired += held.granted - held.returned
+		}
+	}
+	r = &router{incarnation: s.GetIncarnation(), teams: map[string]*totals{}}
+	t.routers[s.GetRouter()] = r
+	return r
+}
+
+func (r *router) holding(team string) *totals {
+	held := r.teams[team]
+	if held == nil {
+		held = &totals{}
+		r.teams[team] = held
+	}
+	return held
+}
+
+// take notes the totals of a report. A router can't return or spend more than
+// it was granted.
+func (t *Table) take(held *totals, report *kcwpb.AllowanceReport) {
+	returned := min(max(held.returned, report.GetReturned()), held.granted)
+	t.budget(report.GetTeam()).outstanding -= returned - held.returned
+	held.returned = returned
+	held.spent = min(max(held.spent, report.GetSpent()), held.granted-held.returned)
+}
+
+// grant raises the tokens that a router holds unspent towards what it wants, out
+// of the free tokens of the budget.
+func (t *Table) grant(held *totals, report *kcwpb.AllowanceReport) {
+	b := t.budget(report.GetTeam())
+	free := b.prepaid - b.outstanding
+	unspent := held.granted - held.returned - held.spent
+	missing := report.GetWant() - unspent
+	if missing <= 0 || free <= 0 {
+		return
+	}
+	least := max(0, report.GetLeast()-unspent)
+	amount := min(missing, max(free/grantDivisor, least), free)
+	if amount < least {
+		return
+	}
+	held.granted += amount
+	b.outstanding += amount
+}
+
+func (t *Table) allowance(held *totals, team string) *kcwpb.Allowance {
+	b := t.budget(team)
+	return &kcwpb.Allowance{
+		Team:      team,
+		Granted:   held.granted,
+		Available: max(0, b.prepaid-b.outstanding),
+		Unspent:   max(0, b.prepaid-t.spent(team)),
+	}
+}
+
+// spent returns the tokens reported as spent, and all that replaced incarnations
+// held.
+func (t *Table) spent(team string) int64 {
+	sum := t.budget(team).retired
+	for _, r := range t.routers {
+		if held := r.teams[team]; held != nil {
+			sum += held.spent
+		}
+	}
+	return sum
+}
+
+// Budgets returns, by team, the prepaid tokens and those that routers hold or
+// have used.
+func (t *Table) Budgets() (prepaid, outstanding map[string]int64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	prepaid, outstanding = map[string]int64{}, map[string]int64{}
+	for team, b := range t.budgets {
+		prepaid[team], outstanding[team] = b.prepaid, b.outstanding
+	}
+	return prepaid, outstanding
+}
+
+// names returns the routers in order.
+func (t *Table) names() []string {
+	return slices.Sorted(maps.Keys(t.routers))
+}
--- a/kcw/kcwpb/kcwpbconnect/kcw.connect.go
+++ b/kcw/kcwpb/kcwpbconnect/kcw.connect.go
@@ -32,6 +32,8 @@
 	OperatorName = "kcw.v1.Operator"
 	// AnswersName is the fully-qualified name of the Answers service.
 	AnswersName = "kcw.v1.Answers"
+	// FleetName is the fully-qualified name of the Fleet service.
+	FleetName = "kcw.v1.Fleet"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -62,6 +64,10 @@
 	OperatorChangeMembersProcedure = "/kcw.v1.Operator/ChangeMembers"
 	// AnswersFetchProcedure is the fully-qualified name of the Answers's Fetch RPC.
 	AnswersFetchProcedure = "/kcw.v1.Answers/Fetch"
+	// FleetSyncProcedure is the fully-qualified name of the Fleet's Sync RPC.
+	FleetSyncProcedure = "/kcw.v1.Fleet/Sync"
+	// FleetAdmitProcedure is the fully-qualified name of the Fleet's Admit RPC.
+	FleetAdmitProcedure = "/kcw.v1.Fleet/Admit"
 )
 
 // PeerClient is a client for the kcw.v1.Peer service.
@@ -499,3 +505,99 @@
 func (UnimplementedAnswersHandler) Fetch(context.Context, *connect.Request[kcwpb.AnswerRequest], *connect.ServerStream[kcwpb.AnswerPart]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Answers.Fetch is not implemented"))
 }
+
+// FleetClient is a client for the kcw.v1.Fleet service.
+type FleetClient interface {
+	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
+	Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error)
+}
+
+// NewFleetClient constructs a client for the kcw.v1.Fleet service. By default, it uses the Connect
+// protocol with the binary Protobuf Codec, asks for gzipped responses, and sends uncompressed
+// requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewFleetClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) FleetClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	fleetMethods := kcwpb.File_kcw_proto.Services().ByName("Fleet").Methods()
+	return &fleetClient{
+		sync: connect.NewClient[kcwpb.FleetSyncRequest, kcwpb.FleetSyncResponse](
+			httpClient,
+			baseURL+FleetSyncProcedure,
+			connect.WithSchema(fleetMethods.ByName("Sync")),
+			connect.WithClientOptions(opts...),
+		),
+		admit: connect.NewClient[kcwpb.FleetAdmitRequest, kcwpb.FleetAdmitResponse](
+			httpClient,
+			baseURL+FleetAdmitProcedure,
+			connect.WithSchema(fleetMethods.ByName("Admit")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// fleetClient implements FleetClient.
+type fleetClient struct {
+	sync  *connect.Client[kcwpb.FleetSyncRequest, kcwpb.FleetSyncResponse]
+	admit *connect.Client[kcwpb.FleetAdmitRequest, kcwpb.FleetAdmitResponse]
+}
+
+// Sync calls kcw.v1.Fleet.Sync.
+func (c *fleetClient) Sync(ctx context.Context, req *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+	return c.sync.CallUnary(ctx, req)
+}
+
+// Admit calls kcw.v1.Fleet.Admit.
+func (c *fleetClient) Admit(ctx context.Context, req *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error) {
+	return c.admit.CallUnary(ctx, req)
+}
+
+// FleetHandler is an implementation of the kcw.v1.Fleet service.
+type FleetHandler interface {
+	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
+	Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error)
+}
+
+// NewFleetHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewFleetHandler(svc FleetHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	fleetMethods := kcwpb.File_kcw_proto.Services().ByName("Fleet").Methods()
+	fleetSyncHandler := connect.NewUnaryHandler(
+		FleetSyncProcedure,
+		svc.Sync,
+		connect.WithSchema(fleetMethods.ByName("Sync")),
+		connect.WithHandlerOptions(opts...),
+	)
+	fleetAdmitHandler := connect.NewUnaryHandler(
+		FleetAdmitProcedure,
+		svc.Admit,
+		connect.WithSchema(fleetMethods.ByName("Admit")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/kcw.v1.Fleet/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case FleetSyncProcedure:
+			fleetSyncHandler.ServeHTTP(w, r)
+		case FleetAdmitProcedure:
+			fleetAdmitHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedFleetHandler returns CodeUnimplemented from all methods.
+type UnimplementedFleetHandler struct{}
+
+func (UnimplementedFleetHandler) Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Sync is not implemented"))
+}
+
+func (UnimplementedFleetHandler) Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Admit is not implemented"))
+}
