--- /dev/null
+++ b/kcw/kcwroster/roster_test.go
@@ -0,0 +1,165 @@
+package kcwroster_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwbreaker"
+	"kingcupwick.example/kcw/kcwconn"
+	"kingcupwick.example/kcw/kcwplace"
+	"kingcupwick.example/kcw/kcwroster"
+)
+
+// clock is a clock that a test sets.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+func newRoster(c *clock) *kcwroster.Roster {
+	return kcwroster.New(kcwroster.Config{
+		Zone:   "z1",
+		Placer: kcwplace.New(kcwplace.Config{Factor: 1.25, Margin: 0.1, Rand: rand.New(rand.NewPCG(1, 1))}),
+		Breaker: kcwbreaker.Config{
+			Window: 5 * time.Second, MinCalls: 6, FailureRate: 0.5, SlowRate: 1, Consecutive: 3, SlowAfter: time.Minute,
+			Probes: 1, ProbeTimeout: 2 * time.Second, PauseFirst: time.Second, PauseMost: 4 * time.Second,
+		},
+		Conn:           kcwconn.Config{DialTimeout: time.Second, SilenceTimeout: time.Second},
+		SilenceTimeout: time.Second, DialPause: 500 * time.Millisecond, HalfLife: time.Second,
+		Rand: rand.New(rand.NewPCG(2, 2)), Now: c.read,
+	})
+}
+
+func entries(ids ...string) []kcwroster.Entry {
+	var list []kcwroster.Entry
+	for i, id := range ids {
+		list = append(list, kcwroster.Entry{
+			ID: id, Service: "s", Zone: "z1", Slots: 4,
+			Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(20_000+i)),
+		})
+	}
+	return list
+}
+
+// chosen returns the upstreams that requests are sent to.
+func chosen(r *kcwroster.Roster, tried ...string) []string {
+	seen := map[string]bool{}
+	for range 60 {
+		t := r.Begin(kcwroster.Request{Service: "s", Tried: tried})
+		if t == nil {
+			break
+		}
+		seen[t.ID()] = true
+		t.Done(kcwroster.Neutral)
+	}
+	var list []string
+	for id := range seen {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func TestWhoGetsWork(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		act   func(r *kcwroster.Roster, c *clock)
+		tried []string
+		want  []string
+	}{
+		{"all", func(*kcwroster.Roster, *clock) {}, nil, []string{"a", "b", "c"}},
+		{"not tried again", func(*kcwroster.Roster, *clock) {}, []string{"b"}, []string{"a", "c"}},
+		{"leaving", func(r *kcwroster.Roster, c *clock) {
+			list := entries("a", "b", "c")
+			list[0].Leaving = true
+			r.List(list, c.now)
+		}, nil, []string{"b", "c"}},
+		{"dropped from the list", func(r *kcwroster.Roster, c *clock) { r.List(entries("a", "b"), c.now) }, nil, []string{"a", "b"}},
+		{"an older list", func(r *kcwroster.Roster, c *clock) { r.List(entries("a"), c.now.Add(-time.Second)) }, nil, []string{"a", "b", "c"}},
+		{"misdirected", func(r *kcwroster.Roster, _ *clock) { end(r, "a", kcwroster.Misdirected, 1) }, nil, []string{"b", "c"}},
+		{"unreachable", func(r *kcwroster.Roster, _ *clock) { end(r, "a", kcwroster.Unreachable, 1) }, nil, []string{"b", "c"}},
+		{"failures in a row", func(r *kcwroster.Roster, _ *clock) { end(r, "a", kcwroster.Failed, 3) }, nil, []string{"b", "c"}},
+		{"one failure", func(r *kcwroster.Roster, _ *clock) { end(r, "a", kcwroster.Failed, 1) }, nil, []string{"a", "b", "c"}},
+		{"silent", func(r *kcwroster.Roster, c *clock) {
+			hold(r, "a")
+			c.now = c.now.Add(time.Second)
+		}, nil, []string{"b", "c"}},
+		{"slow but heard", func(r *kcwroster.Roster, c *clock) {
+			hold(r, "a")
+			other := hold(r, "a")
+			c.now = c.now.Add(time.Second)
+			other.Answered()
+		}, nil, []string{"a", "b", "c"}},
+		{"all suspected", func(r *kcwroster.Roster, _ *clock) {
+			for _, id := range []string{"a", "b", "c"} {
+				end(r, id, kcwroster.Unreachable, 1)
+			}
+		}, nil, []string{"a", "b", "c"}},
+	} {
+		c := &clock{now: time.Unix(1_700_000_000, 0)}
+		r := newRoster(c)
+		r.List(entries("a", "b", "c"), c.now)
+		test.act(r, c)
+		if got := chosen(r, test.tried...); !slices.Equal(got, test.want) {
+			t.Errorf("%s: work goes to %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// hold begins an attempt at the upstream id.
+func hold(r *kcwroster.Roster, id string) *kcwroster.Ticket {
+	for {
+		t := r.Begin(kcwroster.Request{Service: "s"})
+		if t.ID() == id {
+			return t
+		}
+		t.Done(kcwroster.Neutral)
+	}
+}
+
+// end ends n attempts at the upstream id with outcome.
+func end(r *kcwroster.Roster, id string, outcome kcwroster.Outcome, n int) {
+	for range n {
+		hold(r, id).Done(outcome)
+	}
+}
+
+// TestAddressReused checks that an upstream that takes over the address of
+// another is a new one, without what was known of the other.
+func TestAddressReused(t *testing.T) {
+	c := &clock{now: time.Unix(1_700_000_000, 0)}
+	r := newRoster(c)
+	r.List(entries("a"), c.now)
+	end(r, "a", kcwroster.Misdirected, 1)
+	if got := chosen(r); got != nil {
+		t.Fatalf("work goes to %v, which is gone", got)
+	}
+	r.List(entries("b"), c.now)
+	if got := chosen(r); !slices.Equal(got, []string{"b"}) {
+		t.Errorf("work goes to %v, want the newcomer", got)
+	}
+}
+
+// TestLoadSpreads checks that requests avoid an upstream that says it is full.
+func TestLoadSpreads(t *testing.T) {
+	c := &clock{now: time.Unix(1_700_000_000, 0)}
+	r := newRoster(c)
+	r.List(entries("a", "b"), c.now)
+	full := hold(r, "a")
+	full.Loaded(kcwroster.Load{Running: 4, Waiting: 4, Slots: 4})
+	full.Done(kcwroster.Succeeded)
+	idle := hold(r, "b")
+	idle.Loaded(kcwroster.Load{Slots: 4})
+	idle.Done(kcwroster.Succeeded)
+	counts := map[string]int{}
+	for range 100 {
+		ticket := r.Begin(kcwroster.Request{Service: "s"})
+		counts[ticket.ID()]++
+		ticket.Done(kcwroster.Neutral)
+	}
+	if counts["b"] <= 2*counts["a"] {
+		t.Errorf("choices %v, want most at the idle upstream", counts)
+	}
+}
