--- /dev/null
+++ b/kcw/kcwsteward/steward_test.go
@@ -0,0 +1,66 @@
+package kcwsteward_test
+
+import (
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwsteward"
+)
+
+func member(id uint64, address string, learner bool) *kcwpb.Member {
+	return &kcwpb.Member{Id: id, Name: address, Address: address, Learner: learner}
+}
+
+func status(matches map[uint64]uint64, members ...*kcwpb.Member) *kcwpb.GroupStatus {
+	return &kcwpb.GroupStatus{Id: 1, Commit: 100, Matches: matches, Membership: &kcwpb.Membership{Members: members}}
+}
+
+func TestNext(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	three := []*kcwpb.Member{member(1, "a", false), member(2, "b", false), member(3, "c", false)}
+	with := func(m *kcwpb.Member) []*kcwpb.Member { return append(three[:3:3], m) }
+	for _, test := range []struct {
+		name    string
+		asks    *kcwpb.Member
+		askedAt time.Time
+		members []*kcwpb.Member
+		matches map[uint64]uint64
+		later   time.Duration
+		kind    kcwpb.ChangeMembersRequest_Kind
+		id      uint64
+	}{
+		{name: "nothing to do", members: three},
+		{name: "newcomer", asks: member(4, "d", false), askedAt: now, members: three, kind: kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER, id: 4},
+		{name: "lost disk", asks: member(4, "b", false), askedAt: now, members: three, kind: kcwpb.ChangeMembersRequest_KIND_REMOVE, id: 2},
+		{name: "learner", asks: member(4, "d", false), askedAt: now, members: with(member(4, "d", true)), kind: kcwpb.ChangeMembersRequest_KIND_PROMOTE, id: 4},
+		{name: "already a voter", asks: member(2, "b", false), askedAt: now, members: three},
+		{name: "asked long ago", asks: member(4, "d", false), askedAt: now.Add(-time.Minute), members: three},
+		{name: "silent, but needed", members: three, matches: map[uint64]uint64{1: 100, 2: 100, 3: 50}, later: time.Minute},
+		{
+			name: "silent and replaced", members: with(member(4, "d", false)), later: time.Minute,
+			matches: map[uint64]uint64{1: 100, 2: 50, 3: 100, 4: 100},
+			kind:    kcwpb.ChangeMembersRequest_KIND_REMOVE, id: 2,
+		},
+		{
+			name: "learner that is gone", members: with(member(4, "d", true)), later: time.Minute,
+			matches: map[uint64]uint64{1: 100, 2: 100, 3: 100, 4: 7},
+			kind:    kcwpb.ChangeMembersRequest_KIND_REMOVE, id: 4,
+		},
+	} {
+		s := kcwsteward.New(kcwsteward.Config{Voters: 3, SilentAfter: 10 * time.Second, AskedWithin: 2 * time.Second})
+		if test.asks != nil {
+			s.Ask(test.asks, test.askedAt)
+		}
+		if test.matches == nil {
+			test.matches = map[uint64]uint64{1: 100, 2: 100, 3: 100, 4: 100}
+		}
+		got := s.Next(status(test.matches, test.members...), now)
+		if test.later > 0 {
+			got = s.Next(status(test.matches, test.members...), now.Add(test.later))
+		}
+		if got.GetKind() != test.kind || got.GetMember().GetId() != test.id {
+			t.Errorf("%s: got %v, want %v of %d", test.name, got, test.kind, test.id)
+		}
+	}
+}
