--- /dev/null
+++ b/kcw/kcwforward/admit.go
@@ -0,0 +1,221 @@
+package kcwforward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwroute"
+)
+
+// Times after which a refused caller should return. Each is about how long the
+// cause usually lasts; callers cap them by the time that they have left.
+const (
+	// retryUnready is for a router that has no configuration or list yet.
+	retryUnready = 500 * time.Millisecond
+	// retryHeld is for tokens that other routers hold and are asked to return,
+	// which takes two of their reports.
+	retryHeld = 600 * time.Millisecond
+	// retryMissing is for tokens that the core could not be asked for.
+	retryMissing = time.Second
+	// retryBusy is for upstreams that take no more work.
+	retryBusy = 300 * time.Millisecond
+	// retrySpread is the fraction by which these times vary at random, so that
+	// refused callers don't return together.
+	retrySpread = 0.5
+)
+
+// call is one request under way.
+type call struct {
+	f     *Forwarder
+	w     http.ResponseWriter
+	r     *http.Request
+	start time.Time
+
+	document *kcwroute.Document
+	route    *kcwroute.Route
+	team     *kcwroute.Team
+	service  *kcwroute.Service
+	said     Call
+	body     []byte
+	hasBody  bool
+	deadline time.Time
+
+	// reserved are the tokens reserved for the request.
+	reserved int64
+	// mayHaveRun says that an upstream may have run the request.
+	mayHaveRun bool
+	stream     delivery
+	event      Event
+}
+
+// refusal is an answer of the router's own, of a request that has not run.
+type refusal struct {
+	status     int
+	outcome    string
+	cause      string
+	retryAfter time.Duration
+}
+
+// admit finds the route, the team, the body and the tokens of the request.
+func (c *call) admit() *refusal {
+	c.document = c.f.cfg.Document()
+	if c.document == nil {
+		return &refusal{http.StatusServiceUnavailable, "NoConfiguration", "no configuration has been received yet", retryUnready}
+	}
+	c.event.Document = c.document.Version
+	if err := c.read(); err != nil {
+		return &refusal{status: http.StatusBadRequest, outcome: "Malformed", cause: err.Error()}
+	}
+	if c.route == nil {
+		return &refusal{status: http.StatusNotFound, outcome: "NoRoute", cause: "no route for the host and path"}
+	}
+	c.event.Route = c.route.Name
+	if refusal := c.identify(); refusal != nil {
+		return refusal
+	}
+	c.service = c.document.Service(c.route.Split(c.f.draw()))
+	c.event.Service = c.service.Name
+	if refusal := c.readBody(); refusal != nil {
+		return refusal
+	}
+	return c.reserve()
+}
+
+// read reads the request's headers and finds its route.
+func (c *call) read() error {
+	said, err := c.f.cfg.Dialect.ReadCall(c.r, c.start)
+	c.said = said
+	c.event.Attempt = said.Attempt
+	if err != nil {
+		return err
+	}
+	if len(c.r.RequestURI) == 0 || c.r.RequestURI[0] != '/' {
+		return errors.New("the request target is not a path")
+	}
+	c.route = c.document.Match(c.r.Host, c.r.URL.EscapedPath())
+	if c.route == nil {
+		return nil
+	}
+	c.deadline = c.start.Add(c.route.Timeout)
+	if !said.Deadline.IsZero() && said.Deadline.Before(c.deadline) {
+		c.deadline = said.Deadline
+	}
+	return nil
+}
+
+// identify finds the team by the caller's key.
+func (c *call) identify() *refusal {
+	if len(c.document.Teams) == 0 || c.route.Public {
+		return nil
+	}
+	c.team = c.document.Team(c.said.Key)
+	if c.said.Key == "" || c.team == nil {
+		return &refusal{status: http.StatusUnauthorized, outcome: "UnknownKey", cause: "no team holds the key"}
+	}
+	c.event.Team = c.team.Name
+	return nil
+}
+
+// readBody reads the whole body, so that it can be sent again.
+func (c *call) readBody() *refusal {
+	limit := c.f.cfg.MaxBodyBytes
+	if c.document.Limits.MaxBodyBytes > 0 {
+		limit = min(limit, c.document.Limits.MaxBodyBytes)
+	}
+	c.hasBody = c.r.ContentLength != 0
+	if !c.hasBody {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &refusal{status: http.StatusRequestEntityTooLarge, outcome: "TooLarge", cause: "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"}
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, outcome: "BodyBroken", cause: "the body could not be read: " + err.Error()}
+	}
+	c.body = body
+	return nil
+}
+
+// reserve reserves the request's tokens, at their most, and asks the core if the
+// router holds too few.
+func (c *call) reserve() *refusal {
+	tokens := c.said.PromptTokens + c.said.OutputTokens
+	if c.team == nil || !c.route.Generates || tokens == 0 {
+		return nil
+	}
+	balance := c.f.cfg.Balance
+	c.event.Tokens = tokens
+	balance.Demand(c.team.Name, tokens, c.start)
+	verdict := balance.Reserve(c.team.Name, tokens, c.start)
+	for asked := 0; verdict == kcwbalance.Missing && asked < maxAsks && c.ask(); asked++ {
+		verdict = balance.Reserve(c.team.Name, tokens, c.f.cfg.Now())
+	}
+	switch verdict {
+	case kcwbalance.Reserved:
+		c.reserved = tokens
+		return nil
+	case kcwbalance.Exhausted:
+		return &refusal{status: http.StatusPaymentRequired, outcome: "BudgetExhausted", cause: "the team's prepaid tokens don't cover the request"}
+	case kcwbalance.Held:
+		return &refusal{http.StatusTooManyRequests, "BudgetHeld", "other routers hold the team's last tokens", retryHeld}
+	}
+	return &refusal{http.StatusServiceUnavailable, "BudgetUnknown", "the core could not be asked for tokens", retryMissing}
+}
+
+// maxAsks bounds how often one request asks the core for tokens: tokens that
+// came may have gone to another request.
+const maxAsks = 2
+
+func (c *call) ask() bool {
+	ctx, cancel := context.WithTimeout(c.r.Context(), c.f.cfg.AskTimeout)
+	defer cancel()
+	return c.f.cfg.Ask(ctx)
+}
+
+// settle ends the reservation with what the request has used.
+func (c *call) settle() {
+	if c.reserved == 0 {
+		return
+	}
+	used := int64(0)
+	if c.mayHaveRun {
+		out := min(c.stream.events*max(c.service.EventTokens, 1), c.said.OutputTokens)
+		used = c.said.PromptTokens + out
+	}
+	c.event.Used = used
+	c.f.cfg.Balance.Settle(c.team.Name, c.reserved, used)
+}
+
+// refuse answers for the router itself. The request has not run and won't.
+func (c *call) refuse(r *refusal) {
+	c.event.Outcome, c.event.Cause = r.outcome, r.cause
+	if r.retryAfter > 0 {
+		c.event.RetryAfter = time.Duration(float64(r.retryAfter) * (1 + retrySpread*(c.f.draw()-0.5)))
+		c.w.Header().Set("Retry-After", c.f.cfg.Dialect.RetryAfter(c.event.RetryAfter))
+	}
+	c.fail(r.status, r.cause)
+}
+
+// fail writes an answer of the router's own.
+func (c *call) fail(status int, text string) {
+	c.event.Status = status
+	text += "\n"
+	h := c.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	c.w.WriteHeader(status)
+	// A failed write means that the caller has gone.
+	_, _ = io.WriteString(c.w, text)
+}
+
+func (c *call) observe() {
+	c.event.Elapsed = c.f.cfg.Now().Sub(c.start)
+	c.f.cfg.Observe(c.event)
+}
--- /dev/null
+++ b/kcw/kcwforward/attempt.go
@@ -0,0 +1,253 @@
+package kcwforward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"kingcupwick.example/kcw/kcwconn"
+	"kingcupwick.example/kcw/kcwroster"
+)
+
+const (
+	// maxSurplus bounds the answers to earlier requests that are passed over on
+	// a kept connection.
+	maxSurplus = 2
+	// maxSurplusBytes bounds the body of such an answer.
+	maxSurplusBytes = 1 << 20
+	// directWrite is the size in bytes up to which a request is written at once;
+	// a larger one may have to wait for an upstream that answers before it has
+	// read it, so that it is written beside the reading.
+	directWrite = 4 << 10
+)
+
+// attempt is one try at one upstream.
+type attempt struct {
+	*call
+	ticket *kcwroster.Ticket
+	// final says that no other attempt may follow once this one may have run.
+	final bool
+	conn  *kcwconn.Conn
+	// written receives the end of the writing of a large request.
+	written chan error
+	held    *heldAnswer
+	cause   string
+	// keepUntil is when the upstream closes the connection, reusable whether
+	// the answer was read to its end.
+	keepUntil time.Time
+	reusable  bool
+}
+
+// do makes the attempt and returns its end.
+func (a *attempt) do() result {
+	conn, err := a.ticket.Pool().Take(a.r.Context(), a.usedAfter())
+	if err != nil {
+		return a.unreachable(err)
+	}
+	a.conn = conn
+	stop := context.AfterFunc(a.r.Context(), func() { _ = conn.Close() })
+	got, outcome := a.exchange()
+	if stop() && a.reusable && a.isWritten() {
+		a.ticket.Pool().Put(conn, a.keepUntil)
+	} else {
+		_ = conn.Close()
+	}
+	if a.r.Context().Err() != nil && got != delivered {
+		got, outcome = callerGone, kcwroster.Neutral
+	}
+	a.ticket.Done(outcome)
+	return got
+}
+
+func (a *attempt) unreachable(err error) result {
+	a.cause = "upstream " + a.ticket.ID() + " can't be connected: " + err.Error()
+	if a.r.Context().Err() != nil {
+		a.ticket.Done(kcwroster.Neutral)
+		return callerGone
+	}
+	a.ticket.Done(kcwroster.Unreachable)
+	return notRun
+}
+
+// isWritten reports whether the whole request was written.
+func (a *attempt) isWritten() bool {
+	if a.written == nil {
+		return true
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// exchange sends the request and handles the answer.
+func (a *attempt) exchange() (result, kcwroster.Outcome) {
+	// Once a byte may have left, the request may run.
+	before := a.mayHaveRun
+	a.mayHaveRun = true
+	if err := a.conn.SetDeadline(a.deadline); err != nil {
+		return a.broken("the connection is closed", err)
+	}
+	if err := a.send(); err != nil {
+		return a.broken("the request could not be sent", err)
+	}
+	response, err := a.response()
+	if err != nil {
+		return a.broken("no answer", err)
+	}
+	said := a.f.cfg.Dialect.ReadAnswer(response.StatusCode, response.Header, a.f.cfg.Now())
+	a.keepUntil = said.KeepUntil
+	if said.Load != nil {
+		a.ticket.Loaded(*said.Load)
+	}
+	if said.NotRun {
+		a.mayHaveRun = before
+		return a.notRun(response, said)
+	}
+	return a.answer(response)
+}
+
+// notRun ends an attempt that the upstream says it has not run.
+func (a *attempt) notRun(response *http.Response, said Answer) (result, kcwroster.Outcome) {
+	a.cause = "upstream " + a.ticket.ID() + " did not run the request, status " + strconv.Itoa(response.StatusCode)
+	a.drain(response)
+	if said.Misdirected {
+		return notRun, kcwroster.Misdirected
+	}
+	return notRun, kcwroster.Neutral
+}
+
+// drain reads the rest of an answer that is not passed on, so that the
+// connection can be used again.
+func (a *attempt) drain(response *http.Response) {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBytes))
+	a.reusable = err == nil && n < maxSurplusBytes && !response.Close
+}
+
+// broken ends an attempt without a whole answer.
+func (a *attempt) broken(what string, err error) (result, kcwroster.Outcome) {
+	a.cause = "upstream " + a.ticket.ID() + ": " + what + ": " + err.Error()
+	if !a.f.cfg.Now().Before(a.deadline) {
+		return expired, kcwroster.Neutral
+	}
+	if a.conn.Reused && !errors.Is(err, errSilent) {
+		// The upstream may have closed a kept connection at the same moment,
+		// which says nothing of its health.
+		return unknown, kcwroster.Neutral
+	}
+	return unknown, kcwroster.Failed
+}
+
+// send writes the request.
+func (a *attempt) send() error {
+	var head bytes.Buffer
+	head.WriteString(a.r.Method + " " + a.r.RequestURI + " HTTP/1.1\r\nHost: " + a.r.Host + "\r\n")
+	last := a.said.LastEvent
+	if a.stream.lastID != "" {
+		last = a.stream.lastID
+	}
+	team := ""
+	if a.team != nil {
+		team = a.team.Name
+	}
+	header := a.f.cfg.Dialect.UpstreamHeader(a.r.Header, Attempt{
+		Upstream: a.ticket.ID(), Team: team, Deadline: a.deadline, Priority: a.rank(), LastEvent: last,
+	}, a.f.cfg.Now())
+	if a.hasBody {
+		header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	if err := header.Write(&head); err != nil {
+		return err
+	}
+	head.WriteString("\r\n")
+	if head.Len()+len(a.body) <= directWrite {
+		head.Write(a.body)
+		_, err := a.conn.Write(head.Bytes())
+		return err
+	}
+	a.written = make(chan error, 1)
+	go func() {
+		buffers := net.Buffers{head.Bytes(), a.body}
+		_, err := buffers.WriteTo(a.conn.Conn)
+		a.written <- err
+	}()
+	return nil
+}
+
+// errSilent ends the wait for an upstream that says nothing to anybody.
+var errSilent = errors.New("the upstream says nothing")
+
+// await waits for bytes of an answer. While other attempts are allowed, it gives
+// up on an upstream that has become silent.
+func (a *attempt) await() error {
+	if a.conn.Reader.Buffered() > 0 {
+		return nil
+	}
+	if a.final {
+		_, err := a.conn.Reader.Peek(1)
+		return err
+	}
+	for {
+		now := a.f.cfg.Now()
+		until := now.Add(a.f.cfg.Patience)
+		if until.After(a.deadline) {
+			until = a.deadline
+		}
+		if err := a.conn.SetReadDeadline(until); err != nil {
+			return err
+		}
+		_, err := a.conn.Reader.Peek(1)
+		if err == nil {
+			return a.conn.SetReadDeadline(a.deadline)
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if !a.f.cfg.Now().Before(a.deadline) {
+			return err
+		}
+		if a.ticket.IsSilent() {
+			return errSilent
+		}
+	}
+}
+
+// response reads the header of the answer to this request. Answers to earlier
+// requests and interim answers are passed over.
+func (a *attempt) response() (*http.Response, error) {
+	request := &http.Request{Method: a.r.Method}
+	for surplus := 0; ; {
+		if err := a.await(); err != nil {
+			return nil, err
+		}
+		if err := a.conn.SetReadDeadline(a.deadline); err != nil {
+			return nil, err
+		}
+		response, err := http.ReadResponse(a.conn.Reader, request)
+		if err != nil {
+			return nil, err
+		}
+		a.ticket.Answered()
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		said := a.f.cfg.Dialect.ReadAnswer(response.StatusCode, response.Header, a.f.cfg.Now())
+		if said.Attempt == a.said.Attempt || said.Attempt == "" && response.StatusCode >= http.StatusBadRequest {
+			return response, nil
+		}
+		if surplus++; surplus > maxSurplus || response.ContentLength < 0 {
+			return nil, errors.New("the answer is to another request")
+		}
+		if _, err := io.CopyN(io.Discard, response.Body, response.ContentLength); err != nil {
+			return nil, err
+		}
+	}
+}
--- /dev/null
+++ b/kcw/kcwforward/forwarder.go
@@ -0,0 +1,211 @@
+// Package kcwforward forwards the requests of callers to upstreams: admission by
+// route, key and prepaid tokens, the choice of an upstream, attempts, and the
+// answer back to the caller.
+//
+// Nothing is sent twice unless the route allows it or the upstream has said that
+// it did not run the request. An answer is passed on whole or visibly broken.
+package kcwforward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwretry"
+	"kingcupwick.example/kcw/kcwroster"
+	"kingcupwick.example/kcw/kcwroute"
+)
+
+// Call is what a caller says of its request in headers.
+type Call struct {
+	// Attempt identifies the request.
+	Attempt string
+	// Key is the caller's key, empty if there is none.
+	Key string
+	// Deadline is when the caller stops waiting, zero if it does not say.
+	Deadline time.Time
+	// PromptTokens is the size of the prompt and OutputTokens the most that
+	// may be generated.
+	PromptTokens, OutputTokens int64
+	// Prefix identifies the part of the prompt that is shared with other
+	// requests, zero if there is none.
+	Prefix uint64
+	// LastEvent is the last event of a stream that the caller has.
+	LastEvent string
+}
+
+// Attempt is what one attempt tells its upstream.
+type Attempt struct {
+	Upstream  string
+	Team      string
+	Deadline  time.Time
+	Priority  int
+	LastEvent string
+}
+
+// Answer is what the headers of an upstream's answer say.
+type Answer struct {
+	// Attempt is the request that is answered.
+	Attempt string
+	// NotRun says that the upstream did not run the request, Misdirected that
+	// another upstream has the address.
+	NotRun, Misdirected bool
+	// Load is the upstream's load, nil if it does not say.
+	Load *kcwroster.Load
+	// KeepUntil is when the connection will be closed if it stays idle, zero
+	// if the answer does not say.
+	KeepUntil time.Time
+}
+
+// dialect reads and writes the headers that callers and upstreams know.
+type dialect interface {
+	// ReadCall reads what a caller says. The error says which header is
+	// malformed.
+	ReadCall(r *http.Request, now time.Time) (Call, error)
+	// UpstreamHeader returns the header to send on: the caller's own, without
+	// what concerns one connection, is secret or is the router's to say.
+	UpstreamHeader(caller http.Header, a Attempt, now time.Time) http.Header
+	// ReadAnswer reads the header of an answer that came at now.
+	ReadAnswer(status int, h http.Header, now time.Time) Answer
+	// RetryAfter writes how long a caller should wait.
+	RetryAfter(d time.Duration) string
+}
+
+// Event is one decision on a request, for logs and metrics.
+type Event struct {
+	Attempt, Route, Team, Service string
+	Upstream                      string
+	Status                        int
+	// Outcome is one word of a fixed set, Cause the reason in free text.
+	Outcome, Cause string
+	Sends          int
+	Elapsed        time.Duration
+	FirstByte      time.Duration
+	Document       uint64
+	ListAge        time.Duration
+	Tokens, Used   int64
+	RetryAfter     time.Duration
+}
+
+// Config configures a Forwarder. Every field is needed.
+type Config struct {
+	Dialect dialect
+	// Document returns the configuration in force, nil if there is none.
+	Document func() *kcwroute.Document
+	Roster   *kcwroster.Roster
+	Balance  *kcwbalance.Balance
+	// Ask asks the core for tokens and returns when it has answered or ctx
+	// ends; it reports whether it has answered.
+	Ask func(ctx context.Context) bool
+	// AskTimeout bounds the wait for tokens.
+	AskTimeout time.Duration
+	// RetryRatio and RetryBurst bound the attempts beyond the first to a
+	// service: a fraction of the first ones, and so many on top.
+	RetryRatio float64
+	RetryBurst int
+	// MaxBodyBytes bounds a request's body and MaxAnswerBytes an answer that is
+	// not a stream. MaxEventBytes bounds one event.
+	MaxBodyBytes, MaxAnswerBytes int64
+	MaxEventBytes                int
+	// UsedWithin is how lately a kept connection must have been used to carry a
+	// request that must not run twice.
+	UsedWithin time.Duration
+	// Patience is how long an answer is awaited before the upstream is asked
+	// to have said something to anybody.
+	Patience time.Duration
+	// Draining reports whether the router is about to stop.
+	Draining func() bool
+	// Observe is called for each decision. It must not block.
+	Observe func(Event)
+	Rand    *rand.Rand
+	Now     func() time.Time
+}
+
+// Forwarder is the handler of callers' requests.
+type Forwarder struct {
+	cfg      Config
+	inFlight atomic.Int64
+
+	// mu guards rand and retries.
+	mu      sync.Mutex
+	retries map[string]*kcwretry.Budget
+}
+
+// Error is the error of this package. It is what New returns for a Config that
+// lacks a part.
+type Error struct {
+	Op   string
+	Kind Kind
+}
+
+// Kind classifies an Error.
+type Kind int
+
+// Incomplete means that Config lacks a part.
+const Incomplete Kind = 1
+
+// Error describes the failure.
+func (e *Error) Error() string { return "kcwforward: " + e.Op + ": the configuration lacks a part" }
+
+// New returns a Forwarder. The error is an *Error of kind Incomplete.
+func New(cfg Config) (*Forwarder, error) {
+	parts := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil &&
+		cfg.Ask != nil && cfg.Draining != nil && cfg.Observe != nil && cfg.Rand != nil && cfg.Now != nil
+	if !parts || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.Patience <= 0 {
+		return nil, &Error{Op: "new", Kind: Incomplete}
+	}
+	return &Forwarder{cfg: cfg, retries: map[string]*kcwretry.Budget{}}, nil
+}
+
+// InFlight returns the number of requests that are not answered.
+func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
+
+// ServeHTTP answers one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	if f.cfg.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	c := &call{f: f, w: w, r: r, start: f.cfg.Now()}
+	c.event.ListAge = c.start.Sub(f.cfg.Roster.ListedAt())
+	defer c.observe()
+	if refusal := c.admit(); refusal != nil {
+		c.refuse(refusal)
+		return
+	}
+	defer c.settle()
+	c.run()
+}
+
+// draw returns a random number in [0, 1).
+func (f *Forwarder) draw() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.Rand.Float64()
+}
+
+// budget returns the retry budget of a service.
+func (f *Forwarder) budget(service string) *kcwretry.Budget {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.retries[service]
+	if b != nil {
+		return b
+	}
+	// The pauses of the budget are not used: an attempt follows the last at
+	// once, at another upstream.
+	b, err := kcwretry.New(kcwretry.Config{
+		Ratio: f.cfg.RetryRatio, Burst: f.cfg.RetryBurst, Start: f.cfg.RetryBurst,
+		PauseFirst: time.Millisecond, PauseMost: time.Millisecond, Rand: f.cfg.Rand,
+	})
+	if err != nil {
+		panic("kcwforward: " + err.Error())
+	}
+	f.retries[service] = b
+	return b
+}
