--- a/kcw/kcwadmin/server.go
+++ b/kcw/kcwadmin/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strings"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -83,11 +84,15 @@
 	if err != nil {
 		return nil, &Error{Op: "new", Kind: Listen, Address: cfg.Address, Err: eris.Wrap(err, "listen")}
 	}
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	// The endpoint is given because kratos would look for it on the host's
+	// network interfaces, which some hosts hide.
+	endpoint := &url.URL{Scheme: "http", Host: address.String()}
 	s := &Server{
 		cfg:     cfg,
 		keyHash: sha256.Sum256([]byte(cfg.OperatorKey)),
-		address: listener.Addr().(*net.TCPAddr).AddrPort(),
-		server:  khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0)),
+		address: address,
+		server:  khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Endpoint(endpoint)),
 	}
 	s.server.HandleFunc(HealthPath, func(w http.ResponseWriter, _ *http.Request) { answerState(w, cfg.Health) })
 	s.server.HandleFunc(ReadyPath, func(w http.ResponseWriter, _ *http.Request) { answerState(w, cfg.Ready) })
