--- /dev/null
+++ b/kcw-fleet/kcwcontrol/list.go
@@ -0,0 +1,62 @@
+package kcwcontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// lister reads the list of upstreams.
+type lister interface {
+	// Read returns the upstreams listed. Entries that can't be read are left
+	// out; skipped says how many.
+	Read(ctx context.Context) (upstreams []*kcwpb.UpstreamRecord, skipped int, err error)
+}
+
+// listReader keeps the newest list of upstreams at the leader.
+type listReader struct {
+	lister  lister
+	name    string
+	timeout time.Duration
+
+	mu     sync.Mutex
+	list   *kcwpb.UpstreamList
+	readAt time.Time
+	failed bool
+}
+
+// read reads the list once.
+func (l *listReader) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	began := time.Now()
+	upstreams, skipped, err := l.lister.Read(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if (err != nil) != l.failed {
+		l.failed = err != nil
+		klog.InfoS("Reading the list of upstreams", "Failed", l.failed, "Cause", err, "LastReadAt", l.readAt)
+	}
+	if err != nil {
+		return
+	}
+	next := &kcwpb.UpstreamList{Version: l.list.GetVersion(), Reader: l.name, Upstreams: upstreams}
+	if l.list == nil || !proto.Equal(l.list, next) {
+		next.Version++
+		klog.InfoS("List of upstreams changed", "Version", next.Version, "Upstreams", len(upstreams), "Skipped", skipped)
+		l.list = next
+	}
+	l.readAt = began
+}
+
+// latest returns the newest list and its age at now, nil if there is none.
+func (l *listReader) latest(now time.Time) (*kcwpb.UpstreamList, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.list, now.Sub(l.readAt)
+}
--- /dev/null
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -0,0 +1,261 @@
+package kcwcontrol
+
+import (
+	"context"
+	"net/netip"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+		"go.opentelemetry.io/otel/attribute"
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwserve"
+	"kingcupwick.example/kcw-fleet/kcwsetup"
+	"kingcupwick.example/kcw/kcwadmin"
+	"kingcupwick.example/kcw/kcwallowance"
+	"kingcupwick.example/kcw/kcwfolder"
+	"kingcupwick.example/kcw/kcwgroup"
+	"kingcupwick.example/kcw/kcwlog"
+	"kingcupwick.example/kcw/kcwmeter"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpeer"
+	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwsteward"
+)
+
+const (
+	// groupName names the replicated log.
+	groupName = "fleet"
+	// maxMessageBytes bounds one message from another process: a batch of
+	// entries, each with a compressed document.
+	maxMessageBytes = 16 << 20
+	// tendInterval is the pause between two looks at the membership.
+	tendInterval = 200 * time.Millisecond
+	// askInterval is how often a replica without a vote asks to be admitted.
+	askInterval = 500 * time.Millisecond
+	// headerTimeout bounds the wait for a request's header.
+	headerTimeout = 10 * time.Second
+	// memoryPart is the fraction of the memory that the garbage collector
+	// keeps below.
+	memoryPart = 0.9
+	// founding is the role of a replica whose group does not exist yet.
+	founding = "founding"
+)
+
+// Config configures a Member. Every field is needed.
+type Config struct {
+	Settings *kcwsetup.Control
+	// Decode reads and checks a configuration document.
+	Decode func([]byte) (*kcwroute.Document, error)
+	Lister lister
+	Logger *kcwlog.Logger
+}
+
+// Member is one member of the core.
+type Member struct {
+	cfg      Config
+	folder   *kcwfolder.Folder
+	sender   *kcwpeer.Sender
+	client   *kcwcore.Client
+	service  *service
+	meter    *kcwmeter.Meter
+	life     context.Context
+	end      context.CancelFunc
+	operator *kcwserve.Server
+	peers    *kcwserve.Server
+	admin    *kcwadmin.Server
+}
+
+// New opens the member's folder and listens at its addresses. The caller runs
+// the member.
+func New(cfg Config) (*Member, error) {
+	s := cfg.Settings
+	limitMemory(s.Host.MemoryMB)
+	m := &Member{cfg: cfg}
+	m.life, m.end = context.WithCancel(context.Background())
+	var err error
+	if m.folder, err = kcwfolder.Open(kcwfolder.Config{Path: s.Host.Folder}); err != nil {
+		return nil, err
+	}
+	if m.sender, err = kcwpeer.New(kcwpeer.Config{Group: groupName, Timeout: s.Group.Election / 2}); err != nil {
+		return nil, err
+	}
+	m.client = kcwcore.New(kcwcore.Config{Seeds: m.seeds(), Timeout: s.Group.Election})
+	table := kcwallowance.New()
+	group, err := m.openGroup(table)
+	if err != nil {
+		return nil, err
+	}
+	m.service = &service{
+		group: group, table: table,
+		list: &listReader{lister: cfg.Lister, name: s.Host.Name + "/" + time.Now().String(), timeout: s.List.Timeout},
+		steward: kcwsteward.New(kcwsteward.Config{
+			Voters: s.Group.Voters, SilentAfter: s.Group.RemoveAfter, AskedWithin: 4 * askInterval,
+		}),
+		heard: map[string]time.Time{}, scarce: map[string]time.Time{},
+	}
+	if m.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-control", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
+		return nil, err
+	}
+	m.measure()
+	return m, m.listen()
+}
+
+// limitMemory makes the garbage collector keep below the process's memory.
+func limitMemory(megabytes int64) {
+	const megabyte = 1 << 20
+	debug.SetMemoryLimit(int64(memoryPart * float64(megabytes*megabyte)))
+}
+
+// seeds returns the addresses of the seeds for members and routers.
+func (m *Member) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, seed := range m.cfg.Settings.Group.Seeds {
+		seeds = append(seeds, netip.AddrPortFrom(seed.Addr(), m.cfg.Settings.Host.PeerAddress.Port()))
+	}
+	return seeds
+}
+
+// openGroup starts the replica. Members are named by their addresses, which is
+// all that founders know of each other.
+func (m *Member) openGroup(table *kcwallowance.Table) (*kcwgroup.Group, error) {
+	s := m.cfg.Settings
+	own := s.Host.PeerAddress
+	var founders []*kcwpb.Member
+	for _, seed := range m.seeds() {
+		founders = append(founders, &kcwpb.Member{Name: seed.String(), Address: seed.String()})
+	}
+	return kcwgroup.New(kcwgroup.Config{
+		Folder: m.folder, Group: groupName, Name: own.String(), Zone: s.Host.Zone, Address: own,
+		Founders: founders, Bootstrap: s.Group.Bootstrap && slices.Contains(m.seeds(), own),
+		Machine: table, Send: m.sender.Send,
+		Heartbeat: s.Group.Heartbeat, Election: s.Group.Election,
+		SnapshotEntries: s.Group.SnapshotEntries, SnapshotBytes: s.Group.SnapshotBytes,
+		KeepEntries: s.Group.KeepEntries, SegmentBytes: s.Group.SegmentBytes, Now: time.Now,
+	})
+}
+
+// listen opens the servers.
+func (m *Member) listen() error {
+	s := m.cfg.Settings
+	operator := &operator{
+		service: m.service, decode: m.cfg.Decode, limit: s.Group.MaxDocumentBytes,
+		port: s.Host.Address.Port(), timeout: s.Group.PutTimeout,
+	}
+	var err error
+	limits := kcwserve.Config{HeaderTimeout: headerTimeout}
+	if m.operator, err = kcwserve.New(s.Host.Address, operator, limits); err != nil {
+		return err
+	}
+	if m.peers, err = kcwserve.New(s.Host.PeerAddress, m.service.handler(), limits); err != nil {
+		return err
+	}
+	m.admin, err = kcwadmin.New(kcwadmin.Config{
+		Address: s.Host.AdminAddress, Ready: m.ready, Metrics: m.meter.Handler(),
+	})
+	return err
+}
+
+// ready returns nil if the member hears a leader.
+func (m *Member) ready() error {
+	if !m.service.group.Fresh() {
+		return errNoLeader
+	}
+	return nil
+}
+
+// measure declares the metrics of the member.
+func (m *Member) measure() {
+	gauge := func(name, help string, read func() int64) {
+		m.meter.Gauge(name, help, func(observe func(int64, ...attribute.KeyValue)) { observe(read()) })
+	}
+	group := m.service.group
+	gauge("kcw_control_term", "Term of the replicated log.", func() int64 { return int64(group.Status().GetTerm()) })
+	gauge("kcw_control_commit", "Highest committed index.", func() int64 { return int64(group.Status().GetCommit()) })
+	gauge("kcw_control_document", "Version of the newest document.", func() int64 { return int64(m.service.table.Version()) })
+	gauge("kcw_control_leads", "Whether this member leads, 0 or 1.", func() int64 {
+		if status := group.Status(); status.GetLeader() == status.GetId() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// Run serves until a signal stops the member.
+func (m *Member) Run() error {
+	s := m.cfg.Settings
+	klog.InfoS("Member starts", "PeerAddress", s.Host.PeerAddress, "Address", s.Host.Address, "Bootstrap", s.Group.Bootstrap, "Seeds", s.Group.Seeds)
+	go m.repeat(tendInterval, m.service.tend)
+	go m.repeat(askInterval, m.askForVote)
+	go m.repeat(s.List.Interval, m.readList)
+	app := kratos.New(
+		kratos.Name("kcw-control"), kratos.Logger(m.cfg.Logger), kratos.Server(m.operator, m.peers, m.admin),
+		kratos.StopTimeout(s.Stop.Grace/2),
+		kratos.BeforeStop(func(context.Context) error {
+			klog.InfoS("Member stops", "PeerAddress", s.Host.PeerAddress)
+			return m.service.group.Close()
+		}),
+	)
+	go func() {
+		// A group that stops by itself has met a fault of its disk.
+		<-m.service.group.Done()
+		_ = app.Stop()
+	}()
+	err := app.Run()
+	m.end()
+	if fault := m.service.group.Close(); err == nil {
+		err = fault
+	}
+	_ = m.sender.Close()
+	m.client.Close()
+	_ = m.folder.Close()
+	return err
+}
+
+// repeat calls f at each interval until the member stops.
+func (m *Member) repeat(interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f(m.life)
+		case <-m.life.Done():
+			return
+		}
+	}
+}
+
+// askForVote asks the leader to admit this replica while it has no vote.
+func (m *Member) askForVote(ctx context.Context) {
+	status := m.service.group.Status()
+	if status.GetId() == 0 || isVoter(status) || status.GetRole() == founding {
+		return
+	}
+	s := m.cfg.Settings
+	own := s.Host.PeerAddress.String()
+	err := m.client.Admit(ctx, &kcwpb.Member{Id: status.GetId(), Name: own, Zone: s.Host.Zone, Address: own})
+	if err != nil {
+		klog.V(kcwlog.DebugVerbosity).InfoS("Not admitted yet", "Cause", err.Error())
+	}
+}
+
+// isVoter reports whether the replica of status is a member with a vote.
+func isVoter(status *kcwpb.GroupStatus) bool {
+	for _, m := range status.GetMembership().GetMembers() {
+		if m.GetId() == status.GetId() {
+			return !m.GetLearner()
+		}
+	}
+	return false
+}
+
+// readList reads the list of upstreams if this member leads.
+func (m *Member) readList(ctx context.Context) {
+	if status := m.service.group.Status(); status.GetId() != 0 && status.GetLeader() == status.GetId() {
+		m.service.list.read(ctx)
+	}
+}
--- /dev/null
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -0,0 +1,175 @@
+// Package kcwcontrol holds a member of the core of a document-driven fleet: the
+// replicated log of configuration documents and allowances, the services for
+// routers and other members, and the interface for operators.
+package kcwcontrol
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw/kcwallowance"
+	"kingcupwick.example/kcw/kcwgroup"
+	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwlog"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+	"kingcupwick.example/kcw/kcwsteward"
+)
+
+const (
+	// routerHeardWithin is how lately a router must have reported to count
+	// among those that share the budgets: some reports may be lost.
+	routerHeardWithin = 5 * time.Second
+	// scarceFor is how long a team's idle tokens are called back after a router
+	// lacked some: each router reports at least twice meanwhile.
+	scarceFor = time.Second
+)
+
+// service answers routers and newcomers at the leader. Its methods may be called
+// at the same time.
+type service struct {
+	group   *kcwgroup.Group
+	table   *kcwallowance.Table
+	list    *listReader
+	steward *kcwsteward.Steward
+
+	// mu guards what follows and the steward.
+	mu     sync.Mutex
+	heard  map[string]time.Time
+	scarce map[string]time.Time
+}
+
+// Sync takes the report of a router and tells it what is new.
+func (s *service) Sync(ctx context.Context, req *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+	report := req.Msg.GetAllowances()
+	result, err := s.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_SyncAllowances{SyncAllowances: report}})
+	if err != nil {
+		return nil, s.refusal(err)
+	}
+	response := &kcwpb.FleetSyncResponse{Allowances: result.GetAllowances(), Incarnation: result.GetIncarnation()}
+	now := time.Now()
+	response.Routers = s.note(report, result, now)
+	if document := s.table.Document(); document.GetVersion() > req.Msg.GetDocumentVersion() {
+		response.Document = document
+	}
+	list, age := s.list.latest(now)
+	if list != nil && (list.GetVersion() != req.Msg.GetListVersion() || list.GetReader() != req.Msg.GetListReader()) {
+		response.List = list
+	}
+	if list != nil {
+		response.ListAgeNanos = max(1, int64(age))
+	}
+	for _, m := range s.group.Status().GetMembership().GetMembers() {
+		response.Core = append(response.Core, m.GetAddress())
+	}
+	return connect.NewResponse(response), nil
+}
+
+// note keeps that the router was heard and which teams lack tokens, marks these
+// in the result, and returns the number of routers heard lately.
+func (s *service) note(report *kcwpb.SyncAllowances, result *kcwpb.FleetResult, now time.Time) uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard[report.GetRouter()] = now
+	for i, a := range result.GetAllowances() {
+		r := report.GetReports()[i]
+		if r.GetLeast() > a.GetGranted()-r.GetReturned()-r.GetSpent() {
+			s.scarce[a.GetTeam()] = now
+		}
+		a.Scarce = now.Sub(s.scarce[a.GetTeam()]) < scarceFor
+	}
+	routers := uint32(0)
+	for name, at := range s.heard {
+		if now.Sub(at) > routerHeardWithin {
+			delete(s.heard, name)
+			continue
+		}
+		routers++
+	}
+	return routers
+}
+
+// Admit notes that a replica wants to become a voter.
+func (s *service) Admit(_ context.Context, req *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error) {
+	status := s.group.Status()
+	if status.GetId() != status.GetLeader() {
+		return nil, s.refusal(errNotLeader)
+	}
+	if _, err := netip.ParseAddrPort(req.Msg.GetMember().GetAddress()); err != nil || req.Msg.GetMember().GetId() == 0 {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the member needs an identity and an address"))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steward.Ask(req.Msg.GetMember(), time.Now())
+	return connect.NewResponse(&kcwpb.FleetAdmitResponse{Membership: status.GetMembership()}), nil
+}
+
+// errNotLeader is the refusal of a member that does not lead.
+var errNotLeader = errors.New("not the leader")
+
+// refusal returns the answer to a call that this member could not carry out. It
+// names the leader if one is known.
+func (s *service) refusal(err error) error {
+	e := connect.NewError(connect.CodeUnavailable, err)
+	status := s.group.Status()
+	if status.GetLeaderAddress() != "" && status.GetLeader() != status.GetId() {
+		e.Meta().Set(kcwledger.LeaderHeader, status.GetLeaderAddress())
+	}
+	return e
+}
+
+// propose has cmd committed and returns its result.
+func (s *service) propose(ctx context.Context, cmd *kcwpb.FleetCommand) (*kcwpb.FleetResult, error) {
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return nil, err
+	}
+	applied, err := s.group.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	result := &kcwpb.FleetResult{}
+	if err := proto.Unmarshal(applied, result); err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
+// tend makes the membership change that is due, if this member leads.
+func (s *service) tend(ctx context.Context) {
+	status := s.group.Status()
+	s.mu.Lock()
+	if status.GetId() == 0 || status.GetId() != status.GetLeader() {
+		s.steward.Forget()
+		s.mu.Unlock()
+		return
+	}
+	change := s.steward.Next(status, time.Now())
+	s.mu.Unlock()
+	if change == nil {
+		return
+	}
+	membership, err := s.group.ChangeMembers(ctx, change)
+	if err != nil {
+		klog.V(kcwlog.DebugVerbosity).InfoS("Membership change refused", "Kind", change.GetKind().String(), "Member", change.GetMember().GetAddress(), "Cause", err.Error())
+		return
+	}
+	klog.InfoS("Membership changed", "Kind", change.GetKind().String(), "Member", change.GetMember().GetAddress(),
+		"Identity", change.GetMember().GetId(), "Members", len(membership.GetMembers()), "Term", status.GetTerm())
+}
+
+// handler returns the handler for routers and other members.
+func (s *service) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(kcwpbconnect.NewFleetHandler(s, connect.WithReadMaxBytes(maxMessageBytes)))
+	mux.Handle(kcwpbconnect.NewPeerHandler(s.group, connect.WithReadMaxBytes(maxMessageBytes)))
+	return mux
+}
--- /dev/null
+++ b/kcw-fleet/kcwentry/observe.go
@@ -0,0 +1,54 @@
+package kcwentry
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw/kcwforward"
+	"kingcupwick.example/kcw/kcwmeter"
+)
+
+// timeBounds are the upper bounds of the buckets of times, in seconds.
+var timeBounds = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.6, 0.8, 1, 2, 4, 6, 15}
+
+// newObserver returns what logs and counts the requests that end.
+func newObserver(m *kcwmeter.Meter) func(kcwforward.Event) {
+	requests := m.Counter("kcw_router_requests", "Requests that ended, by service, outcome and status.")
+	sends := m.Counter("kcw_router_sends", "Attempts at upstreams, by service.")
+	used := m.Counter("kcw_router_tokens", "Tokens used, by team.")
+	first := m.Histogram("kcw_router_first_byte", "Time until the first byte of an answer, by service.", "s", timeBounds...)
+	whole := m.Histogram("kcw_router_request", "Time until a request ended, by service.", "s", timeBounds...)
+	return func(e kcwforward.Event) {
+		ctx := context.Background()
+		service := attribute.String("service", e.Service)
+		requests.Add(ctx, 1, metric.WithAttributes(service, attribute.String("outcome", e.Outcome), attribute.Int("status", e.Status)))
+		sends.Add(ctx, int64(e.Sends), metric.WithAttributes(service))
+		whole.Record(ctx, e.Elapsed.Seconds(), metric.WithAttributes(service))
+		if e.FirstByte > 0 {
+			first.Record(ctx, e.FirstByte.Seconds(), metric.WithAttributes(service))
+		}
+		if e.Used > 0 {
+			used.Add(ctx, e.Used, metric.WithAttributes(attribute.String("team", e.Team)))
+		}
+		write(e)
+	}
+}
+
+// write logs the end of a request with what decided it.
+func write(e kcwforward.Event) {
+	fields := []any{
+		"Request", e.Attempt, "Outcome", e.Outcome, "Status", e.Status, "Route", e.Route, "Team", e.Team,
+		"Upstream", e.Upstream, "Sends", e.Sends, "Elapsed", e.Elapsed.String(), "FirstByte", e.FirstByte.String(),
+		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used,
+	}
+	if e.RetryAfter > 0 {
+		fields = append(fields, "RetryAfter", e.RetryAfter.String())
+	}
+	if e.Cause != "" {
+		fields = append(fields, "Cause", e.Cause)
+	}
+	klog.InfoS("Request ended", fields...)
+}
--- /dev/null
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -0,0 +1,253 @@
+package kcwentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw-fleet/kcwcontrol"
+	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwroster"
+	"kingcupwick.example/kcw/kcwroute"
+)
+
+// reporter reports to the core at each interval, or at once when a request lacks
+// tokens, and takes what the core tells: documents, tokens, the list.
+type reporter struct {
+	router   string
+	client   *kcwcore.Client
+	balance  *kcwbalance.Balance
+	roster   *kcwroster.Roster
+	decode   func([]byte) (*kcwroute.Document, error)
+	interval time.Duration
+
+	document atomic.Pointer[kcwroute.Document]
+	routers  atomic.Int64
+
+	// mu guards what follows. Lock order: mu before the locks of balance and
+	// roster.
+	mu          sync.Mutex
+	incarnation uint64
+	serial      uint64
+	accepted    bool
+	listVersion uint64
+	listReader  string
+	heardAt     time.Time
+	// round is closed at the end of the report that is to be made next, and
+	// answered says whether the core answered the last one.
+	round    *round
+	wake     chan struct{}
+	unheard  bool
+	fencedBy uint64
+}
+
+// round is one report.
+type round struct {
+	done     chan struct{}
+	answered bool
+}
+
+func newRound() *round { return &round{done: make(chan struct{})} }
+
+// run reports until ctx ends.
+func (p *reporter) run(ctx context.Context) {
+	timer := time.NewTimer(p.interval)
+	defer timer.Stop()
+	for {
+		p.report(ctx)
+		// Half of the interval varies, so that routers don't report together.
+		timer.Reset(p.interval/2 + rand.N(p.interval))
+		select {
+		case <-timer.C:
+		case <-p.wake:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ask has a report made at once and waits for its end or that of ctx. It returns
+// whether the core answered.
+func (p *reporter) ask(ctx context.Context) bool {
+	p.mu.Lock()
+	r := p.round
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-r.done:
+		return r.answered
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// report makes one report and takes the answer.
+func (p *reporter) report(ctx context.Context) {
+	asked := time.Now()
+	p.mu.Lock()
+	// Requests that lack tokens from now on are for the next round.
+	current := p.round
+	p.round = newRound()
+	p.serial++
+	req := &kcwpb.FleetSyncRequest{
+		Allowances: &kcwpb.SyncAllowances{
+			Router: p.router, Incarnation: p.incarnation, Serial: p.serial, Reports: p.balance.Reports(asked),
+		},
+		ListVersion: p.listVersion, ListReader: p.listReader,
+	}
+	p.mu.Unlock()
+	if document := p.document.Load(); document != nil {
+		req.DocumentVersion = document.Version
+	}
+	response, err := p.client.Sync(ctx, req)
+	p.noteContact(asked, err)
+	if err == nil {
+		p.take(response, asked)
+	}
+	current.answered = err == nil
+	close(current.done)
+}
+
+// noteContact logs when the core is lost or regained.
+func (p *reporter) noteContact(asked time.Time, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		if p.unheard {
+			klog.InfoS("Core regained", "Silent", asked.Sub(p.heardAt).String(), "Member", p.client.Target())
+		}
+		p.unheard = false
+		p.heardAt = asked
+		return
+	}
+	if !p.unheard && asked.Sub(p.heardAt) > lostAfter {
+		p.unheard = true
+		klog.InfoS("Core lost", "Cause", err.Error(), "LastHeardAt", p.heardAt)
+	}
+}
+
+// lostAfter is how long no member must have answered for the core to count as
+// lost in the log: an election ends sooner.
+const lostAfter = 2 * time.Second
+
+// take takes the core's answer to the report made at asked.
+func (p *reporter) take(response *kcwpb.FleetSyncResponse, asked time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if response.GetIncarnation() > p.incarnation {
+		p.refenced(response.GetIncarnation())
+	} else {
+		p.accepted = true
+		p.balance.Heard(response.GetAllowances(), int(response.GetRouters()), asked)
+	}
+	p.routers.Store(int64(response.GetRouters()))
+	p.takeMembers(response.GetCore())
+	p.takeDocument(response.GetDocument())
+	if response.GetListAgeNanos() > 0 {
+		p.takeList(response, asked)
+	}
+}
+
+// refenced takes a higher incarnation. The wall clock that numbers incarnations
+// may have been set back since the router's last start. A router whose number
+// was accepted before holds tokens under it and goes on with these alone.
+func (p *reporter) refenced(newest uint64) {
+	if p.accepted {
+		if p.fencedBy != newest {
+			klog.InfoS("Router is fenced by a newer incarnation", "Incarnation", p.incarnation, "Newest", newest)
+		}
+		p.fencedBy = newest
+		return
+	}
+	klog.InfoS("Incarnation raised", "From", p.incarnation, "To", newest+1)
+	p.incarnation = newest + 1
+}
+
+func (p *reporter) takeMembers(core []string) {
+	var members []netip.AddrPort
+	for _, text := range core {
+		member, err := netip.ParseAddrPort(text)
+		if err != nil {
+			klog.InfoS("Member of the core has no address", "Address", text, "Cause", err.Error())
+			continue
+		}
+		members = append(members, member)
+	}
+	if len(members) > 0 {
+		p.client.SetMembers(members)
+	}
+}
+
+// takeDocument puts a document in force if it is newer than the one held.
+func (p *reporter) takeDocument(put *kcwpb.PutDocument) {
+	held := p.document.Load()
+	if put.GetVersion() == 0 || held != nil && put.GetVersion() <= held.Version {
+		return
+	}
+	body, err := kcwcontrol.Unpack(put)
+	if err != nil {
+		klog.ErrorS(err, "Document can't be read", "Version", put.GetVersion())
+		return
+	}
+	document, err := p.decode(body)
+	if err != nil {
+		klog.ErrorS(err, "Document is invalid", "Version", put.GetVersion())
+		return
+	}
+	p.document.Store(document)
+	var before uint64
+	if held != nil {
+		before = held.Version
+	}
+	klog.InfoS("Document in force", "Version", document.Version, "Before", before, "Routes", len(document.Routes), "Teams", len(document.Teams))
+}
+
+// takeList takes the core's list, or notes that the one held is still right.
+func (p *reporter) takeList(response *kcwpb.FleetSyncResponse, asked time.Time) {
+	readAt := asked.Add(-time.Duration(response.GetListAgeNanos()))
+	list := response.GetList()
+	if list == nil {
+		p.roster.Confirmed(readAt)
+		return
+	}
+	p.applyList(list.GetUpstreams(), readAt, "core")
+	p.listVersion, p.listReader = list.GetVersion(), list.GetReader()
+}
+
+// applyList puts a list in force and logs what it changes.
+func (p *reporter) applyList(records []*kcwpb.UpstreamRecord, readAt time.Time, source string) {
+	entries := make([]kcwroster.Entry, 0, len(records))
+	for _, r := range records {
+		address, err := netip.ParseAddrPort(r.GetAddress())
+		if err != nil {
+			klog.InfoS("Upstream has no address", "Upstream", r.GetId(), "Address", r.GetAddress(), "Cause", err.Error())
+			continue
+		}
+		entries = append(entries, kcwroster.Entry{
+			ID: r.GetId(), Service: r.GetService(), Zone: r.GetZone(), Address: address, Slots: int(r.GetSlots()), Leaving: r.GetLeaving(),
+		})
+	}
+	changes := p.roster.List(entries, readAt)
+	if len(changes) > 0 {
+		klog.InfoS("Upstreams changed", "Source", source, "Upstreams", len(entries), "Changes", changes)
+	}
+}
+
+// ownList takes a list that the router has read itself. The core's next list is
+// taken whole.
+func (p *reporter) ownList(records []*kcwpb.UpstreamRecord, readAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listVersion, p.listReader = 0, ""
+	p.applyList(records, readAt, "own")
+}
--- /dev/null
+++ b/kcw-fleet/kcwserve/server.go
@@ -0,0 +1,61 @@
+// Package kcwserve holds an HTTP server, on kratos's transport, that hands every
+// request to one handler as it came. The routing of kratos would clean paths.
+package kcwserve
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rotisserie/eris"
+)
+
+// Config bounds what callers may send and how long they may take; zero stands
+// for net/http's own bound.
+type Config struct {
+	HeaderTimeout, IdleTimeout time.Duration
+	MaxHeaderBytes             int
+}
+
+// Server is a kratos transport.Server.
+type Server = khttp.Server
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Kind classifies an Error.
+type Kind int
+
+// Listen means that the address can't be listened at.
+const Listen Kind = 1
+
+// Error describes the failure.
+func (e *Error) Error() string { return "kcwserve: " + e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// New listens at address and returns a server without a deadline for answers.
+// The error is an *Error.
+func New(address netip.AddrPort, handler http.Handler, cfg Config) (*Server, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, &Error{Op: "new", Kind: Listen, Err: eris.Wrap(err, "listen")}
+	}
+	// The endpoint is given because kratos would look for it on the host's
+	// network interfaces, which some hosts hide.
+	endpoint := &url.URL{Scheme: "http", Host: address.String()}
+	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0), khttp.Endpoint(endpoint))
+	server.Handler = handler
+	server.ReadHeaderTimeout = cfg.HeaderTimeout
+	server.IdleTimeout = cfg.IdleTimeout
+	server.MaxHeaderBytes = cfg.MaxHeaderBytes
+	return server, nil
+}
