kcwallowance, kcwbalance: share tokens by demand, most of them asleep

Change: routers hold parts by what they want, up to six tenths of the unspent tokens; until the core has been silent for 2.5 s a router keeps to a limit that it has reported, and the rest comes back when it restarts on the same boot. Ruled out: dormancy by wall clock, which is stepped.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
-		"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/attribute"
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
@@ -95,7 +95,7 @@
 		steward: kcwsteward.New(kcwsteward.Config{
 			Voters: s.Group.Voters, SilentAfter: s.Group.RemoveAfter, AskedWithin: 4 * askInterval,
 		}),
-		heard: map[string]time.Time{}, scarce: map[string]time.Time{},
+		heard: map[string]time.Time{},
 	}
 	if m.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-control", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
 		return nil, err
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -24,14 +24,9 @@
 	"kingcupwick.example/kcw/kcwsteward"
 )
 
-const (
-	// routerHeardWithin is how lately a router must have reported to count
-	// among those that share the budgets: some reports may be lost.
-	routerHeardWithin = 5 * time.Second
-	// scarceFor is how long a team's idle tokens are called back after a router
-	// lacked some: each router reports at least twice meanwhile.
-	scarceFor = time.Second
-)
+// routerHeardWithin is how lately a router must have reported to count among
+// those that share the rate of list calls: some reports may be lost.
+const routerHeardWithin = 5 * time.Second
 
 // service answers routers and newcomers at the leader. Its methods may be called
 // at the same time.
@@ -42,9 +37,8 @@
 	steward *kcwsteward.Steward
 
 	// mu guards what follows and the steward.
-	mu     sync.Mutex
-	heard  map[string]time.Time
-	scarce map[string]time.Time
+	mu    sync.Mutex
+	heard map[string]time.Time
 }
 
 // Sync takes the report of a router and tells it what is new.
@@ -56,7 +50,7 @@
 	}
 	response := &kcwpb.FleetSyncResponse{Allowances: result.GetAllowances(), Incarnation: result.GetIncarnation()}
 	now := time.Now()
-	response.Routers = s.note(report, result, now)
+	response.Routers = s.note(report.GetRouter(), now)
 	if document := s.table.Document(); document.GetVersion() > req.Msg.GetDocumentVersion() {
 		response.Document = document
 	}
@@ -73,19 +67,12 @@
 	return connect.NewResponse(response), nil
 }
 
-// note keeps that the router was heard and which teams lack tokens, marks these
-// in the result, and returns the number of routers heard lately.
-func (s *service) note(report *kcwpb.SyncAllowances, result *kcwpb.FleetResult, now time.Time) uint32 {
+// note keeps that the router was heard and returns the number of routers heard
+// lately.
+func (s *service) note(router string, now time.Time) uint32 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heard[report.GetRouter()] = now
-	for i, a := range result.GetAllowances() {
-		r := report.GetReports()[i]
-		if r.GetLeast() > a.GetGranted()-r.GetReturned()-r.GetSpent() {
-			s.scarce[a.GetTeam()] = now
-		}
-		a.Scarce = now.Sub(s.scarce[a.GetTeam()]) < scarceFor
-	}
+	s.heard[router] = now
 	routers := uint32(0)
 	for name, at := range s.heard {
 		if now.Sub(at) > routerHeardWithin {
--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -16,6 +16,7 @@
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwuptime"
 )
 
 // reporter reports to the core at each interval, or at once when a request lacks
@@ -26,6 +27,7 @@
 	balance  *kcwbalance.Balance
 	roster   *kcwroster.Roster
 	decode   func([]byte) (*kcwroute.Document, error)
+	uptime   *kcwuptime.Clock
 	interval time.Duration
 
 	document atomic.Pointer[kcwroute.Document]
@@ -78,11 +80,16 @@
 func (p *reporter) ask(ctx context.Context) bool {
 	p.mu.Lock()
 	r := p.round
+	lost := p.unheard
 	p.mu.Unlock()
 	select {
 	case p.wake <- struct{}{}:
 	default:
 	}
+	if lost {
+		// The next answer will end this; a request had better not wait for it.
+		return false
+	}
 	select {
 	case <-r.done:
 		return r.answered
@@ -99,9 +106,11 @@
 	current := p.round
 	p.round = newRound()
 	p.serial++
+	report := p.balance.Report(asked)
 	req := &kcwpb.FleetSyncRequest{
 		Allowances: &kcwpb.SyncAllowances{
-			Router: p.router, Incarnation: p.incarnation, Serial: p.serial, Reports: p.balance.Reports(asked),
+			Router: p.router, Incarnation: p.incarnation, Serial: p.serial, Reports: report.Teams,
+			Boot: p.uptime.Boot(), Started: int64(p.uptime.Started()), Wakes: int64(report.Wakes),
 		},
 		ListVersion: p.listVersion, ListReader: p.listReader,
 	}
@@ -112,7 +121,7 @@
 	response, err := p.client.Sync(ctx, req)
 	p.noteContact(asked, err)
 	if err == nil {
-		p.take(response, asked)
+		p.take(response, report)
 	}
 	current.answered = err == nil
 	close(current.done)
@@ -140,21 +149,21 @@
 // lost in the log: an election ends sooner.
 const lostAfter = 2 * time.Second
 
-// take takes the core's answer to the report made at asked.
-func (p *reporter) take(response *kcwpb.FleetSyncResponse, asked time.Time) {
+// take takes the core's answer to report.
+func (p *reporter) take(response *kcwpb.FleetSyncResponse, report kcwbalance.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if response.GetIncarnation() > p.incarnation {
 		p.refenced(response.GetIncarnation())
 	} else {
 		p.accepted = true
-		p.balance.Heard(response.GetAllowances(), int(response.GetRouters()), asked)
+		p.balance.Heard(report, response.GetAllowances())
 	}
 	p.routers.Store(int64(response.GetRouters()))
 	p.takeMembers(response.GetCore())
 	p.takeDocument(response.GetDocument())
 	if response.GetListAgeNanos() > 0 {
-		p.takeList(response, asked)
+		p.takeList(response, report.At)
 	}
 }
 
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -34,15 +34,13 @@
 	"kingcupwick.example/kcw/kcwplace"
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwuptime"
 )
 
 const (
 	// memoryPart is the fraction of the memory that the garbage collector
 	// keeps below.
 	memoryPart = 0.9
-	// lookInterval is the pause between two looks at whether the list is stale
-	// or the router that stops is idle.
-	lookInterval = 200 * time.Millisecond
 	// reloadInterval is the pause between two looks at the settings file, which
 	// may change without a signal.
 	reloadInterval = 2 * time.Second
@@ -118,17 +116,20 @@
 	r := &Router{cfg: cfg}
 	r.life, r.end = context.WithCancel(context.Background())
 	r.client = kcwcore.New(kcwcore.Config{Seeds: coreSeeds(s), Timeout: s.Core.Timeout})
+	uptime, err := kcwuptime.New()
+	if err != nil {
+		return nil, err
+	}
 	r.balance = kcwbalance.New(kcwbalance.Config{
-		Grant: kcwgrant.Config{Endurance: s.Grants.Endurance, IdleAfter: s.Grants.IdleAfter, Memory: s.Grants.Memory},
-		Fresh: s.Grants.Fresh,
+		Grant:  kcwgrant.Config{Endurance: s.Grants.Endurance, IdleAfter: s.Grants.IdleAfter, Memory: s.Grants.Memory},
+		Active: s.Grants.Active, Sleep: s.Grants.Sleep, Fresh: s.Grants.Fresh, Uptime: uptime.Now,
 	})
 	r.roster = newRoster(s)
 	r.reporter = &reporter{
 		router: s.Host.Name, client: r.client, balance: r.balance, roster: r.roster, decode: cfg.Decode,
-		interval: s.Core.Interval, incarnation: uint64(time.Now().UnixNano()),
+		uptime: uptime, interval: s.Core.Interval, incarnation: uint64(time.Now().UnixNano()),
 		round: newRound(), wake: make(chan struct{}, 1), heardAt: time.Now(),
 	}
-	var err error
 	if r.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-router", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
 		return nil, err
 	}
@@ -229,7 +230,7 @@
 	go r.reload()
 	app := kratos.New(
 		kratos.Name("kcw-router"), kratos.Logger(r.cfg.Logger), kratos.Server(r.public, r.admin),
-		kratos.StopTimeout(s.Stop.Grace), kratos.BeforeStop(r.drain),
+		kratos.StopTimeout(max(s.Stop.Grace-s.Stop.Notice-stopMargin, 0)), kratos.BeforeStop(r.drain),
 	)
 	err := app.Run()
 	r.giveBack()
@@ -239,25 +240,20 @@
 	return err
 }
 
-// drain takes the router out of the balancer and serves on until no request is
-// under way, within the time that a stop has.
+// drain takes the router out of the balancer and serves on until that has
+// noticed. Then the servers close what is idle and wait for what is not.
 func (r *Router) drain(context.Context) error {
 	s := r.cfg.Settings.Stop
-	began := time.Now()
 	r.draining.Store(true)
 	klog.InfoS("Router drains", "Grace", s.Grace.String(), "InFlight", r.forwarder.InFlight())
 	time.Sleep(s.Notice)
-	end := began.Add(s.Grace - stopMargin)
-	for r.forwarder.InFlight() > 0 && time.Now().Before(end) {
-		time.Sleep(lookInterval)
-	}
-	klog.InfoS("Router closes", "InFlight", r.forwarder.InFlight(), "Elapsed", time.Since(began).String())
+	klog.InfoS("Router closes", "InFlight", r.forwarder.InFlight())
 	return nil
 }
 
 // giveBack returns the tokens that are left.
 func (r *Router) giveBack() {
-	r.balance.Return()
+	r.balance.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), finalReport)
 	defer cancel()
 	if !r.reporter.ask(ctx) {
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -61,7 +61,12 @@
 // Grants says what a router holds of prepaid tokens.
 type Grants struct {
 	// Endurance is how long the router should serve its demand by itself.
-	Endurance time.Duration `default:"15s" setting:"min=0s,max=24h"`
+	Endurance time.Duration `default:"10s" setting:"min=0s,max=24h"`
+	// Active is how long it may do so at once. The rest wakes when the core has
+	// been silent for Sleep, and comes back to the team if the router restarts
+	// sooner: longer than a restart takes.
+	Active time.Duration `default:"2s" setting:"min=0s,max=24h"`
+	Sleep  time.Duration `default:"2500ms" setting:"min=0s,max=24h"`
 	// Memory is the time over which demand is averaged, and IdleAfter how long
 	// a team without requests keeps its tokens here.
 	Memory    time.Duration `default:"5s" setting:"min=1s,max=1h"`
--- a/kcw/kcwallowance/image.go
+++ b/kcw/kcwallowance/image.go
@@ -60,12 +60,15 @@
 	image := &kcwpb.FleetImage{Document: t.document}
 	for _, name := range t.names() {
 		r := t.routers[name]
-		image.Routers = append(image.Routers, &kcwpb.SyncAllowances{Router: name, Incarnation: r.incarnation, Serial: r.serial})
+		image.Routers = append(image.Routers, &kcwpb.SyncAllowances{
+			Router: name, Incarnation: r.incarnation, Serial: r.serial, Boot: r.boot, Wakes: r.wakes,
+		})
 		for _, team := range slices.Sorted(maps.Keys(r.teams)) {
 			held := r.teams[team]
 			image.Holdings = append(image.Holdings, &kcwpb.FleetHolding{
 				Router: name, Incarnation: r.incarnation, Team: team,
 				Granted: held.granted, Returned: held.returned, Spent: held.spent,
+				Reserved: held.reserved, Want: held.want, Limit: held.limit,
 			})
 		}
 	}
@@ -107,14 +110,19 @@
 		t.budget(b.GetTeam()).outstanding = b.GetPrepaid()
 	}
 	for _, r := range image.GetRouters() {
-		t.routers[r.GetRouter()] = &router{incarnation: r.GetIncarnation(), serial: r.GetSerial(), teams: map[string]*totals{}}
+		t.routers[r.GetRouter()] = &router{
+			incarnation: r.GetIncarnation(), serial: r.GetSerial(), boot: r.GetBoot(), wakes: r.GetWakes(), teams: map[string]*totals{},
+		}
 	}
 	for _, h := range image.GetHoldings() {
 		r := t.routers[h.GetRouter()]
 		if r == nil {
 			continue
 		}
-		r.teams[h.GetTeam()] = &totals{granted: h.GetGranted(), returned: h.GetReturned(), spent: h.GetSpent()}
+		r.teams[h.GetTeam()] = &totals{
+			granted: h.GetGranted(), returned: h.GetReturned(), spent: h.GetSpent(),
+			reserved: h.GetReserved(), want: h.GetWant(), limit: h.GetLimit(),
+		}
 		t.budget(h.GetTeam()).outstanding += h.GetGranted() - h.GetReturned()
 	}
 }
--- a/kcw/kcwallowance/table.go
+++ b/kcw/kcwallowance/table.go
@@ -19,25 +19,35 @@
 	"kingcupwick.example/kcw/kcwpb"
 )
 
-// grantDivisor bounds one grant to this fraction of a budget's free tokens, so
-// that the first router to ask does not take what the others need. A router that
-// lacks tokens for one request gets these in any case.
-const grantDivisor = 4
+// heldPart is the part of a budget's unspent tokens that routers may hold
+// together beside what running requests have reserved. The rest is for requests
+// that find too little at their router, and what a host that loses its power
+// holds is lost to the team.
+const heldPart = 0.6
 
-// totals is what one router incarnation holds for one team.
+// totals is what one router incarnation holds for one team, and what it said
+// last.
 type totals struct {
 	granted, returned, spent int64
+	reserved, want, limit    int64
 }
 
+// free returns the tokens that are neither spent nor reserved.
+func (h *totals) free() int64 { return h.granted - h.returned - h.spent - h.reserved }
+
 // router is the newest incarnation of one router.
 type router struct {
 	incarnation uint64
 	serial      uint64
-	teams       map[string]*totals
+	// boot and wakes bound what the incarnation has used if it ends: until
+	// wakes, in time since the boot, it keeps to its limits.
+	boot  string
+	wakes int64
+	teams map[string]*totals
 }
 
-// budget is the prepaid tokens of one team and the tokens granted and not
-// returned, by incarnations that were replaced and in all.
+// budget is the prepaid tokens of one team, those that replaced incarnations
+// have used at most, and those granted and not returned in all.
 type budget struct {
 	prepaid, retired, outstanding int64
 }
@@ -134,20 +144,25 @@
 	}
 	result.Incarnation = r.incarnation
 	late := s.GetSerial() <= r.serial
-	r.serial = max(r.serial, s.GetSerial())
+	if !late {
+		r.serial, r.wakes = s.GetSerial(), s.GetWakes()
+	}
 	for _, report := range s.GetReports() {
 		held := r.holding(report.GetTeam())
 		t.take(held, report)
+		share := int64(0)
 		if !late {
-			t.grant(held, report)
+			held.reserved, held.want = report.GetReserved(), report.GetWant()
+			share = t.share(report)
+			t.grant(held, report, share)
 		}
-		result.Allowances = append(result.Allowances, t.allowance(held, report.GetTeam()))
+		result.Allowances = append(result.Allowances, t.allowance(held, report.GetTeam(), share))
 	}
 	return result
 }
 
 // admit returns the router of s, nil if a newer incarnation is known. What an
-// older incarnation held counts as spent from then on.
+// older incarnation may have used counts as used from then on.
 func (t *Table) admit(s *kcwpb.SyncAllowances) *router {
 	r := t.routers[s.GetRouter()]
 	switch {
@@ -156,15 +171,29 @@
 	case r != nil && s.GetIncarnation() == r.incarnation:
 		return r
 	case r != nil:
-		for team, held := range r.teams {
-			t.budget(team).retired += held.granted - held.returned
-		}
+		t.retire(r, s)
 	}
-	r = &router{incarnation: s.GetIncarnation(), teams: map[string]*totals{}}
+	r = &router{incarnation: s.GetIncarnation(), boot: s.GetBoot(), teams: map[string]*totals{}}
 	t.routers[s.GetRouter()] = r
 	return r
 }
 
+// retire counts what the incarnation r has used at most, when next takes its
+// place. If next started before r's allowances would have woken, r kept to its
+// limits; otherwise it may have used all that it held.
+func (t *Table) retire(r *router, next *kcwpb.SyncAllowances) {
+	dormant := r.boot != "" && next.GetBoot() == r.boot && next.GetStarted() < r.wakes
+	for team, held := range r.teams {
+		used := held.granted - held.returned
+		if dormant {
+			kept := max(0, used-max(held.limit, held.spent))
+			used -= kept
+			t.budget(team).outstanding -= kept
+		}
+		t.budget(team).retired += used
+	}
+}
+
 func (r *router) holding(team string) *totals {
 	held := r.teams[team]
 	if held == nil {
@@ -175,45 +204,58 @@
 }
 
 // take notes the totals of a report. A router can't return or spend more than
-// it was granted.
+// it was granted. Limits of reports whose answers were lost were never in force,
+// so that the highest one holds.
 func (t *Table) take(held *totals, report *kcwpb.AllowanceReport) {
 	returned := min(max(held.returned, report.GetReturned()), held.granted)
 	t.budget(report.GetTeam()).outstanding -= returned - held.returned
 	held.returned = returned
 	held.spent = min(max(held.spent, report.GetSpent()), held.granted-held.returned)
+	held.limit = max(held.limit, report.GetLimit())
 }
 
-// grant raises the tokens that a router holds unspent towards what it wants, out
-// of the free tokens of the budget.
-func (t *Table) grant(held *totals, report *kcwpb.AllowanceReport) {
-	b := t.budget(report.GetTeam())
-	free := b.prepaid - b.outstanding
-	unspent := held.granted - held.returned - held.spent
-	missing := report.GetWant() - unspent
-	if missing <= 0 || free <= 0 {
-		return
+// share returns the free tokens that the router of report should hold: what it
+// wants, or its part by what all want when that is more than they may hold.
+func (t *Table) share(report *kcwpb.AllowanceReport) int64 {
+	wanted := int64(0)
+	for _, r := range t.routers {
+		if held := r.teams[report.GetTeam()]; held != nil {
+			wanted += held.want
+		}
+	}
+	most := heldPart * float64(max(0, t.budget(report.GetTeam()).prepaid-t.spent(report.GetTeam())))
+	if float64(wanted) <= most {
+		return report.GetWant()
 	}
-	least := max(0, report.GetLeast()-unspent)
-	amount := min(missing, max(free/grantDivisor, least), free)
-	if amount < least {
+	return int64(most * float64(report.GetWant()) / float64(wanted))
+}
+
+// grant raises the free tokens of a router to its share, or to the least that it
+// needs, out of the free tokens of the budget.
+func (t *Table) grant(held *totals, report *kcwpb.AllowanceReport, share int64) {
+	b := t.budget(report.GetTeam())
+	least := report.GetLeast() - held.free()
+	amount := min(max(share-held.free(), least), b.prepaid-b.outstanding)
+	if amount <= 0 || amount < least {
 		return
 	}
 	held.granted += amount
 	b.outstanding += amount
 }
 
-func (t *Table) allowance(held *totals, team string) *kcwpb.Allowance {
+func (t *Table) allowance(held *totals, team string, share int64) *kcwpb.Allowance {
 	b := t.budget(team)
 	return &kcwpb.Allowance{
 		Team:      team,
 		Granted:   held.granted,
 		Available: max(0, b.prepaid-b.outstanding),
 		Unspent:   max(0, b.prepaid-t.spent(team)),
+		Share:     share,
 	}
 }
 
 // spent returns the tokens reported as spent, and all that replaced incarnations
-// held.
+// may have used.
 func (t *Table) spent(team string) int64 {
 	sum := t.budget(team).retired
 	for _, r := range t.routers {
--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -2,7 +2,13 @@
 // team's requests reserve and use of them, how many to ask the core for and how
 // many to give back. It answers a router that is cut off, which lives on what it
 // holds, and budgets that run out, where what is held idle is missing elsewhere.
-// It does no I/O and takes the clock as an argument.
+//
+// Most of what a router holds is asleep: until the core has been silent for some
+// time the router keeps to a limit that it has reported, so that the rest comes
+// back to the team if the router restarts soon. The time is that since the host's
+// boot, suspension included, which a process and its successor share.
+//
+// A Balance does no I/O and takes the clock as an argument.
 package kcwbalance
 
 import (
@@ -15,12 +21,17 @@
 
 // Config configures a Balance.
 type Config struct {
-	// Grant is the policy of what to hold; its Divisor is replaced by the
-	// number of routers.
+	// Grant is the policy of what to hold.
 	Grant kcwgrant.Config
+	// Active is the time for which the tokens that are awake last.
+	Active time.Duration
+	// Sleep is how long the core must be silent for all tokens to wake.
+	Sleep time.Duration
 	// Fresh is how old the core's word on a budget may be to refuse a request
 	// for good.
 	Fresh time.Duration
+	// Uptime returns the time since the host's boot, suspension included.
+	Uptime func() time.Duration
 }
 
 // Verdict says whether a request may use a team's tokens.
@@ -30,8 +41,8 @@
 const (
 	// Reserved means that the tokens are reserved.
 	Reserved Verdict = iota + 1
-	// Missing means that the router holds too few tokens; the core may grant
-	// more.
+	// Missing means that the router may use too few tokens; the core may grant
+	// or wake more.
 	Missing
 	// Held means that other routers hold the tokens, which may come back.
 	Held
@@ -47,11 +58,12 @@
 // account is the tokens of one team. Granted, returned and spent only rise.
 type account struct {
 	granted, returned, spent, reserved int64
-	demand                             kcwgrant.Demand
-	// available, unspent and scarce are the core's word, as of heardAt.
-	available, unspent int64
-	scarce             bool
-	heardAt            time.Time
+	// limit bounds spent and reserved while the tokens sleep.
+	limit  int64
+	demand kcwgrant.Demand
+	// available, unspent and share are the core's word, as of heardAt.
+	available, unspent, share int64
+	heardAt                   time.Time
 	// shortage is the largest request that lacked tokens since the last report.
 	shortage int64
 }
@@ -60,29 +72,20 @@
 
 // Balance is a router's tokens. It is safe for concurrent use.
 type Balance struct {
-	cfg Config
-
-	mu      sync.Mutex
-	policy  *kcwgrant.Policy
-	routers int64
-	teams   map[string]*account
+	cfg    Config
+	policy *kcwgrant.Policy
+
+	mu    sync.Mutex
+	teams map[string]*account
+	// wakes is the uptime at which all tokens wake.
+	wakes time.Duration
+	// returning says that the router stops and gives everything back.
+	returning bool
 }
 
 // New returns a Balance without tokens.
 func New(cfg Config) *Balance {
-	b := &Balance{cfg: cfg, teams: map[string]*account{}}
-	b.setRouters(1)
-	return b
-}
-
-func (b *Balance) setRouters(n int64) {
-	if n < 1 || n == b.routers {
-		return
-	}
-	b.routers = n
-	cfg := b.cfg.Grant
-	cfg.Divisor = n
-	b.policy = kcwgrant.New(cfg)
+	return &Balance{cfg: cfg, policy: kcwgrant.New(cfg.Grant), teams: map[string]*account{}, wakes: cfg.Uptime() + cfg.Sleep}
 }
 
 func (b *Balance) account(team string) *account {
@@ -102,22 +105,21 @@
 	a.demand = b.policy.Add(a.demand, tokens, now)
 }
 
-// Reserve reserves tokens of team for one request, if the router holds them.
+// Reserve reserves tokens of team for one request, if the router may use them.
 func (b *Balance) Reserve(team string, tokens int64, now time.Time) Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(team)
-	if tokens <= a.free() {
+	if tokens <= a.free() && (a.spent+a.reserved+tokens <= a.limit || b.cfg.Uptime() >= b.wakes) {
 		a.reserved += tokens
 		return Reserved
 	}
 	a.shortage = max(a.shortage, tokens)
 	fresh := !a.heardAt.IsZero() && now.Sub(a.heardAt) <= b.cfg.Fresh
-	own := a.free()
 	switch {
 	case fresh && a.unspent-a.reserved < tokens:
 		return Exhausted
-	case fresh && a.available+own < tokens:
+	case fresh && a.available+a.free() < tokens:
 		return Held
 	}
 	return Missing
@@ -132,70 +134,82 @@
 	a.spent += min(max(used, 0), tokens)
 }
 
-// Reports returns what to tell the core, one report for each team with tokens or
-// demand, and takes off the tokens that the reports return.
-func (b *Balance) Reports(now time.Time) []*kcwpb.AllowanceReport {
+// Report is what a router tells the core at one time.
+type Report struct {
+	Teams []*kcwpb.AllowanceReport
+	// At and Uptime are when the report was made, Wakes when the router's
+	// tokens wake if the core stays silent.
+	At            time.Time
+	Uptime, Wakes time.Duration
+}
+
+// Report returns what to tell the core, of each team with tokens or demand, and
+// takes off the tokens that are returned.
+func (b *Balance) Report(now time.Time) Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var reports []*kcwpb.AllowanceReport
+	report := Report{At: now, Uptime: b.cfg.Uptime(), Wakes: b.wakes}
 	for team, a := range b.teams {
-		free := a.free()
-		change := b.policy.Plan(kcwgrant.Holding{
-			Free: free, Available: a.available, Demand: a.demand, Recalled: a.scarce,
-		}, now)
-		if a.shortage > 0 {
-			change = max(change, a.shortage-free)
-		}
-		if change < 0 {
-			a.returned += min(-change, free)
-		}
-		report := &kcwpb.AllowanceReport{
-			Team: team, Returned: a.returned, Spent: a.spent,
-			Want: a.reserved + free + change,
-		}
-		if a.shortage > 0 {
-			report.Least = a.reserved + a.shortage
-		}
-		a.shortage = 0
-		reports = append(reports, report)
+		report.Teams = append(report.Teams, b.reportTeam(team, a, now))
 	}
-	return reports
+	return report
 }
 
-// Return takes all free tokens off, so that the next reports give them back.
-func (b *Balance) Return() {
+func (b *Balance) reportTeam(team string, a *account, now time.Time) *kcwpb.AllowanceReport {
+	want := b.policy.Need(a.demand, b.cfg.Grant.Endurance, now)
+	active := b.policy.Need(a.demand, b.cfg.Active, now)
+	if b.returning {
+		want, active = 0, 0
+	}
+	// Hysteresis of a quarter keeps a steady demand from moving tokens each time.
+	const slack = 4
+	if share := min(want, a.share); b.returning || a.free() > share+share/slack {
+		a.returned += max(0, a.free()-share)
+	}
+	r := &kcwpb.AllowanceReport{
+		Team: team, Returned: a.returned, Spent: a.spent, Reserved: a.reserved, Want: max(want, a.shortage),
+		Limit: a.spent + a.reserved + max(active, a.shortage),
+	}
+	if a.shortage > 0 {
+		r.Least = a.shortage
+	}
+	a.shortage = 0
+	return r
+}
+
+// Stop makes the next reports give everything back.
+func (b *Balance) Stop() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, a := range b.teams {
-		a.returned += max(0, a.free())
-		a.demand = kcwgrant.Demand{}
-		a.shortage = 0
-	}
+	b.returning = true
 }
 
-// Heard takes the core's answer to reports that were made at asked, and the
-// number of routers heard lately.
-func (b *Balance) Heard(allowances []*kcwpb.Allowance, routers int, asked time.Time) {
+// Heard takes the core's answer to report.
+func (b *Balance) Heard(report Report, allowances []*kcwpb.Allowance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.setRouters(int64(routers))
+	b.wakes = max(b.wakes, report.Uptime+b.cfg.Sleep)
+	for _, r := range report.Teams {
+		a := b.account(r.GetTeam())
+		a.limit = max(a.limit, r.GetLimit())
+	}
 	for _, heard := range allowances {
 		a := b.account(heard.GetTeam())
 		a.granted = max(a.granted, heard.GetGranted())
-		if asked.Before(a.heardAt) {
+		if report.At.Before(a.heardAt) {
 			continue
 		}
-		a.available, a.unspent, a.scarce = heard.GetAvailable(), heard.GetUnspent(), heard.GetScarce()
-		a.heardAt = asked
+		a.available, a.unspent, a.share = heard.GetAvailable(), heard.GetUnspent(), heard.GetShare()
+		a.heardAt = report.At
 	}
 }
 
 // Team is the state of one team's tokens, for dumps.
 type Team struct {
-	Name                               string
-	Granted, Returned, Spent, Reserved int64
-	Available, Unspent                 int64
-	HeardAt                            time.Time
+	Name                                      string
+	Granted, Returned, Spent, Reserved, Limit int64
+	Available, Unspent, Share                 int64
+	HeardAt                                   time.Time
 }
 
 // Teams returns the state of all teams.
@@ -205,8 +219,8 @@
 	list := make([]Team, 0, len(b.teams))
 	for name, a := range b.teams {
 		list = append(list, Team{
-			Name: name, Granted: a.granted, Returned: a.returned, Spent: a.spent, Reserved: a.reserved,
-			Available: a.available, Unspent: a.unspent, HeardAt: a.heardAt,
+			Name: name, Granted: a.granted, Returned: a.returned, Spent: a.spent, Reserved: a.reserved, Limit: a.limit,
+			Available: a.available, Unspent: a.unspent, Share: a.share, HeardAt: a.heardAt,
 		})
 	}
 	return list
--- a/kcw/kcwgrant/policy.go
+++ b/kcw/kcwgrant/policy.go
@@ -47,6 +47,8 @@
 	// Peak is the largest request of late in tokens.
 	Peak int64
 	At   time.Time
+	// Since is when the demand began.
+	Since time.Time
 }
 
 // Add returns d after a request for tokens at the time now. The rate is an
@@ -58,6 +60,9 @@
 	if now.Sub(d.At) > p.cfg.IdleAfter {
 		d.Peak = 0
 	}
+	if d.Since.IsZero() {
+		d.Since = now
+	}
 	d.Peak = max(d.Peak, tokens)
 	d.At = now
 	return d
@@ -112,3 +117,24 @@
 	}
 	return 0
 }
+
+// spread is by how many standard deviations Need exceeds the mean demand.
+const spread = 2
+
+// leastAge is the age, as a fraction of the memory, below which the average of a
+// young demand is not extrapolated further.
+const leastAge = 0.2
+
+// Need returns the tokens that cover the demand d for the time that span lasts,
+// from now, nearly always: its mean and two standard deviations, as if requests
+// of the largest size came by a Poisson process. Unlike Target it makes up for
+// the youth of the average.
+func (p *Policy) Need(d Demand, span time.Duration, now time.Time) int64 {
+	if d.At.IsZero() || now.Sub(d.At) >= p.cfg.IdleAfter {
+		return 0
+	}
+	age := now.Sub(d.Since).Seconds() / p.cfg.Memory.Seconds()
+	rate := p.rate(d, now) / (1 - math.Exp(-max(age, leastAge)))
+	mean := rate * span.Seconds()
+	return int64(mean + spread*math.Sqrt(mean*float64(d.Peak)))
+}
--- a/kcw/kcwgrant/policy_test.go
+++ b/kcw/kcwgrant/policy_test.go
@@ -52,3 +52,25 @@
 		t.Errorf("after ten time constants the target is %d", got)
 	}
 }
+
+// TestNeed plays requests of one size and checks that the need covers the mean
+// demand from early on, and not far more.
+func TestNeed(t *testing.T) {
+	const size, rate, span = 10, 20, 10
+	for _, seconds := range []int{2, 5, 60} {
+		now := time.Unix(1_700_000_000, 0)
+		p := kcwgrant.New(kcwgrant.Config{IdleAfter: time.Minute, Memory: 5 * time.Second})
+		var d kcwgrant.Demand
+		for range seconds * rate {
+			now = now.Add(time.Second / rate)
+			d = p.Add(d, size, now)
+		}
+		const mean = size * rate * span
+		if got := p.Need(d, span*time.Second, now); got < mean || got > mean*3/2 {
+			t.Errorf("after %d s the need is %d tokens, want %d and some more", seconds, got, mean)
+		}
+		if got := p.Need(d, span*time.Second, now.Add(time.Minute)); got != 0 {
+			t.Errorf("an idle team needs %d tokens", got)
+		}
+	}
+}
