kcwforward: count only attempts that reach an upstream as retries

Change: an attempt without a connection takes nothing from the retry budget; the slack is divided by the routers that the core has heard. Tests of the forwarder with scripted upstreams.

--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -41,6 +41,9 @@
 	// memoryPart is the fraction of the memory that the garbage collector
 	// keeps below.
 	memoryPart = 0.9
+	// retryPart is the part of the allowed retries that is used: routers that
+	// restart begin with a new share of the slack.
+	retryPart = 0.8
 	// reloadInterval is the pause between two looks at the settings file, which
 	// may change without a signal.
 	reloadInterval = 2 * time.Second
@@ -176,7 +179,7 @@
 	return kcwforward.New(kcwforward.Config{
 		Dialect: r.cfg.Dialect, Document: r.reporter.document.Load, Roster: r.roster, Balance: r.balance,
 		Ask: r.reporter.ask, AskTimeout: s.Grants.AskTimeout,
-		RetryRatio: s.Retry.Ratio, RetryBurst: max(1, s.Retry.Slack/s.Retry.Routers),
+		RetryRatio: retryPart * s.Retry.Ratio, RetrySlack: int(retryPart * float64(s.Retry.Slack)), Routers: func() int { return int(r.reporter.routers.Load()) },
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		UsedWithin: s.Upstream.UsedWithin, Patience: s.Upstream.Patience,
 		Draining: r.draining.Load, Observe: newObserver(r.meter), Rand: newRand(), Now: time.Now,
@@ -224,7 +227,8 @@
 // Run serves until a signal stops the router.
 func (r *Router) Run() error {
 	s := r.cfg.Settings
-	klog.InfoS("Router starts", "Address", s.Host.Address, "Zone", s.Host.Zone, "Incarnation", r.reporter.incarnation, "Seeds", s.Core.Seeds)
+	klog.InfoS("Router starts", "Address", s.Host.Address, "Zone", s.Host.Zone, "Incarnation", r.reporter.incarnation, "Seeds", s.Core.Seeds,
+		"Boot", r.reporter.uptime.Boot(), "Uptime", r.reporter.uptime.Started().String())
 	go r.reporter.run(r.life)
 	go r.readLists()
 	go r.reload()
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -82,12 +82,9 @@
 // Retry bounds attempts beyond the first, over the whole fleet.
 type Retry struct {
 	// Ratio is their part of the first attempts, and Slack the number on top,
-	// within Window.
-	Ratio  float64       `default:"0.1" setting:"min=0.001,max=1"`
-	Slack  int           `default:"50" setting:"min=0,max=1000000"`
-	Window time.Duration `default:"10s" setting:"min=1s,max=1h"`
-	// Routers is how many routers share the slack.
-	Routers int `default:"10" setting:"min=1,max=100000"`
+	// which the routers share.
+	Ratio float64 `default:"0.1" setting:"min=0.001,max=1"`
+	Slack int     `default:"50" setting:"min=0,max=1000000"`
 }
 
 // Limits bounds what a router holds.
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -103,10 +103,12 @@
 	Ask func(ctx context.Context) bool
 	// AskTimeout bounds the wait for tokens.
 	AskTimeout time.Duration
-	// RetryRatio and RetryBurst bound the attempts beyond the first to a
-	// service: a fraction of the first ones, and so many on top.
+	// RetryRatio and RetrySlack bound the attempts beyond the first that reach
+	// a service through all routers: a fraction of the first ones, and so many
+	// on top. Routers returns the number of routers that share the slack.
 	RetryRatio float64
-	RetryBurst int
+	RetrySlack int
+	Routers    func() int
 	// MaxBodyBytes bounds a request's body and MaxAnswerBytes an answer that is
 	// not a stream. MaxEventBytes bounds one event.
 	MaxBodyBytes, MaxAnswerBytes int64
@@ -133,6 +135,7 @@
 	// mu guards rand and retries.
 	mu      sync.Mutex
 	retries map[string]*kcwretry.Budget
+	routers int
 }
 
 // Error is the error of this package. It is what New returns for a Config that
@@ -154,7 +157,7 @@
 // New returns a Forwarder. The error is an *Error of kind Incomplete.
 func New(cfg Config) (*Forwarder, error) {
 	parts := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil &&
-		cfg.Ask != nil && cfg.Draining != nil && cfg.Observe != nil && cfg.Rand != nil && cfg.Now != nil
+		cfg.Ask != nil && cfg.Routers != nil && cfg.Draining != nil && cfg.Observe != nil && cfg.Rand != nil && cfg.Now != nil
 	if !parts || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.Patience <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
 	}
@@ -193,6 +196,17 @@
 func (f *Forwarder) budget(service string) *kcwretry.Budget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	n := f.cfg.Routers()
+	if n < 1 {
+		// Nothing is known of the others yet.
+		n = max(1, f.cfg.RetrySlack)
+	}
+	if n != f.routers {
+		f.routers = n
+		for _, b := range f.retries {
+			b.SetBurst(f.burst())
+		}
+	}
 	b := f.retries[service]
 	if b != nil {
 		return b
@@ -200,7 +214,7 @@
 	// The pauses of the budget are not used: an attempt follows the last at
 	// once, at another upstream.
 	b, err := kcwretry.New(kcwretry.Config{
-		Ratio: f.cfg.RetryRatio, Burst: f.cfg.RetryBurst, Start: f.cfg.RetryBurst,
+		Ratio: f.cfg.RetryRatio, Burst: f.burst(), Start: f.burst(),
 		PauseFirst: time.Millisecond, PauseMost: time.Millisecond, Rand: f.cfg.Rand,
 	})
 	if err != nil {
@@ -209,3 +223,6 @@
 	f.retries[service] = b
 	return b
 }
+
+// burst returns this router's part of the slack.
+func (f *Forwarder) burst() int { return max(1, f.cfg.RetrySlack/f.routers) }
--- /dev/null
+++ b/kcw/kcwforward/forwarder_test.go
@@ -0,0 +1,296 @@
+package kcwforward_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwroute"
+)
+
+var (
+	repeatable = kcwroute.Route{Kind: kcwroute.Idempotent, MaxAttempts: 2}
+	once       = kcwroute.Route{Kind: kcwroute.NonIdempotent, MaxAttempts: 2}
+	stream     = kcwroute.Route{Kind: kcwroute.Stream, MaxAttempts: 2}
+	resumable  = kcwroute.Route{Kind: kcwroute.Stream, MaxAttempts: 2, Resumable: true}
+)
+
+// first returns a script that has one upstream's first answer differ from all
+// later ones.
+func first(differs, rest func(e *exchange)) func(e *exchange) {
+	return func(e *exchange) {
+		if e.nth == 1 {
+			differs(e)
+			return
+		}
+		rest(e)
+	}
+}
+
+func good(e *exchange) { e.answer(200, "Seal: s\r\n", "whole") }
+
+// TestAttempts plays an upstream that fails in many ways, and checks what the
+// caller gets and how many upstreams the request reached.
+func TestAttempts(t *testing.T) {
+	refuse := func(e *exchange) { e.answer(503, "Not-Run: 1\r\n", "full") }
+	misdirect := func(e *exchange) { e.answer(421, "", "not me") }
+	fail := func(e *exchange) { e.answer(500, "Seal: f\r\n", "failed") }
+	reset := func(e *exchange) { e.reset() }
+	cut := func(e *exchange) {
+		e.answer(200, "", "")
+		e.reset()
+	}
+	short := func(e *exchange) {
+		_, _ = e.conn.Write([]byte("HTTP/1.1 200 OK\r\nAttempt: id-1\r\nContent-Length: 9\r\n\r\nhalf"))
+		e.reset()
+	}
+	rubbish := func(e *exchange) {
+		_, _ = e.conn.Write([]byte("no answer in the protocol\r\n\r\n"))
+		e.reset()
+	}
+	encoded := func(e *exchange) { e.answer(200, "Content-Encoding: gzip\r\n", "spoilt") }
+	anothers := func(e *exchange) {
+		_, _ = e.conn.Write([]byte("HTTP/1.1 200 OK\r\nAttempt: id-0\r\nContent-Length: 6\r\n\r\nsecret"))
+		good(e)
+	}
+	for _, test := range []struct {
+		name   string
+		route  kcwroute.Route
+		script func(e *exchange)
+		status int
+		body   string
+		runs   int
+	}{
+		{"good", once, good, 200, "whole", 1},
+		{"full, once", once, first(refuse, good), 200, "whole", 2},
+		{"full everywhere", once, refuse, 503, "", 4},
+		{"address reused, once", once, first(misdirect, good), 200, "whole", 2},
+		{"failed, once", once, first(fail, good), 500, "failed", 1},
+		{"failed, repeatable", repeatable, first(fail, good), 200, "whole", 2},
+		{"failed everywhere", repeatable, fail, 500, "failed", 2},
+		{"reset, once", once, first(reset, good), 502, "", 1},
+		{"reset, repeatable", repeatable, first(reset, good), 200, "whole", 2},
+		{"cut after the answer", once, cut, 200, "", 1},
+		{"short, once", once, first(short, good), 502, "", 1},
+		{"short, repeatable", repeatable, first(short, good), 200, "whole", 2},
+		{"rubbish, once", once, first(rubbish, good), 502, "", 1},
+		{"encoded, once", once, first(encoded, good), 502, "", 1},
+		{"another's answer first", once, anothers, 200, "whole", 1},
+		{"stream refused with a status", stream, fail, 500, "failed", 1},
+	} {
+		f := newFixture(t, 4, test.route, test.script)
+		response, body, err := f.call(t, http.MethodPost, "body")
+		if err != nil {
+			t.Errorf("%s: %v", test.name, err)
+		}
+		if response.StatusCode != test.status || test.body != "" && body != test.body || f.runs() != test.runs {
+			t.Errorf("%s: status %d, body %q after %d sends; want %d, %q, %d", test.name, response.StatusCode, body, f.runs(), test.status, test.body, test.runs)
+		}
+		if test.status == 502 || test.status == 503 {
+			if response.Header.Get("Seal") != "" {
+				t.Errorf("%s: the router's own answer bears an upstream's seal", test.name)
+			}
+		}
+	}
+}
+
+// TestUnchanged checks that method, path, query and body reach the upstream as
+// the caller sent them, and that its key does not.
+func TestUnchanged(t *testing.T) {
+	f := newFixture(t, 1, once, good)
+	_, _, _ = f.call(t, http.MethodPut, strings.Repeat("long ", 9999), "Other", "kept", "Connection", "Hop", "Hop", "dropped", "Wait", "5000")
+	got := f.seen[0]
+	if got.Method != http.MethodPut || got.RequestURI != "/a/x?q=1" || got.Host != "host.example" || f.bodies[0] != strings.Repeat("long ", 9999) {
+		t.Errorf("got %s %s at %s with %d bytes", got.Method, got.RequestURI, got.Host, len(f.bodies[0]))
+	}
+	for name, want := range map[string]string{"Key": "", "Hop": "", "Other": "kept", "Team": "team", "Attempt": "id-1"} {
+		if got.Header.Get(name) != want {
+			t.Errorf("header %s is %q, want %q", name, got.Header.Get(name), want)
+		}
+	}
+	if wait := got.Header.Get("Wait"); wait == "" || len(wait) > 4 {
+		t.Errorf("the time handed on is %q of 5000 ms", wait)
+	}
+}
+
+// TestStreams plays streams that break, and checks that events reach the caller
+// whole and once, and that a stream that lacks its end does not look complete.
+func TestStreams(t *testing.T) {
+	const a, b, c = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	whole := func(e *exchange) { e.events(true, a, b, c) }
+	rest := func(e *exchange) {
+		if e.Header.Get("Last") == "2" {
+			e.events(true, c)
+			return
+		}
+		e.events(true, "data: resumed after "+e.Header.Get("Last")+"\n\n")
+	}
+	cut := func(e *exchange) {
+		e.events(false, a+b[:5], b[5:]+c[:7])
+		e.reset()
+	}
+	for _, test := range []struct {
+		name   string
+		route  kcwroute.Route
+		script func(e *exchange)
+		body   string
+		broken bool
+	}{
+		{"whole", stream, whole, a + b + c, false},
+		{"cut in an event", stream, cut, a + b, true},
+		{"resumed", resumable, first(cut, rest), a + b + c, false},
+		{"cut before the first event", resumable, first(func(e *exchange) { e.events(false); e.reset() }, whole), a + b + c, false},
+		{"resuming fails", resumable, first(cut, func(e *exchange) { e.reset() }), a + b, true},
+		{"ends within an event", stream, func(e *exchange) { e.events(true, a, b[:5]) }, a, true},
+	} {
+		f := newFixture(t, 3, test.route, test.script)
+		_, body, err := f.call(t, http.MethodPost, "")
+		if body != test.body || (err != nil) != test.broken {
+			t.Errorf("%s: got %q and error %v, want %q and broken %v", test.name, body, err, test.body, test.broken)
+		}
+	}
+}
+
+// TestSurplusAnswer checks that an answer which comes late, on a kept connection,
+// is not given to the next request.
+func TestSurplusAnswer(t *testing.T) {
+	f := newFixture(t, 1, once, func(e *exchange) { e.answer(200, "", "answer to "+e.Header.Get("Attempt")) })
+	if _, body, _ := f.call(t, http.MethodPost, ""); body != "answer to id-1" {
+		t.Fatalf("got %q", body)
+	}
+	f.mu.Lock()
+	kept := f.seen[0]
+	f.mu.Unlock()
+	kept.answer(200, "", "again")
+	if _, body, _ := f.call(t, http.MethodPost, "", "Attempt", "id-2"); body != "answer to id-2" {
+		t.Errorf("the second caller got %q", body)
+	}
+}
+
+// TestEarlyAnswer checks that an upstream may answer before it has read a long
+// body, and that the connection is not used again then.
+func TestEarlyAnswer(t *testing.T) {
+	f := newFixture(t, 1, once, func(e *exchange) { e.answer(413, "", "too long") })
+	response, body, err := f.call(t, http.MethodPost, strings.Repeat("x", largest), "Leave-Body", "1")
+	if err != nil || response.StatusCode != 413 || body != "too long" {
+		t.Fatalf("got %d, %q, %v", response.StatusCode, body, err)
+	}
+	if _, _, err := f.call(t, http.MethodPost, "", "Attempt", "id-2"); err != nil {
+		t.Error(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.seen) > 1 && f.seen[0].conn == f.seen[1].conn {
+		t.Error("the second request was sent where the rest of the first body is due")
+	}
+}
+
+// TestCallerLeaves checks that the upstream's connection is closed when the
+// caller has left.
+func TestCallerLeaves(t *testing.T) {
+	closed := make(chan struct{})
+	f := newFixture(t, 1, resumable, func(e *exchange) {
+		e.events(false, "data: a\n\n")
+		_, _ = e.conn.Read(make([]byte, 1))
+		close(closed)
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/a/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "host.example"
+	request.Header.Set("Key", "key")
+	request.Header.Set("Attempt", "id-1")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	_ = response.Body.Close()
+	select {
+	case <-closed:
+	case <-time.After(longTime):
+		t.Error("the upstream still works for a caller that has left")
+	}
+}
+
+// TestSilentUpstream checks that a repeatable request leaves an upstream that
+// says nothing to anybody, and that another request waits.
+func TestSilentUpstream(t *testing.T) {
+	silent := func(*exchange) {}
+	f := newFixture(t, 2, repeatable, first(silent, good))
+	if response, body, _ := f.call(t, http.MethodGet, ""); response.StatusCode != 200 || body != "whole" {
+		t.Errorf("repeatable: got %d, %q", response.StatusCode, body)
+	}
+	f = newFixture(t, 2, once, first(silent, good))
+	if response, _, _ := f.call(t, http.MethodPost, "", "Wait", "300"); response.StatusCode != 504 || f.runs() != 1 {
+		t.Errorf("once: got %d after %d sends, want 504 after one", response.StatusCode, f.runs())
+	}
+}
+
+// TestTokens checks which requests a team's tokens cover, what the caller is told
+// otherwise, and what an answer costs.
+func TestTokens(t *testing.T) {
+	const event = "data: x\n\n"
+	route := stream
+	route.Generates = true
+	for _, test := range []struct {
+		name                        string
+		granted, available, unspent int64
+		status                      int
+		used                        int64
+	}{
+		{"covered", 1000, 0, 1000, 200, 500 + 2*3},
+		{"held by others", 100, 0, 5000, 429, 0},
+		{"exhausted", 100, 50, 150, 402, 0},
+		{"not known", 100, 5000, 5100, 503, 0},
+	} {
+		f := newFixture(t, 1, route, func(e *exchange) { e.events(true, event, event) })
+		f.grant(test.granted, test.available, test.unspent)
+		response, _, _ := f.call(t, http.MethodPost, "", "Prompt", "500", "Output", "100")
+		if response.StatusCode != test.status {
+			t.Errorf("%s: status %d, want %d", test.name, response.StatusCode, test.status)
+		}
+		if wait := response.Header.Get("Retry-After"); (wait != "") != (test.status == 429 || test.status == 503) {
+			t.Errorf("%s: Retry-After is %q", test.name, wait)
+		}
+		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
+			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
+		}
+	}
+}
+
+// TestRefusals checks the router's own refusals and that they run nothing.
+func TestRefusals(t *testing.T) {
+	f := newFixture(t, 1, once, good)
+	for _, test := range []struct {
+		name   string
+		header []string
+		body   string
+		status int
+	}{
+		{"unknown key", []string{"Key", "other"}, "", 401},
+		{"no key", []string{"Key", ""}, "", 401},
+		{"large body", nil, strings.Repeat("x", largest+1), 413},
+	} {
+		if response, _, _ := f.call(t, http.MethodPost, test.body, test.header...); response.StatusCode != test.status {
+			t.Errorf("%s: status %d, want %d", test.name, response.StatusCode, test.status)
+		}
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.url+"/b/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "host.example"
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusNotFound || f.runs() != 0 {
+		t.Errorf("no route: status %d after %d sends", response.StatusCode, f.runs())
+	}
+}
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -42,14 +42,16 @@
 	budget.First()
 	var tried []string
 	var kept *heldAnswer
-	runs := 0
+	// runs counts the attempts after which the request may have run, arrivals
+	// those that reached an upstream.
+	runs, arrivals := 0, 0
 	last := "no upstream may be given work"
 	for sends := 0; ; sends++ {
 		if !c.f.cfg.Now().Before(c.deadline) {
 			c.giveUp(expired, kept, "the time of the request is over; "+last)
 			return
 		}
-		if sends > 0 && !budget.Retry() {
+		if arrivals > 0 && !budget.Retry() {
 			c.giveUp(notRun, kept, "no retries are left; "+last)
 			return
 		}
@@ -68,6 +70,9 @@
 		if a.held != nil {
 			kept = a.held
 		}
+		if a.conn != nil {
+			arrivals++
+		}
 		switch {
 		case got == notRun && sends < max(1, c.route.MaxAttempts)+extraSends-1:
 			continue
--- a/kcw/kcwretry/budget.go
+++ b/kcw/kcwretry/budget.go
@@ -90,6 +90,15 @@
 	return true
 }
 
+// SetBurst changes the largest number of unspent retries that is kept, as when
+// another number of processes share an allowance. Less than one is taken as one.
+func (b *Budget) SetBurst(burst int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Burst = max(1, burst)
+	b.earned = min(b.earned, float64(b.cfg.Burst))
+}
+
 // PauseUntil returns when a request whose try failed at now is tried again.
 // Attempt counts the tries made, from one; a smaller one is taken as one.
 func (b *Budget) PauseUntil(now time.Time, attempt int) time.Time {
--- a/kcw/kcwretry/budget_test.go
+++ b/kcw/kcwretry/budget_test.go
@@ -49,6 +49,34 @@
 	}
 }
 
+func TestSetBurst(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		before, after  int
+		granted, first int
+	}{
+		{"fewer kept", 10, 3, 3, 1000},
+		{"more kept", 3, 10, 10, 1000},
+		{"at least one", 3, 0, 1, 1000},
+	} {
+		b := newBudget(t, test.before)
+		for range test.first {
+			b.First()
+		}
+		b.SetBurst(test.after)
+		for range test.first {
+			b.First()
+		}
+		granted := 0
+		for b.Retry() {
+			granted++
+		}
+		if granted != test.granted {
+			t.Errorf("%s: %d retries granted, want %d", test.name, granted, test.granted)
+		}
+	}
+}
+
 func TestStart(t *testing.T) {
 	for _, test := range []struct {
 		name           string
