--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwreload"
 	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwadmin"
@@ -36,6 +37,8 @@
 	tendInterval = 200 * time.Millisecond
 	// askInterval is how often a replica without a vote asks to be admitted.
 	askInterval = 500 * time.Millisecond
+	// reloadInterval is the pause between two looks at the settings file.
+	reloadInterval = 2 * time.Second
 	// headerTimeout bounds the wait for a request's header.
 	headerTimeout = 10 * time.Second
 	// memoryPart is the fraction of the memory that the garbage collector
@@ -48,6 +51,8 @@
 // Config configures a Member. Every field is needed.
 type Config struct {
 	Settings *kcwsetup.Control
+	// SettingsPath is read again when the settings may have changed.
+	SettingsPath string
 	// Decode reads and checks a configuration document.
 	Decode func([]byte) (*kcwroute.Document, error)
 	Lister lister
@@ -67,6 +72,8 @@
 	operator *kcwserve.Server
 	peers    *kcwserve.Server
 	admin    *kcwadmin.Server
+	// seeds belong to the reload.
+	seeds []netip.AddrPort
 }
 
 // New opens the member's folder and listens at its addresses. The caller runs
@@ -74,7 +81,7 @@
 func New(cfg Config) (*Member, error) {
 	s := cfg.Settings
 	limitMemory(s.Host.MemoryMB)
-	m := &Member{cfg: cfg}
+	m := &Member{cfg: cfg, seeds: s.Group.Seeds}
 	m.life, m.end = context.WithCancel(context.Background())
 	var err error
 	if m.folder, err = kcwfolder.Open(kcwfolder.Config{Path: s.Host.Folder}); err != nil {
@@ -83,7 +90,7 @@
 	if m.sender, err = kcwpeer.New(kcwpeer.Config{Group: groupName, Timeout: s.Group.Election / 2}); err != nil {
 		return nil, err
 	}
-	m.client = kcwcore.New(kcwcore.Config{Seeds: m.seeds(), Timeout: s.Group.Election})
+	m.client = kcwcore.New(kcwcore.Config{Seeds: peerSeeds(s), Timeout: s.Group.Election})
 	table := kcwallowance.New()
 	group, err := m.openGroup(table)
 	if err != nil {
@@ -110,27 +117,44 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(megabytes*megabyte)))
 }
 
-// seeds returns the addresses of the seeds for members and routers.
-func (m *Member) seeds() []netip.AddrPort {
+// peerSeeds returns the addresses of the seeds for members and routers.
+func peerSeeds(s *kcwsetup.Control) []netip.AddrPort {
 	var seeds []netip.AddrPort
-	for _, seed := range m.cfg.Settings.Group.Seeds {
-		seeds = append(seeds, netip.AddrPortFrom(seed.Addr(), m.cfg.Settings.Host.PeerAddress.Port()))
+	for _, seed := range s.Group.Seeds {
+		seeds = append(seeds, netip.AddrPortFrom(seed.Addr(), s.Host.PeerAddress.Port()))
 	}
 	return seeds
 }
 
+// reload reads the settings again and takes the seeds from them.
+func (m *Member) reload(signalled bool) {
+	s, err := kcwsetup.LoadControl(m.cfg.SettingsPath)
+	if err != nil {
+		klog.ErrorS(err, "Settings not reloaded")
+		return
+	}
+	changed := !slices.Equal(m.seeds, s.Group.Seeds)
+	if changed {
+		m.client.SetSeeds(peerSeeds(s))
+		m.seeds = s.Group.Seeds
+	}
+	if changed || signalled {
+		klog.InfoS("Settings reloaded", "Signal", signalled, "SeedsChanged", changed, "Seeds", s.Group.Seeds)
+	}
+}
+
 // openGroup starts the replica. Members are named by their addresses, which is
 // all that founders know of each other.
 func (m *Member) openGroup(table *kcwallowance.Table) (*kcwgroup.Group, error) {
 	s := m.cfg.Settings
 	own := s.Host.PeerAddress
 	var founders []*kcwpb.Member
-	for _, seed := range m.seeds() {
+	for _, seed := range peerSeeds(s) {
 		founders = append(founders, &kcwpb.Member{Name: seed.String(), Address: seed.String()})
 	}
 	return kcwgroup.New(kcwgroup.Config{
 		Folder: m.folder, Group: groupName, Name: own.String(), Zone: s.Host.Zone, Address: own,
-		Founders: founders, Bootstrap: s.Group.Bootstrap && slices.Contains(m.seeds(), own),
+		Founders: founders, Bootstrap: s.Group.Bootstrap && slices.Contains(peerSeeds(s), own),
 		Machine: table, Send: m.sender.Send,
 		Heartbeat: s.Group.Heartbeat, Election: s.Group.Election,
 		SnapshotEntries: s.Group.SnapshotEntries, SnapshotBytes: s.Group.SnapshotBytes,
@@ -188,6 +212,7 @@
 func (m *Member) Run() error {
 	s := m.cfg.Settings
 	klog.InfoS("Member starts", "PeerAddress", s.Host.PeerAddress, "Address", s.Host.Address, "Bootstrap", s.Group.Bootstrap, "Seeds", s.Group.Seeds)
+	go kcwreload.New(kcwreload.Config{Interval: reloadInterval, Reload: m.reload}).Run(m.life)
 	go m.repeat(tendInterval, m.service.tend)
 	go m.repeat(askInterval, m.askForVote)
 	go m.repeat(s.List.Interval, m.readList)
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -8,11 +8,9 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"os"
-	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
@@ -20,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwreload"
 	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwadmin"
@@ -107,6 +106,8 @@
 	public    *kcwserve.Server
 	admin     *kcwadmin.Server
 	draining  atomic.Bool
+	// seeds belong to the reload.
+	seeds []netip.AddrPort
 	life      context.Context
 	end       context.CancelFunc
 }
@@ -116,7 +117,7 @@
 	s := cfg.Settings
 	const megabyte = 1 << 20
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.Host.MemoryMB*megabyte)))
-	r := &Router{cfg: cfg}
+	r := &Router{cfg: cfg, seeds: s.Core.Seeds}
 	r.life, r.end = context.WithCancel(context.Background())
 	r.client = kcwcore.New(kcwcore.Config{Seeds: coreSeeds(s), Timeout: s.Core.Timeout})
 	uptime, err := kcwuptime.New()
@@ -231,7 +232,7 @@
 		"Boot", r.reporter.uptime.Boot(), "Uptime", r.reporter.uptime.Started().String())
 	go r.reporter.run(r.life)
 	go r.readLists()
-	go r.reload()
+	go kcwreload.New(kcwreload.Config{Interval: reloadInterval, Reload: r.reload}).Run(r.life)
 	app := kratos.New(
 		kratos.Name("kcw-router"), kratos.Logger(r.cfg.Logger), kratos.Server(r.public, r.admin),
 		kratos.StopTimeout(max(s.Stop.Grace-s.Stop.Notice-stopMargin, 0)), kratos.BeforeStop(r.drain),
@@ -289,50 +290,21 @@
 	}
 }
 
-// reload reads the settings again on a signal and at each interval, and takes
-// the seeds from them.
-func (r *Router) reload() {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	ticker := time.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	seen := r.cfg.Settings.Core.Seeds
-	for {
-		signalled := false
-		select {
-		case <-signals:
-			signalled = true
-		case <-ticker.C:
-		case <-r.life.Done():
-			return
-		}
-		s, err := kcwsetup.LoadRouter(r.cfg.SettingsPath)
-		if err != nil {
-			klog.ErrorS(err, "Settings not reloaded")
-			continue
-		}
-		changed := !sameSeeds(seen, s.Core.Seeds)
-		if changed {
-			r.client.SetSeeds(coreSeeds(s))
-			seen = s.Core.Seeds
-		}
-		if changed || signalled {
-			klog.InfoS("Settings reloaded", "Signal", signalled, "SeedsChanged", changed, "Seeds", s.Core.Seeds)
-		}
+// reload reads the settings again and takes the seeds from them.
+func (r *Router) reload(signalled bool) {
+	s, err := kcwsetup.LoadRouter(r.cfg.SettingsPath)
+	if err != nil {
+		klog.ErrorS(err, "Settings not reloaded")
+		return
 	}
-}
-
-func sameSeeds(a, b []netip.AddrPort) bool {
-	if len(a) != len(b) {
-		return false
+	changed := !slices.Equal(r.seeds, s.Core.Seeds)
+	if changed {
+		r.client.SetSeeds(coreSeeds(s))
+		r.seeds = s.Core.Seeds
 	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
+	if changed || signalled {
+		klog.InfoS("Settings reloaded", "Signal", signalled, "SeedsChanged", changed, "Seeds", s.Core.Seeds)
 	}
-	return true
 }
 
 // dump is the state of a router for operators.
