kcwbalance: let the limit of waking tokens fall with demand

Change: the core keeps the last limit told; a router obeys a lower one from the report on and a higher one from the answer on. Limits cover the mean demand.

kcwcontrol: log what a router's restart wrote off and brought back.

--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -48,6 +48,10 @@
 	if err != nil {
 		return nil, s.refusal(err)
 	}
+	if result.GetReplaced() {
+		klog.InfoS("Router restarted", "Router", report.GetRouter(), "Incarnation", report.GetIncarnation(),
+			"TokensWrittenOff", result.GetWrittenOff(), "TokensRecovered", result.GetRecovered())
+	}
 	response := &kcwpb.FleetSyncResponse{Allowances: result.GetAllowances(), Incarnation: result.GetIncarnation()}
 	now := time.Now()
 	response.Routers = s.note(report.GetRouter(), now)
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -108,8 +108,8 @@
 	draining  atomic.Bool
 	// seeds belong to the reload.
 	seeds []netip.AddrPort
-	life      context.Context
-	end       context.CancelFunc
+	life  context.Context
+	end   context.CancelFunc
 }
 
 // New makes the parts and listens at the addresses. The caller runs the router.
--- a/kcw/kcwallowance/table.go
+++ b/kcw/kcwallowance/table.go
@@ -134,7 +134,7 @@
 // sync takes the reports of a router and grants what it wants.
 func (t *Table) sync(s *kcwpb.SyncAllowances) *kcwpb.FleetResult {
 	result := &kcwpb.FleetResult{Code: kcwpb.Code_CODE_OK, Version: t.document.GetVersion()}
-	r := t.admit(s)
+	r := t.admit(s, result)
 	if r == nil {
 		result.Code = kcwpb.Code_CODE_FENCED
 		if newest := t.routers[s.GetRouter()]; newest != nil {
@@ -152,7 +152,7 @@
 		t.take(held, report)
 		share := int64(0)
 		if !late {
-			held.reserved, held.want = report.GetReserved(), report.GetWant()
+			held.reserved, held.want, held.limit = report.GetReserved(), report.GetWant(), report.GetLimit()
 			share = t.share(report)
 			t.grant(held, report, share)
 		}
@@ -162,8 +162,9 @@
 }
 
 // admit returns the router of s, nil if a newer incarnation is known. What an
-// older incarnation may have used counts as used from then on.
-func (t *Table) admit(s *kcwpb.SyncAllowances) *router {
+// older incarnation may have used counts as used from then on, and is told in
+// result.
+func (t *Table) admit(s *kcwpb.SyncAllowances, result *kcwpb.FleetResult) *router {
 	r := t.routers[s.GetRouter()]
 	switch {
 	case s.GetRouter() == "", r != nil && s.GetIncarnation() < r.incarnation:
@@ -171,7 +172,8 @@
 	case r != nil && s.GetIncarnation() == r.incarnation:
 		return r
 	case r != nil:
-		t.retire(r, s)
+		result.Replaced = true
+		result.WrittenOff, result.Recovered = t.retire(r, s)
 	}
 	r = &router{incarnation: s.GetIncarnation(), boot: s.GetBoot(), teams: map[string]*totals{}}
 	t.routers[s.GetRouter()] = r
@@ -180,8 +182,9 @@
 
 // retire counts what the incarnation r has used at most, when next takes its
 // place. If next started before r's allowances would have woken, r kept to its
-// limits; otherwise it may have used all that it held.
-func (t *Table) retire(r *router, next *kcwpb.SyncAllowances) {
+// limits; otherwise it may have used all that it held. It returns the tokens that
+// r may have used beyond those reported, and those that come back.
+func (t *Table) retire(r *router, next *kcwpb.SyncAllowances) (writtenOff, recovered int64) {
 	dormant := r.boot != "" && next.GetBoot() == r.boot && next.GetStarted() < r.wakes
 	for team, held := range r.teams {
 		used := held.granted - held.returned
@@ -189,9 +192,12 @@
 			kept := max(0, used-max(held.limit, held.spent))
 			used -= kept
 			t.budget(team).outstanding -= kept
+			recovered += kept
 		}
 		t.budget(team).retired += used
+		writtenOff += used - held.spent
 	}
+	return writtenOff, recovered
 }
 
 func (r *router) holding(team string) *totals {
@@ -204,14 +210,12 @@
 }
 
 // take notes the totals of a report. A router can't return or spend more than
-// it was granted. Limits of reports whose answers were lost were never in force,
-// so that the highest one holds.
+// it was granted.
 func (t *Table) take(held *totals, report *kcwpb.AllowanceReport) {
 	returned := min(max(held.returned, report.GetReturned()), held.granted)
 	t.budget(report.GetTeam()).outstanding -= returned - held.returned
 	held.returned = returned
 	held.spent = min(max(held.spent, report.GetSpent()), held.granted-held.returned)
-	held.limit = max(held.limit, report.GetLimit())
 }
 
 // share returns the free tokens that the router of report should hold: what it
--- a/kcw/kcwallowance/table_test.go
+++ b/kcw/kcwallowance/table_test.go
@@ -202,6 +202,7 @@
 				command := sync(h.name, h.incarnation, h.serial, &kcwpb.AllowanceReport{
 					Returned: h.returned, Spent: h.spent, Want: random.Int64N(500), Least: random.Int64N(100), Limit: limit,
 				})
+				h.limit = min(h.limit, limit)
 				s := command.GetSyncAllowances()
 				s.Boot, s.Started, s.Wakes = "b", now, h.wakes
 				old = append(old, command)
--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -157,7 +157,7 @@
 
 func (b *Balance) reportTeam(team string, a *account, now time.Time) *kcwpb.AllowanceReport {
 	want := b.policy.Need(a.demand, b.cfg.Grant.Endurance, now)
-	active := b.policy.Need(a.demand, b.cfg.Active, now)
+	active := b.policy.Mean(a.demand, b.cfg.Active, now)
 	if b.returning {
 		want, active = 0, 0
 	}
@@ -170,6 +170,8 @@
 		Team: team, Returned: a.returned, Spent: a.spent, Reserved: a.reserved, Want: max(want, a.shortage),
 		Limit: a.spent + a.reserved + max(active, a.shortage),
 	}
+	// A lower limit is in force before the core knows it, a higher one after.
+	a.limit = min(a.limit, r.GetLimit())
 	if a.shortage > 0 {
 		r.Least = a.shortage
 	}
@@ -184,14 +186,14 @@
 	b.returning = true
 }
 
-// Heard takes the core's answer to report.
+// Heard takes the core's answer to report, which must be the last one made.
 func (b *Balance) Heard(report Report, allowances []*kcwpb.Allowance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.wakes = max(b.wakes, report.Uptime+b.cfg.Sleep)
 	for _, r := range report.Teams {
 		a := b.account(r.GetTeam())
-		a.limit = max(a.limit, r.GetLimit())
+		a.limit = r.GetLimit()
 	}
 	for _, heard := range allowances {
 		a := b.account(heard.GetTeam())
--- a/kcw/kcwgrant/policy.go
+++ b/kcw/kcwgrant/policy.go
@@ -125,16 +125,21 @@
 // young demand is not extrapolated further.
 const leastAge = 0.2
 
-// Need returns the tokens that cover the demand d for the time that span lasts,
-// from now, nearly always: its mean and two standard deviations, as if requests
-// of the largest size came by a Poisson process. Unlike Target it makes up for
-// the youth of the average.
-func (p *Policy) Need(d Demand, span time.Duration, now time.Time) int64 {
+// Mean returns the tokens that the demand d is expected to ask for within span
+// from now. Unlike Target it makes up for the youth of the average.
+func (p *Policy) Mean(d Demand, span time.Duration, now time.Time) int64 {
 	if d.At.IsZero() || now.Sub(d.At) >= p.cfg.IdleAfter {
 		return 0
 	}
 	age := now.Sub(d.Since).Seconds() / p.cfg.Memory.Seconds()
 	rate := p.rate(d, now) / (1 - math.Exp(-max(age, leastAge)))
-	mean := rate * span.Seconds()
-	return int64(mean + spread*math.Sqrt(mean*float64(d.Peak)))
+	return int64(rate * span.Seconds())
+}
+
+// Need returns the tokens that cover the demand d within span from now nearly
+// always: its mean and two standard deviations, as if requests of the largest
+// size came by a Poisson process.
+func (p *Policy) Need(d Demand, span time.Duration, now time.Time) int64 {
+	mean := p.Mean(d, span, now)
+	return mean + int64(spread*math.Sqrt(float64(mean)*float64(d.Peak)))
 }
