kcwallowance: prove a restart on the same boot, and let routers hold less

No budget was overspent, but nothing proved it. Change: the successor must also have started after the last report, by uptime. What a host without power holds is lost to its team, so routers hold three tenths of the unspent tokens in place of six.

--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -110,7 +110,7 @@
 	req := &kcwpb.FleetSyncRequest{
 		Allowances: &kcwpb.SyncAllowances{
 			Router: p.router, Incarnation: p.incarnation, Serial: p.serial, Reports: report.Teams,
-			Boot: p.uptime.Boot(), Started: int64(p.uptime.Started()), Wakes: int64(report.Wakes),
+			Boot: p.uptime.Boot(), Started: int64(p.uptime.Started()), Wakes: int64(report.Wakes), Reported: int64(report.Uptime),
 		},
 		ListVersion: p.listVersion, ListReader: p.listReader,
 	}
--- a/kcw/kcwallowance/image.go
+++ b/kcw/kcwallowance/image.go
@@ -61,7 +61,7 @@
 	for _, name := range t.names() {
 		r := t.routers[name]
 		image.Routers = append(image.Routers, &kcwpb.SyncAllowances{
-			Router: name, Incarnation: r.incarnation, Serial: r.serial, Boot: r.boot, Wakes: r.wakes,
+			Router: name, Incarnation: r.incarnation, Serial: r.serial, Boot: r.boot, Wakes: r.wakes, Reported: r.reported,
 		})
 		for _, team := range slices.Sorted(maps.Keys(r.teams)) {
 			held := r.teams[team]
@@ -111,7 +111,7 @@
 	}
 	for _, r := range image.GetRouters() {
 		t.routers[r.GetRouter()] = &router{
-			incarnation: r.GetIncarnation(), serial: r.GetSerial(), boot: r.GetBoot(), wakes: r.GetWakes(), teams: map[string]*totals{},
+			incarnation: r.GetIncarnation(), serial: r.GetSerial(), boot: r.GetBoot(), wakes: r.GetWakes(), reported: r.GetReported(), teams: map[string]*totals{},
 		}
 	}
 	for _, h := range image.GetHoldings() {
--- a/kcw/kcwallowance/table.go
+++ b/kcw/kcwallowance/table.go
@@ -23,7 +23,7 @@
 // together beside what running requests have reserved. The rest is for requests
 // that find too little at their router, and what a host that loses its power
 // holds is lost to the team.
-const heldPart = 0.6
+const heldPart = 0.3
 
 // totals is what one router incarnation holds for one team, and what it said
 // last.
@@ -39,11 +39,12 @@
 type router struct {
 	incarnation uint64
 	serial      uint64
-	// boot and wakes bound what the incarnation has used if it ends: until
-	// wakes, in time since the boot, it keeps to its limits.
-	boot  string
-	wakes int64
-	teams map[string]*totals
+	// boot, reported and wakes bound what the incarnation has used if it ends:
+	// from its last report until wakes, in time since the boot, it keeps to its
+	// limits.
+	boot            string
+	reported, wakes int64
+	teams           map[string]*totals
 }
 
 // budget is the prepaid tokens of one team, those that replaced incarnations
@@ -145,7 +146,7 @@
 	result.Incarnation = r.incarnation
 	late := s.GetSerial() <= r.serial
 	if !late {
-		r.serial, r.wakes = s.GetSerial(), s.GetWakes()
+		r.serial, r.reported, r.wakes = s.GetSerial(), s.GetReported(), s.GetWakes()
 	}
 	for _, report := range s.GetReports() {
 		held := r.holding(report.GetTeam())
@@ -182,10 +183,13 @@
 
 // retire counts what the incarnation r has used at most, when next takes its
 // place. If next started before r's allowances would have woken, r kept to its
-// limits; otherwise it may have used all that it held. It returns the tokens that
+// limits; otherwise it may have used all that it held. A host that was booted
+// between the two counts its time anew, mostly under another boot; a start before
+// the last report shows it as well. It returns the tokens that
 // r may have used beyond those reported, and those that come back.
 func (t *Table) retire(r *router, next *kcwpb.SyncAllowances) (writtenOff, recovered int64) {
-	dormant := r.boot != "" && next.GetBoot() == r.boot && next.GetStarted() < r.wakes
+	sameBoot := r.boot != "" && next.GetBoot() == r.boot && next.GetStarted() >= r.reported
+	dormant := sameBoot && next.GetStarted() < r.wakes
 	for team, held := range r.teams {
 		used := held.granted - held.returned
 		if dormant {
--- a/kcw/kcwallowance/table_test.go
+++ b/kcw/kcwallowance/table_test.go
@@ -69,16 +69,16 @@
 		code                kcwpb.Code
 		granted, free, left int64
 	}{
-		{"most of a small budget", sync("r", 1, 1, &kcwpb.AllowanceReport{Want: 900}), kcwpb.Code_CODE_OK, 600, 400, 1000},
-		{"a late copy grants nothing", sync("r", 1, 1, &kcwpb.AllowanceReport{Want: 2000}), kcwpb.Code_CODE_OK, 600, 400, 1000},
-		{"spent is replaced", sync("r", 1, 2, &kcwpb.AllowanceReport{Want: 300, Spent: 400}), kcwpb.Code_CODE_OK, 700, 300, 600},
-		{"reserved is not free", sync("r", 1, 3, &kcwpb.AllowanceReport{Want: 300, Spent: 400, Reserved: 100}), kcwpb.Code_CODE_OK, 800, 200, 600},
-		{"returned", sync("r", 1, 4, &kcwpb.AllowanceReport{Spent: 500, Returned: 200}), kcwpb.Code_CODE_OK, 800, 400, 500},
-		{"an old report takes nothing back", sync("r", 1, 3, &kcwpb.AllowanceReport{Spent: 50, Returned: 0}), kcwpb.Code_CODE_OK, 800, 400, 500},
-		{"all for one request", sync("q", 1, 1, &kcwpb.AllowanceReport{Want: 350, Least: 350}), kcwpb.Code_CODE_OK, 350, 50, 500},
-		{"too little for one request", sync("p", 1, 1, &kcwpb.AllowanceReport{Want: 200, Least: 200}), kcwpb.Code_CODE_OK, 0, 50, 500},
-		{"a restart loses what was held", sync("q", 2, 1, &kcwpb.AllowanceReport{Want: 0}), kcwpb.Code_CODE_OK, 0, 50, 150},
-		{"the old incarnation is fenced", sync("q", 1, 2, &kcwpb.AllowanceReport{Want: 100, Returned: 350}), kcwpb.Code_CODE_FENCED, 0, 0, 0},
+		{"a part of a small budget", sync("r", 1, 1, &kcwpb.AllowanceReport{Want: 900}), kcwpb.Code_CODE_OK, 300, 700, 1000},
+		{"a late copy grants nothing", sync("r", 1, 1, &kcwpb.AllowanceReport{Want: 2000}), kcwpb.Code_CODE_OK, 300, 700, 1000},
+		{"spent is replaced", sync("r", 1, 2, &kcwpb.AllowanceReport{Want: 200, Spent: 200}), kcwpb.Code_CODE_OK, 400, 600, 800},
+		{"reserved is not free", sync("r", 1, 3, &kcwpb.AllowanceReport{Want: 200, Spent: 200, Reserved: 100}), kcwpb.Code_CODE_OK, 500, 500, 800},
+		{"returned", sync("r", 1, 4, &kcwpb.AllowanceReport{Spent: 300, Returned: 200}), kcwpb.Code_CODE_OK, 500, 700, 700},
+		{"an old report takes nothing back", sync("r", 1, 3, &kcwpb.AllowanceReport{Spent: 50, Returned: 0}), kcwpb.Code_CODE_OK, 500, 700, 700},
+		{"all for one request", sync("q", 1, 1, &kcwpb.AllowanceReport{Want: 650, Least: 650}), kcwpb.Code_CODE_OK, 650, 50, 700},
+		{"too little for one request", sync("p", 1, 1, &kcwpb.AllowanceReport{Want: 200, Least: 200}), kcwpb.Code_CODE_OK, 0, 50, 700},
+		{"a restart loses what was held", sync("q", 2, 1, &kcwpb.AllowanceReport{Want: 0}), kcwpb.Code_CODE_OK, 0, 50, 50},
+		{"the old incarnation is fenced", sync("q", 1, 2, &kcwpb.AllowanceReport{Want: 100, Returned: 650}), kcwpb.Code_CODE_FENCED, 0, 0, 0},
 	} {
 		result := apply(t, table, step.command)
 		if result.GetCode() != step.code {
@@ -104,7 +104,7 @@
 		for _, r := range []struct {
 			name string
 			want int64
-		}{{"x", 900}, {"y", 300}} {
+		}{{"x", 450}, {"y", 150}} {
 			result := apply(t, table, sync(r.name, 1, serial+1, &kcwpb.AllowanceReport{Want: r.want}))
 			if share := result.GetAllowances()[0].GetShare(); serial > 0 && share != r.want/2 {
 				t.Errorf("router %s wants %d and should hold %d, want half", r.name, r.want, share)
@@ -121,15 +121,17 @@
 		started int64
 		want    int64
 	}{
-		{"before its allowances woke", "b", 99, 700},
-		{"after they may have woken", "b", 100, 500},
-		{"the host was booted", "c", 50, 500},
-		{"the boot is not known", "", 50, 500},
+		{"before its allowances woke", "b", 99, 900},
+		{"after they may have woken", "b", 100, 700},
+		{"the host was booted", "c", 50, 700},
+		{"the host was booted, and its clock has gone back", "b", 39, 700},
+		{"the boot is not known", "", 50, 700},
 	} {
 		table := kcwallowance.New()
 		apply(t, table, put(1, 1000))
-		first := sync("r", 1, 1, &kcwpb.AllowanceReport{Want: 500, Limit: 300})
+		first := sync("r", 1, 1, &kcwpb.AllowanceReport{Want: 500, Limit: 100})
 		first.GetSyncAllowances().Boot, first.GetSyncAllowances().Wakes = "b", 100
+		first.GetSyncAllowances().Reported = 40
 		apply(t, table, first)
 		next := sync("r", 2, 1, &kcwpb.AllowanceReport{})
 		next.GetSyncAllowances().Boot, next.GetSyncAllowances().Started = test.boot, test.started
@@ -145,7 +147,7 @@
 	name                            string
 	incarnation, serial             uint64
 	granted, returned, spent, limit int64
-	wakes                           int64
+	started, wakes                  int64
 }
 
 // mayUse returns the tokens that h may use at now.
@@ -175,7 +177,7 @@
 			switch random.IntN(7) {
 			case 0:
 				if random.IntN(4) == 0 {
-					*h = holder{name: h.name, incarnation: h.incarnation + 1, wakes: now + sleep}
+					*h = holder{name: h.name, incarnation: h.incarnation + 1, started: now, wakes: now + sleep}
 				}
 			case 1, 2:
 				if amount := random.Int64N(60); amount <= h.mayUse(now) {
@@ -204,7 +206,7 @@
 				})
 				h.limit = min(h.limit, limit)
 				s := command.GetSyncAllowances()
-				s.Boot, s.Started, s.Wakes = "b", now, h.wakes
+				s.Boot, s.Started, s.Wakes, s.Reported = "b", h.started, h.wakes, now
 				old = append(old, command)
 				result := apply(t, table, command)
 				if len(result.GetAllowances()) == 1 && random.IntN(4) > 0 {
