--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands of the project: `make demo` and `make test` set up all they need.
 
-MODULES  := kcw kcw-demo kcw-ledger kcw-proof kcw-router kcw-standin kcwctl
+MODULES  := kcw kcw-demo kcw-fleet kcw-ledger kcw-proof kcw-router kcw-standin kcwctl platform
 PROGRAMS := kcw-demo kcw-ledger kcw-router kcw-standin kcwctl
 TOOLS    := $(CURDIR)/bin/tools
 GOFUMPT  := $(TOOLS)/gofumpt
--- a/kcw-fleet/kcwentry/observe.go
+++ b/kcw-fleet/kcwentry/observe.go
@@ -39,16 +39,8 @@
 
 // write logs the end of a request with what decided it.
 func write(e kcwforward.Event) {
-	fields := []any{
-		"Request", e.Attempt, "Outcome", e.Outcome, "Status", e.Status, "Route", e.Route, "Team", e.Team,
-		"Upstream", e.Upstream, "Sends", e.Sends, "Elapsed", e.Elapsed.String(), "FirstByte", e.FirstByte.String(),
-		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used,
-	}
-	if e.RetryAfter > 0 {
-		fields = append(fields, "RetryAfter", e.RetryAfter.String())
-	}
-	if e.Cause != "" {
-		fields = append(fields, "Cause", e.Cause)
-	}
-	klog.InfoS("Request ended", fields...)
+	klog.InfoS("Request ended", "Request", e.Attempt, "Outcome", e.Outcome, "Status", e.Status, "Cause", e.Cause,
+		"Route", e.Route, "Team", e.Team, "Service", e.Service, "Upstream", e.Upstream, "Sends", e.Sends,
+		"Elapsed", e.Elapsed.String(), "FirstByte", e.FirstByte.String(), "RetryAfter", e.RetryAfter.String(),
+		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used)
 }
--- a/kcw-proof/reference_test.go
+++ b/kcw-proof/reference_test.go
@@ -15,6 +15,7 @@
 	"strings"
 	"testing"
 
+	fleetsetup "kingcupwick.example/kcw-fleet/kcwsetup"
 	ledgersetup "kingcupwick.example/kcw-ledger/kcwsetup"
 	routersetup "kingcupwick.example/kcw-router/kcwsetup"
 	standinsetup "kingcupwick.example/kcw-standin/kcwsetup"
@@ -24,6 +25,7 @@
 // TestReference compares docs/REFERENCE.md with the code: each table's rows
 // must be those that the code has, no fewer and no more.
 func TestReference(t *testing.T) {
+	t.Parallel()
 	page, err := os.ReadFile("../docs/REFERENCE.md")
 	if err != nil {
 		t.Fatal(err)
@@ -36,6 +38,8 @@
 	}{
 		{"Settings of kcw-ledger", settingRows(ledgersetup.Settings{})},
 		{"Settings of kcw-router", settingRows(routersetup.Settings{})},
+		{"Settings of a fleet's router", settingRows(fleetsetup.Router{})},
+		{"Settings of a fleet's core", settingRows(fleetsetup.Control{})},
 		{"Settings of kcwctl", settingRows(kcwtool.Settings{})},
 		{"Settings of kcw-standin", settingRows(standinsetup.Settings{})},
 		{"Metrics", source.metrics},
