kcwforward, kcwentry: serve on while stopping

Change: a router that stops listens until it is idle or its time is over, and takes only requests that will end in time.

--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -48,9 +48,14 @@
 	reloadInterval = 2 * time.Second
 	// finalReport bounds the return of tokens at a stop.
 	finalReport = 500 * time.Millisecond
-	// stopMargin is kept between the end of the last request and the end of the
-	// time that a stop has.
-	stopMargin = 700 * time.Millisecond
+	// drainInterval is the pause between two looks at whether a router that
+	// stops is idle.
+	drainInterval = 50 * time.Millisecond
+	// closeTimeout bounds the end of the last answers once a router closes.
+	closeTimeout = 400 * time.Millisecond
+	// stopMargin is kept between the last requests and the end of the time that
+	// a stop has: the servers close and tokens are returned meanwhile.
+	stopMargin = closeTimeout + finalReport + 200*time.Millisecond
 )
 
 // The breaker of each upstream opens on three failures in a row, or when half of
@@ -105,7 +110,7 @@
 	meter     *kcwmeter.Meter
 	public    *kcwserve.Server
 	admin     *kcwadmin.Server
-	draining  atomic.Bool
+	stop      atomic.Pointer[kcwforward.Stop]
 	// seeds belong to the reload.
 	seeds []netip.AddrPort
 	life  context.Context
@@ -183,7 +188,7 @@
 		RetryRatio: retryPart * s.Retry.Ratio, RetrySlack: int(retryPart * float64(s.Retry.Slack)), Routers: func() int { return int(r.reporter.routers.Load()) },
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		UsedWithin: s.Upstream.UsedWithin, Patience: s.Upstream.Patience,
-		Draining: r.draining.Load, Observe: newObserver(r.meter), Rand: newRand(), Now: time.Now,
+		Stopping: r.stopping, Observe: newObserver(r.meter), Rand: newRand(), Now: time.Now,
 	})
 }
 
@@ -215,7 +220,7 @@
 // ready returns nil if the router should get callers.
 func (r *Router) ready() error {
 	switch {
-	case r.draining.Load():
+	case r.stop.Load() != nil:
 		return errDraining
 	case r.reporter.document.Load() == nil:
 		return errNoDocument
@@ -235,9 +240,14 @@
 	go kcwreload.New(kcwreload.Config{Interval: reloadInterval, Reload: r.reload}).Run(r.life)
 	app := kratos.New(
 		kratos.Name("kcw-router"), kratos.Logger(r.cfg.Logger), kratos.Server(r.public, r.admin),
-		kratos.StopTimeout(max(s.Stop.Grace-s.Stop.Notice-stopMargin, 0)), kratos.BeforeStop(r.drain),
+		kratos.StopTimeout(closeTimeout), kratos.BeforeStop(r.drain),
 	)
 	err := app.Run()
+	if r.stop.Load() != nil && errors.Is(err, context.DeadlineExceeded) {
+		// The time of a planned stop is over with requests under way.
+		klog.InfoS("Requests cut at the stop", "InFlight", r.forwarder.InFlight())
+		err = nil
+	}
 	r.giveBack()
 	r.end()
 	r.client.Close()
@@ -245,17 +255,31 @@
 	return err
 }
 
-// drain takes the router out of the balancer and serves on until that has
-// noticed. Then the servers close what is idle and wait for what is not.
+// drain takes the router out of the balancer and serves on: the balancer may send
+// callers to the last routers of a zone although they are not ready. It ends when
+// no request is under way, or the time that a stop has is over.
 func (r *Router) drain(context.Context) error {
 	s := r.cfg.Settings.Stop
-	r.draining.Store(true)
+	now := time.Now()
+	stop := &kcwforward.Stop{TakesUntil: now.Add(s.Notice), EndsAt: now.Add(s.Grace - stopMargin)}
+	r.stop.Store(stop)
 	klog.InfoS("Router drains", "Grace", s.Grace.String(), "InFlight", r.forwarder.InFlight())
 	time.Sleep(s.Notice)
-	klog.InfoS("Router closes", "InFlight", r.forwarder.InFlight())
+	for r.forwarder.InFlight() > 0 && time.Now().Before(stop.EndsAt) {
+		time.Sleep(drainInterval)
+	}
+	klog.InfoS("Router closes", "InFlight", r.forwarder.InFlight(), "Elapsed", time.Since(now).String())
 	return nil
 }
 
+// stopping returns the planned stop that the router makes, if any.
+func (r *Router) stopping() (kcwforward.Stop, bool) {
+	if stop := r.stop.Load(); stop != nil {
+		return *stop, true
+	}
+	return kcwforward.Stop{}, false
+}
+
 // giveBack returns the tokens that are left.
 func (r *Router) giveBack() {
 	r.balance.Stop()
@@ -323,7 +347,7 @@
 func (r *Router) dump() dump {
 	d := dump{
 		Router: r.cfg.Settings.Host.Name, Zone: r.cfg.Settings.Host.Zone, Incarnation: r.reporter.incarnation,
-		ListedAt: r.roster.ListedAt(), InFlight: r.forwarder.InFlight(), Draining: r.draining.Load(),
+		ListedAt: r.roster.ListedAt(), InFlight: r.forwarder.InFlight(), Draining: r.stop.Load() != nil,
 		Core: r.client.Target(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(),
 	}
 	if document := r.reporter.document.Load(); document != nil {
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -24,6 +24,8 @@
 	retryMissing = time.Second
 	// retryBusy is for upstreams that take no more work.
 	retryBusy = 300 * time.Millisecond
+	// retryStopping is for a router that stops: others are there at once.
+	retryStopping = 50 * time.Millisecond
 	// retrySpread is the fraction by which these times vary at random, so that
 	// refused callers don't return together.
 	retrySpread = 0.5
@@ -35,6 +37,9 @@
 	w     http.ResponseWriter
 	r     *http.Request
 	start time.Time
+	// stop is the planned stop that the router makes, if it is stopping.
+	stop     Stop
+	stopping bool
 
 	document *kcwroute.Document
 	route    *kcwroute.Route
@@ -75,6 +80,9 @@
 		return &refusal{status: http.StatusNotFound, outcome: "NoRoute", cause: "no route for the host and path"}
 	}
 	c.event.Route = c.route.Name
+	if !c.endsInTime() {
+		return &refusal{http.StatusServiceUnavailable, "Stopping", "the router stops before the request would end", retryStopping}
+	}
 	if refusal := c.identify(); refusal != nil {
 		return refusal
 	}
@@ -108,6 +116,16 @@
 	return nil
 }
 
+// endsInTime reports whether the request will have its answer before the router
+// stops.
+func (c *call) endsInTime() bool {
+	if !c.stopping || c.start.Before(c.stop.TakesUntil) {
+		return true
+	}
+	longest, known := c.f.pace.Longest(c.route.Name)
+	return known && c.start.Add(longest).Before(c.stop.EndsAt)
+}
+
 // identify finds the team by the caller's key.
 func (c *call) identify() *refusal {
 	if len(c.document.Teams) == 0 || c.route.Public {
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -97,6 +97,8 @@
 	forwarder *kcwforward.Forwarder
 	balance   *kcwbalance.Balance
 	url       string
+	// stop is the planned stop, set between requests.
+	stop kcwforward.Stop
 
 	mu     sync.Mutex
 	seen   []*exchange
@@ -134,7 +136,7 @@
 		Ask: func(context.Context) bool { return false }, AskTimeout: time.Second,
 		RetryRatio: 0.1, RetrySlack: 10, Routers: func() int { return 1 },
 		MaxBodyBytes: largest, MaxAnswerBytes: 1 << 20, MaxEventBytes: 1 << 16,
-		UsedWithin: time.Second, Patience: 20 * time.Millisecond, Draining: func() bool { return false },
+		UsedWithin: time.Second, Patience: 20 * time.Millisecond, Stopping: func() (kcwforward.Stop, bool) { return f.stop, !f.stop.EndsAt.IsZero() },
 		Observe: func(e kcwforward.Event) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwpace"
 	"kingcupwick.example/kcw/kcwretry"
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
@@ -119,17 +120,25 @@
 	// Patience is how long an answer is awaited before the upstream is asked
 	// to have said something to anybody.
 	Patience time.Duration
-	// Draining reports whether the router is about to stop.
-	Draining func() bool
+	// Stopping returns when the router will stop and whether it is about to.
+	// While it is, callers are asked to use other connections.
+	Stopping func() (Stop, bool)
 	// Observe is called for each decision. It must not block.
 	Observe func(Event)
 	Rand    *rand.Rand
 	Now     func() time.Time
 }
 
+// Stop is a planned stop: the time until which all requests are taken, and the
+// end.
+type Stop struct {
+	TakesUntil, EndsAt time.Time
+}
+
 // Forwarder is the handler of callers' requests.
 type Forwarder struct {
 	cfg      Config
+	pace     *kcwpace.Pace
 	inFlight atomic.Int64
 
 	// mu guards rand and retries.
@@ -157,11 +166,11 @@
 // New returns a Forwarder. The error is an *Error of kind Incomplete.
 func New(cfg Config) (*Forwarder, error) {
 	parts := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil &&
-		cfg.Ask != nil && cfg.Routers != nil && cfg.Draining != nil && cfg.Observe != nil && cfg.Rand != nil && cfg.Now != nil
+		cfg.Ask != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.Observe != nil && cfg.Rand != nil && cfg.Now != nil
 	if !parts || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.Patience <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
 	}
-	return &Forwarder{cfg: cfg, retries: map[string]*kcwretry.Budget{}}, nil
+	return &Forwarder{cfg: cfg, pace: kcwpace.New(), retries: map[string]*kcwretry.Budget{}}, nil
 }
 
 // InFlight returns the number of requests that are not answered.
@@ -171,10 +180,11 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	if f.cfg.Draining() {
+	c := &call{f: f, w: w, r: r, start: f.cfg.Now()}
+	c.stop, c.stopping = f.cfg.Stopping()
+	if c.stopping {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{f: f, w: w, r: r, start: f.cfg.Now()}
 	c.event.ListAge = c.start.Sub(f.cfg.Roster.ListedAt())
 	defer c.observe()
 	if refusal := c.admit(); refusal != nil {
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"kingcupwick.example/kcw/kcwforward"
 	"kingcupwick.example/kcw/kcwroute"
 )
 
@@ -294,3 +295,33 @@
 		t.Errorf("no route: status %d after %d sends", response.StatusCode, f.runs())
 	}
 }
+
+// TestStopping checks which requests a router takes that is about to stop.
+func TestStopping(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name   string
+		stop   kcwforward.Stop
+		known  bool
+		status int
+	}{
+		{"not stopping", kcwforward.Stop{}, false, 200},
+		{"just told to stop", kcwforward.Stop{TakesUntil: now.Add(longTime), EndsAt: now.Add(longTime)}, false, 200},
+		{"later, with time enough", kcwforward.Stop{TakesUntil: now, EndsAt: now.Add(longTime)}, true, 200},
+		{"later, not known how long it takes", kcwforward.Stop{TakesUntil: now, EndsAt: now.Add(longTime)}, false, 503},
+		{"later, with too little time", kcwforward.Stop{TakesUntil: now, EndsAt: now}, true, 503},
+	} {
+		f := newFixture(t, 1, once, good)
+		if test.known {
+			_, _, _ = f.call(t, http.MethodPost, "")
+		}
+		f.stop = test.stop
+		response, _, _ := f.call(t, http.MethodPost, "", "Attempt", "id-2")
+		if response.StatusCode != test.status {
+			t.Errorf("%s: status %d, want %d", test.name, response.StatusCode, test.status)
+		}
+		if isTold := response.Close; isTold != !test.stop.EndsAt.IsZero() {
+			t.Errorf("%s: told to use another connection: %v", test.name, isTold)
+		}
+	}
+}
