kcwforward: ask upstreams whether a request ran whose caller left

Change: when a caller leaves, the router closes its half of the connection and waits 50 ms. A generation that ends without a byte of an answer, or that was not sent whole, costs nothing; one that says nothing or answers costs its prompt. TestLeavingCosts.

--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -75,6 +75,7 @@
 // hold reads a whole answer.
 func (a *attempt) hold(response *http.Response) (*heldAnswer, error) {
 	limit := a.f.cfg.MaxAnswerBytes
+	a.ran = true
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return nil, err
@@ -113,6 +114,9 @@
 func (a *attempt) relay(response *http.Response) (result, kcwroster.Outcome) {
 	buffer := make([]byte, 0, readSize)
 	for {
+		if err := a.r.Context().Err(); err != nil && a.ran {
+			return a.streamBroken(err)
+		}
 		if err := a.await(); err != nil && a.conn.Reader.Buffered() == 0 && !errors.Is(err, io.EOF) {
 			return a.streamBroken(err)
 		}
@@ -124,6 +128,10 @@
 		}
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		a.ran = a.ran || n > 0
+		if gone := a.r.Context().Err(); gone != nil && n > 0 {
+			return a.streamBroken(gone)
+		}
 		if whole := wholeEvents(buffer); whole > 0 {
 			if n > 0 {
 				a.ticket.Heard()
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -19,6 +19,9 @@
 	// maxSurplus bounds the answers to earlier requests that are passed over on
 	// a kept connection.
 	maxSurplus = 2
+	// leaveTimeout bounds the wait for the end of a request whose caller has
+	// left, several round trips: an upstream that works on works for nobody.
+	leaveTimeout = 50 * time.Millisecond
 	// maxSurplusBytes bounds the body of such an answer.
 	maxSurplusBytes = 1 << 20
 	// directWrite is the size in bytes up to which a request is written at once;
@@ -34,14 +37,19 @@
 	// final says that no other attempt may follow once this one may have run.
 	final bool
 	conn  *kcwconn.Conn
-	// written receives the end of the writing of a large request.
+	// written receives the end of the writing of a large request, unsent is the
+	// error of writing a small one.
 	written chan error
+	unsent  error
 	held    *heldAnswer
 	cause   string
 	// keepUntil is when the upstream closes the connection, reusable whether
 	// the answer was read to its end.
 	keepUntil time.Time
 	reusable  bool
+	// ran says that bytes of an answer's body came, err why the attempt broke.
+	ran bool
+	err error
 }
 
 // do makes the attempt and returns its end.
@@ -51,20 +59,38 @@
 		return a.unreachable(err)
 	}
 	a.conn = conn
-	stop := context.AfterFunc(a.r.Context(), func() { _ = conn.Close() })
+	before := a.mayHaveRun
+	stop := context.AfterFunc(a.r.Context(), a.leave)
 	got, outcome := a.exchange()
-	if stop() && a.reusable && a.isWritten() {
+	written := a.isWritten()
+	if stop() && a.reusable && written {
 		a.ticket.Pool().Put(conn, a.keepUntil)
 	} else {
 		_ = conn.Close()
 	}
 	if a.r.Context().Err() != nil && got != delivered {
 		got, outcome = callerGone, kcwroster.Neutral
+		ended := errors.Is(a.err, io.EOF) || errors.Is(a.err, io.ErrUnexpectedEOF)
+		if !a.ran && (ended || !written) {
+			// The upstream has dropped the request before its first token, with
+			// which a generation begins to run, or never had the whole of it.
+			a.mayHaveRun = before
+		}
 	}
 	a.ticket.Done(outcome)
 	return got
 }
 
+// leave ends the attempt because the caller has left. A generation without any
+// answer is given a moment to end, which tells whether it ran: an upstream that
+// drops a request closes the connection, and one that ran it has sent an event.
+func (a *attempt) leave() {
+	half, ok := a.conn.Conn.(interface{ CloseWrite() error })
+	if !ok || a.reserved == 0 || half.CloseWrite() != nil || a.conn.SetReadDeadline(a.f.cfg.Now().Add(leaveTimeout)) != nil {
+		_ = a.conn.Close()
+	}
+}
+
 func (a *attempt) unreachable(err error) result {
 	a.cause = "upstream " + a.ticket.ID() + " can't be connected: " + err.Error()
 	if a.r.Context().Err() != nil {
@@ -78,7 +104,7 @@
 // isWritten reports whether the whole request was written.
 func (a *attempt) isWritten() bool {
 	if a.written == nil {
-		return true
+		return a.unsent == nil
 	}
 	select {
 	case err := <-a.written:
@@ -134,6 +160,7 @@
 
 // broken ends an attempt without a whole answer.
 func (a *attempt) broken(what string, err error) (result, kcwroster.Outcome) {
+	a.err = err
 	a.cause = "upstream " + a.ticket.ID() + ": " + what + ": " + err.Error()
 	if !a.f.cfg.Now().Before(a.deadline) {
 		return expired, kcwroster.Neutral
@@ -170,8 +197,8 @@
 	head.WriteString("\r\n")
 	if head.Len()+len(a.body) <= directWrite {
 		head.Write(a.body)
-		_, err := a.conn.Write(head.Bytes())
-		return err
+		_, a.unsent = a.conn.Write(head.Bytes())
+		return a.unsent
 	}
 	a.written = make(chan error, 1)
 	go func() {
@@ -198,6 +225,10 @@
 	for {
 		now := a.f.cfg.Now()
 		until := now.Add(a.f.cfg.Patience)
+		gone := a.r.Context().Err() != nil
+		if gone {
+			until = now.Add(leaveTimeout)
+		}
 		if until.After(a.deadline) {
 			until = a.deadline
 		}
@@ -211,7 +242,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		if !a.f.cfg.Now().Before(a.deadline) {
+		if gone || !a.f.cfg.Now().Before(a.deadline) {
 			return err
 		}
 		if a.ticket.IsSilent() {
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -218,6 +218,60 @@
 	}
 }
 
+// TestLeavingCosts checks what a caller's team pays that leaves before the first
+// event: nothing if the upstream dropped the request, the prompt if it may have
+// run.
+func TestLeavingCosts(t *testing.T) {
+	route := stream
+	route.Generates = true
+	for _, test := range []struct {
+		name string
+		// act is what the upstream does once it sees that the caller left.
+		act  func(e *exchange)
+		used int64
+	}{
+		{"dropped", func(e *exchange) { e.reset() }, 0},
+		{"dropped after the header", func(e *exchange) { e.events(false); e.reset() }, 0},
+		{"says that it did not run", func(e *exchange) { e.answer(503, "Not-Run: 1\r\n", "") }, 0},
+		{"answered meanwhile", func(e *exchange) { e.events(true, "data: a\n\n") }, 500},
+		{"says nothing", func(*exchange) {}, 500},
+	} {
+		arrived := make(chan struct{})
+		f := newFixture(t, 1, route, func(e *exchange) {
+			close(arrived)
+			_, _ = e.conn.Read(make([]byte, 1))
+			test.act(e)
+		})
+		f.grant(1000, 0, 1000)
+		ctx, leave := context.WithCancel(t.Context())
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/a/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Host = "host.example"
+		for name, value := range map[string]string{"Key": "key", "Attempt": "id-1", "Prompt": "500", "Output": "100"} {
+			request.Header.Set(name, value)
+		}
+		done := make(chan struct{})
+		go func() {
+			response, err := http.DefaultTransport.RoundTrip(request)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			close(done)
+		}()
+		<-arrived
+		leave()
+		<-done
+		for f.forwarder.InFlight() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
+			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
+		}
+	}
+}
+
 // TestSilentUpstream checks that a repeatable request leaves an upstream that
 // says nothing to anybody, and that another request waits.
 func TestSilentUpstream(t *testing.T) {
