--- a/kcw/kcwallowance/table.go
+++ b/kcw/kcwallowance/table.go
@@ -238,12 +238,12 @@
 	return int64(most * float64(report.GetWant()) / float64(wanted))
 }
 
-// grant raises the free tokens of a router to its share, or to the least that it
-// needs, out of the free tokens of the budget.
+// grant raises the free tokens of a router to its share, or to what its waiting
+// requests need, out of the free tokens of the budget.
 func (t *Table) grant(held *totals, report *kcwpb.AllowanceReport, share int64) {
 	b := t.budget(report.GetTeam())
 	least := report.GetLeast() - held.free()
-	amount := min(max(share-held.free(), least), b.prepaid-b.outstanding)
+	amount := min(max(share, report.GetNeeded())-held.free(), b.prepaid-b.outstanding)
 	if amount <= 0 || amount < least {
 		return
 	}
--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -64,8 +64,9 @@
 	// available, unspent and share are the core's word, as of heardAt.
 	available, unspent, share int64
 	heardAt                   time.Time
-	// shortage is the largest request that lacked tokens since the last report.
-	shortage int64
+	// shortage is the largest request that lacked tokens since the last report,
+	// needed the tokens of all of these.
+	shortage, needed int64
 }
 
 func (a *account) free() int64 { return a.granted - a.returned - a.spent - a.reserved }
@@ -114,7 +115,6 @@
 		a.reserved += tokens
 		return Reserved
 	}
-	a.shortage = max(a.shortage, tokens)
 	fresh := !a.heardAt.IsZero() && now.Sub(a.heardAt) <= b.cfg.Fresh
 	switch {
 	case fresh && a.unspent-a.reserved < tokens:
@@ -122,6 +122,8 @@
 	case fresh && a.available+a.free() < tokens:
 		return Held
 	}
+	a.shortage = max(a.shortage, tokens)
+	a.needed += tokens
 	return Missing
 }
 
@@ -167,15 +169,12 @@
 		a.returned += max(0, a.free()-share)
 	}
 	r := &kcwpb.AllowanceReport{
-		Team: team, Returned: a.returned, Spent: a.spent, Reserved: a.reserved, Want: max(want, a.shortage),
-		Limit: a.spent + a.reserved + max(active, a.shortage),
+		Team: team, Returned: a.returned, Spent: a.spent, Reserved: a.reserved, Want: want,
+		Least: a.shortage, Needed: a.needed, Limit: a.spent + a.reserved + max(active, a.needed),
 	}
 	// A lower limit is in force before the core knows it, a higher one after.
 	a.limit = min(a.limit, r.GetLimit())
-	if a.shortage > 0 {
-		r.Least = a.shortage
-	}
-	a.shortage = 0
+	a.shortage, a.needed = 0, 0
 	return r
 }
 
