--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"runtime/debug"
 	"slices"
 	"time"
 
@@ -41,9 +40,6 @@
 	reloadInterval = 2 * time.Second
 	// headerTimeout bounds the wait for a request's header.
 	headerTimeout = 10 * time.Second
-	// memoryPart is the fraction of the memory that the garbage collector
-	// keeps below.
-	memoryPart = 0.9
 	// founding is the role of a replica whose group does not exist yet.
 	founding = "founding"
 )
@@ -80,7 +76,7 @@
 // the member.
 func New(cfg Config) (*Member, error) {
 	s := cfg.Settings
-	limitMemory(s.Host.MemoryMB)
+	kcwsetup.LimitMemory(s.Host.MemoryMB)
 	m := &Member{cfg: cfg, seeds: s.Group.Seeds}
 	m.life, m.end = context.WithCancel(context.Background())
 	var err error
@@ -90,7 +86,7 @@
 	if m.sender, err = kcwpeer.New(kcwpeer.Config{Group: groupName, Timeout: s.Group.Election / 2}); err != nil {
 		return nil, err
 	}
-	m.client = kcwcore.New(kcwcore.Config{Seeds: peerSeeds(s), Timeout: s.Group.Election})
+	m.client = kcwcore.New(kcwcore.Config{Seeds: s.PeerAddresses(), Timeout: s.Group.Election})
 	table := kcwallowance.New()
 	group, err := m.openGroup(table)
 	if err != nil {
@@ -111,21 +107,6 @@
 	return m, m.listen()
 }
 
-// limitMemory makes the garbage collector keep below the process's memory.
-func limitMemory(megabytes int64) {
-	const megabyte = 1 << 20
-	debug.SetMemoryLimit(int64(memoryPart * float64(megabytes*megabyte)))
-}
-
-// peerSeeds returns the addresses of the seeds for members and routers.
-func peerSeeds(s *kcwsetup.Control) []netip.AddrPort {
-	var seeds []netip.AddrPort
-	for _, seed := range s.Group.Seeds {
-		seeds = append(seeds, netip.AddrPortFrom(seed.Addr(), s.Host.PeerAddress.Port()))
-	}
-	return seeds
-}
-
 // reload reads the settings again and takes the seeds from them.
 func (m *Member) reload(signalled bool) {
 	s, err := kcwsetup.LoadControl(m.cfg.SettingsPath)
@@ -135,7 +116,7 @@
 	}
 	changed := !slices.Equal(m.seeds, s.Group.Seeds)
 	if changed {
-		m.client.SetSeeds(peerSeeds(s))
+		m.client.SetSeeds(s.PeerAddresses())
 		m.seeds = s.Group.Seeds
 	}
 	if changed || signalled {
@@ -149,12 +130,12 @@
 	s := m.cfg.Settings
 	own := s.Host.PeerAddress
 	var founders []*kcwpb.Member
-	for _, seed := range peerSeeds(s) {
+	for _, seed := range s.PeerAddresses() {
 		founders = append(founders, &kcwpb.Member{Name: seed.String(), Address: seed.String()})
 	}
 	return kcwgroup.New(kcwgroup.Config{
 		Folder: m.folder, Group: groupName, Name: own.String(), Zone: s.Host.Zone, Address: own,
-		Founders: founders, Bootstrap: s.Group.Bootstrap && slices.Contains(peerSeeds(s), own),
+		Founders: founders, Bootstrap: s.Group.Bootstrap && slices.Contains(s.PeerAddresses(), own),
 		Machine: table, Send: m.sender.Send,
 		Heartbeat: s.Group.Heartbeat, Election: s.Group.Election,
 		SnapshotEntries: s.Group.SnapshotEntries, SnapshotBytes: s.Group.SnapshotBytes,
--- /dev/null
+++ b/kcw-fleet/kcwentry/dump.go
@@ -0,0 +1,46 @@
+package kcwentry
+
+import (
+	"net/netip"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwroster"
+)
+
+// dump is the state of a router for operators.
+type dump struct {
+	Router, Zone string
+	Incarnation  uint64
+	Document     uint64
+	ListedAt     time.Time
+	InFlight     int64
+	Draining     bool
+	Core         netip.AddrPort
+	Teams        []kcwbalance.Team
+	Upstreams    []kcwroster.Upstream
+}
+
+func (r *Router) dump() dump {
+	d := dump{
+		Router: r.cfg.Settings.Host.Name, Zone: r.cfg.Settings.Host.Zone, Incarnation: r.reporter.number(),
+		ListedAt: r.roster.ListedAt(), InFlight: r.forwarder.InFlight(), Draining: r.stop.Load() != nil,
+		Core: r.client.Target(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(),
+	}
+	if document := r.reporter.document.Load(); document != nil {
+		d.Document = document.Version
+	}
+	return d
+}
+
+// measure declares the metrics that are read when they are asked for.
+func (r *Router) measure() {
+	r.meter.Gauge("kcw_router_in_flight", "Requests that are not answered.",
+		func(observe func(int64, ...attribute.KeyValue)) { observe(r.forwarder.InFlight()) })
+	r.meter.Gauge("kcw_router_log_dropped", "Log lines dropped because the queue was full.",
+		func(observe func(int64, ...attribute.KeyValue)) { observe(r.cfg.Dropped()) })
+	r.meter.Gauge("kcw_router_document", "Version of the configuration in force.",
+		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(r.dump().Document)) })
+}
--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -58,6 +58,13 @@
 
 func newRound() *round { return &round{done: make(chan struct{})} }
 
+// number returns the incarnation under which the router reports.
+func (p *reporter) number() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.incarnation
+}
+
 // run reports until ctx ends.
 func (p *reporter) run(ctx context.Context) {
 	timer := time.NewTimer(p.interval)
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -8,17 +8,10 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"runtime/debug"
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-kratos/kratos/v2"
-	"go.opentelemetry.io/otel/attribute"
-	"k8s.io/klog/v2"
-
 	"kingcupwick.example/kcw-fleet/kcwcore"
-	"kingcupwick.example/kcw-fleet/kcwreload"
 	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwadmin"
@@ -37,9 +30,6 @@
 )
 
 const (
-	// memoryPart is the fraction of the memory that the garbage collector
-	// keeps below.
-	memoryPart = 0.9
 	// retryPart is the part of the allowed retries that is used: routers that
 	// restart begin with a new share of the slack.
 	retryPart = 0.8
@@ -120,11 +110,10 @@
 // New makes the parts and listens at the addresses. The caller runs the router.
 func New(cfg Config) (*Router, error) {
 	s := cfg.Settings
-	const megabyte = 1 << 20
-	debug.SetMemoryLimit(int64(memoryPart * float64(s.Host.MemoryMB*megabyte)))
+	kcwsetup.LimitMemory(s.Host.MemoryMB)
 	r := &Router{cfg: cfg, seeds: s.Core.Seeds}
 	r.life, r.end = context.WithCancel(context.Background())
-	r.client = kcwcore.New(kcwcore.Config{Seeds: coreSeeds(s), Timeout: s.Core.Timeout})
+	r.client = kcwcore.New(kcwcore.Config{Seeds: s.Core.Addresses(), Timeout: s.Core.Timeout})
 	uptime, err := kcwuptime.New()
 	if err != nil {
 		return nil, err
@@ -148,15 +137,6 @@
 	return r, r.listen()
 }
 
-// coreSeeds returns where the seeds answer routers.
-func coreSeeds(s *kcwsetup.Router) []netip.AddrPort {
-	var seeds []netip.AddrPort
-	for _, seed := range s.Core.Seeds {
-		seeds = append(seeds, netip.AddrPortFrom(seed.Addr(), s.Core.Port))
-	}
-	return seeds
-}
-
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func newRoster(s *kcwsetup.Router) *kcwroster.Roster {
@@ -229,139 +209,3 @@
 	}
 	return nil
 }
-
-// Run serves until a signal stops the router.
-func (r *Router) Run() error {
-	s := r.cfg.Settings
-	klog.InfoS("Router starts", "Address", s.Host.Address, "Zone", s.Host.Zone, "Incarnation", r.reporter.incarnation, "Seeds", s.Core.Seeds,
-		"Boot", r.reporter.uptime.Boot(), "Uptime", r.reporter.uptime.Started().String())
-	go r.reporter.run(r.life)
-	go r.readLists()
-	go kcwreload.New(kcwreload.Config{Interval: reloadInterval, Reload: r.reload}).Run(r.life)
-	app := kratos.New(
-		kratos.Name("kcw-router"), kratos.Logger(r.cfg.Logger), kratos.Server(r.public, r.admin),
-		kratos.StopTimeout(closeTimeout), kratos.BeforeStop(r.drain),
-	)
-	err := app.Run()
-	if r.stop.Load() != nil && errors.Is(err, context.DeadlineExceeded) {
-		// The time of a planned stop is over with requests under way.
-		klog.InfoS("Requests cut at the stop", "InFlight", r.forwarder.InFlight())
-		err = nil
-	}
-	r.giveBack()
-	r.end()
-	r.client.Close()
-	klog.InfoS("Router stopped", "LinesDropped", r.cfg.Dropped())
-	return err
-}
-
-// drain takes the router out of the balancer and serves on: the balancer may send
-// callers to the last routers of a zone although they are not ready. It ends when
-// no request is under way, or the time that a stop has is over.
-func (r *Router) drain(context.Context) error {
-	s := r.cfg.Settings.Stop
-	now := time.Now()
-	stop := &kcwforward.Stop{TakesUntil: now.Add(s.Notice), EndsAt: now.Add(s.Grace - stopMargin)}
-	r.stop.Store(stop)
-	klog.InfoS("Router drains", "Grace", s.Grace.String(), "InFlight", r.forwarder.InFlight())
-	time.Sleep(s.Notice)
-	for r.forwarder.InFlight() > 0 && time.Now().Before(stop.EndsAt) {
-		time.Sleep(drainInterval)
-	}
-	klog.InfoS("Router closes", "InFlight", r.forwarder.InFlight(), "Elapsed", time.Since(now).String())
-	return nil
-}
-
-// stopping returns the planned stop that the router makes, if any.
-func (r *Router) stopping() (kcwforward.Stop, bool) {
-	if stop := r.stop.Load(); stop != nil {
-		return *stop, true
-	}
-	return kcwforward.Stop{}, false
-}
-
-// giveBack returns the tokens that are left.
-func (r *Router) giveBack() {
-	r.balance.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), finalReport)
-	defer cancel()
-	if !r.reporter.ask(ctx) {
-		klog.InfoS("Tokens not returned", "Cause", "the core did not answer")
-	}
-}
-
-// readLists reads the list while the core brings none that is fresh.
-func (r *Router) readLists() {
-	s := r.cfg.Settings.List
-	for r.life.Err() == nil {
-		// All routers that are cut off read, at half of the allowed rate.
-		const part = 2
-		pause := max(s.Interval, time.Duration(part*float64(max(1, r.reporter.routers.Load()))/s.Rate*float64(time.Second)))
-		time.Sleep(pause/2 + rand.N(pause))
-		if time.Since(r.roster.ListedAt()) < s.StaleAfter {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(r.life, s.Timeout)
-		began := time.Now()
-		upstreams, skipped, err := r.cfg.Lister.Read(ctx)
-		cancel()
-		if err != nil {
-			klog.InfoS("List of upstreams not read", "Cause", err.Error(), "ListedAt", r.roster.ListedAt())
-			continue
-		}
-		klog.V(kcwlog.DebugVerbosity).InfoS("List of upstreams read", "Upstreams", len(upstreams), "Skipped", skipped)
-		r.reporter.ownList(upstreams, began)
-	}
-}
-
-// reload reads the settings again and takes the seeds from them.
-func (r *Router) reload(signalled bool) {
-	s, err := kcwsetup.LoadRouter(r.cfg.SettingsPath)
-	if err != nil {
-		klog.ErrorS(err, "Settings not reloaded")
-		return
-	}
-	changed := !slices.Equal(r.seeds, s.Core.Seeds)
-	if changed {
-		r.client.SetSeeds(coreSeeds(s))
-		r.seeds = s.Core.Seeds
-	}
-	if changed || signalled {
-		klog.InfoS("Settings reloaded", "Signal", signalled, "SeedsChanged", changed, "Seeds", s.Core.Seeds)
-	}
-}
-
-// dump is the state of a router for operators.
-type dump struct {
-	Router, Zone string
-	Incarnation  uint64
-	Document     uint64
-	ListedAt     time.Time
-	InFlight     int64
-	Draining     bool
-	Core         netip.AddrPort
-	Teams        []kcwbalance.Team
-	Upstreams    []kcwroster.Upstream
-}
-
-func (r *Router) dump() dump {
-	d := dump{
-		Router: r.cfg.Settings.Host.Name, Zone: r.cfg.Settings.Host.Zone, Incarnation: r.reporter.incarnation,
-		ListedAt: r.roster.ListedAt(), InFlight: r.forwarder.InFlight(), Draining: r.stop.Load() != nil,
-		Core: r.client.Target(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(),
-	}
-	if document := r.reporter.document.Load(); document != nil {
-		d.Document = document.Version
-	}
-	return d
-}
-
-// measure declares the metrics that are read when they are asked for.
-func (r *Router) measure() {
-	r.meter.Gauge("kcw_router_in_flight", "Requests that are not answered.",
-		func(observe func(int64, ...attribute.KeyValue)) { observe(r.forwarder.InFlight()) })
-	r.meter.Gauge("kcw_router_log_dropped", "Log lines dropped because the queue was full.",
-		func(observe func(int64, ...attribute.KeyValue)) { observe(r.cfg.Dropped()) })
-	r.meter.Gauge("kcw_router_document", "Version of the configuration in force.",
-		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(r.dump().Document)) })
-}
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"runtime/debug"
 	"time"
 
 	"kingcupwick.example/kcw/kcwsettings"
@@ -214,3 +215,30 @@
 	}
 	return s, nil
 }
+
+// Addresses returns where the seeds of the core answer routers.
+func (c *Core) Addresses() []netip.AddrPort { return withPort(c.Seeds, c.Port) }
+
+// PeerAddresses returns where the seeds answer other members.
+func (s *Control) PeerAddresses() []netip.AddrPort {
+	return withPort(s.Group.Seeds, s.Host.PeerAddress.Port())
+}
+
+func withPort(hosts []netip.AddrPort, port uint16) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, host := range hosts {
+		addresses = append(addresses, netip.AddrPortFrom(host.Addr(), port))
+	}
+	return addresses
+}
+
+// memoryPart is the fraction of a process's memory that the garbage collector
+// keeps below.
+const memoryPart = 0.9
+
+// LimitMemory makes the garbage collector keep below a process's memory, given in
+// MiB.
+func LimitMemory(megabytes int64) {
+	const megabyte = 1 << 20
+	debug.SetMemoryLimit(int64(memoryPart * float64(megabytes*megabyte)))
+}
