kcwforward: log each attempt that another follows

kcwsetup: weigh prompts on their way four times as much

Change: PromptWeight 2 in place of 0.5, LoadMargin 0.05 in place of 0.1.

--- a/kcw-fleet/kcwentry/observe.go
+++ b/kcw-fleet/kcwentry/observe.go
@@ -44,3 +44,9 @@
 		"Elapsed", e.Elapsed.String(), "FirstByte", e.FirstByte.String(), "RetryAfter", e.RetryAfter.String(),
 		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used)
 }
+
+// logRetry logs that an attempt failed and another follows.
+func logRetry(e kcwforward.Event) {
+	klog.InfoS("Attempt failed", "Request", e.Attempt, "Cause", e.Cause, "Service", e.Service, "Upstream", e.Upstream,
+		"Sends", e.Sends, "ListAge", e.ListAge.String())
+}
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -122,14 +122,14 @@
 	// LoadFactor and LoadMargin bound the load of a prefix's home, ZoneMargin
 	// the preference for the own zone, as fractions of the capacity.
 	LoadFactor float64 `default:"1.25" setting:"min=1,max=10"`
-	LoadMargin float64 `default:"0.1" setting:"min=0,max=10"`
+	LoadMargin float64 `default:"0.05" setting:"min=0,max=10"`
 	ZoneMargin float64 `default:"0.1" setting:"min=0,max=10"`
 	// LoadHalfLife is the age at which an upstream's word on its load counts
 	// half.
 	LoadHalfLife time.Duration `default:"1s" setting:"min=1ms,max=1m"`
 	// PromptWeight is the load, in requests, of a thousand prompt tokens on
 	// their way.
-	PromptWeight float64 `default:"0.5" setting:"min=0,max=1000"`
+	PromptWeight float64 `default:"2" setting:"min=0,max=1000"`
 }
 
 // List says how the list of upstreams is read.
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -104,6 +104,8 @@
 	seen   []*exchange
 	bodies []string
 	events []kcwforward.Event
+	// retried counts the attempts that another followed.
+	retried int
 }
 
 // newFixture starts upstreams that all follow script, which may keep a
@@ -142,6 +144,11 @@
 			defer f.mu.Unlock()
 			f.events = append(f.events, e)
 		},
+		Retried: func(kcwforward.Event) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.retried++
+		},
 		Rand: rand.New(rand.NewPCG(1, 1)), Now: time.Now,
 	})
 	if err != nil {
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -123,10 +123,11 @@
 	// Stopping returns when the router will stop and whether it is about to.
 	// While it is, callers are asked to use other connections.
 	Stopping func() (Stop, bool)
-	// Observe is called for each decision. It must not block.
-	Observe func(Event)
-	Rand    *rand.Rand
-	Now     func() time.Time
+	// Observe is called when a request has ended, and Retried when an attempt
+	// has failed and another follows; they must not block.
+	Observe, Retried func(Event)
+	Rand             *rand.Rand
+	Now              func() time.Time
 }
 
 // Stop is a planned stop: the time until which all requests are taken, and the
@@ -166,7 +167,7 @@
 // New returns a Forwarder. The error is an *Error of kind Incomplete.
 func New(cfg Config) (*Forwarder, error) {
 	parts := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil &&
-		cfg.Ask != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.Observe != nil && cfg.Rand != nil && cfg.Now != nil
+		cfg.Ask != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.Observe != nil && cfg.Retried != nil && cfg.Rand != nil && cfg.Now != nil
 	if !parts || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.Patience <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
 	}
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -89,6 +89,9 @@
 		if response.StatusCode != test.status || test.body != "" && body != test.body || f.runs() != test.runs {
 			t.Errorf("%s: status %d, body %q after %d sends; want %d, %q, %d", test.name, response.StatusCode, body, f.runs(), test.status, test.body, test.runs)
 		}
+		if f.retried != test.runs-1 {
+			t.Errorf("%s: %d retries told of %d sends", test.name, f.retried, test.runs)
+		}
 		if test.status == 502 || test.status == 503 {
 			if response.Header.Get("Seal") != "" {
 				t.Errorf("%s: the router's own answer bears an upstream's seal", test.name)
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -73,18 +73,28 @@
 		if a.conn != nil {
 			arrivals++
 		}
-		switch {
-		case got == notRun && sends < max(1, c.route.MaxAttempts)+extraSends-1:
-			continue
-		case got == unknown || got == refusedRun:
+		if got == unknown || got == refusedRun {
 			runs++
-			if c.mayTryAgain(runs) {
-				continue
-			}
 		}
-		c.giveUp(got, kept, last)
-		return
+		if !c.goesOn(got, sends+1, runs) {
+			c.giveUp(got, kept, last)
+			return
+		}
+		c.event.Cause = last
+		c.f.cfg.Retried(c.event)
+	}
+}
+
+// goesOn reports whether another attempt may follow one that ended with got, the
+// one of number sends, after runs that may have run.
+func (c *call) goesOn(got result, sends, runs int) bool {
+	switch got {
+	case notRun:
+		return sends < max(1, c.route.MaxAttempts)+extraSends
+	case unknown, refusedRun:
+		return c.mayTryAgain(runs)
 	}
+	return false
 }
 
 // mayTryAgain reports whether the request may be sent once more after it may
