--- /dev/null
+++ b/kcw-fleet/kcwcore/client_test.go
@@ -0,0 +1,137 @@
+package kcwcore_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+)
+
+// member is a member of the core that follows leader, or leads if that is empty.
+type member struct {
+	kcwpbconnect.UnimplementedFleetHandler
+	leader string
+	calls  int
+}
+
+func (m *member) Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+	m.calls++
+	if m.leader == "" {
+		return connect.NewResponse(&kcwpb.FleetSyncResponse{Routers: 1}), nil
+	}
+	e := connect.NewError(connect.CodeUnavailable, errors.New("not the leader"))
+	e.Meta().Set(kcwledger.LeaderHeader, m.leader)
+	return nil, e
+}
+
+func serve(t *testing.T, m *member) netip.AddrPort {
+	t.Helper()
+	_, handler := kcwpbconnect.NewFleetHandler(m)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// silent returns an address at which nothing answers.
+func silent(t *testing.T) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(nil)
+	defer server.Close()
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestFindsLeader checks that a client finds the leader from any member, also past
+// members that are gone, and stays with it.
+func TestFindsLeader(t *testing.T) {
+	leader := &member{}
+	leaderAt := serve(t, leader)
+	follower := &member{leader: leaderAt.String()}
+	followerAt := serve(t, follower)
+	for _, test := range []struct {
+		name  string
+		seeds []netip.AddrPort
+		tries int
+	}{
+		{"the leader itself", []netip.AddrPort{leaderAt}, 1},
+		{"through a follower", []netip.AddrPort{followerAt}, 2},
+		{"past one that is gone", []netip.AddrPort{silent(t), followerAt}, 3},
+	} {
+		c := kcwcore.New(kcwcore.Config{Seeds: test.seeds, Timeout: 10 * time.Second})
+		tries := 0
+		for found := false; !found && tries < 10; tries++ {
+			_, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{})
+			found = err == nil
+			var e *kcwcore.Error
+			if err != nil && (!errors.As(err, &e) || e.Kind != kcwcore.Unanswered) {
+				t.Errorf("%s: error %v", test.name, err)
+			}
+		}
+		if tries > test.tries {
+			t.Errorf("%s: found after %d calls, want %d at most", test.name, tries, test.tries)
+		}
+		before := follower.calls
+		if _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err != nil || follower.calls != before {
+			t.Errorf("%s: the next call left the leader, error %v", test.name, err)
+		}
+		c.Close()
+	}
+}
+
+// TestMembersTold checks that members that the core has told are called when the
+// seeds are gone.
+func TestMembersTold(t *testing.T) {
+	leader := &member{}
+	c := kcwcore.New(kcwcore.Config{Seeds: []netip.AddrPort{silent(t)}, Timeout: 10 * time.Second})
+	defer c.Close()
+	c.SetMembers([]netip.AddrPort{serve(t, leader)})
+	for range 3 {
+		if _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err == nil {
+			return
+		}
+	}
+	t.Error("the member was not found")
+}
+
+// TestSilentMember checks that a call to a member that accepts and says nothing
+// ends, and that the next goes elsewhere.
+func TestSilentMember(t *testing.T) {
+	leader := &member{}
+	blocked := make(chan struct{})
+	_, handler := kcwpbconnect.NewFleetHandler(&blocking{until: blocked})
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	defer close(blocked)
+	seeds := []netip.AddrPort{serve(t, leader), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+	c := kcwcore.New(kcwcore.Config{Seeds: seeds, Timeout: 50 * time.Millisecond})
+	defer c.Close()
+	for range 1000 {
+		if _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err == nil {
+			return
+		}
+	}
+	t.Error("the leader was not found beside a silent member")
+}
+
+// blocking is a member that never answers.
+type blocking struct {
+	kcwpbconnect.UnimplementedFleetHandler
+	until chan struct{}
+}
+
+func (b *blocking) Sync(ctx context.Context, _ *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+	select {
+	case <-b.until:
+	case <-ctx.Done():
+	}
+	return nil, connect.NewError(connect.CodeUnavailable, errors.New("stopped"))
+}
