kcwforward: wait for the end of writing before a request counts as not sent

Cause: found on reading: the goroutine that writes a large request might not have told its end yet when its caller had left, so that a request that was sent whole could have cost nothing. Change: the end of writing is awaited once the connection is closed.

--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -35,22 +35,26 @@
 
 	// mu guards what follows. Lock order: mu before the locks of balance and
 	// roster.
-	mu          sync.Mutex
+	mu sync.Mutex
+	// incarnation and serial number the reports. The core has accepted one under
+	// this incarnation, or has told of a higher one.
 	incarnation uint64
 	serial      uint64
 	accepted    bool
+	fencedBy    uint64
+	// listVersion and listReader name the core's list in force.
 	listVersion uint64
 	listReader  string
-	heardAt     time.Time
-	// round is closed at the end of the report that is to be made next, and
-	// answered says whether the core answered the last one.
-	round    *round
-	wake     chan struct{}
-	unheard  bool
-	fencedBy uint64
+	// heardAt is when the core answered last; unheard says that it is lost.
+	heardAt time.Time
+	unheard bool
+	// round is the report that is made next; wake has it made at once.
+	round *round
+	wake  chan struct{}
 }
 
-// round is one report.
+// round is one report. Done is closed at its end, and answered says then whether
+// the core answered.
 type round struct {
 	done     chan struct{}
 	answered bool
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -37,9 +37,9 @@
 	// final says that no other attempt may follow once this one may have run.
 	final bool
 	conn  *kcwconn.Conn
-	// written receives the end of the writing of a large request, unsent is the
-	// error of writing a small one.
-	written chan error
+	// written is closed when a large request is written, nil for a small one;
+	// unsent is the error of writing, read after that.
+	written chan struct{}
 	unsent  error
 	held    *heldAnswer
 	cause   string
@@ -62,8 +62,7 @@
 	before := a.mayHaveRun
 	stop := context.AfterFunc(a.r.Context(), a.leave)
 	got, outcome := a.exchange()
-	written := a.isWritten()
-	if stop() && a.reusable && written {
+	if stop() && a.reusable && a.isWritten() {
 		a.ticket.Pool().Put(conn, a.keepUntil)
 	} else {
 		_ = conn.Close()
@@ -71,7 +70,7 @@
 	if a.r.Context().Err() != nil && got != delivered {
 		got, outcome = callerGone, kcwroster.Neutral
 		ended := errors.Is(a.err, io.EOF) || errors.Is(a.err, io.ErrUnexpectedEOF)
-		if !a.ran && (ended || !written) {
+		if !a.ran && (ended || !a.wasWritten()) {
 			// The upstream has dropped the request before its first token, with
 			// which a generation begins to run, or never had the whole of it.
 			a.mayHaveRun = before
@@ -101,17 +100,25 @@
 	return notRun
 }
 
-// isWritten reports whether the whole request was written.
+// isWritten reports whether the whole request is written by now.
 func (a *attempt) isWritten() bool {
-	if a.written == nil {
-		return a.unsent == nil
+	if a.written != nil {
+		select {
+		case <-a.written:
+		default:
+			return false
+		}
 	}
-	select {
-	case err := <-a.written:
-		return err == nil
-	default:
-		return false
+	return a.unsent == nil
+}
+
+// wasWritten reports whether the whole request was written, once the connection is
+// closed.
+func (a *attempt) wasWritten() bool {
+	if a.written != nil {
+		<-a.written
 	}
+	return a.unsent == nil
 }
 
 // exchange sends the request and handles the answer.
@@ -200,11 +207,11 @@
 		_, a.unsent = a.conn.Write(head.Bytes())
 		return a.unsent
 	}
-	a.written = make(chan error, 1)
+	a.written = make(chan struct{})
 	go func() {
+		defer close(a.written)
 		buffers := net.Buffers{head.Bytes(), a.body}
-		_, err := buffers.WriteTo(a.conn.Conn)
-		a.written <- err
+		_, a.unsent = buffers.WriteTo(a.conn.Conn)
 	}()
 	return nil
 }
