kcwupstream: count an upstream as silent only while a read waits

Cause: the deadline of progress ran between reads as well, and a process that was suspended for longer than it found its timer expired, so that a stream whose bytes were there was ended as upstream_silent and its tokens stayed reserved (TestAnswersNeverCross, seen once).

--- a/kcw/kcwupstream/body.go
+++ b/kcw/kcwupstream/body.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"sync"
-	"time"
 )
 
 // body is an answer's body under a progress deadline.
@@ -13,16 +12,17 @@
 	upstream *Upstream
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
-	watch    *time.Timer
+	watch    *watch
 	once     sync.Once
 }
 
 // Read reads from the answer. An error other than io.EOF is an *Error.
 func (b *body) Read(p []byte) (int, error) {
+	// Only a read that waits shows that the upstream is silent: between reads
+	// the answer waits for its caller.
+	b.watch.start(b.upstream.cfg.ProgressTimeout)
 	n, err := b.source.Read(p)
-	if n > 0 {
-		b.watch.Reset(b.upstream.cfg.ProgressTimeout)
-	}
+	b.watch.stop()
 	if err != nil && err != io.EOF {
 		err = b.upstream.failure(b.ctx, "read", err, true)
 	}
@@ -32,7 +32,7 @@
 // Close ends the call and its connection.
 func (b *body) Close() error {
 	b.once.Do(func() {
-		b.watch.Stop()
+		b.watch.stop()
 		b.cancel(nil)
 		_ = b.source.Close()
 		b.upstream.inFlight.Add(-1)
--- a/kcw/kcwupstream/upstream.go
+++ b/kcw/kcwupstream/upstream.go
@@ -136,17 +136,17 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	out := u.outgoing(httptrace.WithClientTrace(ctx, trace), req)
-	watch := time.AfterFunc(firstByte.Sub(u.cfg.Now()), func() { cancel(errSilent) })
+	watch := newWatch(func() { cancel(errSilent) })
+	watch.start(firstByte.Sub(u.cfg.Now()))
 	u.inFlight.Add(1)
 	resp, err := u.calls.RoundTrip(out)
+	watch.stop()
 	if err != nil {
-		watch.Stop()
 		u.inFlight.Add(-1)
 		err = u.failure(ctx, "send", err, connected.Load())
 		cancel(nil)
 		return nil, err
 	}
-	watch.Reset(u.cfg.ProgressTimeout)
 	if Refused(resp) {
 		u.draining.Store(true)
 	}
--- a/kcw/kcwupstream/upstream_test.go
+++ b/kcw/kcwupstream/upstream_test.go
@@ -149,6 +149,40 @@
 	}
 }
 
+// TestSlowReader checks that an answer that is there is read to its end, even
+// if its reader pauses for longer than the upstream may.
+func TestSlowReader(t *testing.T) {
+	const progress = 50 * time.Millisecond
+	whole := strings.Repeat("all of it ", 5000)
+	address := listen(t, func(conn net.Conn, _ int64) {
+		_, _ = bufio.NewReader(conn).ReadString('\n')
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	u := New(Config{Name: "u", Address: address, ProgressTimeout: progress})
+	req, _ := http.NewRequest(http.MethodPost, "http://upstream/", strings.NewReader("x"))
+	resp, err := u.Send(t.Context(), req, time.Now().Add(time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var got []byte
+	for p := make([]byte, 10000); ; {
+		time.Sleep(2 * progress)
+		n, err := resp.Body.Read(p)
+		got = append(got, p[:n]...)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			t.Fatalf("after %d bytes of %d: %v", len(got), len(whole), err)
+		}
+	}
+	if string(got) != whole {
+		t.Errorf("got %d bytes of %d, or others", len(got), len(whole))
+	}
+}
+
 // TestCancelled checks that a call cancelled before it is made is not sent.
 func TestCancelled(t *testing.T) {
 	u := New(Config{Name: "u", Address: listen(t, func(conn net.Conn, _ int64) { _, _ = io.Copy(io.Discard, conn) })})
