kcwgateway: ask the ledger before a retry is refused as not run

Cause: a call that must not be repeated was refused as not-run before its claim was looked at, when no upstream was usable (a load report that comes late is enough). For a retry of a call of unknown outcome that is false (TestSilentUpstreamNotRepeated, seen once). The same holds where the ledger cannot be asked. Change: such a refusal opens the claim first, which tells what is known, and closes it as not run. Where the ledger does not answer, a named call that must not be repeated is told unknown, with the time to come back. Result: TestRetryWithoutUpstream fails without it (no_upstream not-run). That this was the cause of the one failure is inferred: no other path to not-run lies before the claim.

--- a/kcw/kcwgateway/run.go
+++ b/kcw/kcwgateway/run.go
@@ -13,14 +13,14 @@
 func (g *Gateway) run(ctx context.Context, req *request, f *flight, d *delivery) ending {
 	at, bad := g.pool.admit(ctx, req)
 	if bad != nil {
-		return ending{refusal: bad}
+		return g.turnAway(ctx, req, bad)
 	}
 	var cost int64
 	defer func() { at.release(cost) }()
 	// The connection is opened while the claim is.
 	first, ok := g.pool.pick(ctx, g.cfg.Now(), req, nil)
 	if !ok {
-		return ending{refusal: refuse(codeNoUpstream, g.cfg.Now(), "")}
+		return g.turnAway(ctx, req, refuse(codeNoUpstream, g.cfg.Now(), ""))
 	}
 	opened, e := g.open(ctx, req)
 	if !opened {
@@ -40,6 +40,23 @@
 	return g.close(ctx, req, d, res)
 }
 
+// turnAway ends a request that gets no upstream, for the reason bad. A request
+// that must not be repeated and that its caller named may be a retry of one that
+// ran: its claim tells, and is closed again if it was opened by this.
+func (g *Gateway) turnAway(ctx context.Context, req *request, bad *refusal) ending {
+	if req.repeatable || !req.named || bad.code == codeCallerGone {
+		return ending{refusal: bad}
+	}
+	opened, e := g.open(ctx, req)
+	if !opened {
+		return e
+	}
+	if req.limited {
+		g.cfg.Limits.Close(req.contract.Customer)
+	}
+	return ending{refusal: bad, settle: g.settlement(req, result{}, kcwpb.Outcome_OUTCOME_NOT_RUN, 0, nil)}
+}
+
 // open opens the claim of req. If opened is false the request ended there.
 func (g *Gateway) open(ctx context.Context, req *request) (opened bool, e ending) {
 	req.attempt = g.attempts.Add(1)
@@ -56,6 +73,10 @@
 	if err != nil {
 		// The claim may yet be opened, so that it is closed as not run.
 		bad := refuse(codeLedgerUnavailable, now, "")
+		if req.named && !req.repeatable {
+			// An earlier try under this name may have run.
+			bad.outcome = unknown
+		}
 		return false, ending{refusal: bad, settle: g.settlement(req, result{err: err}, kcwpb.Outcome_OUTCOME_NOT_RUN, 0, nil)}
 	}
 	switch reply.GetCode() {
--- a/kcw/kcwgateway/silent_test.go
+++ b/kcw/kcwgateway/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwupstream"
 )
 
@@ -67,3 +69,29 @@
 		}
 	}
 }
+
+// TestRetryWithoutUpstream checks that the retry of a call that may have run is
+// told so, also while no upstream could take it, and that a new call is not.
+func TestRetryWithoutUpstream(t *testing.T) {
+	l := newLedger(t, "r1")
+	hangs := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	f := start(t, l, "r1", map[string][]http.Handler{"app": {hangs}}, func(cfg *Config) {
+		cfg.AnswerTimeout = 200 * time.Millisecond
+	})
+	deposit := call{path: "/services/app/deposits", identity: "d-1", body: "{}"}
+	checkRefusal(t, f.do(deposit), codeUpstreamSilent, unknown)
+	eventually(t, "the claim is closed", func() bool { return len(f.gateway.flights.list()) == 0 })
+	f.gateway.pool.leave(f.gateway.cfg.Upstreams[0], true)
+	checkRefusal(t, f.do(deposit), codeOutcomeUnknown, unknown)
+	deposit.identity = "d-2"
+	checkRefusal(t, f.do(deposit), codeNoUpstream, notRun)
+	eventually(t, "the second claim is closed", func() bool { return len(f.gateway.flights.list()) == 0 })
+	l.checkBudget(t, "pew", 0, 5)
+	l.set(func(*kcwpb.OpenClaim) (*kcwpb.Result, error) { return nil, errors.New("no leader") }, nil)
+	checkRefusal(t, f.do(deposit), codeLedgerUnavailable, unknown)
+	deposit.identity = ""
+	checkRefusal(t, f.do(deposit), codeNoUpstream, notRun)
+}
