kcwengine: record a stream as cancelled when its caller leaves between tokens

Cause: a caller that left right after a token ended the stream on a path that set no outcome, so that the record said Broken (TestCancel/silentAfter, seen once). Result: TestCallerLeavesAtFirstToken fails without the change, each time.

--- a/kcw-standin/kcwengine/engine_test.go
+++ b/kcw-standin/kcwengine/engine_test.go
@@ -193,6 +193,31 @@
 	}
 }
 
+// leavingWriter is an answer whose caller goes away at its first byte.
+type leavingWriter struct {
+	*httptest.ResponseRecorder
+	leave context.CancelFunc
+}
+
+// Write writes p and then ends the request.
+func (w leavingWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseRecorder.Write(p)
+	w.leave()
+	return n, err
+}
+
+// TestCallerLeavesAtFirstToken checks that a stream whose caller goes away
+// between two tokens is recorded as cancelled.
+func TestCallerLeavesAtFirstToken(t *testing.T) {
+	b := newBench(t, Config{})
+	ctx, cancel := context.WithCancel(t.Context())
+	r := httptest.NewRequestWithContext(ctx, "POST", "/v1/chat/completions", strings.NewReader(streamBody))
+	b.engine.ServeHTTP(leavingWriter{httptest.NewRecorder(), cancel}, r)
+	if entry := b.last(); entry.Outcome != kcwrecord.Cancelled || entry.CompletionTokens != 1 {
+		t.Errorf("record: %+v", entry)
+	}
+}
+
 func TestBatchPriority(t *testing.T) {
 	b := newBatch(1, 0, time.Now)
 	if err := b.enter(t.Context(), 0); err != nil {
--- a/kcw-standin/kcwengine/turn.go
+++ b/kcw-standin/kcwengine/turn.go
@@ -172,6 +172,7 @@
 		}
 		t.breakAfter(i + 1)
 		if ctx.Err() != nil {
+			t.entry.Outcome = kcwrecord.Cancelled
 			return
 		}
 	}
