--- a/kcw-proof/failure_test.go
+++ b/kcw-proof/failure_test.go
@@ -36,6 +36,7 @@
 }
 
 func TestRouterKilledWithStreamsOpen(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	c := &caller{fleet: f}
 	wait := opened(t, c, 0, 6, 300)
@@ -68,6 +69,7 @@
 }
 
 func TestLeaderKilledWhileClaimsCommit(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	c := &caller{fleet: f}
 	const callers = 8
@@ -98,6 +100,7 @@
 }
 
 func TestPlannedStopCutsNoStream(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	c := &caller{fleet: f}
 	wait := opened(t, c, 0, 6, 400)
@@ -111,6 +114,7 @@
 }
 
 func TestSilentConnections(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	c := &caller{fleet: f}
 	c.insist(t, 0, "first", ask(3))
@@ -132,6 +136,7 @@
 }
 
 func TestLongCutWithTopUp(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name string
 		way  direction
@@ -165,6 +170,7 @@
 }
 
 func TestFrozenRouterResumes(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	c := &caller{fleet: f}
 	wait := opened(t, c, 0, 4, 300)
@@ -180,6 +186,7 @@
 }
 
 func TestFrozenLeaderResumes(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	c := &caller{fleet: f}
 	for i := range 2 {
@@ -197,6 +204,7 @@
 }
 
 func TestSameIdentityAtOnce(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	c := &caller{fleet: f}
 	for i, call := range []sort{ask(20), stream(50), receipt("Kask"), ask(3), receipt("Saar"), stream(5)} {
--- a/kcw-proof/reference_test.go
+++ b/kcw-proof/reference_test.go
@@ -25,6 +25,7 @@
 // TestReference compares docs/REFERENCE.md with the code: each table's rows
 // must be those that the code has, no fewer and no more.
 func TestReference(t *testing.T) {
+	t.Parallel()
 	page, err := os.ReadFile("../docs/REFERENCE.md")
 	if err != nil {
 		t.Fatal(err)
--- a/kcw-proof/upstream_test.go
+++ b/kcw-proof/upstream_test.go
@@ -66,6 +66,7 @@
 }
 
 func TestLeavingUpstream(t *testing.T) {
+	t.Parallel()
 	// leaveBound is how long after the start of its drain an upstream may
 	// still be sent requests.
 	const leaveBound = 5 * time.Second
@@ -106,6 +107,7 @@
 }
 
 func TestFrozenUpstream(t *testing.T) {
+	t.Parallel()
 	f := newFleetOf(t, true, "10m")
 	c := &caller{fleet: f}
 	const streams, asks = 8, 12
@@ -154,6 +156,7 @@
 }
 
 func TestSilentUpstreamNotRepeated(t *testing.T) {
+	t.Parallel()
 	f := newFleetOf(t, false, answerTime)
 	c := &caller{fleet: f}
 	order(t, f.desk, `{"Silent":true,"Path":"/receipts"}`)
@@ -184,6 +187,7 @@
 }
 
 func TestLeaderAndRouterKilledAtOnce(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	c := &caller{fleet: f}
 	const streams = 6
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Runs the tests of the modules named, under the race detector. Tests listed in
-# KNOWN-RED.txt ("red: TestName ..." at the start of a line) are passed over
-# and printed.
+# Runs the tests of the modules named, under the race detector: the first alone,
+# since many of its tests run at the same time already, and then the others side by
+# side. Each uses loopback addresses of its own. Tests listed in KNOWN-RED.txt ("red:
+# TestName ..." at the start of a line) are passed over and printed.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 skip=()
@@ -11,8 +12,21 @@
 	names=$(sed -n 's/^red: \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|')
 	[ -n "$names" ] && skip=(-skip "^(${names})\$")
 fi
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
 status=0
+test_module() { (cd "$1" && go test -race -count=1 -timeout 20m "${skip[@]}" ./...); }
+test_module "$1" || status=1
+shift
+pids=()
 for module in "$@"; do
-	(cd "$module" && go test -race -count=1 -timeout 20m "${skip[@]}" ./...) || status=1
+	test_module "$module" >"$out/$module" 2>&1 &
+	pids+=($!)
+done
+i=0
+for module in "$@"; do
+	wait "${pids[$i]}" || status=1
+	cat "$out/$module"
+	i=$((i + 1))
 done
 exit $status
