kcw-fleet, deploy: make every host with a disk a member of the core

Cause: control ran on one host of each zone. Those without a disk, on the sites of ten hosts, hold nothing and send operators, routers and newcomers to the leader, which they ask members for (new call Locate). How many losses the core outlives comes from the settings; Voters follows from it.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"slices"
 	"time"
@@ -55,19 +56,22 @@
 	Logger *kcwlog.Logger
 }
 
-// Member is one member of the core.
+// Member is one member of the core, or what stands in for one at a host without
+// a disk.
 type Member struct {
-	cfg      Config
-	folder   *kcwfolder.Folder
-	sender   *kcwpeer.Sender
-	client   *kcwcore.Client
-	service  *service
-	meter    *kcwmeter.Meter
-	life     context.Context
-	end      context.CancelFunc
-	operator *kcwserve.Server
-	peers    *kcwserve.Server
-	admin    *kcwadmin.Server
+	cfg    Config
+	folder *kcwfolder.Folder
+	sender *kcwpeer.Sender
+	client *kcwcore.Client
+	// service is nil, and redirector is not, at a host without a disk.
+	service    *service
+	redirector *redirector
+	meter      *kcwmeter.Meter
+	life       context.Context
+	end        context.CancelFunc
+	operator   *kcwserve.Server
+	peers      *kcwserve.Server
+	admin      *kcwadmin.Server
 	// seeds belong to the reload.
 	seeds []netip.AddrPort
 }
@@ -79,32 +83,52 @@
 	kcwsetup.LimitMemory(s.Host.MemoryMB)
 	m := &Member{cfg: cfg, seeds: s.Group.Seeds}
 	m.life, m.end = context.WithCancel(context.Background())
+	m.client = kcwcore.New(kcwcore.Config{Seeds: s.PeerAddresses(), Timeout: s.Group.Election})
 	var err error
-	if m.folder, err = kcwfolder.Open(kcwfolder.Config{Path: s.Host.Folder}); err != nil {
+	if m.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-control", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
 		return nil, err
 	}
-	if m.sender, err = kcwpeer.New(kcwpeer.Config{Group: groupName, Timeout: s.Group.Election / 2}); err != nil {
+	if s.Host.Folder == "" {
+		m.redirector = &redirector{
+			client: m.client, limit: s.Group.MaxDocumentBytes, port: s.Host.Address.Port(), timeout: s.Group.PutTimeout,
+		}
+		return m, m.listen(m.redirector, m.redirector.handler(), m.redirector.ready)
+	}
+	if err := m.openService(); err != nil {
 		return nil, err
 	}
-	m.client = kcwcore.New(kcwcore.Config{Seeds: s.PeerAddresses(), Timeout: s.Group.Election})
+	m.measure()
+	operator := &operator{
+		service: m.service, decode: cfg.Decode, limit: s.Group.MaxDocumentBytes,
+		port: s.Host.Address.Port(), timeout: s.Group.PutTimeout,
+	}
+	return m, m.listen(operator, m.service.handler(), m.ready)
+}
+
+// openService opens the folder and starts the replica.
+func (m *Member) openService() error {
+	s := m.cfg.Settings
+	var err error
+	if m.folder, err = kcwfolder.Open(kcwfolder.Config{Path: s.Host.Folder}); err != nil {
+		return err
+	}
+	if m.sender, err = kcwpeer.New(kcwpeer.Config{Group: groupName, Timeout: s.Group.Election / 2}); err != nil {
+		return err
+	}
 	table := kcwallowance.New()
 	group, err := m.openGroup(table)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	m.service = &service{
 		group: group, table: table,
-		list: &listReader{lister: cfg.Lister, name: s.Host.Name + "/" + time.Now().String(), timeout: s.List.Timeout},
+		list: &listReader{lister: m.cfg.Lister, name: s.Host.Name + "/" + time.Now().String(), timeout: s.List.Timeout},
 		steward: kcwsteward.New(kcwsteward.Config{
-			Voters: s.Group.Voters, SilentAfter: s.Group.RemoveAfter, AskedWithin: 4 * askInterval,
+			Voters: 2*s.Group.Losses + 1, SilentAfter: s.Group.RemoveAfter, AskedWithin: 4 * askInterval,
 		}),
 		heard: map[string]time.Time{},
 	}
-	if m.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-control", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
-		return nil, err
-	}
-	m.measure()
-	return m, m.listen()
+	return nil
 }
 
 // reload reads the settings again and takes the seeds from them.
@@ -143,23 +167,20 @@
 	})
 }
 
-// listen opens the servers.
-func (m *Member) listen() error {
+// listen opens the servers: one for operators, one for routers and members, and
+// the one for health and metrics.
+func (m *Member) listen(operator, peers http.Handler, ready func() error) error {
 	s := m.cfg.Settings
-	operator := &operator{
-		service: m.service, decode: m.cfg.Decode, limit: s.Group.MaxDocumentBytes,
-		port: s.Host.Address.Port(), timeout: s.Group.PutTimeout,
-	}
 	var err error
 	limits := kcwserve.Config{HeaderTimeout: headerTimeout}
 	if m.operator, err = kcwserve.New(s.Host.Address, operator, limits); err != nil {
 		return err
 	}
-	if m.peers, err = kcwserve.New(s.Host.PeerAddress, m.service.handler(), limits); err != nil {
+	if m.peers, err = kcwserve.New(s.Host.PeerAddress, peers, limits); err != nil {
 		return err
 	}
 	m.admin, err = kcwadmin.New(kcwadmin.Config{
-		Address: s.Host.AdminAddress, Ready: m.ready, Metrics: m.meter.Handler(),
+		Address: s.Host.AdminAddress, Ready: ready, Metrics: m.meter.Handler(),
 	})
 	return err
 }
@@ -192,35 +213,53 @@
 // Run serves until a signal stops the member.
 func (m *Member) Run() error {
 	s := m.cfg.Settings
-	klog.InfoS("Member starts", "PeerAddress", s.Host.PeerAddress, "Address", s.Host.Address, "Bootstrap", s.Group.Bootstrap, "Seeds", s.Group.Seeds)
+	klog.InfoS("Member starts", "PeerAddress", s.Host.PeerAddress, "Address", s.Host.Address, "Bootstrap", s.Group.Bootstrap,
+		"Seeds", s.Group.Seeds, "Folder", s.Host.Folder)
 	go kcwreload.New(kcwreload.Config{Interval: reloadInterval, Reload: m.reload}).Run(m.life)
-	go m.repeat(tendInterval, m.service.tend)
-	go m.repeat(askInterval, m.askForVote)
-	go m.repeat(s.List.Interval, m.readList)
 	app := kratos.New(
 		kratos.Name("kcw-control"), kratos.Logger(m.cfg.Logger), kratos.Server(m.operator, m.peers, m.admin),
 		kratos.StopTimeout(s.Stop.Grace/2),
 		kratos.BeforeStop(func(context.Context) error {
 			klog.InfoS("Member stops", "PeerAddress", s.Host.PeerAddress)
-			return m.service.group.Close()
+			return m.closeGroup()
 		}),
 	)
-	go func() {
-		// A group that stops by itself has met a fault of its disk.
-		<-m.service.group.Done()
-		_ = app.Stop()
-	}()
+	if m.service != nil {
+		m.work(app)
+	}
 	err := app.Run()
 	m.end()
-	if fault := m.service.group.Close(); err == nil {
+	if fault := m.closeGroup(); err == nil {
 		err = fault
 	}
-	_ = m.sender.Close()
 	m.client.Close()
-	_ = m.folder.Close()
+	if m.service != nil {
+		_ = m.sender.Close()
+		_ = m.folder.Close()
+	}
 	return err
 }
 
+// work starts what a member with a disk does by itself.
+func (m *Member) work(app *kratos.App) {
+	go m.repeat(tendInterval, m.service.tend)
+	go m.repeat(askInterval, m.askForVote)
+	go m.repeat(m.cfg.Settings.List.Interval, m.readList)
+	go func() {
+		// A group that stops by itself has met a fault of its disk.
+		<-m.service.group.Done()
+		_ = app.Stop()
+	}()
+}
+
+// closeGroup ends the replica, if there is one. It may be called twice.
+func (m *Member) closeGroup() error {
+	if m.service == nil {
+		return nil
+	}
+	return m.service.group.Close()
+}
+
 // repeat calls f at each interval until the member stops.
 func (m *Member) repeat(interval time.Duration, f func(context.Context)) {
 	ticker := time.NewTicker(interval)
--- a/kcw-fleet/kcwcontrol/operator.go
+++ b/kcw-fleet/kcwcontrol/operator.go
@@ -73,7 +73,7 @@
 	result, err := o.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_PutDocument{PutDocument: put}})
 	if err != nil {
 		klog.InfoS("Document not committed", "Version", document.Version, "Cause", err.Error())
-		o.unavailable(w, "the document may or may not be taken: "+err.Error())
+		unavailable(w, "the document may or may not be taken: "+err.Error())
 		return
 	}
 	klog.InfoS("Document acknowledged", "Version", document.Version, "Newest", result.GetVersion(), "Code", result.GetCode().String(),
@@ -114,12 +114,12 @@
 		return
 	}
 	if err := o.group.Confirm(ctx); err != nil {
-		o.unavailable(w, "the newest configuration is not known: "+err.Error())
+		unavailable(w, "the newest configuration is not known: "+err.Error())
 		return
 	}
 	document := o.table.Document()
 	if document.GetVersion() == 0 {
-		o.unavailable(w, "there is no configuration yet")
+		unavailable(w, "there is no configuration yet")
 		return
 	}
 	body, err := Unpack(document)
@@ -143,18 +143,27 @@
 	}
 	leader, err := netip.ParseAddrPort(status.GetLeaderAddress())
 	if err != nil || !o.group.Fresh() {
-		o.unavailable(w, errNoLeader.Error())
-		return true
+		leader = netip.AddrPort{}
 	}
-	w.Header().Set("Location", "http://"+netip.AddrPortFrom(leader.Addr(), o.port).String()+ConfigurationPath)
-	w.WriteHeader(http.StatusTemporaryRedirect)
+	redirect(w, leader, o.port)
 	return true
 }
 
+// redirect sends an operator to the leader, whose port for operators is port, or
+// away if leader is not valid.
+func redirect(w http.ResponseWriter, leader netip.AddrPort, port uint16) {
+	if !leader.IsValid() {
+		unavailable(w, errNoLeader.Error())
+		return
+	}
+	w.Header().Set("Location", "http://"+netip.AddrPortFrom(leader.Addr(), port).String()+ConfigurationPath)
+	w.WriteHeader(http.StatusTemporaryRedirect)
+}
+
 // errNoLeader is the answer of a member that knows no leader.
 var errNoLeader = errors.New("no leader is known")
 
-func (o *operator) unavailable(w http.ResponseWriter, text string) {
+func unavailable(w http.ResponseWriter, text string) {
 	w.Header().Set("Retry-After", retryElection)
 	http.Error(w, text, http.StatusServiceUnavailable)
 }
--- /dev/null
+++ b/kcw-fleet/kcwcontrol/redirect.go
@@ -0,0 +1,122 @@
+package kcwcontrol
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwlog"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+)
+
+const (
+	// leaderKnownFor is how long the word on the leader is used: an operator
+	// waits a second for its answer.
+	leaderKnownFor = 500 * time.Millisecond
+	// locateTries bounds the members asked for the leader: one that is gone, one
+	// that does not lead, and the leader, once more each.
+	locateTries = 6
+)
+
+// redirector answers in place of a member at a host without a disk: it sends
+// operators, routers and other members to the leader.
+type redirector struct {
+	kcwpbconnect.UnimplementedFleetHandler
+	client  *kcwcore.Client
+	limit   int64
+	port    uint16
+	timeout time.Duration
+
+	// mu is held while the leader is looked for, so that callers share the
+	// answer.
+	mu      sync.Mutex
+	leader  netip.AddrPort
+	knownAt time.Time
+}
+
+// locate returns where the leader answers routers and members. It is not valid
+// if no member tells.
+func (r *redirector) locate(ctx context.Context) netip.AddrPort {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.knownAt) < leaderKnownFor {
+		return r.leader
+	}
+	r.leader = netip.AddrPort{}
+	for try := 0; try < locateTries && ctx.Err() == nil; try++ {
+		leader, err := r.client.Locate(ctx)
+		if err == nil {
+			r.leader, r.knownAt = leader, time.Now()
+			break
+		}
+		klog.V(kcwlog.DebugVerbosity).InfoS("Leader not located yet", "Try", try, "Cause", err.Error())
+	}
+	return r.leader
+}
+
+// ServeHTTP sends an operator to the leader. The body is read first, since a
+// connection that is closed with bytes unread may lose the answer.
+func (r *redirector) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, req.Body, r.limit)); err != nil {
+		http.Error(w, "the document can't be read: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	redirect(w, r.locate(req.Context()), r.port)
+}
+
+// refusal returns the answer to a call that only the leader takes.
+func (r *redirector) refusal(ctx context.Context) error {
+	e := connect.NewError(connect.CodeUnavailable, errNotLeader)
+	if leader := r.locate(ctx); leader.IsValid() {
+		e.Meta().Set(kcwledger.LeaderHeader, leader.String())
+	}
+	return e
+}
+
+// Sync sends a router to the leader.
+func (r *redirector) Sync(ctx context.Context, _ *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+	return nil, r.refusal(ctx)
+}
+
+// Admit sends a newcomer to the leader.
+func (r *redirector) Admit(ctx context.Context, _ *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error) {
+	return nil, r.refusal(ctx)
+}
+
+// Locate names the leader known so far and does not look for it: two redirectors
+// would wait for each other.
+func (r *redirector) Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error) {
+	e := connect.NewError(connect.CodeUnavailable, errNotLeader)
+	if r.mu.TryLock() {
+		defer r.mu.Unlock()
+		if r.leader.IsValid() {
+			e.Meta().Set(kcwledger.LeaderHeader, r.leader.String())
+		}
+	}
+	return nil, e
+}
+
+// ready returns nil if a leader was located.
+func (r *redirector) ready() error {
+	if !r.locate(context.Background()).IsValid() {
+		return errNoLeader
+	}
+	return nil
+}
+
+// handler returns the handler for routers and members.
+func (r *redirector) handler() http.Handler {
+	_, handler := kcwpbconnect.NewFleetHandler(r, connect.WithReadMaxBytes(maxMessageBytes))
+	return handler
+}
--- /dev/null
+++ b/kcw-fleet/kcwcontrol/redirect_test.go
@@ -0,0 +1,102 @@
+package kcwcontrol
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+)
+
+// hearing is a member that hears the leader, or none if that is empty.
+type hearing struct {
+	kcwpbconnect.UnimplementedFleetHandler
+	leader string
+	calls  int
+}
+
+func (h *hearing) Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error) {
+	h.calls++
+	if h.leader == "" {
+		return nil, connect.NewError(connect.CodeUnavailable, errNoLeader)
+	}
+	return connect.NewResponse(&kcwpb.FleetLocateResponse{Leader: h.leader, Core: []string{h.leader}}), nil
+}
+
+func serveMember(t *testing.T, h *hearing) netip.AddrPort {
+	t.Helper()
+	_, handler := kcwpbconnect.NewFleetHandler(h)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func newRedirector(seeds ...netip.AddrPort) *redirector {
+	const wait = 10 * time.Second
+	client := kcwcore.New(kcwcore.Config{Seeds: seeds, Timeout: wait})
+	return &redirector{client: client, limit: 100, port: 8000, timeout: wait}
+}
+
+// TestRedirect checks where a host without a disk sends operators and routers.
+func TestRedirect(t *testing.T) {
+	ended := httptest.NewServer(nil)
+	ended.Close()
+	gone := netip.MustParseAddrPort(strings.TrimPrefix(ended.URL, "http://"))
+	lost := serveMember(t, &hearing{})
+	hears := serveMember(t, &hearing{leader: "10.0.0.7:7000"})
+	for _, test := range []struct {
+		name   string
+		seeds  []netip.AddrPort
+		body   string
+		status int
+		where  string
+		leader string
+	}{
+		{"a member that hears the leader", []netip.AddrPort{hears}, "{}", 307, "http://10.0.0.7:8000/configuration", "10.0.0.7:7000"},
+		{"past members that do not", []netip.AddrPort{gone, lost, hears}, "{}", 307, "http://10.0.0.7:8000/configuration", "10.0.0.7:7000"},
+		{"no leader", []netip.AddrPort{gone, lost}, "{}", 503, "", ""},
+		{"a body over the limit", []netip.AddrPort{hears}, strings.Repeat("x", 101), 400, "", "10.0.0.7:7000"},
+	} {
+		r := newRedirector(test.seeds...)
+		w := httptest.NewRecorder()
+		r.ServeHTTP(w, httptest.NewRequest(http.MethodPut, "/configuration", strings.NewReader(test.body)))
+		if w.Code != test.status || w.Header().Get("Location") != test.where {
+			t.Errorf("%s: got %d to %q", test.name, w.Code, w.Header().Get("Location"))
+		}
+		if retries := w.Header().Get("Retry-After") != ""; retries != (w.Code == 503) {
+			t.Errorf("%s: Retry-After is %v", test.name, retries)
+		}
+		_, err := r.Sync(t.Context(), nil)
+		var refused *connect.Error
+		if !errors.As(err, &refused) || refused.Code() != connect.CodeUnavailable || refused.Meta().Get(kcwledger.LeaderHeader) != test.leader {
+			t.Errorf("%s: a router gets %v", test.name, err)
+		}
+	}
+}
+
+// TestLeaderLookedForAgain checks that the leader is not asked for at each call,
+// and that a leader that is gone is not named for long.
+func TestLeaderLookedForAgain(t *testing.T) {
+	member := &hearing{leader: "10.0.0.7:7000"}
+	r := newRedirector(serveMember(t, member))
+	r.locate(t.Context())
+	if r.locate(t.Context()); member.calls != 1 {
+		t.Errorf("%d calls for two answers at once", member.calls)
+	}
+	r.knownAt = r.knownAt.Add(-leaderKnownFor)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if leader := r.locate(ctx); leader.IsValid() {
+		t.Errorf("an old leader is named: %v", leader)
+	}
+}
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -65,9 +65,7 @@
 	if list != nil {
 		response.ListAgeNanos = max(1, int64(age))
 	}
-	for _, m := range s.group.Status().GetMembership().GetMembers() {
-		response.Core = append(response.Core, m.GetAddress())
-	}
+	response.Core = addresses(s.group.Status())
 	return connect.NewResponse(response), nil
 }
 
@@ -103,6 +101,24 @@
 	return connect.NewResponse(&kcwpb.FleetAdmitResponse{Membership: status.GetMembership()}), nil
 }
 
+// Locate tells where the leader is.
+func (s *service) Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error) {
+	status := s.group.Status()
+	if status.GetLeaderAddress() == "" || !s.group.Fresh() {
+		return nil, s.refusal(errNoLeader)
+	}
+	return connect.NewResponse(&kcwpb.FleetLocateResponse{Leader: status.GetLeaderAddress(), Core: addresses(status)}), nil
+}
+
+// addresses returns those of the members.
+func addresses(status *kcwpb.GroupStatus) []string {
+	var core []string
+	for _, m := range status.GetMembership().GetMembers() {
+		core = append(core, m.GetAddress())
+	}
+	return core
+}
+
 // errNotLeader is the refusal of a member that does not lead.
 var errNotLeader = errors.New("not the leader")
 
--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -14,6 +14,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
@@ -86,7 +87,8 @@
 	c.members = members
 }
 
-// Sync calls Fleet.Sync at the member taken for the leader. After an error,
+// Sync calls Fleet.Sync at the member taken for the leader, and learns the members
+// of the core. After an error,
 // which is an *Error, the next call goes to another.
 func (c *Client) Sync(ctx context.Context, req *kcwpb.FleetSyncRequest) (*kcwpb.FleetSyncResponse, error) {
 	member := c.choose()
@@ -96,6 +98,7 @@
 	if err != nil {
 		return nil, c.failed("sync", member, err)
 	}
+	c.keep(response.Msg.GetCore())
 	return response.Msg, nil
 }
 
@@ -111,6 +114,45 @@
 	return nil
 }
 
+// Locate asks the member taken for the leader where the leader is, and learns
+// the members of the core. It returns the leader's address for routers and
+// members.
+func (c *Client) Locate(ctx context.Context) (netip.AddrPort, error) {
+	member := c.choose()
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	response, err := kcwpbconnect.NewFleetClient(c.http, "http://"+member.String()).Locate(ctx, connect.NewRequest(&kcwpb.FleetLocateRequest{}))
+	if err != nil {
+		return netip.AddrPort{}, c.failed("locate", member, err)
+	}
+	leader, err := netip.ParseAddrPort(response.Msg.GetLeader())
+	if err != nil {
+		return netip.AddrPort{}, c.failed("locate", member, err)
+	}
+	c.keep(response.Msg.GetCore())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.target = leader
+	return leader, nil
+}
+
+// keep replaces the members that the core itself has told by those at the
+// addresses of core, if there are any.
+func (c *Client) keep(core []string) {
+	var members []netip.AddrPort
+	for _, text := range core {
+		member, err := netip.ParseAddrPort(text)
+		if err != nil {
+			klog.InfoS("Member of the core has no address", "Address", text, "Cause", err.Error())
+			continue
+		}
+		members = append(members, member)
+	}
+	if len(members) > 0 {
+		c.SetMembers(members)
+	}
+}
+
 // Target returns the member that is called next.
 func (c *Client) Target() netip.AddrPort {
 	c.mu.Lock()
--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -171,7 +171,6 @@
 		p.balance.Heard(report, response.GetAllowances())
 	}
 	p.routers.Store(int64(response.GetRouters()))
-	p.takeMembers(response.GetCore())
 	p.takeDocument(response.GetDocument())
 	if response.GetListAgeNanos() > 0 {
 		p.takeList(response, report.At)
@@ -193,21 +192,6 @@
 	p.incarnation = newest + 1
 }
 
-func (p *reporter) takeMembers(core []string) {
-	var members []netip.AddrPort
-	for _, text := range core {
-		member, err := netip.ParseAddrPort(text)
-		if err != nil {
-			klog.InfoS("Member of the core has no address", "Address", text, "Cause", err.Error())
-			continue
-		}
-		members = append(members, member)
-	}
-	if len(members) > 0 {
-		p.client.SetMembers(members)
-	}
-}
-
 // takeDocument puts a document in force if it is newer than the one held.
 func (p *reporter) takeDocument(put *kcwpb.PutDocument) {
 	held := p.document.Load()
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -163,9 +163,11 @@
 	Address      netip.AddrPort `setting:"required"`
 	PeerAddress  netip.AddrPort `setting:"required"`
 	AdminAddress netip.AddrPort `setting:"required"`
-	Folder       string         `setting:"required"`
-	LogLevel     string         `default:"info" setting:"oneof=error|warning|info|debug|trace"`
-	MemoryMB     int64          `default:"256" setting:"min=16,max=1048576"`
+	// Folder holds the log. A host without a disk gives none and only sends
+	// operators and routers to the leader.
+	Folder   string
+	LogLevel string `default:"info" setting:"oneof=error|warning|info|debug|trace"`
+	MemoryMB int64  `default:"256" setting:"min=16,max=1048576"`
 }
 
 // Group configures the replicated log.
@@ -174,8 +176,9 @@
 	// others are looked for; their ports are not used.
 	Seeds     []netip.AddrPort `setting:"required"`
 	Bootstrap bool
-	// Voters is the number of voters that are kept even if some are silent.
-	Voters int `default:"3" setting:"min=1,max=99"`
+	// Losses is the number of members that may be lost at once; one more than
+	// twice as many keep their votes even if some are silent.
+	Losses int `default:"1" setting:"min=0,max=49"`
 	// Heartbeat and Election are those of the log: an election ends well
 	// within the time in which an operator expects an answer.
 	Heartbeat time.Duration `default:"100ms" setting:"min=5ms,max=10s"`
--- a/kcw/kcwpb/kcwpbconnect/kcw.connect.go
+++ b/kcw/kcwpb/kcwpbconnect/kcw.connect.go
@@ -68,6 +68,8 @@
 	FleetSyncProcedure = "/kcw.v1.Fleet/Sync"
 	// FleetAdmitProcedure is the fully-qualified name of the Fleet's Admit RPC.
 	FleetAdmitProcedure = "/kcw.v1.Fleet/Admit"
+	// FleetLocateProcedure is the fully-qualified name of the Fleet's Locate RPC.
+	FleetLocateProcedure = "/kcw.v1.Fleet/Locate"
 )
 
 // PeerClient is a client for the kcw.v1.Peer service.
@@ -510,6 +512,8 @@
 type FleetClient interface {
 	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
 	Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error)
+	// Locate is answered by every member that hears the leader.
+	Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error)
 }
 
 // NewFleetClient constructs a client for the kcw.v1.Fleet service. By default, it uses the Connect
@@ -535,13 +539,20 @@
 			connect.WithSchema(fleetMethods.ByName("Admit")),
 			connect.WithClientOptions(opts...),
 		),
+		locate: connect.NewClient[kcwpb.FleetLocateRequest, kcwpb.FleetLocateResponse](
+			httpClient,
+			baseURL+FleetLocateProcedure,
+			connect.WithSchema(fleetMethods.ByName("Locate")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetClient implements FleetClient.
 type fleetClient struct {
-	sync  *connect.Client[kcwpb.FleetSyncRequest, kcwpb.FleetSyncResponse]
-	admit *connect.Client[kcwpb.FleetAdmitRequest, kcwpb.FleetAdmitResponse]
+	sync   *connect.Client[kcwpb.FleetSyncRequest, kcwpb.FleetSyncResponse]
+	admit  *connect.Client[kcwpb.FleetAdmitRequest, kcwpb.FleetAdmitResponse]
+	locate *connect.Client[kcwpb.FleetLocateRequest, kcwpb.FleetLocateResponse]
 }
 
 // Sync calls kcw.v1.Fleet.Sync.
@@ -554,10 +565,17 @@
 	return c.admit.CallUnary(ctx, req)
 }
 
+// Locate calls kcw.v1.Fleet.Locate.
+func (c *fleetClient) Locate(ctx context.Context, req *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error) {
+	return c.locate.CallUnary(ctx, req)
+}
+
 // FleetHandler is an implementation of the kcw.v1.Fleet service.
 type FleetHandler interface {
 	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
 	Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error)
+	// Locate is answered by every member that hears the leader.
+	Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error)
 }
 
 // NewFleetHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -579,12 +597,20 @@
 		connect.WithSchema(fleetMethods.ByName("Admit")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetLocateHandler := connect.NewUnaryHandler(
+		FleetLocateProcedure,
+		svc.Locate,
+		connect.WithSchema(fleetMethods.ByName("Locate")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/kcw.v1.Fleet/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetSyncProcedure:
 			fleetSyncHandler.ServeHTTP(w, r)
 		case FleetAdmitProcedure:
 			fleetAdmitHandler.ServeHTTP(w, r)
+		case FleetLocateProcedure:
+			fleetLocateHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -601,3 +627,7 @@
 func (UnimplementedFleetHandler) Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Admit is not implemented"))
 }
+
+func (UnimplementedFleetHandler) Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Locate is not implemented"))
+}
