kcw-fleet: log what decided a refusal for a budget, and changes of prepaid tokens

Cause: why a team's tokens were used up could not be told from the logs: the inputs of the refusal and the prepaid tokens were missing.

--- a/kcw-fleet/kcwcontrol/operator.go
+++ b/kcw-fleet/kcwcontrol/operator.go
@@ -70,6 +70,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	before := o.table.Document()
 	result, err := o.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_PutDocument{PutDocument: put}})
 	if err != nil {
 		klog.InfoS("Document not committed", "Version", document.Version, "Cause", err.Error())
@@ -78,9 +79,28 @@
 	}
 	klog.InfoS("Document acknowledged", "Version", document.Version, "Newest", result.GetVersion(), "Code", result.GetCode().String(),
 		"Routes", len(document.Routes), "Teams", len(document.Teams))
+	o.logBudgets(before, put)
 	w.WriteHeader(http.StatusOK)
 }
 
+// logBudgets logs the prepaid tokens that a newer document changes.
+func (o *operator) logBudgets(before, put *kcwpb.PutDocument) {
+	if put.GetVersion() <= before.GetVersion() {
+		return
+	}
+	was := map[string]int64{}
+	for _, b := range before.GetBudgets() {
+		was[b.GetTeam()] = b.GetPrepaid()
+	}
+	_, outstanding := o.table.Budgets()
+	for _, b := range put.GetBudgets() {
+		if from, known := was[b.GetTeam()]; !known || from != b.GetPrepaid() {
+			klog.InfoS("Prepaid tokens changed", "Team", b.GetTeam(), "From", from, "To", b.GetPrepaid(),
+				"HeldOrUsed", outstanding[b.GetTeam()], "Version", put.GetVersion())
+		}
+	}
+}
+
 // pack returns the command that makes the document the newest.
 func pack(document *kcwroute.Document, body []byte) (*kcwpb.PutDocument, error) {
 	var compressed bytes.Buffer
--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -127,6 +127,21 @@
 	return Missing
 }
 
+// Word is what the core said last of a team's budget: the tokens that nobody
+// holds, those that nobody has reported as used, and when.
+type Word struct {
+	Available, Unspent int64
+	HeardAt            time.Time
+}
+
+// Word returns the core's last word on the budget of team.
+func (b *Balance) Word(team string) Word {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(team)
+	return Word{Available: a.available, Unspent: a.unspent, HeardAt: a.heardAt}
+}
+
 // Settle ends the reservation of tokens, of which used were used.
 func (b *Balance) Settle(team string, tokens, used int64) {
 	b.mu.Lock()
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -175,10 +175,13 @@
 	for asked := 0; verdict == kcwbalance.Missing && asked < maxAsks && c.ask(); asked++ {
 		verdict = balance.Reserve(c.team.Name, tokens, c.f.cfg.Now())
 	}
-	switch verdict {
-	case kcwbalance.Reserved:
+	if verdict == kcwbalance.Reserved {
 		c.reserved = tokens
 		return nil
+	}
+	c.event.Word = balance.Word(c.team.Name)
+	c.event.WordAge = c.f.cfg.Now().Sub(c.event.Word.HeardAt)
+	switch verdict {
 	case kcwbalance.Exhausted:
 		return &refusal{status: http.StatusPaymentRequired, outcome: "BudgetExhausted", cause: "the team's prepaid tokens don't cover the request"}
 	case kcwbalance.Held:
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -89,7 +89,11 @@
 	Document       uint64
 	ListAge        time.Duration
 	Tokens, Used   int64
-	RetryAfter     time.Duration
+	// Word is the core's word on the team's budget that decided a refusal, zero
+	// for other requests. Its age is WordAge.
+	Word       kcwbalance.Word
+	WordAge    time.Duration
+	RetryAfter time.Duration
 }
 
 // Config configures a Forwarder. Every field is needed.
