kcwsink: write whole lines in pieces of at most 4 KiB

A trial with numbered lines showed that each gap follows a line that is cut, about 8 KiB into a batch: the collector keeps that much of one write. Change: batches are split at line ends into writes of 4 KiB at most. TestWholeLines fails without it (8,192 bytes of 131,000).

--- a/kcw/kcwsink/sink.go
+++ b/kcw/kcwsink/sink.go
@@ -4,12 +4,18 @@
 package kcwsink
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// writeSize is the most bytes of one write, a line longer than this apart: what
+// POSIX guarantees a pipe to take in one piece. Some log collectors keep no more
+// than twice this of one write.
+const writeSize = 4096
+
 // Config configures a Sink.
 type Config struct {
 	// Writer receives the lines.
@@ -82,10 +88,10 @@
 		s.waiting = spare[:0]
 		closed := s.closed
 		s.mu.Unlock()
-		if n, err := s.cfg.Writer.Write(batch); err != nil {
-			s.dropped.Add(1)
-		} else {
-			s.written.Add(int64(n))
+		for rest := batch; len(rest) > 0; {
+			n := wholeLines(rest)
+			s.put(rest[:n])
+			rest = rest[n:]
 		}
 		spare = batch
 		if closed {
@@ -94,6 +100,30 @@
 	}
 }
 
+// wholeLines returns the size of the lines at the beginning of batch that fit into
+// one write, at least one line.
+func wholeLines(batch []byte) int {
+	if len(batch) <= writeSize {
+		return len(batch)
+	}
+	if end := bytes.LastIndexByte(batch[:writeSize], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(batch, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(batch)
+}
+
+// put writes lines. Those that can't be written count as dropped.
+func (s *Sink) put(lines []byte) {
+	n, err := s.cfg.Writer.Write(lines)
+	s.written.Add(int64(n))
+	if err != nil {
+		s.dropped.Add(int64(bytes.Count(lines[n:], []byte{'\n'})))
+	}
+}
+
 func (s *Sink) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/kcw/kcwsink/sink_test.go
+++ b/kcw/kcwsink/sink_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"kingcupwick.example/kcw/kcwsink"
 )
@@ -45,3 +46,37 @@
 		t.Errorf("counted %d bytes of %d", s.Written(), g.got.Len())
 	}
 }
+
+// collector keeps no more than the first bytes of each write.
+type collector struct {
+	most int
+	got  bytes.Buffer
+}
+
+func (c *collector) Write(p []byte) (int, error) {
+	c.got.Write(p[:min(len(p), c.most)])
+	return len(p), nil
+}
+
+// TestWholeLines checks that no line is lost by a collector that keeps 8 KiB of a
+// write, which is what lines of one batch were lost by.
+func TestWholeLines(t *testing.T) {
+	c := &collector{most: 8 << 10}
+	s := kcwsink.New(kcwsink.Config{Writer: c, MaxBytes: 1 << 20, Pause: time.Millisecond})
+	var want bytes.Buffer
+	for i := range 500 {
+		line := strings.Repeat("x", i%900) + "\n"
+		if i == 250 {
+			line = strings.Repeat("y", 6000) + "\n"
+		}
+		want.WriteString(line)
+		_, _ = s.Write([]byte(line))
+	}
+	s.Close()
+	if !bytes.Equal(c.got.Bytes(), want.Bytes()) {
+		t.Errorf("%d bytes collected of %d", c.got.Len(), want.Len())
+	}
+	if s.Dropped() != 0 {
+		t.Errorf("%d lines dropped", s.Dropped())
+	}
+}
