kcwlink: take a router out of the balancer while its host's link is nearly full

Cause: the balancer hashes callers unevenly; on the grown Granite Pew one of 86 routers got 11,350 of 50,000 requests, 1.36 MB/s on a link of 1.25 MB/s. Change: a router counts the bytes that it carries. Above 0.6 of its link's rate it is not ready and asks a part of its callers to use other connections, until it has been below a quarter for a while, which doubles each time it fills again. The sites of ten hosts have links of 1,000 Mbit/s, where it never acts. TestOneHostGetsMost plays the load.

--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"kingcupwick.example/kcw-fleet/kcwcore"
 	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
@@ -20,6 +22,7 @@
 	"kingcupwick.example/kcw/kcwconn"
 	"kingcupwick.example/kcw/kcwforward"
 	"kingcupwick.example/kcw/kcwgrant"
+	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwmeter"
 	"kingcupwick.example/kcw/kcwpb"
@@ -46,6 +49,11 @@
 	// stopMargin is kept between the last requests and the end of the time that
 	// a stop has: the servers close and tokens are returned meanwhile.
 	stopMargin = closeTimeout + finalReport + 200*time.Millisecond
+	// linkMemory is the time over which the load of the link is averaged, some
+	// dozens of requests of a link that is nearly full.
+	linkMemory = time.Second
+	// bytesPerMbit is a megabit in bytes.
+	bytesPerMbit = 1e6 / 8
 )
 
 // The breaker of each upstream opens on three failures in a row, or when half of
@@ -95,6 +103,7 @@
 	client    *kcwcore.Client
 	balance   *kcwbalance.Balance
 	roster    *kcwroster.Roster
+	link      *kcwlink.Link
 	reporter  *reporter
 	forwarder *kcwforward.Forwarder
 	meter     *kcwmeter.Meter
@@ -123,6 +132,7 @@
 		Active: s.Grants.Active, Sleep: s.Grants.Sleep, Fresh: s.Grants.Fresh, Uptime: uptime.Now,
 	})
 	r.roster = newRoster(s)
+	r.link = kcwlink.New(kcwlink.Config{BytesPerSecond: s.Host.LinkMbps * bytesPerMbit, Memory: linkMemory})
 	r.reporter = &reporter{
 		router: s.Host.Name, client: r.client, balance: r.balance, roster: r.roster, decode: cfg.Decode,
 		uptime: uptime, interval: s.Core.Interval, incarnation: uint64(time.Now().UnixNano()),
@@ -163,7 +173,7 @@
 func (r *Router) newForwarder() (*kcwforward.Forwarder, error) {
 	s := r.cfg.Settings
 	return kcwforward.New(kcwforward.Config{
-		Dialect: r.cfg.Dialect, Document: r.reporter.document.Load, Roster: r.roster, Balance: r.balance,
+		Dialect: r.cfg.Dialect, Document: r.reporter.document.Load, Roster: r.roster, Balance: r.balance, Link: r.link,
 		Ask: r.reporter.ask, AskTimeout: s.Grants.AskTimeout,
 		RetryRatio: retryPart * s.Retry.Ratio, RetrySlack: int(retryPart * float64(s.Retry.Slack)), Routers: func() int { return int(r.reporter.routers.Load()) },
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
@@ -195,6 +205,7 @@
 	errDraining   = errors.New("the router stops")
 	errNoDocument = errors.New("no configuration has been received yet")
 	errNoList     = errors.New("no list of upstreams has been received yet")
+	errLinkFull   = errors.New("the host's link is nearly full")
 )
 
 // ready returns nil if the router should get callers.
@@ -207,5 +218,13 @@
 	case r.roster.ListedAt().IsZero():
 		return errNoList
 	}
+	now := time.Now()
+	full, changed := r.link.Full(now)
+	if changed {
+		klog.InfoS("Link load changed", "Full", full, "Load", r.link.Load(now), "LinkMbps", r.cfg.Settings.Host.LinkMbps)
+	}
+	if full {
+		return errLinkFull
+	}
 	return nil
 }
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -35,6 +35,9 @@
 	// MemoryMB is the memory of the host's share that one process may use, in
 	// MiB; the garbage collector keeps below nine tenths of it.
 	MemoryMB int64 `default:"256" setting:"min=16,max=1048576"`
+	// LinkMbps is the rate of the host's network link in Mbit/s, zero if it has no
+	// bound. A router whose link is nearly full takes no new callers.
+	LinkMbps float64 `default:"0" setting:"min=0,max=10000000"`
 }
 
 // Core says how the core is found and how often routers report to it.
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -158,6 +158,7 @@
 		return &refusal{status: http.StatusBadRequest, outcome: "BodyBroken", cause: "the body could not be read: " + err.Error()}
 	}
 	c.body = body
+	c.f.carried(headSize+len(body), 0)
 	return nil
 }
 
--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -83,6 +83,7 @@
 	if int64(len(body)) > limit {
 		return nil, errors.New("it is larger than " + strconv.FormatInt(limit, 10) + " bytes")
 	}
+	a.f.carried(len(body), len(body))
 	a.reusable = !response.Close
 	header := response.Header.Clone()
 	StripConnection(header)
@@ -128,6 +129,7 @@
 		}
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		a.f.carried(n, n)
 		a.ran = a.ran || n > 0
 		if gone := a.r.Context().Err(); gone != nil && n > 0 {
 			return a.streamBroken(gone)
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -202,6 +202,7 @@
 		return err
 	}
 	head.WriteString("\r\n")
+	a.f.carried(0, head.Len()+len(a.body))
 	if head.Len()+len(a.body) <= directWrite {
 		head.Write(a.body)
 		_, a.unsent = a.conn.Write(head.Bytes())
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -20,6 +20,7 @@
 	"kingcupwick.example/kcw/kcwconn"
 	"kingcupwick.example/kcw/kcwforward"
 	"kingcupwick.example/kcw/kcwgrant"
+	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwplace"
 	"kingcupwick.example/kcw/kcwroster"
@@ -135,7 +136,8 @@
 	var err error
 	f.forwarder, err = kcwforward.New(kcwforward.Config{
 		Dialect: dialect{}, Document: func() *kcwroute.Document { return document }, Roster: roster, Balance: f.balance,
-		Ask: func(context.Context) bool { return false }, AskTimeout: time.Second,
+		Link: kcwlink.New(kcwlink.Config{Memory: time.Second}),
+		Ask:  func(context.Context) bool { return false }, AskTimeout: time.Second,
 		RetryRatio: 0.1, RetrySlack: 10, Routers: func() int { return 1 },
 		MaxBodyBytes: largest, MaxAnswerBytes: 1 << 20, MaxEventBytes: 1 << 16,
 		UsedWithin: time.Second, Patience: 20 * time.Millisecond, Stopping: func() (kcwforward.Stop, bool) { return f.stop, !f.stop.EndsAt.IsZero() },
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwpace"
 	"kingcupwick.example/kcw/kcwretry"
 	"kingcupwick.example/kcw/kcwroster"
@@ -103,6 +104,8 @@
 	Document func() *kcwroute.Document
 	Roster   *kcwroster.Roster
 	Balance  *kcwbalance.Balance
+	// Link is told of the bytes carried and says which connections to give up.
+	Link *kcwlink.Link
 	// Ask asks the core for tokens and returns when it has answered or ctx
 	// ends; it reports whether it has answered.
 	Ask func(ctx context.Context) bool
@@ -170,7 +173,7 @@
 
 // New returns a Forwarder. The error is an *Error of kind Incomplete.
 func New(cfg Config) (*Forwarder, error) {
-	parts := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil &&
+	parts := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil && cfg.Link != nil &&
 		cfg.Ask != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.Observe != nil && cfg.Retried != nil && cfg.Rand != nil && cfg.Now != nil
 	if !parts || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.Patience <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
@@ -187,7 +190,7 @@
 	defer f.inFlight.Add(-1)
 	c := &call{f: f, w: w, r: r, start: f.cfg.Now()}
 	c.stop, c.stopping = f.cfg.Stopping()
-	if c.stopping {
+	if c.stopping || f.cfg.Link.Sheds(f.draw(), c.start) {
 		w.Header().Set("Connection", "close")
 	}
 	c.event.ListAge = c.start.Sub(f.cfg.Roster.ListedAt())
@@ -200,6 +203,12 @@
 	c.run()
 }
 
+// headSize is about the size of a request's header in bytes.
+const headSize = 600
+
+// carried tells the link of bytes received and sent.
+func (f *Forwarder) carried(in, out int) { f.cfg.Link.Carried(in, out, f.cfg.Now()) }
+
 // draw returns a random number in [0, 1).
 func (f *Forwarder) draw() float64 {
 	f.mu.Lock()
--- /dev/null
+++ b/kcw/kcwlink/link_test.go
@@ -0,0 +1,160 @@
+package kcwlink_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwlink"
+)
+
+const (
+	rate   = 1_250_000
+	memory = 2 * time.Second
+)
+
+func newLink() *kcwlink.Link {
+	return kcwlink.New(kcwlink.Config{BytesPerSecond: rate, Memory: memory})
+}
+
+// TestFull plays loads on one link and checks when it counts as full.
+func TestFull(t *testing.T) {
+	const step = 10 * time.Millisecond
+	for _, test := range []struct {
+		name string
+		// loads are held for a few times the memory each, in both directions.
+		in, out []float64
+		full    []bool
+	}{
+		{"light", []float64{0.2, 0.4, 0.5}, []float64{0, 0, 0}, []bool{false, false, false}},
+		{"one direction", []float64{0, 0}, []float64{0.9, 0.1}, []bool{true, false}},
+		{"stays full until it is nearly free", []float64{0.9, 0.4, 0.3, 0.2}, []float64{0.1, 0.1, 0.1, 0.1}, []bool{true, true, true, false}},
+	} {
+		l, now := newLink(), time.Unix(1_700_000_000, 0)
+		for i, in := range test.in {
+			for end := now.Add(5 * memory); now.Before(end); now = now.Add(step) {
+				l.Carried(int(in*rate*step.Seconds()), int(test.out[i]*rate*step.Seconds()), now)
+			}
+			if full, _ := l.Full(now); full != test.full[i] {
+				t.Errorf("%s: at step %d with load %.2f, full is %v", test.name, i, l.Load(now), full)
+			}
+		}
+	}
+	unbounded := kcwlink.New(kcwlink.Config{Memory: memory})
+	unbounded.Carried(1<<40, 1<<40, time.Unix(1, 0))
+	if full, _ := unbounded.Full(time.Unix(1, 0)); full {
+		t.Error("a link without a bound is full")
+	}
+}
+
+// TestStaysAway checks that a link that fills each time it is free stays away for
+// longer, up to a bound, and starts anew once it was free for long.
+func TestStaysAway(t *testing.T) {
+	l, now := newLink(), time.Unix(1_700_000_000, 0)
+	away := func() time.Duration {
+		l.Carried(3*rate, 0, now)
+		if full, changed := l.Full(now); !full || !changed {
+			t.Fatal("the link is not full")
+		}
+		for began := now; ; now = now.Add(100 * time.Millisecond) {
+			if full, _ := l.Full(now); !full {
+				return now.Sub(began)
+			}
+		}
+	}
+	for i, want := range []time.Duration{4, 8, 16, 32, 64, 64} {
+		if got := away(); got < want*time.Second || got > (want+1)*time.Second+3*memory {
+			t.Errorf("away for %v the time %d, want about %ds", got, i+1, want)
+		}
+		now = now.Add(5 * time.Second)
+	}
+	now = now.Add(time.Minute)
+	if got := away(); got > 10*time.Second {
+		t.Errorf("away for %v after a free minute", got)
+	}
+}
+
+// TestOneHostGetsMost plays a balancer that gives one of ten hosts half of all
+// connections, at a load that its link can't carry and all links together can. Each
+// connection carries requests until it is given up; a host that is full gets no
+// new ones two seconds later. It checks what callers get: after the first seconds
+// no link carries more than its rate, and the hot host is not left idle.
+func TestOneHostGetsMost(t *testing.T) {
+	const (
+		hosts, connections = 10, 200
+		step               = 50 * time.Millisecond
+		lag                = 2 * time.Second
+		// Each connection carries this many bytes a second.
+		each = 1.5 * rate / connections * 2
+		life = 10 * time.Second
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	var links [hosts]*kcwlink.Link
+	var fullSince [hosts]time.Time
+	for i := range links {
+		links[i] = newLink()
+	}
+	now := time.Unix(1_700_000_000, 0)
+	pick := func() int {
+		for {
+			i := 0
+			if random.IntN(2) == 0 {
+				i = random.IntN(hosts)
+			}
+			if fullSince[i].IsZero() || now.Sub(fullSince[i]) < lag {
+				return i
+			}
+		}
+	}
+	var at [connections]int
+	for c := range at {
+		at[c] = pick()
+	}
+	const length = 120 * time.Second
+	over, total, hot := 0, 0, 0.0
+	for start := now; now.Before(start.Add(length)); now = now.Add(step) {
+		var carried [hosts]float64
+		for c := range at {
+			bytes := each * step.Seconds()
+			carried[at[c]] += bytes
+			links[at[c]].Carried(int(bytes), int(bytes), now)
+			// A connection carries about four requests a second.
+			asked := random.Float64() < 4*step.Seconds()
+			if asked && links[at[c]].Sheds(random.Float64(), now) || random.Float64() < step.Seconds()/life.Seconds() {
+				at[c] = pick()
+			}
+		}
+		for i, l := range links {
+			switch full, changed := l.Full(now); {
+			case !full:
+				fullSince[i] = time.Time{}
+			case changed:
+				fullSince[i] = now
+			}
+		}
+		if now.Sub(start) < 10*time.Second {
+			continue
+		}
+		total++
+		hot += carried[0] / step.Seconds() / rate
+		for _, bytes := range carried {
+			if bytes/step.Seconds() > rate {
+				over++
+			}
+		}
+	}
+	if over > total/50 {
+		t.Errorf("a link was over its rate in %d of %d steps", over, total)
+	}
+	if mean := hot / float64(total); mean < 0.1 {
+		t.Errorf("the hot host's link carries %.2f of its rate on average", mean)
+	}
+}
+
+func BenchmarkCarried(b *testing.B) {
+	l, now := newLink(), time.Unix(1_700_000_000, 0)
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		l.Carried(1000, 1000, now)
+	}
+}
--- a/kcw/kcwreplica/replica.go
+++ b/kcw/kcwreplica/replica.go
@@ -107,7 +107,7 @@
 	leaderUntil time.Time
 	// early says that no leader was heard and no term begun since the start.
 	early bool
-	votes       map[uint64]bool
+	votes map[uint64]bool
 
 	leading leading
 	out     Ready
