kcwbalance, kcwlending: lend tokens among routers that are cut off

What a pair of router and team needs for ten seconds is mostly the spread of a few large requests, which a pool evens out. The lender counts what it lends as spent; nothing is paid back. Loans use the lender's limit while its tokens sleep.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -126,7 +126,7 @@
 		steward: kcwsteward.New(kcwsteward.Config{
 			Voters: 2*s.Group.Losses + 1, SilentAfter: s.Group.RemoveAfter, AskedWithin: 4 * askInterval,
 		}),
-		heard: map[string]time.Time{},
+		heard: map[string]contact{},
 	}
 	return nil
 }
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -38,9 +38,19 @@
 
 	// mu guards what follows and the steward.
 	mu    sync.Mutex
-	heard map[string]time.Time
+	heard map[string]contact
 }
 
+// contact is when a router was heard last, and where it lends tokens.
+type contact struct {
+	at      time.Time
+	address string
+}
+
+// maxLenders bounds the lenders told to a router: a few are asked for one request,
+// and some of them are gone.
+const maxLenders = 8
+
 // Sync takes the report of a router and tells it what is new.
 func (s *service) Sync(ctx context.Context, req *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
 	report := req.Msg.GetAllowances()
@@ -54,7 +64,7 @@
 	}
 	response := &kcwpb.FleetSyncResponse{Allowances: result.GetAllowances(), Incarnation: result.GetIncarnation()}
 	now := time.Now()
-	response.Routers = s.note(report.GetRouter(), now)
+	response.Routers, response.Lenders = s.note(report.GetRouter(), contact{now, req.Msg.GetAddress()})
 	if document := s.table.Document(); document.GetVersion() > req.Msg.GetDocumentVersion() {
 		response.Document = document
 	}
@@ -69,21 +79,24 @@
 	return connect.NewResponse(response), nil
 }
 
-// note keeps that the router was heard and returns the number of routers heard
-// lately.
-func (s *service) note(router string, now time.Time) uint32 {
+// note keeps that the router was heard. It returns the number of routers heard
+// lately and where some others lend tokens.
+func (s *service) note(router string, heard contact) (routers uint32, lenders []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heard[router] = now
-	routers := uint32(0)
-	for name, at := range s.heard {
-		if now.Sub(at) > routerHeardWithin {
+	s.heard[router] = heard
+	// Maps are walked in random order.
+	for name, c := range s.heard {
+		if heard.at.Sub(c.at) > routerHeardWithin {
 			delete(s.heard, name)
 			continue
 		}
 		routers++
+		if name != router && c.address != "" && len(lenders) < maxLenders {
+			lenders = append(lenders, c.address)
+		}
 	}
-	return routers
+	return routers, lenders
 }
 
 // Admit notes that a replica wants to become a voter.
--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -12,6 +12,7 @@
 
 	"kingcupwick.example/kcw-fleet/kcwcontrol"
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwlending"
 	"kingcupwick.example/kcw/kcwbalance"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwroster"
@@ -22,8 +23,11 @@
 // reporter reports to the core at each interval, or at once when a request lacks
 // tokens, and takes what the core tells: documents, tokens, the list.
 type reporter struct {
-	router   string
+	router string
+	// address is where the router lends tokens.
+	address  string
 	client   *kcwcore.Client
+	lending  *kcwlending.Lending
 	balance  *kcwbalance.Balance
 	roster   *kcwroster.Roster
 	decode   func([]byte) (*kcwroute.Document, error)
@@ -132,7 +136,7 @@
 			Router: p.router, Incarnation: p.incarnation, Serial: p.serial, Reports: report.Teams,
 			Boot: p.uptime.Boot(), Started: int64(p.uptime.Started()), Wakes: int64(report.Wakes), Reported: int64(report.Uptime),
 		},
-		ListVersion: p.listVersion, ListReader: p.listReader,
+		ListVersion: p.listVersion, ListReader: p.listReader, Address: p.address,
 	}
 	p.mu.Unlock()
 	if document := p.document.Load(); document != nil {
@@ -180,6 +184,7 @@
 		p.balance.Heard(report, response.GetAllowances())
 	}
 	p.routers.Store(int64(response.GetRouters()))
+	p.lending.SetLenders(response.GetLenders())
 	p.takeDocument(response.GetDocument())
 	if response.GetListAgeNanos() > 0 {
 		p.takeList(response, report.At)
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwlending"
 	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwadmin"
@@ -105,9 +106,11 @@
 	roster    *kcwroster.Roster
 	link      *kcwlink.Link
 	reporter  *reporter
+	lending   *kcwlending.Lending
 	forwarder *kcwforward.Forwarder
 	meter     *kcwmeter.Meter
 	public    *kcwserve.Server
+	lender    *kcwserve.Server
 	admin     *kcwadmin.Server
 	stop      atomic.Pointer[kcwforward.Stop]
 	// seeds belong to the reload.
@@ -133,8 +136,9 @@
 	})
 	r.roster = newRoster(s)
 	r.link = kcwlink.New(kcwlink.Config{BytesPerSecond: s.Host.LinkMbps * bytesPerMbit, Memory: linkMemory})
+	r.lending = kcwlending.New(kcwlending.Config{Router: s.Host.Name, Balance: r.balance, Timeout: s.Grants.LendTimeout, Now: time.Now})
 	r.reporter = &reporter{
-		router: s.Host.Name, client: r.client, balance: r.balance, roster: r.roster, decode: cfg.Decode,
+		router: s.Host.Name, address: s.LendAddress().String(), client: r.client, lending: r.lending, balance: r.balance, roster: r.roster, decode: cfg.Decode,
 		uptime: uptime, interval: s.Core.Interval, incarnation: uint64(time.Now().UnixNano()),
 		round: newRound(), wake: make(chan struct{}, 1), heardAt: time.Now(),
 	}
@@ -174,7 +178,7 @@
 	s := r.cfg.Settings
 	return kcwforward.New(kcwforward.Config{
 		Dialect: r.cfg.Dialect, Document: r.reporter.document.Load, Roster: r.roster, Balance: r.balance, Link: r.link,
-		Ask: r.reporter.ask, AskTimeout: s.Grants.AskTimeout,
+		Ask: r.reporter.ask, Borrow: r.lending.Raise, AskTimeout: s.Grants.AskTimeout,
 		RetryRatio: retryPart * s.Retry.Ratio, RetrySlack: int(retryPart * float64(s.Retry.Slack)), Routers: func() int { return int(r.reporter.routers.Load()) },
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		UsedWithin: s.Upstream.UsedWithin, Patience: s.Upstream.Patience,
@@ -192,6 +196,10 @@
 	if err != nil {
 		return err
 	}
+	limits := kcwserve.Config{HeaderTimeout: s.Limits.HeaderTimeout, MaxHeaderBytes: s.Limits.MaxHeaderBytes}
+	if r.lender, err = kcwserve.New(s.LendAddress(), r.lending.Handler(), limits); err != nil {
+		return err
+	}
 	r.measure()
 	r.admin, err = kcwadmin.New(kcwadmin.Config{
 		Address: s.Host.AdminAddress, Ready: r.ready, Metrics: r.meter.Handler(),
--- a/kcw-fleet/kcwentry/run.go
+++ b/kcw-fleet/kcwentry/run.go
@@ -25,7 +25,7 @@
 	go r.readLists()
 	go kcwreload.New(kcwreload.Config{Interval: reloadInterval, Reload: r.reload}).Run(r.life)
 	app := kratos.New(
-		kratos.Name("kcw-router"), kratos.Logger(r.cfg.Logger), kratos.Server(r.public, r.admin),
+		kratos.Name("kcw-router"), kratos.Logger(r.cfg.Logger), kratos.Server(r.public, r.lender, r.admin),
 		kratos.StopTimeout(closeTimeout), kratos.BeforeStop(r.drain),
 	)
 	err := app.Run()
@@ -37,6 +37,7 @@
 	r.giveBack()
 	r.end()
 	r.client.Close()
+	r.lending.Close()
 	klog.InfoS("Router stopped", "LinesDropped", r.cfg.Dropped())
 	return err
 }
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -38,6 +38,9 @@
 	// LinkMbps is the rate of the host's network link in Mbit/s, zero if it has no
 	// bound. A router whose link is nearly full takes no new callers.
 	LinkMbps float64 `default:"0" setting:"min=0,max=10000000"`
+	// LendPort is where the router lends tokens to others, on the host of
+	// Address. Zero stands for the port after that of the core.
+	LendPort uint16
 }
 
 // Core says how the core is found and how often routers report to it.
@@ -78,6 +81,9 @@
 	// AskTimeout bounds the wait of one request for tokens, two calls of the
 	// core under normal load.
 	AskTimeout time.Duration `default:"200ms" setting:"min=1ms,max=1m"`
+	// LendTimeout bounds the call of one other router for tokens, some dozens of
+	// round trips between zones.
+	LendTimeout time.Duration `default:"60ms" setting:"min=1ms,max=1m"`
 	// Fresh is how old the core's word on a budget may be to refuse a request
 	// for good, three reports.
 	Fresh time.Duration `default:"750ms" setting:"min=10ms,max=1m"`
@@ -225,6 +231,15 @@
 // Addresses returns where the seeds of the core answer routers.
 func (c *Core) Addresses() []netip.AddrPort { return withPort(c.Seeds, c.Port) }
 
+// LendAddress returns where the router lends tokens.
+func (s *Router) LendAddress() netip.AddrPort {
+	port := s.Host.LendPort
+	if port == 0 {
+		port = s.Core.Port + 1
+	}
+	return netip.AddrPortFrom(s.Host.Address.Addr(), port)
+}
+
 // PeerAddresses returns where the seeds answer other members.
 func (s *Control) PeerAddresses() []netip.AddrPort {
 	return withPort(s.Group.Seeds, s.Host.PeerAddress.Port())
--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -8,6 +8,11 @@
 // back to the team if the router restarts soon. The time is that since the host's
 // boot, suspension included, which a process and its successor share.
 //
+// Routers that are cut off from the core lend each other tokens. A lender counts
+// them as spent, so that whatever happens to either router or to a message, the
+// tokens are used once at most; a borrower uses them first and reports nothing of
+// them.
+//
 // A Balance does no I/O and takes the clock as an argument.
 package kcwbalance
 
@@ -57,7 +62,11 @@
 
 // account is the tokens of one team. Granted, returned and spent only rise.
 type account struct {
-	granted, returned, spent, reserved int64
+	granted, returned, spent int64
+	// borrowed are the tokens of other routers that are left.
+	borrowed int64
+	// reserved are the tokens of requests under way, borrowed ones first.
+	reserved int64
 	// limit bounds spent and reserved while the tokens sleep.
 	limit  int64
 	demand kcwgrant.Demand
@@ -69,7 +78,25 @@
 	shortage, needed int64
 }
 
-func (a *account) free() int64 { return a.granted - a.returned - a.spent - a.reserved }
+// ownReserved returns the part of reserved that is not borrowed.
+func (a *account) ownReserved() int64 { return max(0, a.reserved-a.borrowed) }
+
+// free returns the router's own tokens that are neither spent nor reserved.
+func (a *account) free() int64 { return a.granted - a.returned - a.spent - a.ownReserved() }
+
+// lendable returns the router's own free tokens that it may use: as long as they
+// sleep no more than its limit allows.
+func (a *account) lendable(awake bool) int64 {
+	if awake {
+		return a.free()
+	}
+	return max(0, min(a.free(), a.limit-a.spent-a.ownReserved()))
+}
+
+// usable returns the free tokens that the router may use, borrowed ones included.
+func (a *account) usable(awake bool) int64 {
+	return a.lendable(awake) + max(0, a.borrowed-a.reserved)
+}
 
 // Balance is a router's tokens. It is safe for concurrent use.
 type Balance struct {
@@ -98,6 +125,10 @@
 	return a
 }
 
+// awake reports whether the core has been silent for so long that all tokens may
+// be used.
+func (b *Balance) awake() bool { return b.cfg.Uptime() >= b.wakes }
+
 // Demand notes a new request for tokens of team.
 func (b *Balance) Demand(team string, tokens int64, now time.Time) {
 	b.mu.Lock()
@@ -111,7 +142,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(team)
-	if tokens <= a.free() && (a.spent+a.reserved+tokens <= a.limit || b.cfg.Uptime() >= b.wakes) {
+	if tokens <= a.usable(b.awake()) {
 		a.reserved += tokens
 		return Reserved
 	}
@@ -147,8 +178,54 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(team)
+	used = min(max(used, 0), tokens)
+	borrowed := min(used, a.borrowed)
 	a.reserved -= tokens
-	a.spent += min(max(used, 0), tokens)
+	a.borrowed -= borrowed
+	a.spent += used - borrowed
+}
+
+// reserve is the time for which a router keeps tokens for its own demand when it
+// lends, and for which it borrows beyond the request at hand: some dozens of round
+// trips, so that few requests wait for a loan.
+const reserve = time.Second
+
+// Short returns how many tokens of team to borrow at now, so that a request for
+// tokens and those of the next moments can be served. It is zero if none are
+// lacking.
+func (b *Balance) Short(team string, tokens int64, now time.Time) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(team)
+	lacking := tokens - a.usable(b.awake())
+	if lacking <= 0 {
+		return 0
+	}
+	return lacking + b.policy.Mean(a.demand, reserve, now)
+}
+
+// Lend returns how many of the tokens asked for another router may use from now
+// on in place of this one. They count as spent here.
+func (b *Balance) Lend(team string, tokens int64, now time.Time) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.teams[team]
+	if a == nil || b.returning {
+		return 0
+	}
+	lent := min(tokens, a.lendable(b.awake())-b.policy.Mean(a.demand, reserve, now))
+	if lent <= 0 {
+		return 0
+	}
+	a.spent += lent
+	return lent
+}
+
+// Borrowed takes tokens of team that another router has lent.
+func (b *Balance) Borrowed(team string, tokens int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(team).borrowed += max(0, tokens)
 }
 
 // Report is what a router tells the core at one time.
@@ -184,8 +261,8 @@
 		a.returned += max(0, a.free()-share)
 	}
 	r := &kcwpb.AllowanceReport{
-		Team: team, Returned: a.returned, Spent: a.spent, Reserved: a.reserved, Want: want,
-		Least: a.shortage, Needed: a.needed, Limit: a.spent + a.reserved + max(active, a.needed),
+		Team: team, Returned: a.returned, Spent: a.spent, Reserved: a.ownReserved(), Want: want,
+		Least: a.shortage, Needed: a.needed, Limit: a.spent + a.ownReserved() + max(active, a.needed),
 	}
 	// A lower limit is in force before the core knows it, a higher one after.
 	a.limit = min(a.limit, r.GetLimit())
@@ -224,6 +301,7 @@
 type Team struct {
 	Name                                      string
 	Granted, Returned, Spent, Reserved, Limit int64
+	Borrowed                                  int64
 	Available, Unspent, Share                 int64
 	HeardAt                                   time.Time
 }
@@ -235,7 +313,7 @@
 	list := make([]Team, 0, len(b.teams))
 	for name, a := range b.teams {
 		list = append(list, Team{
-			Name: name, Granted: a.granted, Returned: a.returned, Spent: a.spent, Reserved: a.reserved, Limit: a.limit,
+			Name: name, Granted: a.granted, Returned: a.returned, Spent: a.spent, Reserved: a.reserved, Limit: a.limit, Borrowed: a.borrowed,
 			Available: a.available, Unspent: a.unspent, Share: a.share, HeardAt: a.heardAt,
 		})
 	}
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -176,6 +176,9 @@
 	for asked := 0; verdict == kcwbalance.Missing && asked < maxAsks && c.ask(); asked++ {
 		verdict = balance.Reserve(c.team.Name, tokens, c.f.cfg.Now())
 	}
+	for asked := 0; verdict == kcwbalance.Missing && asked < maxAsks && c.borrow(tokens); asked++ {
+		verdict = balance.Reserve(c.team.Name, tokens, c.f.cfg.Now())
+	}
 	if verdict == kcwbalance.Reserved {
 		c.reserved = tokens
 		return nil
@@ -188,11 +191,11 @@
 	case kcwbalance.Held:
 		return &refusal{http.StatusTooManyRequests, "BudgetHeld", "other routers hold the team's last tokens", retryHeld}
 	}
-	return &refusal{http.StatusServiceUnavailable, "BudgetUnknown", "the core could not be asked for tokens", retryMissing}
+	return &refusal{http.StatusServiceUnavailable, "BudgetUnknown", "neither the core nor other routers could be asked for enough tokens", retryMissing}
 }
 
-// maxAsks bounds how often one request asks the core for tokens: tokens that
-// came may have gone to another request.
+// maxAsks bounds how often one request asks the core for tokens, and how often
+// other routers: tokens that came may have gone to another request.
 const maxAsks = 2
 
 func (c *call) ask() bool {
@@ -201,6 +204,12 @@
 	return c.f.cfg.Ask(ctx)
 }
 
+func (c *call) borrow(tokens int64) bool {
+	ctx, cancel := context.WithTimeout(c.r.Context(), c.f.cfg.AskTimeout)
+	defer cancel()
+	return c.f.cfg.Borrow(ctx, c.team.Name, tokens)
+}
+
 // settle ends the reservation with what the request has used.
 func (c *call) settle() {
 	if c.reserved == 0 {
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -136,8 +136,9 @@
 	var err error
 	f.forwarder, err = kcwforward.New(kcwforward.Config{
 		Dialect: dialect{}, Document: func() *kcwroute.Document { return document }, Roster: roster, Balance: f.balance,
-		Link: kcwlink.New(kcwlink.Config{Memory: time.Second}),
-		Ask:  func(context.Context) bool { return false }, AskTimeout: time.Second,
+		Borrow: func(context.Context, string, int64) bool { return false },
+		Link:   kcwlink.New(kcwlink.Config{Memory: time.Second}),
+		Ask:    func(context.Context) bool { return false }, AskTimeout: time.Second,
 		RetryRatio: 0.1, RetrySlack: 10, Routers: func() int { return 1 },
 		MaxBodyBytes: largest, MaxAnswerBytes: 1 << 20, MaxEventBytes: 1 << 16,
 		UsedWithin: time.Second, Patience: 20 * time.Millisecond, Stopping: func() (kcwforward.Stop, bool) { return f.stop, !f.stop.EndsAt.IsZero() },
--- a/kcw/kcwpb/kcwpbconnect/kcw.connect.go
+++ b/kcw/kcwpb/kcwpbconnect/kcw.connect.go
@@ -32,6 +32,8 @@
 	OperatorName = "kcw.v1.Operator"
 	// AnswersName is the fully-qualified name of the Answers service.
 	AnswersName = "kcw.v1.Answers"
+	// LendingName is the fully-qualified name of the Lending service.
+	LendingName = "kcw.v1.Lending"
 	// FleetName is the fully-qualified name of the Fleet service.
 	FleetName = "kcw.v1.Fleet"
 )
@@ -64,6 +66,8 @@
 	OperatorChangeMembersProcedure = "/kcw.v1.Operator/ChangeMembers"
 	// AnswersFetchProcedure is the fully-qualified name of the Answers's Fetch RPC.
 	AnswersFetchProcedure = "/kcw.v1.Answers/Fetch"
+	// LendingBorrowProcedure is the fully-qualified name of the Lending's Borrow RPC.
+	LendingBorrowProcedure = "/kcw.v1.Lending/Borrow"
 	// FleetSyncProcedure is the fully-qualified name of the Fleet's Sync RPC.
 	FleetSyncProcedure = "/kcw.v1.Fleet/Sync"
 	// FleetAdmitProcedure is the fully-qualified name of the Fleet's Admit RPC.
@@ -508,6 +512,76 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Answers.Fetch is not implemented"))
 }
 
+// LendingClient is a client for the kcw.v1.Lending service.
+type LendingClient interface {
+	Borrow(context.Context, *connect.Request[kcwpb.BorrowRequest]) (*connect.Response[kcwpb.BorrowResponse], error)
+}
+
+// NewLendingClient constructs a client for the kcw.v1.Lending service. By default, it uses the
+// Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewLendingClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) LendingClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	lendingMethods := kcwpb.File_kcw_proto.Services().ByName("Lending").Methods()
+	return &lendingClient{
+		borrow: connect.NewClient[kcwpb.BorrowRequest, kcwpb.BorrowResponse](
+			httpClient,
+			baseURL+LendingBorrowProcedure,
+			connect.WithSchema(lendingMethods.ByName("Borrow")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// lendingClient implements LendingClient.
+type lendingClient struct {
+	borrow *connect.Client[kcwpb.BorrowRequest, kcwpb.BorrowResponse]
+}
+
+// Borrow calls kcw.v1.Lending.Borrow.
+func (c *lendingClient) Borrow(ctx context.Context, req *connect.Request[kcwpb.BorrowRequest]) (*connect.Response[kcwpb.BorrowResponse], error) {
+	return c.borrow.CallUnary(ctx, req)
+}
+
+// LendingHandler is an implementation of the kcw.v1.Lending service.
+type LendingHandler interface {
+	Borrow(context.Context, *connect.Request[kcwpb.BorrowRequest]) (*connect.Response[kcwpb.BorrowResponse], error)
+}
+
+// NewLendingHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewLendingHandler(svc LendingHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	lendingMethods := kcwpb.File_kcw_proto.Services().ByName("Lending").Methods()
+	lendingBorrowHandler := connect.NewUnaryHandler(
+		LendingBorrowProcedure,
+		svc.Borrow,
+		connect.WithSchema(lendingMethods.ByName("Borrow")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/kcw.v1.Lending/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case LendingBorrowProcedure:
+			lendingBorrowHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedLendingHandler returns CodeUnimplemented from all methods.
+type UnimplementedLendingHandler struct{}
+
+func (UnimplementedLendingHandler) Borrow(context.Context, *connect.Request[kcwpb.BorrowRequest]) (*connect.Response[kcwpb.BorrowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Lending.Borrow is not implemented"))
+}
+
 // FleetClient is a client for the kcw.v1.Fleet service.
 type FleetClient interface {
 	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
