--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -63,15 +63,14 @@
 	folder *kcwfolder.Folder
 	sender *kcwpeer.Sender
 	client *kcwcore.Client
-	// service is nil, and redirector is not, at a host without a disk.
-	service    *service
-	redirector *redirector
-	meter      *kcwmeter.Meter
-	life       context.Context
-	end        context.CancelFunc
-	operator   *kcwserve.Server
-	peers      *kcwserve.Server
-	admin      *kcwadmin.Server
+	// service is nil at a host without a disk.
+	service  *service
+	meter    *kcwmeter.Meter
+	life     context.Context
+	end      context.CancelFunc
+	operator *kcwserve.Server
+	peers    *kcwserve.Server
+	admin    *kcwadmin.Server
 	// seeds belong to the reload.
 	seeds []netip.AddrPort
 }
@@ -89,10 +88,10 @@
 		return nil, err
 	}
 	if s.Host.Folder == "" {
-		m.redirector = &redirector{
+		r := &redirector{
 			client: m.client, limit: s.Group.MaxDocumentBytes, port: s.Host.Address.Port(), timeout: s.Group.PutTimeout,
 		}
-		return m, m.listen(m.redirector, m.redirector.handler(), m.redirector.ready)
+		return m, m.listen(r, r.handler(), r.ready)
 	}
 	if err := m.openService(); err != nil {
 		return nil, err
--- a/kcw-fleet/kcwlending/lending.go
+++ b/kcw-fleet/kcwlending/lending.go
@@ -29,6 +29,9 @@
 	// pauseAfter is how long a team's tokens are not asked for again after nobody
 	// lent any: one report of each router to the core.
 	pauseAfter = 250 * time.Millisecond
+	// idleCalls is for how many times a call's timeout a connection is kept
+	// unused: loans come in bursts, and from other routers each time.
+	idleCalls = 10
 )
 
 // balance is the tokens of this router.
@@ -73,7 +76,9 @@
 // New returns a Lending that knows no lenders.
 func New(cfg Config) *Lending {
 	dialer := &net.Dialer{Timeout: cfg.Timeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * cfg.Timeout, DisableCompression: true}
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleCalls * cfg.Timeout, DisableCompression: true,
+	}
 	return &Lending{cfg: cfg, transport: transport, http: &http.Client{Transport: transport}, loans: map[string]*loan{}}
 }
 
@@ -112,9 +117,9 @@
 	return connect.NewResponse(&kcwpb.BorrowResponse{Tokens: lent}), nil
 }
 
-// Raise borrows tokens of team so that a request for tokens can be served. It
-// returns whether a loan was made, by this call or by another that it waited for;
-// they may be too few still.
+// Raise borrows tokens of team for a request that needs so many. It returns whether
+// a loan was made, by this call or by another that it waited for; the request may
+// lack tokens still.
 func (l *Lending) Raise(ctx context.Context, team string, tokens int64) bool {
 	l.mu.Lock()
 	current := l.loans[team]
--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -185,10 +185,10 @@
 	a.spent += used - borrowed
 }
 
-// reserve is the time for which a router keeps tokens for its own demand when it
-// lends, and for which it borrows beyond the request at hand: some dozens of round
+// lookahead is the time for which a router keeps tokens for its own demand when it
+// lends, and for which it borrows beyond the request at hand: some hundreds of round
 // trips, so that few requests wait for a loan.
-const reserve = time.Second
+const lookahead = time.Second
 
 // Short returns how many tokens of team to borrow at now, so that a request for
 // tokens and those of the next moments can be served. It is zero if none are
@@ -201,7 +201,7 @@
 	if lacking <= 0 {
 		return 0
 	}
-	return lacking + b.policy.Mean(a.demand, reserve, now)
+	return lacking + b.policy.Mean(a.demand, lookahead, now)
 }
 
 // Lend returns how many of the tokens asked for another router may use from now
@@ -213,7 +213,7 @@
 	if a == nil || b.returning {
 		return 0
 	}
-	lent := min(tokens, a.lendable(b.awake())-b.policy.Mean(a.demand, reserve, now))
+	lent := min(tokens, a.lendable(b.awake())-b.policy.Mean(a.demand, lookahead, now))
 	if lent <= 0 {
 		return 0
 	}
--- a/kcw/kcwbalance/lending_test.go
+++ b/kcw/kcwbalance/lending_test.go
@@ -216,4 +216,3 @@
 		t.Errorf("only %d loans, %d restarts, %d requests were played", loans, killed, served)
 	}
 }
-
--- a/kcw/kcwlink/link.go
+++ b/kcw/kcwlink/link.go
@@ -97,7 +97,7 @@
 }
 
 // Full reports whether the router should get no new callers at now, and whether
-// that has changed since the last call.
+// that has changed since the last call. It is called at each check of readiness.
 func (l *Link) Full(now time.Time) (full, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -121,8 +121,8 @@
 }
 
 // Sheds reports whether the connection of a request at now should be given up
-// after its answer. The random number draw, in [0, 1), picks the part of the
-// connections that is too many.
+// after its answer, which is so for none before Full has returned true. The random
+// number draw, in [0, 1), picks the part of the connections that is too many.
 func (l *Link) Sheds(draw float64, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/kcw/kcwupstream/watch.go
+++ b/kcw/kcwupstream/watch.go
@@ -10,15 +10,15 @@
 // left to read, for which a fourth of the wait is ample.
 const lastPart = 4
 
-// watch calls expire after a wait that was not stopped. Its lock is held while
-// nothing else is called.
+// watch calls expire, without its lock, after a wait that was not stopped.
 type watch struct {
 	expire func()
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// wait is that of the last start, dueAt when its current part ends, which
-	// is the last one if last is true.
+	// wait is the length given to the last start, whose last part begins anew
+	// after a suspension. DueAt is when the current part ends, and last says that
+	// it is the last one.
 	wait    time.Duration
 	dueAt   time.Time
 	last    bool
