--- a/kcw/kcwlink/link_test.go
+++ b/kcw/kcwlink/link_test.go
@@ -96,15 +96,18 @@
 	}
 	now := time.Unix(1_700_000_000, 0)
 	pick := func() int {
-		for {
-			i := 0
+		i := 0
+		// A balancer that finds no host ready takes any.
+		for range 10 * hosts {
+			i = 0
 			if random.IntN(2) == 0 {
 				i = random.IntN(hosts)
 			}
 			if fullSince[i].IsZero() || now.Sub(fullSince[i]) < lag {
-				return i
+				break
 			}
 		}
+		return i
 	}
 	var at [connections]int
 	for c := range at {
