--- a/kcw/kcwgateway/silent_test.go
+++ b/kcw/kcwgateway/silent_test.go
@@ -80,6 +80,8 @@
 	})
 	f := start(t, l, "r1", map[string][]http.Handler{"app": {hangs}}, func(cfg *Config) {
 		cfg.AnswerTimeout = 200 * time.Millisecond
+		// A later load report would bring the upstream back.
+		cfg.PollInterval, cfg.SilenceTimeout = time.Hour, time.Hour
 	})
 	deposit := call{path: "/services/app/deposits", identity: "d-1", body: "{}"}
 	checkRefusal(t, f.do(deposit), codeUpstreamSilent, unknown)
