kcw-fleet, kcwupstream: hold settings and deadlines in place of durations

Cause: timeouts and intervals of the settings were copied into structs, beside limit, port, name and address; a watch stored the length of its wait; and members and routers kept the seeds only to see whether they change. A watch stores when its last part was to end. SetSeeds tells whether the seeds changed. TestWatchAfterSuspension moves both deadlines, as time does; its expectations are unchanged.

--- a/kcw-fleet/kcwcontrol/list.go
+++ b/kcw-fleet/kcwcontrol/list.go
@@ -20,9 +20,8 @@
 
 // listReader keeps the newest list of upstreams at the leader.
 type listReader struct {
-	lister  lister
-	name    string
-	timeout time.Duration
+	lister lister
+	name   string
 
 	mu     sync.Mutex
 	list   *kcwpb.UpstreamList
@@ -30,10 +29,8 @@
 	failed bool
 }
 
-// read reads the list once.
+// read reads the list once, until ctx ends.
 func (l *listReader) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, l.timeout)
-	defer cancel()
 	began := time.Now()
 	upstreams, skipped, err := l.lister.Read(ctx)
 	l.mu.Lock()
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -71,8 +70,6 @@
 	operator *kcwserve.Server
 	peers    *kcwserve.Server
 	admin    *kcwadmin.Server
-	// seeds belong to the reload.
-	seeds []netip.AddrPort
 }
 
 // New opens the member's folder and listens at its addresses. The caller runs
@@ -80,27 +77,22 @@
 func New(cfg Config) (*Member, error) {
 	s := cfg.Settings
 	kcwsetup.LimitMemory(s.Host.MemoryMB)
-	m := &Member{cfg: cfg, seeds: s.Group.Seeds}
+	m := &Member{cfg: cfg}
 	m.life, m.end = context.WithCancel(context.Background())
-	m.client = kcwcore.New(kcwcore.Config{Seeds: s.PeerAddresses(), Timeout: s.Group.Election})
+	m.client = kcwcore.New(kcwcore.Config{Seeds: s.PeerAddresses()})
 	var err error
 	if m.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-control", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
 		return nil, err
 	}
 	if s.Host.Folder == "" {
-		r := &redirector{
-			client: m.client, limit: s.Group.MaxDocumentBytes, port: s.Host.Address.Port(), timeout: s.Group.PutTimeout,
-		}
+		r := &redirector{settings: s, client: m.client}
 		return m, m.listen(r, r.handler(), r.ready)
 	}
 	if err := m.openService(); err != nil {
 		return nil, err
 	}
 	m.measure()
-	operator := &operator{
-		service: m.service, decode: cfg.Decode, limit: s.Group.MaxDocumentBytes,
-		port: s.Host.Address.Port(), timeout: s.Group.PutTimeout,
-	}
+	operator := &operator{service: m.service, settings: s, decode: cfg.Decode}
 	return m, m.listen(operator, m.service.handler(), m.ready)
 }
 
@@ -121,7 +113,7 @@
 	}
 	m.service = &service{
 		group: group, table: table,
-		list: &listReader{lister: m.cfg.Lister, name: s.Host.Name + "/" + time.Now().String(), timeout: s.List.Timeout},
+		list: &listReader{lister: m.cfg.Lister, name: s.Host.Name + "/" + time.Now().String()},
 		steward: kcwsteward.New(kcwsteward.Config{
 			Voters: 2*s.Group.Losses + 1, SilentAfter: s.Group.RemoveAfter, AskedWithin: 4 * askInterval,
 		}),
@@ -137,11 +129,7 @@
 		klog.ErrorS(err, "Settings not reloaded")
 		return
 	}
-	changed := !slices.Equal(m.seeds, s.Group.Seeds)
-	if changed {
-		m.client.SetSeeds(s.PeerAddresses())
-		m.seeds = s.Group.Seeds
-	}
+	changed := m.client.SetSeeds(s.PeerAddresses())
 	if changed || signalled {
 		klog.InfoS("Settings reloaded", "Signal", signalled, "SeedsChanged", changed, "Seeds", s.Group.Seeds)
 	}
@@ -281,6 +269,8 @@
 	}
 	s := m.cfg.Settings
 	own := s.Host.PeerAddress.String()
+	ctx, cancel := context.WithTimeout(ctx, s.Group.Election)
+	defer cancel()
 	err := m.client.Admit(ctx, &kcwpb.Member{Id: status.GetId(), Name: own, Zone: s.Host.Zone, Address: own})
 	if err != nil {
 		klog.V(kcwlog.DebugVerbosity).InfoS("Not admitted yet", "Cause", err.Error())
@@ -300,6 +290,8 @@
 // readList reads the list of upstreams if this member leads.
 func (m *Member) readList(ctx context.Context) {
 	if status := m.service.group.Status(); status.GetId() != 0 && status.GetLeader() == status.GetId() {
+		ctx, cancel := context.WithTimeout(ctx, m.cfg.Settings.List.Timeout)
+		defer cancel()
 		m.service.list.read(ctx)
 	}
 }
--- a/kcw-fleet/kcwcontrol/operator.go
+++ b/kcw-fleet/kcwcontrol/operator.go
@@ -9,10 +9,10 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"time"
 
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwroute"
 )
@@ -27,15 +27,13 @@
 // operator answers operators.
 type operator struct {
 	*service
-	decode  func([]byte) (*kcwroute.Document, error)
-	limit   int64
-	port    uint16
-	timeout time.Duration
+	settings *kcwsetup.Control
+	decode   func([]byte) (*kcwroute.Document, error)
 }
 
 // ServeHTTP answers a call about the configuration.
 func (o *operator) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), o.timeout)
+	ctx, cancel := context.WithTimeout(r.Context(), o.settings.Group.PutTimeout)
 	defer cancel()
 	switch r.Method {
 	case http.MethodPut:
@@ -51,7 +49,7 @@
 // put takes a document. It is checked before anything else, so that an invalid
 // one is refused at every member and whatever its version.
 func (o *operator) put(ctx context.Context, w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, o.limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, o.settings.Group.MaxDocumentBytes))
 	if err != nil {
 		http.Error(w, "the document can't be read: "+err.Error(), http.StatusBadRequest)
 		return
@@ -165,7 +163,7 @@
 	if err != nil || !o.group.Fresh() {
 		leader = netip.AddrPort{}
 	}
-	redirect(w, leader, o.port)
+	redirect(w, leader, o.settings.Host.Address.Port())
 	return true
 }
 
--- a/kcw-fleet/kcwcontrol/redirect.go
+++ b/kcw-fleet/kcwcontrol/redirect.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwpb"
@@ -31,10 +32,8 @@
 // operators, routers and other members to the leader.
 type redirector struct {
 	kcwpbconnect.UnimplementedFleetHandler
-	client  *kcwcore.Client
-	limit   int64
-	port    uint16
-	timeout time.Duration
+	settings *kcwsetup.Control
+	client   *kcwcore.Client
 
 	// mu is held while the leader is looked for, so that callers share the
 	// answer.
@@ -46,7 +45,7 @@
 // locate returns where the leader answers routers and members. It is not valid
 // if no member tells.
 func (r *redirector) locate(ctx context.Context) netip.AddrPort {
-	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	ctx, cancel := context.WithTimeout(ctx, r.settings.Group.PutTimeout)
 	defer cancel()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -55,7 +54,7 @@
 	}
 	r.leader = netip.AddrPort{}
 	for try := 0; try < locateTries && ctx.Err() == nil; try++ {
-		leader, err := r.client.Locate(ctx)
+		leader, err := r.ask(ctx)
 		if err == nil {
 			r.leader, r.knownAt = leader, time.Now()
 			break
@@ -65,14 +64,21 @@
 	return r.leader
 }
 
+// ask asks one member for the leader.
+func (r *redirector) ask(ctx context.Context) (netip.AddrPort, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.settings.Group.Election)
+	defer cancel()
+	return r.client.Locate(ctx)
+}
+
 // ServeHTTP sends an operator to the leader. The body is read first, since a
 // connection that is closed with bytes unread may lose the answer.
 func (r *redirector) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, req.Body, r.limit)); err != nil {
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, req.Body, r.settings.Group.MaxDocumentBytes)); err != nil {
 		http.Error(w, "the document can't be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	redirect(w, r.locate(req.Context()), r.port)
+	redirect(w, r.locate(req.Context()), r.settings.Host.Address.Port())
 }
 
 // refusal returns the answer to a call that only the leader takes.
--- a/kcw-fleet/kcwcontrol/redirect_test.go
+++ b/kcw-fleet/kcwcontrol/redirect_test.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
@@ -43,8 +44,11 @@
 
 func newRedirector(seeds ...netip.AddrPort) *redirector {
 	const wait = 10 * time.Second
-	client := kcwcore.New(kcwcore.Config{Seeds: seeds, Timeout: wait})
-	return &redirector{client: client, limit: 100, port: 8000, timeout: wait}
+	settings := &kcwsetup.Control{
+		Host:  kcwsetup.ControlHost{Address: netip.MustParseAddrPort("10.0.0.9:8000")},
+		Group: kcwsetup.Group{MaxDocumentBytes: 100, PutTimeout: wait, Election: wait},
+	}
+	return &redirector{settings: settings, client: kcwcore.New(kcwcore.Config{Seeds: seeds})}
 }
 
 // TestRedirect checks where a host without a disk sends operators and routers.
--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -25,10 +25,12 @@
 type Config struct {
 	// Seeds are the first members known.
 	Seeds []netip.AddrPort
-	// Timeout bounds one call.
-	Timeout time.Duration
 }
 
+// dialTimeout bounds the opening of a connection, a few hundred round trips between
+// zones: a host without power does not answer.
+const dialTimeout = 300 * time.Millisecond
+
 // Kind classifies an Error.
 type Kind int
 
@@ -51,9 +53,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Client calls the leader of the core. It is safe for concurrent use.
+// Client calls the leader of the core. The context bounds each call. It is safe for
+// concurrent use.
 type Client struct {
-	cfg       Config
 	transport *http.Transport
 	http      *http.Client
 
@@ -66,18 +68,20 @@
 
 // New returns a Client.
 func New(cfg Config) *Client {
-	dialer := &net.Dialer{Timeout: cfg.Timeout / 2}
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true,
 	}
-	return &Client{cfg: cfg, transport: transport, http: &http.Client{Transport: transport}, seeds: cfg.Seeds}
+	return &Client{transport: transport, http: &http.Client{Transport: transport}, seeds: cfg.Seeds}
 }
 
-// SetSeeds replaces the members of the settings.
-func (c *Client) SetSeeds(seeds []netip.AddrPort) {
+// SetSeeds replaces the members of the settings. It reports whether they changed.
+func (c *Client) SetSeeds(seeds []netip.AddrPort) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	changed := !slices.Equal(c.seeds, seeds)
 	c.seeds = seeds
+	return changed
 }
 
 // SetMembers replaces the members that the core itself has told.
@@ -92,8 +96,6 @@
 // which is an *Error, the next call goes to another.
 func (c *Client) Sync(ctx context.Context, req *kcwpb.FleetSyncRequest) (*kcwpb.FleetSyncResponse, error) {
 	member := c.choose()
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-	defer cancel()
 	response, err := kcwpbconnect.NewFleetClient(c.http, "http://"+member.String()).Sync(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, c.failed("sync", member, err)
@@ -105,8 +107,6 @@
 // Admit asks the member taken for the leader to admit a replica.
 func (c *Client) Admit(ctx context.Context, m *kcwpb.Member) error {
 	member := c.choose()
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-	defer cancel()
 	req := connect.NewRequest(&kcwpb.FleetAdmitRequest{Member: m})
 	if _, err := kcwpbconnect.NewFleetClient(c.http, "http://"+member.String()).Admit(ctx, req); err != nil {
 		return c.failed("admit", member, err)
@@ -119,8 +119,6 @@
 // members.
 func (c *Client) Locate(ctx context.Context) (netip.AddrPort, error) {
 	member := c.choose()
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-	defer cancel()
 	response, err := kcwpbconnect.NewFleetClient(c.http, "http://"+member.String()).Locate(ctx, connect.NewRequest(&kcwpb.FleetLocateRequest{}))
 	if err != nil {
 		return netip.AddrPort{}, c.failed("locate", member, err)
--- a/kcw-fleet/kcwcore/client_test.go
+++ b/kcw-fleet/kcwcore/client_test.go
@@ -66,7 +66,7 @@
 		{"through a follower", []netip.AddrPort{followerAt}, 2},
 		{"past one that is gone", []netip.AddrPort{silent(t), followerAt}, 3},
 	} {
-		c := kcwcore.New(kcwcore.Config{Seeds: test.seeds, Timeout: 10 * time.Second})
+		c := kcwcore.New(kcwcore.Config{Seeds: test.seeds})
 		tries := 0
 		for found := false; !found && tries < 10; tries++ {
 			_, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{})
@@ -91,7 +91,7 @@
 // seeds are gone.
 func TestMembersTold(t *testing.T) {
 	leader := &member{}
-	c := kcwcore.New(kcwcore.Config{Seeds: []netip.AddrPort{silent(t)}, Timeout: 10 * time.Second})
+	c := kcwcore.New(kcwcore.Config{Seeds: []netip.AddrPort{silent(t)}})
 	defer c.Close()
 	c.SetMembers([]netip.AddrPort{serve(t, leader)})
 	for range 3 {
@@ -112,10 +112,13 @@
 	defer server.Close()
 	defer close(blocked)
 	seeds := []netip.AddrPort{serve(t, leader), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
-	c := kcwcore.New(kcwcore.Config{Seeds: seeds, Timeout: 50 * time.Millisecond})
+	c := kcwcore.New(kcwcore.Config{Seeds: seeds})
 	defer c.Close()
 	for range 1000 {
-		if _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err == nil {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		_, err := c.Sync(ctx, &kcwpb.FleetSyncRequest{})
+		cancel()
+		if err == nil {
 			return
 		}
 	}
--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -13,6 +13,7 @@
 	"kingcupwick.example/kcw-fleet/kcwcontrol"
 	"kingcupwick.example/kcw-fleet/kcwcore"
 	"kingcupwick.example/kcw-fleet/kcwlending"
+	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwbalance"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwroster"
@@ -23,16 +24,13 @@
 // reporter reports to the core at each interval, or at once when a request lacks
 // tokens, and takes what the core tells: documents, tokens, the list.
 type reporter struct {
-	router string
-	// address is where the router lends tokens.
-	address  string
+	settings *kcwsetup.Router
 	client   *kcwcore.Client
 	lending  *kcwlending.Lending
 	balance  *kcwbalance.Balance
 	roster   *kcwroster.Roster
 	decode   func([]byte) (*kcwroute.Document, error)
 	uptime   *kcwuptime.Clock
-	interval time.Duration
 
 	document atomic.Pointer[kcwroute.Document]
 	routers  atomic.Int64
@@ -80,11 +78,11 @@
 
 // run reports until ctx ends.
 func (p *reporter) run(ctx context.Context) {
-	timer := time.NewTimer(p.interval)
+	timer := time.NewTimer(p.settings.Core.Interval)
 	defer timer.Stop()
 	for {
 		p.report(ctx)
-		interval := p.interval
+		interval := p.settings.Core.Interval
 		if p.document.Load() == nil {
 			interval /= unreadyRate
 		}
@@ -133,16 +131,16 @@
 	report := p.balance.Report(asked)
 	req := &kcwpb.FleetSyncRequest{
 		Allowances: &kcwpb.SyncAllowances{
-			Router: p.router, Incarnation: p.incarnation, Serial: p.serial, Reports: report.Teams,
+			Router: p.settings.Host.Name, Incarnation: p.incarnation, Serial: p.serial, Reports: report.Teams,
 			Boot: p.uptime.Boot(), Started: int64(p.uptime.Started()), Wakes: int64(report.Wakes), Reported: int64(report.Uptime),
 		},
-		ListVersion: p.listVersion, ListReader: p.listReader, Address: p.address,
+		ListVersion: p.listVersion, ListReader: p.listReader, Address: p.settings.LendAddress().String(),
 	}
 	p.mu.Unlock()
 	if document := p.document.Load(); document != nil {
 		req.DocumentVersion = document.Version
 	}
-	response, err := p.client.Sync(ctx, req)
+	response, err := p.call(ctx, req)
 	p.noteContact(asked, err)
 	if err == nil {
 		p.take(response, report)
@@ -151,6 +149,13 @@
 	close(current.done)
 }
 
+// call makes one call of the core.
+func (p *reporter) call(ctx context.Context, req *kcwpb.FleetSyncRequest) (*kcwpb.FleetSyncResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.settings.Core.Timeout)
+	defer cancel()
+	return p.client.Sync(ctx, req)
+}
+
 // noteContact logs when the core is lost or regained.
 func (p *reporter) noteContact(asked time.Time, err error) {
 	p.mu.Lock()
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -7,7 +7,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -113,19 +112,17 @@
 	lender    *kcwserve.Server
 	admin     *kcwadmin.Server
 	stop      atomic.Pointer[kcwforward.Stop]
-	// seeds belong to the reload.
-	seeds []netip.AddrPort
-	life  context.Context
-	end   context.CancelFunc
+	life      context.Context
+	end       context.CancelFunc
 }
 
 // New makes the parts and listens at the addresses. The caller runs the router.
 func New(cfg Config) (*Router, error) {
 	s := cfg.Settings
 	kcwsetup.LimitMemory(s.Host.MemoryMB)
-	r := &Router{cfg: cfg, seeds: s.Core.Seeds}
+	r := &Router{cfg: cfg}
 	r.life, r.end = context.WithCancel(context.Background())
-	r.client = kcwcore.New(kcwcore.Config{Seeds: s.Core.Addresses(), Timeout: s.Core.Timeout})
+	r.client = kcwcore.New(kcwcore.Config{Seeds: s.Core.Addresses()})
 	uptime, err := kcwuptime.New()
 	if err != nil {
 		return nil, err
@@ -138,8 +135,8 @@
 	r.link = kcwlink.New(kcwlink.Config{BytesPerSecond: s.Host.LinkMbps * bytesPerMbit, Memory: linkMemory})
 	r.lending = kcwlending.New(kcwlending.Config{Router: s.Host.Name, Balance: r.balance, Timeout: s.Grants.LendTimeout, Now: time.Now})
 	r.reporter = &reporter{
-		router: s.Host.Name, address: s.LendAddress().String(), client: r.client, lending: r.lending, balance: r.balance, roster: r.roster, decode: cfg.Decode,
-		uptime: uptime, interval: s.Core.Interval, incarnation: uint64(time.Now().UnixNano()),
+		settings: s, client: r.client, lending: r.lending, balance: r.balance, roster: r.roster, decode: cfg.Decode,
+		uptime: uptime, incarnation: uint64(time.Now().UnixNano()),
 		round: newRound(), wake: make(chan struct{}, 1), heardAt: time.Now(),
 	}
 	if r.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-router", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
--- a/kcw-fleet/kcwentry/run.go
+++ b/kcw-fleet/kcwentry/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
@@ -108,11 +107,7 @@
 		klog.ErrorS(err, "Settings not reloaded")
 		return
 	}
-	changed := !slices.Equal(r.seeds, s.Core.Seeds)
-	if changed {
-		r.client.SetSeeds(s.Core.Addresses())
-		r.seeds = s.Core.Seeds
-	}
+	changed := r.client.SetSeeds(s.Core.Addresses())
 	if changed || signalled {
 		klog.InfoS("Settings reloaded", "Signal", signalled, "SeedsChanged", changed, "Seeds", s.Core.Seeds)
 	}
--- a/kcw/kcwupstream/watch.go
+++ b/kcw/kcwupstream/watch.go
@@ -16,13 +16,10 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// wait is the length given to the last start, whose last part begins anew
-	// after a suspension. DueAt is when the current part ends, and last says that
-	// it is the last one.
-	wait    time.Duration
-	dueAt   time.Time
-	last    bool
-	stopped bool
+	// dueAt is when the current part of the wait ends, endsAt when the last one was
+	// to end. Last says that the current part is the last one.
+	dueAt, endsAt time.Time
+	last, stopped bool
 }
 
 func newWatch(expire func()) *watch {
@@ -36,8 +33,9 @@
 func (w *watch) start(wait time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.stopped, w.last, w.wait = false, false, wait
+	w.stopped, w.last = false, false
 	w.arm(wait - wait/lastPart)
+	w.endsAt = w.dueAt.Add(wait / lastPart)
 }
 
 // arm sets the timer of a part of the wait. The lock is held.
@@ -70,7 +68,7 @@
 		return false
 	case !w.last:
 		w.last = true
-		w.arm(w.wait / lastPart)
+		w.arm(w.endsAt.Sub(w.dueAt))
 		return false
 	default:
 		w.stopped = true
--- a/kcw/kcwupstream/watch_test.go
+++ b/kcw/kcwupstream/watch_test.go
@@ -23,7 +23,7 @@
 		{"told once", wait, false},
 	} {
 		w.mu.Lock()
-		w.dueAt = w.dueAt.Add(-test.suspended)
+		w.dueAt, w.endsAt = w.dueAt.Add(-test.suspended), w.endsAt.Add(-test.suspended)
 		w.mu.Unlock()
 		if ended := w.ended(); ended != test.ended {
 			t.Errorf("%s: got %v", test.name, ended)
