kcwallowance: keep the sums of a budget in place of adding them up at each report

Cause: each report of a router added up, for each of its teams, what all routers want and have spent, three times over: work of routers times teams on the leader's hot path, and times the routers' number of reports. Change: the sums are kept by budget, and made again from an image.

--- a/kcw/kcwallowance/image.go
+++ b/kcw/kcwallowance/image.go
@@ -123,6 +123,9 @@
 			granted: h.GetGranted(), returned: h.GetReturned(), spent: h.GetSpent(),
 			reserved: h.GetReserved(), want: h.GetWant(), limit: h.GetLimit(),
 		}
-		t.budget(h.GetTeam()).outstanding += h.GetGranted() - h.GetReturned()
+		b := t.budget(h.GetTeam())
+		b.outstanding += h.GetGranted() - h.GetReturned()
+		b.spent += h.GetSpent()
+		b.wanted += h.GetWant()
 	}
 }
--- a/kcw/kcwallowance/table.go
+++ b/kcw/kcwallowance/table.go
@@ -48,11 +48,17 @@
 }
 
 // budget is the prepaid tokens of one team, those that replaced incarnations
-// have used at most, and those granted and not returned in all.
+// have used at most, and those granted and not returned in all. Spent and wanted
+// are the sums of what the routers have said.
 type budget struct {
 	prepaid, retired, outstanding int64
+	spent, wanted                 int64
 }
 
+// used returns the tokens reported as spent, and all that replaced incarnations may
+// have used.
+func (b *budget) used() int64 { return b.retired + b.spent }
+
 // Table is the state. Its methods are safe for concurrent use. Messages that
 // they return may be shared and must not be changed.
 type Table struct {
@@ -153,6 +159,7 @@
 		t.take(held, report)
 		share := int64(0)
 		if !late {
+			t.budget(report.GetTeam()).wanted += report.GetWant() - held.want
 			held.reserved, held.want, held.limit = report.GetReserved(), report.GetWant(), report.GetLimit()
 			share = t.share(report)
 			t.grant(held, report, share)
@@ -191,14 +198,17 @@
 	sameBoot := r.boot != "" && next.GetBoot() == r.boot && next.GetStarted() >= r.reported
 	dormant := sameBoot && next.GetStarted() < r.wakes
 	for team, held := range r.teams {
+		b := t.budget(team)
+		b.spent -= held.spent
+		b.wanted -= held.want
 		used := held.granted - held.returned
 		if dormant {
 			kept := max(0, used-max(held.limit, held.spent))
 			used -= kept
-			t.budget(team).outstanding -= kept
+			b.outstanding -= kept
 			recovered += kept
 		}
-		t.budget(team).retired += used
+		b.retired += used
 		writtenOff += used - held.spent
 	}
 	return writtenOff, recovered
@@ -217,25 +227,23 @@
 // it was granted.
 func (t *Table) take(held *totals, report *kcwpb.AllowanceReport) {
 	returned := min(max(held.returned, report.GetReturned()), held.granted)
-	t.budget(report.GetTeam()).outstanding -= returned - held.returned
+	b := t.budget(report.GetTeam())
+	b.outstanding -= returned - held.returned
 	held.returned = returned
-	held.spent = min(max(held.spent, report.GetSpent()), held.granted-held.returned)
+	spent := min(max(held.spent, report.GetSpent()), held.granted-held.returned)
+	b.spent += spent - held.spent
+	held.spent = spent
 }
 
 // share returns the free tokens that the router of report should hold: what it
 // wants, or its part by what all want when that is more than they may hold.
 func (t *Table) share(report *kcwpb.AllowanceReport) int64 {
-	wanted := int64(0)
-	for _, r := range t.routers {
-		if held := r.teams[report.GetTeam()]; held != nil {
-			wanted += held.want
-		}
-	}
-	most := heldPart * float64(max(0, t.budget(report.GetTeam()).prepaid-t.spent(report.GetTeam())))
-	if float64(wanted) <= most {
+	b := t.budget(report.GetTeam())
+	most := heldPart * float64(max(0, b.prepaid-b.used()))
+	if float64(b.wanted) <= most {
 		return report.GetWant()
 	}
-	return int64(most * float64(report.GetWant()) / float64(wanted))
+	return int64(most * float64(report.GetWant()) / float64(b.wanted))
 }
 
 // grant raises the free tokens of a router to its share, or to what its waiting
@@ -257,23 +265,11 @@
 		Team:      team,
 		Granted:   held.granted,
 		Available: max(0, b.prepaid-b.outstanding),
-		Unspent:   max(0, b.prepaid-t.spent(team)),
+		Unspent:   max(0, b.prepaid-b.used()),
 		Share:     share,
 	}
 }
 
-// spent returns the tokens reported as spent, and all that replaced incarnations
-// may have used.
-func (t *Table) spent(team string) int64 {
-	sum := t.budget(team).retired
-	for _, r := range t.routers {
-		if held := r.teams[team]; held != nil {
-			sum += held.spent
-		}
-	}
-	return sum
-}
-
 // Budgets returns, by team, the prepaid tokens and those that routers hold or
 // have used.
 func (t *Table) Budgets() (prepaid, outstanding map[string]int64) {
