kcwlink, kcwforward, kcwcontrol: no work at each request that one place can do

Cause: the headers of each answer were read twice, a random number was drawn under a lock for each request of a host whose link is free, links without a bound were averaged, and each report walked all routers that the leader knows. Change: response returns what the answer says; Excess is asked before a number is drawn; routers that are gone are forgotten where the membership is tended. Names of the field: watermarks, backoff, and a count of doublings in place of a stored duration.

--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -87,16 +88,21 @@
 	s.heard[router] = heard
 	// Maps are walked in random order.
 	for name, c := range s.heard {
-		if heard.at.Sub(c.at) > routerHeardWithin {
-			delete(s.heard, name)
-			continue
+		if len(lenders) == maxLenders {
+			break
 		}
-		routers++
-		if name != router && c.address != "" && len(lenders) < maxLenders {
+		if name != router && c.address != "" {
 			lenders = append(lenders, c.address)
 		}
 	}
-	return routers, lenders
+	return uint32(len(s.heard)), lenders
+}
+
+// forget drops the routers that were not heard lately.
+func (s *service) forget(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.heard, func(_ string, c contact) bool { return now.Sub(c.at) > routerHeardWithin })
 }
 
 // Admit notes that a replica wants to become a voter.
@@ -163,8 +169,10 @@
 	return result, nil
 }
 
-// tend makes the membership change that is due, if this member leads.
+// tend forgets routers that are gone, and makes the membership change that is due
+// if this member leads.
 func (s *service) tend(ctx context.Context) {
+	s.forget(time.Now())
 	status := s.group.Status()
 	s.mu.Lock()
 	if status.GetId() == 0 || status.GetId() != status.GetLeader() {
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -132,11 +132,10 @@
 	if err := a.send(); err != nil {
 		return a.broken("the request could not be sent", err)
 	}
-	response, err := a.response()
+	response, said, err := a.response()
 	if err != nil {
 		return a.broken("no answer", err)
 	}
-	said := a.f.cfg.Dialect.ReadAnswer(response.StatusCode, response.Header, a.f.cfg.Now())
 	a.keepUntil = said.KeepUntil
 	if said.Load != nil {
 		a.ticket.Loaded(*said.Load)
@@ -259,20 +258,20 @@
 	}
 }
 
-// response reads the header of the answer to this request. Answers to earlier
-// requests and interim answers are passed over.
-func (a *attempt) response() (*http.Response, error) {
+// response reads the header of the answer to this request, and returns what it says
+// as well. Answers to earlier requests and interim answers are passed over.
+func (a *attempt) response() (*http.Response, Answer, error) {
 	request := &http.Request{Method: a.r.Method}
 	for surplus := 0; ; {
 		if err := a.await(); err != nil {
-			return nil, err
+			return nil, Answer{}, err
 		}
 		if err := a.conn.SetReadDeadline(a.deadline); err != nil {
-			return nil, err
+			return nil, Answer{}, err
 		}
 		response, err := http.ReadResponse(a.conn.Reader, request)
 		if err != nil {
-			return nil, err
+			return nil, Answer{}, err
 		}
 		a.ticket.Answered()
 		if response.StatusCode < http.StatusOK {
@@ -280,13 +279,13 @@
 		}
 		said := a.f.cfg.Dialect.ReadAnswer(response.StatusCode, response.Header, a.f.cfg.Now())
 		if said.Attempt == a.said.Attempt || said.Attempt == "" && response.StatusCode >= http.StatusBadRequest {
-			return response, nil
+			return response, said, nil
 		}
 		if surplus++; surplus > maxSurplus || response.ContentLength < 0 {
-			return nil, errors.New("the answer is to another request")
+			return nil, Answer{}, errors.New("the answer is to another request")
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, response.ContentLength); err != nil {
-			return nil, err
+			return nil, Answer{}, err
 		}
 	}
 }
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -193,7 +193,7 @@
 	defer f.inFlight.Add(-1)
 	c := &call{f: f, w: w, r: r, start: f.cfg.Now()}
 	c.stop, c.stopping = f.cfg.Stopping()
-	if c.stopping || f.cfg.Link.Sheds(f.draw(), c.start) {
+	if c.stopping || f.sheds(c.start) {
 		w.Header().Set("Connection", "close")
 	}
 	c.event.ListAge = c.start.Sub(f.cfg.Roster.ListedAt())
@@ -206,6 +206,13 @@
 	c.run()
 }
 
+// sheds reports whether the connection of a request at now is one of those that the
+// host's link has too many of.
+func (f *Forwarder) sheds(now time.Time) bool {
+	excess := f.cfg.Link.Excess(now)
+	return excess > 0 && f.draw() < excess
+}
+
 // headSize is about the size of a request's header in bytes.
 const headSize = 600
 
--- a/kcw/kcwlink/link.go
+++ b/kcw/kcwlink/link.go
@@ -15,24 +15,23 @@
 // nine tenths (an M/D/1 queue is 4.5 packets long there); a balancer takes some
 // seconds to act, in which the load grows by about a fifth.
 const (
-	// fullAt is the load at which a router takes no new callers, and freeAt the
-	// one below which it takes them again: far enough below that callers who
-	// come back don't fill the link at once.
-	fullAt = 0.6
-	freeAt = 0.25
-	// shedAt is the load down to which callers are asked to use other
-	// connections.
-	shedAt = 0.5
+	// highWatermark is the load at which a router takes no new callers, and
+	// lowWatermark the one below which it takes them again: far enough below that
+	// callers who come back don't fill the link at once.
+	highWatermark = 0.6
+	lowWatermark  = 0.25
+	// shedTo is the load down to which callers are asked to use other connections.
+	shedTo = 0.5
 )
 
 // A router that takes callers again may get as many as before at once, since
-// balancers choose by a hash of the caller. So it stays away for leastAway, about
+// balancers choose by a hash of the caller. So it backs off for backoffFirst, about
 // as long as a balancer takes to act twice, and for twice as long each time that it
-// is full again within settled, up to mostAway.
+// is full again within settled, backoffDoublings times at most.
 const (
-	leastAway = 4 * time.Second
-	mostAway  = 64 * time.Second
-	settled   = 30 * time.Second
+	backoffFirst     = 4 * time.Second
+	backoffDoublings = 4
+	settled          = 30 * time.Second
 )
 
 // Config configures a Link.
@@ -53,10 +52,10 @@
 	in, out float64
 	at      time.Time
 	full    bool
-	// away is how long the link counts as full at least, and awayUntil until when
-	// it does. Freed is when it was free again last.
-	away             time.Duration
-	awayUntil, freed time.Time
+	// doublings is how often the backoff was doubled, backoffUntil when it ends.
+	// Freed is when the link was free again last.
+	doublings           int
+	backoffUntil, freed time.Time
 }
 
 // New returns a Link without load.
@@ -64,6 +63,9 @@
 
 // Carried notes bytes that were received and sent until now.
 func (l *Link) Carried(in, out int, now time.Time) {
+	if l.cfg.BytesPerSecond <= 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.decay(now)
@@ -103,16 +105,16 @@
 	defer l.mu.Unlock()
 	load := l.load(now)
 	switch {
-	case !l.full && load >= fullAt:
+	case !l.full && load >= highWatermark:
 		l.full = true
 		if now.Sub(l.freed) < settled {
-			l.away = min(2*l.away, mostAway)
+			l.doublings = min(l.doublings+1, backoffDoublings)
 		} else {
-			l.away = leastAway
+			l.doublings = 0
 		}
-		l.awayUntil = now.Add(l.away)
+		l.backoffUntil = now.Add(backoffFirst << l.doublings)
 		return true, true
-	case l.full && load < freeAt && !now.Before(l.awayUntil):
+	case l.full && load < lowWatermark && !now.Before(l.backoffUntil):
 		l.full = false
 		l.freed = now
 		return false, true
@@ -120,12 +122,13 @@
 	return l.full, false
 }
 
-// Sheds reports whether the connection of a request at now should be given up
-// after its answer, which is so for none before Full has returned true. The random
-// number draw, in [0, 1), picks the part of the connections that is too many.
-func (l *Link) Sheds(draw float64, now time.Time) bool {
+// Excess returns the part of the connections that should be given up at now, each
+// after an answer. It is zero before Full has returned true.
+func (l *Link) Excess(now time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	load := l.load(now)
-	return l.full && load > shedAt && draw < 1-shedAt/load
+	if !l.full {
+		return 0
+	}
+	return max(0, 1-shedTo/l.load(now))
 }
--- a/kcw/kcwlink/link_test.go
+++ b/kcw/kcwlink/link_test.go
@@ -47,11 +47,11 @@
 	}
 }
 
-// TestStaysAway checks that a link that fills each time it is free stays away for
+// TestBackoff checks that a link that fills each time it is free counts as full for
 // longer, up to a bound, and starts anew once it was free for long.
-func TestStaysAway(t *testing.T) {
+func TestBackoff(t *testing.T) {
 	l, now := newLink(), time.Unix(1_700_000_000, 0)
-	away := func() time.Duration {
+	fullFor := func() time.Duration {
 		l.Carried(3*rate, 0, now)
 		if full, changed := l.Full(now); !full || !changed {
 			t.Fatal("the link is not full")
@@ -63,14 +63,14 @@
 		}
 	}
 	for i, want := range []time.Duration{4, 8, 16, 32, 64, 64} {
-		if got := away(); got < want*time.Second || got > (want+1)*time.Second+3*memory {
-			t.Errorf("away for %v the time %d, want about %ds", got, i+1, want)
+		if got := fullFor(); got < want*time.Second || got > (want+1)*time.Second+3*memory {
+			t.Errorf("full for %v the time %d, want about %ds", got, i+1, want)
 		}
 		now = now.Add(5 * time.Second)
 	}
 	now = now.Add(time.Minute)
-	if got := away(); got > 10*time.Second {
-		t.Errorf("away for %v after a free minute", got)
+	if got := fullFor(); got > 10*time.Second {
+		t.Errorf("full for %v after a free minute", got)
 	}
 }
 
@@ -123,7 +123,7 @@
 			links[at[c]].Carried(int(bytes), int(bytes), now)
 			// A connection carries about four requests a second.
 			asked := random.Float64() < 4*step.Seconds()
-			if asked && links[at[c]].Sheds(random.Float64(), now) || random.Float64() < step.Seconds()/life.Seconds() {
+			if asked && random.Float64() < links[at[c]].Excess(now) || random.Float64() < step.Seconds()/life.Seconds() {
 				at[c] = pick()
 			}
 		}
