--- a/kcw-fleet/kcwentry/observe.go
+++ b/kcw-fleet/kcwentry/observe.go
@@ -39,9 +39,9 @@
 
 // write logs the end of a request with what decided it.
 func write(e kcwforward.Event) {
-	if !e.Word.HeardAt.IsZero() {
+	if !e.Budget.HeardAt.IsZero() {
 		klog.InfoS("Tokens refused", "Request", e.Attempt, "Team", e.Team, "Tokens", e.Tokens,
-			"Available", e.Word.Available, "Unspent", e.Word.Unspent, "WordAge", e.WordAge.String())
+			"Available", e.Budget.Available, "Unspent", e.Budget.Unspent, "BudgetAge", e.BudgetAge.String())
 	}
 	klog.InfoS("Request ended", "Request", e.Attempt, "Outcome", e.Outcome, "Status", e.Status, "Cause", e.Cause,
 		"Route", e.Route, "Team", e.Team, "Service", e.Service, "Upstream", e.Upstream, "Sends", e.Sends,
--- a/kcw-fleet/kcwlending/lending.go
+++ b/kcw-fleet/kcwlending/lending.go
@@ -117,10 +117,10 @@
 	return connect.NewResponse(&kcwpb.BorrowResponse{Tokens: lent}), nil
 }
 
-// Raise borrows tokens of team for a request that needs so many. It returns whether
+// Acquire borrows tokens of team for a request that needs so many. It returns whether
 // a loan was made, by this call or by another that it waited for; the request may
 // lack tokens still.
-func (l *Lending) Raise(ctx context.Context, team string, tokens int64) bool {
+func (l *Lending) Acquire(ctx context.Context, team string, tokens int64) bool {
 	l.mu.Lock()
 	current := l.loans[team]
 	if current == nil {
@@ -144,21 +144,21 @@
 	lenders := slices.Clone(l.lenders)
 	l.mu.Unlock()
 
-	raised := l.raise(ctx, lenders, team, tokens)
+	acquired := l.askAll(ctx, lenders, team, tokens)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	close(current.done)
 	current.done = nil
-	if raised == 0 {
+	if acquired == 0 {
 		current.pauseUntil = l.cfg.Now().Add(pauseAfter)
 	}
-	return raised > 0
+	return acquired > 0
 }
 
-// raise asks lenders in random order until none of the tokens is lacking.
-func (l *Lending) raise(ctx context.Context, lenders []netip.AddrPort, team string, tokens int64) int64 {
+// askAll asks lenders in random order until none of the tokens is lacking.
+func (l *Lending) askAll(ctx context.Context, lenders []netip.AddrPort, team string, tokens int64) int64 {
 	rand.Shuffle(len(lenders), func(i, j int) { lenders[i], lenders[j] = lenders[j], lenders[i] })
-	raised := int64(0)
+	acquired := int64(0)
 	for _, lender := range lenders[:min(len(lenders), mostAsked)] {
 		short := l.cfg.Balance.Short(team, tokens, l.cfg.Now())
 		if short == 0 || ctx.Err() != nil {
@@ -170,10 +170,10 @@
 			continue
 		}
 		l.cfg.Balance.Borrowed(team, lent)
-		raised += lent
+		acquired += lent
 	}
-	klog.InfoS("Tokens borrowed", "Team", team, "Tokens", raised, "Asked", tokens, "Lenders", len(lenders))
-	return raised
+	klog.InfoS("Tokens borrowed", "Team", team, "Tokens", acquired, "Asked", tokens, "Lenders", len(lenders))
+	return acquired
 }
 
 // ask asks one lender. The answer counts even if no request waits for it any more.
--- a/kcw-fleet/kcwlending/lending_test.go
+++ b/kcw-fleet/kcwlending/lending_test.go
@@ -59,15 +59,15 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// TestRaise checks from whom a router borrows, and how much.
-func TestRaise(t *testing.T) {
+// TestAcquire checks from whom a router borrows, and how much.
+func TestAcquire(t *testing.T) {
 	for _, test := range []struct {
 		name string
 		// lenders hold these tokens each; one less than zero is gone.
-		lenders []int64
-		held    int64
-		raised  bool
-		after   int64
+		lenders  []int64
+		held     int64
+		acquired bool
+		after    int64
 	}{
 		{"one lender", []int64{500}, 0, true, 100},
 		{"parts of several", []int64{40, 40, 40}, 0, true, 100},
@@ -90,8 +90,8 @@
 			addresses = append(addresses, serve(t, newLending(&purse{held: held}, &clock{}).Handler()))
 		}
 		lending.SetLenders(addresses)
-		if got := lending.Raise(t.Context(), "a", 100); got != test.raised || own.held != test.after {
-			t.Errorf("%s: raised %v, holds %d, want %v and %d", test.name, got, own.held, test.raised, test.after)
+		if got := lending.Acquire(t.Context(), "a", 100); got != test.acquired || own.held != test.after {
+			t.Errorf("%s: acquired %v, holds %d, want %v and %d", test.name, got, own.held, test.acquired, test.after)
 		}
 		lending.Close()
 	}
@@ -113,7 +113,7 @@
 		calls int64
 	}{{0, 1}, {100 * time.Millisecond, 1}, {200 * time.Millisecond, 2}} {
 		c.at.Add(int64(test.past))
-		lending.Raise(t.Context(), "a", 100)
+		lending.Acquire(t.Context(), "a", 100)
 		if got := calls.Load(); got != test.calls {
 			t.Errorf("%d calls %v later, want %d", got, test.past, test.calls)
 		}
@@ -138,14 +138,14 @@
 	lending.SetLenders([]string{address})
 	ctx, leave := context.WithCancel(t.Context())
 	var work sync.WaitGroup
-	work.Go(func() { lending.Raise(ctx, "a", 100) })
+	work.Go(func() { lending.Acquire(ctx, "a", 100) })
 	<-asked
 	leave()
 	late := make(chan bool, 1)
-	work.Go(func() { late <- lending.Raise(t.Context(), "a", 100) })
+	work.Go(func() { late <- lending.Acquire(t.Context(), "a", 100) })
 	gone, cancel := context.WithCancel(t.Context())
 	cancel()
-	if lending.Raise(gone, "a", 100) {
+	if lending.Acquire(gone, "a", 100) {
 		t.Error("a request that has ended waited for a loan")
 	}
 	close(answer)
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -84,7 +84,7 @@
 	// LendTimeout bounds the call of one other router for tokens, some dozens of
 	// round trips between zones.
 	LendTimeout time.Duration `default:"60ms" setting:"min=1ms,max=1m"`
-	// Fresh is how old the core's word on a budget may be to refuse a request
+	// Fresh is how old the core's state of a budget may be to refuse a request
 	// for good, three reports.
 	Fresh time.Duration `default:"750ms" setting:"min=10ms,max=1m"`
 }
--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -32,7 +32,7 @@
 	Active time.Duration
 	// Sleep is how long the core must be silent for all tokens to wake.
 	Sleep time.Duration
-	// Fresh is how old the core's word on a budget may be to refuse a request
+	// Fresh is how old the core's state of a budget may be to refuse a request
 	// for good.
 	Fresh time.Duration
 	// Uptime returns the time since the host's boot, suspension included.
@@ -70,7 +70,7 @@
 	// limit bounds spent and reserved while the tokens sleep.
 	limit  int64
 	demand kcwgrant.Demand
-	// available, unspent and share are the core's word, as of heardAt.
+	// available, unspent and share are what the core told last, as of heardAt.
 	available, unspent, share int64
 	heardAt                   time.Time
 	// shortage is the largest request that lacked tokens since the last report,
@@ -158,19 +158,19 @@
 	return Missing
 }
 
-// Word is what the core said last of a team's budget: the tokens that nobody
+// Budget is what the core told last of a team's budget: the tokens that nobody
 // holds, those that nobody has reported as used, and when.
-type Word struct {
+type Budget struct {
 	Available, Unspent int64
 	HeardAt            time.Time
 }
 
-// Word returns the core's last word on the budget of team.
-func (b *Balance) Word(team string) Word {
+// Budget returns what the core told last of the budget of team.
+func (b *Balance) Budget(team string) Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(team)
-	return Word{Available: a.available, Unspent: a.unspent, HeardAt: a.heardAt}
+	return Budget{Available: a.available, Unspent: a.unspent, HeardAt: a.heardAt}
 }
 
 // Settle ends the reservation of tokens, of which used were used.
--- a/kcw/kcwbalance/balance_test.go
+++ b/kcw/kcwbalance/balance_test.go
@@ -23,7 +23,7 @@
 	})
 }
 
-// hear has the balance report and hears the core's word.
+// hear has the balance report and hears the core's answer.
 func hear(b *kcwbalance.Balance, granted, available, unspent, share int64) {
 	b.Heard(b.Report(start), []*kcwpb.Allowance{{Team: "a", Granted: granted, Available: available, Unspent: unspent, Share: share}})
 }
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -183,8 +183,8 @@
 		c.reserved = tokens
 		return nil
 	}
-	c.event.Word = balance.Word(c.team.Name)
-	c.event.WordAge = c.f.cfg.Now().Sub(c.event.Word.HeardAt)
+	c.event.Budget = balance.Budget(c.team.Name)
+	c.event.BudgetAge = c.f.cfg.Now().Sub(c.event.Budget.HeardAt)
 	switch verdict {
 	case kcwbalance.Exhausted:
 		return &refusal{status: http.StatusPaymentRequired, outcome: "BudgetExhausted", cause: "the team's prepaid tokens don't cover the request"}
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -90,10 +90,10 @@
 	Document       uint64
 	ListAge        time.Duration
 	Tokens, Used   int64
-	// Word is the core's word on the team's budget that decided a refusal, zero
-	// for other requests. Its age is WordAge.
-	Word       kcwbalance.Word
-	WordAge    time.Duration
+	// Budget is the state of the team's budget that decided a refusal, zero for
+	// other requests. Its age is BudgetAge.
+	Budget     kcwbalance.Budget
+	BudgetAge  time.Duration
 	RetryAfter time.Duration
 }
 
--- a/kcw/kcwgateway/run.go
+++ b/kcw/kcwgateway/run.go
@@ -13,14 +13,14 @@
 func (g *Gateway) run(ctx context.Context, req *request, f *flight, d *delivery) ending {
 	at, bad := g.pool.admit(ctx, req)
 	if bad != nil {
-		return g.turnAway(ctx, req, bad)
+		return g.reject(ctx, req, bad)
 	}
 	var cost int64
 	defer func() { at.release(cost) }()
 	// The connection is opened while the claim is.
 	first, ok := g.pool.pick(ctx, g.cfg.Now(), req, nil)
 	if !ok {
-		return g.turnAway(ctx, req, refuse(codeNoUpstream, g.cfg.Now(), ""))
+		return g.reject(ctx, req, refuse(codeNoUpstream, g.cfg.Now(), ""))
 	}
 	opened, e := g.open(ctx, req)
 	if !opened {
@@ -40,10 +40,10 @@
 	return g.close(ctx, req, d, res)
 }
 
-// turnAway ends a request that gets no upstream, for the reason bad. A request
+// reject ends a request that gets no upstream, for the reason bad. A request
 // that must not be repeated and that its caller named may be a retry of one that
 // ran: its claim tells, and is closed again if it was opened by this.
-func (g *Gateway) turnAway(ctx context.Context, req *request, bad *refusal) ending {
+func (g *Gateway) reject(ctx context.Context, req *request, bad *refusal) ending {
 	if req.repeatable || !req.named || bad.code == codeCallerGone {
 		return ending{refusal: bad}
 	}
