--- a/kcw-fleet/kcwcontrol/list.go
+++ b/kcw-fleet/kcwcontrol/list.go
@@ -11,8 +11,8 @@
 	"kingcupwick.example/kcw/kcwpb"
 )
 
-// lister reads the list of upstreams.
-type lister interface {
+// Lister reads the list of upstreams, for members of the core and for routers.
+type Lister interface {
 	// Read returns the upstreams listed. Entries that can't be read are left
 	// out; skipped says how many.
 	Read(ctx context.Context) (upstreams []*kcwpb.UpstreamRecord, skipped int, err error)
@@ -20,7 +20,7 @@
 
 // listReader keeps the newest list of upstreams at the leader.
 type listReader struct {
-	lister lister
+	lister Lister
 	name   string
 
 	mu     sync.Mutex
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -51,7 +51,7 @@
 	SettingsPath string
 	// Decode reads and checks a configuration document.
 	Decode func([]byte) (*kcwroute.Document, error)
-	Lister lister
+	Lister Lister
 	Logger *kcwlog.Logger
 }
 
--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -137,18 +137,24 @@
 // keep replaces the members that the core itself has told by those at the
 // addresses of core, if there are any.
 func (c *Client) keep(core []string) {
-	var members []netip.AddrPort
-	for _, text := range core {
-		member, err := netip.ParseAddrPort(text)
+	if members := Addresses(core); len(members) > 0 {
+		c.SetMembers(members)
+	}
+}
+
+// Addresses returns the addresses that the core has told in texts. One that is
+// malformed is logged and left out.
+func Addresses(texts []string) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, text := range texts {
+		address, err := netip.ParseAddrPort(text)
 		if err != nil {
-			klog.InfoS("Member of the core has no address", "Address", text, "Cause", err.Error())
+			klog.InfoS("Malformed address from the core", "Address", text, "Cause", err.Error())
 			continue
 		}
-		members = append(members, member)
-	}
-	if len(members) > 0 {
-		c.SetMembers(members)
+		addresses = append(addresses, address)
 	}
+	return addresses
 }
 
 // Target returns the member that is called next.
--- a/kcw-fleet/kcwcore/client_test.go
+++ b/kcw-fleet/kcwcore/client_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -138,3 +139,11 @@
 	}
 	return nil, connect.NewError(connect.CodeUnavailable, errors.New("stopped"))
 }
+
+// TestAddresses checks that a malformed address is left out and the others hold.
+func TestAddresses(t *testing.T) {
+	want := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.2:7000")}
+	if got := kcwcore.Addresses([]string{"10.0.0.1:7000", "not an address", "10.0.0.2:7000"}); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -189,7 +189,7 @@
 		p.balance.Heard(report, response.GetAllowances())
 	}
 	p.routers.Store(int64(response.GetRouters()))
-	p.lending.SetLenders(response.GetLenders())
+	p.lending.SetLenders(kcwcore.Addresses(response.GetLenders()))
 	p.takeDocument(response.GetDocument())
 	if response.GetListAgeNanos() > 0 {
 		p.takeList(response, report.At)
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -6,12 +6,12 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw-fleet/kcwcontrol"
 	"kingcupwick.example/kcw-fleet/kcwcore"
 	"kingcupwick.example/kcw-fleet/kcwlending"
 	"kingcupwick.example/kcw-fleet/kcwserve"
@@ -25,7 +25,6 @@
 	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwmeter"
-	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwplace"
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
@@ -68,35 +67,20 @@
 	breakerProbe       = 2 * time.Second
 )
 
-// lister reads the list of upstreams.
-type lister interface {
-	// Read returns the upstreams listed. Entries that can't be read are left
-	// out; skipped says how many.
-	Read(ctx context.Context) (upstreams []*kcwpb.UpstreamRecord, skipped int, err error)
-}
-
 // Config configures a Router. Every field is needed.
 type Config struct {
 	Settings *kcwsetup.Router
 	// SettingsPath is read again when the settings may have changed.
 	SettingsPath string
-	Dialect      dialect
+	Dialect      kcwforward.Dialect
 	// Decode reads and checks a configuration document.
 	Decode func([]byte) (*kcwroute.Document, error)
-	Lister lister
+	Lister kcwcontrol.Lister
 	Logger *kcwlog.Logger
 	// Dropped returns the number of log lines that were dropped.
 	Dropped func() int64
 }
 
-// dialect reads and writes the headers of callers and upstreams.
-type dialect interface {
-	ReadCall(r *http.Request, now time.Time) (kcwforward.Call, error)
-	UpstreamHeader(caller http.Header, a kcwforward.Attempt, now time.Time) http.Header
-	ReadAnswer(status int, h http.Header, now time.Time) kcwforward.Answer
-	RetryAfter(d time.Duration) string
-}
-
 // Router is one router.
 type Router struct {
 	cfg       Config
--- a/kcw-fleet/kcwlending/lending.go
+++ b/kcw-fleet/kcwlending/lending.go
@@ -88,18 +88,8 @@
 	return handler
 }
 
-// SetLenders replaces the addresses of other routers by those of texts, if there
-// are any.
-func (l *Lending) SetLenders(texts []string) {
-	var lenders []netip.AddrPort
-	for _, text := range texts {
-		lender, err := netip.ParseAddrPort(text)
-		if err != nil {
-			klog.InfoS("Lender has no address", "Address", text, "Cause", err.Error())
-			continue
-		}
-		lenders = append(lenders, lender)
-	}
+// SetLenders replaces the addresses of other routers, if there are any.
+func (l *Lending) SetLenders(lenders []netip.AddrPort) {
 	if len(lenders) == 0 {
 		return
 	}
--- a/kcw-fleet/kcwlending/lending_test.go
+++ b/kcw-fleet/kcwlending/lending_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,11 +53,15 @@
 	return kcwlending.New(kcwlending.Config{Router: "r", Balance: p, Timeout: timeout, Now: c.now})
 }
 
-func serve(t *testing.T, handler http.Handler) string {
+func serve(t *testing.T, handler http.Handler) netip.AddrPort {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
+	return addressOf(server)
+}
+
+func addressOf(server *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 }
 
 // TestAcquire checks from whom a router borrows, and how much.
@@ -79,12 +84,12 @@
 	} {
 		own := &purse{held: test.held}
 		lending := newLending(own, &clock{})
-		var addresses []string
+		var addresses []netip.AddrPort
 		for _, held := range test.lenders {
 			if held < 0 {
 				gone := httptest.NewServer(nil)
 				gone.Close()
-				addresses = append(addresses, strings.TrimPrefix(gone.URL, "http://"))
+				addresses = append(addresses, addressOf(gone))
 				continue
 			}
 			addresses = append(addresses, serve(t, newLending(&purse{held: held}, &clock{}).Handler()))
@@ -107,7 +112,7 @@
 	}))
 	c := &clock{}
 	lending := newLending(&purse{}, c)
-	lending.SetLenders([]string{address, "not an address"})
+	lending.SetLenders([]netip.AddrPort{address})
 	for _, test := range []struct {
 		past  time.Duration
 		calls int64
@@ -135,7 +140,7 @@
 	}))
 	own := &purse{}
 	lending := newLending(own, &clock{})
-	lending.SetLenders([]string{address})
+	lending.SetLenders([]netip.AddrPort{address})
 	ctx, leave := context.WithCancel(t.Context())
 	var work sync.WaitGroup
 	work.Go(func() { lending.Acquire(ctx, "a", 100) })
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -63,8 +63,8 @@
 	KeepUntil time.Time
 }
 
-// dialect reads and writes the headers that callers and upstreams know.
-type dialect interface {
+// Dialect reads and writes the headers that callers and upstreams know.
+type Dialect interface {
 	// ReadCall reads what a caller says. The error says which header is
 	// malformed.
 	ReadCall(r *http.Request, now time.Time) (Call, error)
@@ -99,7 +99,7 @@
 
 // Config configures a Forwarder. Every field is needed.
 type Config struct {
-	Dialect dialect
+	Dialect Dialect
 	// Document returns the configuration in force, nil if there is none.
 	Document func() *kcwroute.Document
 	Roster   *kcwroster.Roster
--- a/kcw/kcwretry/budget_test.go
+++ b/kcw/kcwretry/budget_test.go
@@ -24,6 +24,15 @@
 	return b
 }
 
+// drain returns how many retries b grants until it denies one.
+func drain(b *Budget) int {
+	granted := 0
+	for b.Retry() {
+		granted++
+	}
+	return granted
+}
+
 func TestRetry(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -67,11 +76,7 @@
 		for range test.first {
 			b.First()
 		}
-		granted := 0
-		for b.Retry() {
-			granted++
-		}
-		if granted != test.granted {
+		if granted := drain(b); granted != test.granted {
 			t.Errorf("%s: %d retries granted, want %d", test.name, granted, test.granted)
 		}
 	}
@@ -103,11 +108,7 @@
 		for range test.first {
 			b.First()
 		}
-		granted := 0
-		for b.Retry() {
-			granted++
-		}
-		if granted != test.granted {
+		if granted := drain(b); granted != test.granted {
 			t.Errorf("%s: %d granted, want %d", test.name, granted, test.granted)
 		}
 	}
