kcwdirectory, kcwcore, kcwcontrol: hosts tell each other of the core

Cause: only members know the membership.

Change: kcwdirectory decides whom a host asks, whom it tells and what it forgets; every fact carries its age, so that one passed in a circle does not become fresh. Every host that serves the core announces what it knows (Fleet.Announce, in place of Locate), members keep the hosts they know on their disk, refusals name hosts to ask, and a call turns to up to four hosts at once. Answers of the core are bounded in header and size.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
@@ -63,10 +64,12 @@
 	sender *kcwpeer.Sender
 	client *kcwcore.Client
 	// service is nil at a host without a disk.
-	service  *service
-	meter    *kcwmeter.Meter
-	life     context.Context
-	end      context.CancelFunc
+	service *service
+	meter   *kcwmeter.Meter
+	life    context.Context
+	end     context.CancelFunc
+	// tasks are the goroutines that use the folder.
+	tasks    sync.WaitGroup
 	operator *kcwserve.Server
 	peers    *kcwserve.Server
 	admin    *kcwadmin.Server
@@ -79,7 +82,7 @@
 	kcwsetup.LimitMemory(s.Host.MemoryMB)
 	m := &Member{cfg: cfg}
 	m.life, m.end = context.WithCancel(context.Background())
-	m.client = kcwcore.New(kcwcore.Config{Seeds: s.PeerAddresses()})
+	m.client = kcwcore.New(kcwcore.Config{Seeds: s.PeerAddresses(), Self: s.Host.PeerAddress})
 	var err error
 	if m.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-control", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
 		return nil, err
@@ -117,7 +120,8 @@
 		steward: kcwsteward.New(kcwsteward.Config{
 			Voters: 2*s.Group.Losses + 1, SilentAfter: s.Group.RemoveAfter, AskedWithin: 4 * askInterval,
 		}),
-		heard: map[string]contact{},
+		client: m.client,
+		heard:  map[string]contact{},
 	}
 	return nil
 }
@@ -211,11 +215,15 @@
 			return m.closeGroup()
 		}),
 	)
+	tells := &announcer{client: m.client, self: s.Host.PeerAddress, folder: m.folder, refresh: func() bool { return false }}
 	if m.service != nil {
+		tells.refresh = m.service.noteCore
 		m.work(app)
 	}
+	m.tasks.Go(func() { tells.run(m.life) })
 	err := app.Run()
 	m.end()
+	m.tasks.Wait()
 	if fault := m.closeGroup(); err == nil {
 		err = fault
 	}
--- a/kcw-fleet/kcwcontrol/redirect.go
+++ b/kcw-fleet/kcwcontrol/redirect.go
@@ -13,18 +13,17 @@
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
-	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
 )
 
 const (
-	// leaderKnownFor is how long the word on the leader is used: an operator
-	// waits a second for its answer.
+	// leaderKnownFor is how old a member's word on the leader may be to send callers
+	// there unasked: an operator waits a second for its answer.
 	leaderKnownFor = 500 * time.Millisecond
-	// locateTries bounds the members asked for the leader: one that is gone, one
-	// that does not lead, and the leader, once more each.
+	// locateTries bounds the hosts asked for the leader: one that is gone, one that
+	// does not lead, and the leader, once more each.
 	locateTries = 6
 )
 
@@ -37,38 +36,34 @@
 
 	// mu is held while the leader is looked for, so that callers share the
 	// answer.
-	mu      sync.Mutex
-	leader  netip.AddrPort
-	knownAt time.Time
+	mu sync.Mutex
 }
 
 // locate returns where the leader answers routers and members. It is not valid
-// if no member tells.
+// if no host tells.
 func (r *redirector) locate(ctx context.Context) netip.AddrPort {
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Group.PutTimeout)
 	defer cancel()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if time.Since(r.knownAt) < leaderKnownFor {
-		return r.leader
-	}
-	r.leader = netip.AddrPort{}
-	for try := 0; try < locateTries && ctx.Err() == nil; try++ {
-		leader, err := r.ask(ctx)
-		if err == nil {
-			r.leader, r.knownAt = leader, time.Now()
-			break
+	for try := 0; ; try++ {
+		if view := r.client.View(); view.Leader.IsValid() && view.LeaderAge < leaderKnownFor {
+			return view.Leader
+		}
+		if try == locateTries || ctx.Err() != nil {
+			return netip.AddrPort{}
+		}
+		if err := r.ask(ctx); err != nil {
+			klog.V(kcwlog.DebugVerbosity).InfoS("Leader not located yet", "Try", try, "Cause", err.Error())
 		}
-		klog.V(kcwlog.DebugVerbosity).InfoS("Leader not located yet", "Try", try, "Cause", err.Error())
 	}
-	return r.leader
 }
 
-// ask asks one member for the leader.
-func (r *redirector) ask(ctx context.Context) (netip.AddrPort, error) {
+// ask asks one host for the leader.
+func (r *redirector) ask(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Group.Election)
 	defer cancel()
-	return r.client.Locate(ctx)
+	return r.client.Ask(ctx, r.settings.Host.PeerAddress)
 }
 
 // ServeHTTP sends an operator to the leader. The body is read first, since a
@@ -83,11 +78,8 @@
 
 // refusal returns the answer to a call that only the leader takes.
 func (r *redirector) refusal(ctx context.Context) error {
-	e := connect.NewError(connect.CodeUnavailable, errNotLeader)
-	if leader := r.locate(ctx); leader.IsValid() {
-		e.Meta().Set(kcwledger.LeaderHeader, leader.String())
-	}
-	return e
+	leader := r.locate(ctx)
+	return refuse(errNotLeader, leader, r.client.View())
 }
 
 // Sync sends a router to the leader.
@@ -100,17 +92,10 @@
 	return nil, r.refusal(ctx)
 }
 
-// Locate names the leader known so far and does not look for it: two redirectors
-// would wait for each other.
-func (r *redirector) Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error) {
-	e := connect.NewError(connect.CodeUnavailable, errNotLeader)
-	if r.mu.TryLock() {
-		defer r.mu.Unlock()
-		if r.leader.IsValid() {
-			e.Meta().Set(kcwledger.LeaderHeader, r.leader.String())
-		}
-	}
-	return nil, e
+// Announce takes what another host knows of the core and tells what is known here.
+// It does not look for the leader: two redirectors would wait for each other.
+func (r *redirector) Announce(_ context.Context, req *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error) {
+	return announced(r.client, req.Msg)
 }
 
 // ready returns nil if a leader was located.
--- a/kcw-fleet/kcwcontrol/redirect_test.go
+++ b/kcw-fleet/kcwcontrol/redirect_test.go
@@ -19,19 +19,18 @@
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
 )
 
-// hearing is a member that hears the leader, or none if that is empty.
+// hearing is a member that heard the leader some time ago, or none if that is empty.
 type hearing struct {
 	kcwpbconnect.UnimplementedFleetHandler
 	leader string
+	age    time.Duration
 	calls  int
 }
 
-func (h *hearing) Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error) {
+func (h *hearing) Announce(context.Context, *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error) {
 	h.calls++
-	if h.leader == "" {
-		return nil, connect.NewError(connect.CodeUnavailable, errNoLeader)
-	}
-	return connect.NewResponse(&kcwpb.FleetLocateResponse{Leader: h.leader, Core: []string{h.leader}}), nil
+	view := &kcwpb.CoreView{Leader: h.leader, LeaderAgeNanos: int64(h.age)}
+	return connect.NewResponse(&kcwpb.FleetAnnounceResponse{View: view}), nil
 }
 
 func serveMember(t *testing.T, h *hearing) netip.AddrPort {
@@ -89,7 +88,7 @@
 }
 
 // TestLeaderLookedForAgain checks that the leader is not asked for at each call,
-// and that a leader that is gone is not named for long.
+// and that a leader that was not confirmed lately is not named.
 func TestLeaderLookedForAgain(t *testing.T) {
 	member := &hearing{leader: "10.0.0.7:7000"}
 	r := newRedirector(serveMember(t, member))
@@ -97,10 +96,8 @@
 	if r.locate(t.Context()); member.calls != 1 {
 		t.Errorf("%d calls for two answers at once", member.calls)
 	}
-	r.knownAt = r.knownAt.Add(-leaderKnownFor)
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	if leader := r.locate(ctx); leader.IsValid() {
+	r = newRedirector(serveMember(t, &hearing{leader: "10.0.0.7:7000", age: leaderKnownFor}))
+	if leader := r.locate(t.Context()); leader.IsValid() {
 		t.Errorf("an old leader is named: %v", leader)
 	}
 }
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -16,9 +16,10 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwdirectory"
 	"kingcupwick.example/kcw/kcwallowance"
 	"kingcupwick.example/kcw/kcwgroup"
-	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
@@ -36,6 +37,7 @@
 	table   *kcwallowance.Table
 	list    *listReader
 	steward *kcwsteward.Steward
+	client  *kcwcore.Client
 
 	// mu guards what follows and the steward.
 	mu    sync.Mutex
@@ -120,13 +122,31 @@
 	return connect.NewResponse(&kcwpb.FleetAdmitResponse{Membership: status.GetMembership()}), nil
 }
 
-// Locate tells where the leader is.
-func (s *service) Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error) {
+// Announce takes what another host knows of the core and tells what is known here.
+func (s *service) Announce(_ context.Context, req *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error) {
+	s.noteCore()
+	return announced(s.client, req.Msg)
+}
+
+// noteCore notes the leader and the members that the replicated log tells, and
+// reports whether this member leads.
+func (s *service) noteCore() bool {
 	status := s.group.Status()
-	if status.GetLeaderAddress() == "" || !s.group.Fresh() {
-		return nil, s.refusal(errNoLeader)
+	age := restartAge
+	if s.group.Fresh() {
+		age = 0
+	} else if heard := status.GetHeardAt(); heard != 0 {
+		age = max(0, time.Since(time.Unix(0, heard)))
+	}
+	view := kcwdirectory.View{LeaderAge: age}
+	for _, address := range kcwcore.Addresses(addresses(status)) {
+		view.Hosts = append(view.Hosts, kcwdirectory.Host{Address: address, Member: true, Age: age})
+	}
+	if leader, err := netip.ParseAddrPort(status.GetLeaderAddress()); err == nil {
+		view.Leader = leader
 	}
-	return connect.NewResponse(&kcwpb.FleetLocateResponse{Leader: status.GetLeaderAddress(), Core: addresses(status)}), nil
+	s.client.Learn(view)
+	return status.GetId() != 0 && status.GetLeader() == status.GetId()
 }
 
 // addresses returns those of the members.
@@ -144,12 +164,13 @@
 // refusal returns the answer to a call that this member could not carry out. It
 // names the leader if one is known.
 func (s *service) refusal(err error) error {
-	e := connect.NewError(connect.CodeUnavailable, err)
 	status := s.group.Status()
-	if status.GetLeaderAddress() != "" && status.GetLeader() != status.GetId() {
-		e.Meta().Set(kcwledger.LeaderHeader, status.GetLeaderAddress())
+	leader := netip.AddrPort{}
+	if status.GetLeader() != status.GetId() {
+		// An address that can't be parsed names no leader.
+		leader, _ = netip.ParseAddrPort(status.GetLeaderAddress())
 	}
-	return e
+	return refuse(err, leader, s.client.View())
 }
 
 // propose has cmd committed and returns its result.
--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -1,5 +1,6 @@
 // Package kcwcore holds a client of the core of a document-driven fleet: it finds
-// the leader among the members that it knows and calls it.
+// the leader by the hosts that it knows and calls it, and exchanges what is known
+// of the core with other hosts.
 package kcwcore
 
 import (
@@ -8,7 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw-fleet/kcwdirectory"
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
@@ -23,13 +25,33 @@
 
 // Config configures a Client.
 type Config struct {
-	// Seeds are the first members known.
+	// Seeds are the hosts of the settings.
 	Seeds []netip.AddrPort
+	// Self is where this host serves the core; it is not valid at a router.
+	Self netip.AddrPort
 }
 
-// dialTimeout bounds the opening of a connection, a few hundred round trips between
-// zones: a host without power does not answer.
-const dialTimeout = 300 * time.Millisecond
+const (
+	// dialTimeout bounds the opening of a connection, a few hundred round trips
+	// between zones: a host without power does not answer.
+	dialTimeout = 300 * time.Millisecond
+	// maxTries bounds the hosts that one call is sent to: one that is gone, one that
+	// does not lead, and the leader, with one to spare.
+	maxTries = 4
+	// leaderFor is how long a leader is named that no member has confirmed since, some
+	// election timeouts.
+	leaderFor = 3 * time.Second
+	// forget is how long hosts are remembered that are in no settings, longer than
+	// any outage in which they should be found again by memory.
+	forget = 24 * time.Hour
+	// maxAnswerBytes bounds an answer: a compressed document and a list.
+	maxAnswerBytes = 16 << 20
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
+	// HostsHeader names hosts that serve the core, in the refusal of one that does
+	// not lead.
+	HostsHeader = "Kcw-Hosts"
+)
 
 // Kind classifies an Error.
 type Kind int
@@ -59,11 +81,8 @@
 	transport *http.Transport
 	http      *http.Client
 
-	mu      sync.Mutex
-	seeds   []netip.AddrPort
-	members []netip.AddrPort
-	target  netip.AddrPort
-	next    int
+	mu        sync.Mutex
+	directory *kcwdirectory.Directory
 }
 
 // New returns a Client.
@@ -71,141 +90,223 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return &Client{transport: transport, http: &http.Client{Transport: transport}, seeds: cfg.Seeds}
+	directory := kcwdirectory.New(kcwdirectory.Config{Self: cfg.Self, LeaderFor: leaderFor, Forget: forget})
+	directory.SetSeeds(cfg.Seeds)
+	return &Client{transport: transport, http: &http.Client{Transport: transport}, directory: directory}
 }
 
-// SetSeeds replaces the members of the settings. It reports whether they changed.
+// SetSeeds replaces the hosts of the settings. It reports whether they changed.
 func (c *Client) SetSeeds(seeds []netip.AddrPort) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed := !slices.Equal(c.seeds, seeds)
-	c.seeds = seeds
-	return changed
+	return c.directory.SetSeeds(seeds)
 }
 
-// SetMembers replaces the members that the core itself has told.
-func (c *Client) SetMembers(members []netip.AddrPort) {
+// Learn takes what is known of the core from elsewhere.
+func (c *Client) Learn(view kcwdirectory.View) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.members = members
+	c.directory.Learn(view, time.Now())
 }
 
-// Sync calls Fleet.Sync at the member taken for the leader, and learns the members
-// of the core. After an error,
-// which is an *Error, the next call goes to another.
-func (c *Client) Sync(ctx context.Context, req *kcwpb.FleetSyncRequest) (*kcwpb.FleetSyncResponse, error) {
-	member := c.choose()
-	response, err := kcwpbconnect.NewFleetClient(c.http, "http://"+member.String()).Sync(ctx, connect.NewRequest(req))
-	if err != nil {
-		return nil, c.failed("sync", member, err)
-	}
-	c.keep(response.Msg.GetCore())
-	return response.Msg, nil
+// Heard takes what the host at address has told of the core. The address is not
+// valid if the host does not serve the core.
+func (c *Client) Heard(address netip.AddrPort, view kcwdirectory.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.directory.Heard(address, now)
+	c.directory.Learn(view, now)
 }
 
-// Admit asks the member taken for the leader to admit a replica.
-func (c *Client) Admit(ctx context.Context, m *kcwpb.Member) error {
-	member := c.choose()
-	req := connect.NewRequest(&kcwpb.FleetAdmitRequest{Member: m})
-	if _, err := kcwpbconnect.NewFleetClient(c.http, "http://"+member.String()).Admit(ctx, req); err != nil {
-		return c.failed("admit", member, err)
-	}
-	return nil
+// View returns what is known of the core.
+func (c *Client) View() kcwdirectory.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.directory.View(time.Now())
 }
 
-// Locate asks the member taken for the leader where the leader is, and learns
-// the members of the core. It returns the leader's address for routers and
-// members.
-func (c *Client) Locate(ctx context.Context) (netip.AddrPort, error) {
-	member := c.choose()
-	response, err := kcwpbconnect.NewFleetClient(c.http, "http://"+member.String()).Locate(ctx, connect.NewRequest(&kcwpb.FleetLocateRequest{}))
-	if err != nil {
-		return netip.AddrPort{}, c.failed("locate", member, err)
-	}
-	leader, err := netip.ParseAddrPort(response.Msg.GetLeader())
-	if err != nil {
-		return netip.AddrPort{}, c.failed("locate", member, err)
-	}
-	c.keep(response.Msg.GetCore())
+// Audience returns the hosts to announce to, for a host that leads or not.
+func (c *Client) Audience(leads bool) []netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.target = leader
-	return leader, nil
+	return c.directory.Audience(leads, time.Now())
+}
+
+// Leader returns the leader that was confirmed lately; it is not valid if there is
+// none.
+func (c *Client) Leader() netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.directory.Leader(time.Now())
+}
+
+// fleet returns the service at a host.
+func (c *Client) fleet(host netip.AddrPort) kcwpbconnect.FleetClient {
+	return kcwpbconnect.NewFleetClient(c.http, "http://"+host.String(), connect.WithReadMaxBytes(maxAnswerBytes))
 }
 
-// keep replaces the members that the core itself has told by those at the
-// addresses of core, if there are any.
-func (c *Client) keep(core []string) {
-	if members := Addresses(core); len(members) > 0 {
-		c.SetMembers(members)
+// Sync calls Fleet.Sync at the host taken for the leader and learns the members
+// of the core. One that refuses or can't be connected is followed by another. The
+// error is an *Error.
+func (c *Client) Sync(ctx context.Context, req *kcwpb.FleetSyncRequest) (*kcwpb.FleetSyncResponse, error) {
+	var response *connect.Response[kcwpb.FleetSyncResponse]
+	host, err := c.try(ctx, "sync", func(fleet kcwpbconnect.FleetClient) error {
+		var err error
+		response, err = fleet.Sync(ctx, connect.NewRequest(req))
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	view := kcwdirectory.View{Leader: host}
+	for _, member := range Addresses(response.Msg.GetCore()) {
+		view.Hosts = append(view.Hosts, kcwdirectory.Host{Address: member, Member: true})
 	}
+	c.Learn(view)
+	return response.Msg, nil
 }
 
-// Addresses returns the addresses that the core has told in texts. One that is
-// malformed is logged and left out.
-func Addresses(texts []string) []netip.AddrPort {
-	var addresses []netip.AddrPort
-	for _, text := range texts {
-		address, err := netip.ParseAddrPort(text)
-		if err != nil {
-			klog.InfoS("Malformed address from the core", "Address", text, "Cause", err.Error())
-			continue
+// Admit asks the host taken for the leader to admit a replica. The error is an
+// *Error.
+func (c *Client) Admit(ctx context.Context, m *kcwpb.Member) error {
+	_, err := c.try(ctx, "admit", func(fleet kcwpbconnect.FleetClient) error {
+		_, err := fleet.Admit(ctx, connect.NewRequest(&kcwpb.FleetAdmitRequest{Member: m}))
+		return err
+	})
+	return err
+}
+
+// try calls hosts until one takes the call, and returns it.
+func (c *Client) try(ctx context.Context, op string, call func(kcwpbconnect.FleetClient) error) (netip.AddrPort, error) {
+	err := &Error{Op: op, Kind: Unanswered, Err: errors.New("no host is known")}
+	for range maxTries {
+		host := c.next()
+		if !host.IsValid() {
+			break
+		}
+		cause := call(c.fleet(host))
+		if cause == nil {
+			return host, nil
+		}
+		err = c.failed(op, host, cause)
+		if ctx.Err() != nil || connect.CodeOf(cause) != connect.CodeUnavailable {
+			break
 		}
-		addresses = append(addresses, address)
 	}
-	return addresses
+	return netip.AddrPort{}, err
 }
 
-// Target returns the member that is called next.
-func (c *Client) Target() netip.AddrPort {
+// next returns the host to call.
+func (c *Client) next() netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.target
+	return c.directory.Next(time.Now())
 }
 
-// choose returns the member to call.
-func (c *Client) choose() netip.AddrPort {
+// failed notes that host did not answer as leader, and learns what it told.
+func (c *Client) failed(op string, host netip.AddrPort, err error) *Error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		// A connection that has gone silent must not be used again.
+		c.transport.CloseIdleConnections()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.target.IsValid() {
-		return c.target
+	now := time.Now()
+	c.directory.Failed(host, now)
+	var refused *connect.Error
+	if errors.As(err, &refused) {
+		view := kcwdirectory.View{}
+		if leader, err := netip.ParseAddrPort(refused.Meta().Get(kcwledger.LeaderHeader)); err == nil && leader != host {
+			view.Leader = leader
+		}
+		if hosts := refused.Meta().Get(HostsHeader); hosts != "" {
+			for _, address := range Addresses(strings.Split(hosts, ",")) {
+				view.Hosts = append(view.Hosts, kcwdirectory.Host{Address: address})
+			}
+		}
+		c.directory.Learn(view, now)
 	}
-	known := slices.Clone(c.members)
-	for _, seed := range c.seeds {
-		if !slices.Contains(known, seed) {
-			known = append(known, seed)
+	return &Error{Op: op, Kind: Unanswered, Member: host, Err: eris.Wrap(err, "call")}
+}
+
+// Announce tells the host at address what is known of the core, as told by the host
+// at self if that is valid, and learns what that host knows.
+func (c *Client) Announce(ctx context.Context, address, self netip.AddrPort) error {
+	req := &kcwpb.FleetAnnounceRequest{View: Encode(c.View())}
+	if self.IsValid() {
+		req.Address = self.String()
+	}
+	response, err := c.fleet(address).Announce(ctx, connect.NewRequest(req))
+	if err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			c.transport.CloseIdleConnections()
 		}
+		return &Error{Op: "announce", Kind: Unanswered, Member: address, Err: eris.Wrap(err, "call")}
 	}
-	if len(known) == 0 {
-		return netip.AddrPort{}
+	c.Heard(address, Decode(response.Msg.GetView()))
+	return nil
+}
+
+// Ask exchanges views with the host that is asked next, for a host without a disk
+// that looks for the leader.
+func (c *Client) Ask(ctx context.Context, self netip.AddrPort) error {
+	host := c.next()
+	if !host.IsValid() {
+		return &Error{Op: "ask", Kind: Unanswered, Err: errors.New("no host is known")}
 	}
-	c.next++
-	c.target = known[c.next%len(known)]
-	return c.target
+	if err := c.Announce(ctx, host, self); err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.directory.Failed(host, time.Now())
+		return err
+	}
+	return nil
 }
 
-// failed notes that member did not answer, and turns to the leader that it named
-// or to another.
-func (c *Client) failed(op string, member netip.AddrPort, err error) error {
-	var refused *connect.Error
-	leader := netip.AddrPort{}
-	if errors.As(err, &refused) {
-		leader, _ = netip.ParseAddrPort(refused.Meta().Get(kcwledger.LeaderHeader))
+// Encode returns view as a message.
+func Encode(view kcwdirectory.View) *kcwpb.CoreView {
+	message := &kcwpb.CoreView{LeaderAgeNanos: int64(view.LeaderAge)}
+	if view.Leader.IsValid() {
+		message.Leader = view.Leader.String()
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		// A connection that has gone silent must not be used again.
-		c.transport.CloseIdleConnections()
+	for _, h := range view.Hosts {
+		message.Hosts = append(message.Hosts, &kcwpb.CoreHost{Address: h.Address.String(), Member: h.Member, AgeNanos: int64(h.Age)})
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.target == member {
-		c.target = netip.AddrPort{}
-		if leader.IsValid() && leader != member {
-			c.target = leader
+	return message
+}
+
+// Decode returns the view of a message. What is malformed is left out.
+func Decode(message *kcwpb.CoreView) kcwdirectory.View {
+	view := kcwdirectory.View{LeaderAge: time.Duration(message.GetLeaderAgeNanos())}
+	if leader := message.GetLeader(); leader != "" {
+		if addresses := Addresses([]string{leader}); len(addresses) == 1 {
+			view.Leader = addresses[0]
+		}
+	}
+	for _, h := range message.GetHosts() {
+		for _, address := range Addresses([]string{h.GetAddress()}) {
+			view.Hosts = append(view.Hosts, kcwdirectory.Host{Address: address, Member: h.GetMember(), Age: time.Duration(h.GetAgeNanos())})
 		}
 	}
-	return &Error{Op: op, Kind: Unanswered, Member: member, Err: eris.Wrap(err, "call")}
+	return view
+}
+
+// Addresses returns the addresses that the core has told in texts. One that is
+// malformed is logged and left out.
+func Addresses(texts []string) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, text := range texts {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			klog.InfoS("Malformed address from the core", "Address", text, "Cause", err.Error())
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
 }
 
 // Close closes the connections that are not in use.
--- a/kcw-fleet/kcwcore/client_test.go
+++ b/kcw-fleet/kcwcore/client_test.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwdirectory"
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
@@ -94,7 +95,7 @@
 	leader := &member{}
 	c := kcwcore.New(kcwcore.Config{Seeds: []netip.AddrPort{silent(t)}})
 	defer c.Close()
-	c.SetMembers([]netip.AddrPort{serve(t, leader)})
+	c.Learn(kcwdirectory.View{Hosts: []kcwdirectory.Host{{Address: serve(t, leader), Member: true}}})
 	for range 3 {
 		if _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err == nil {
 			return
--- a/kcw-fleet/kcwentry/dump.go
+++ b/kcw-fleet/kcwentry/dump.go
@@ -27,7 +27,7 @@
 	d := dump{
 		Router: r.cfg.Settings.Host.Name, Zone: r.cfg.Settings.Host.Zone, Incarnation: r.reporter.number(),
 		ListedAt: r.roster.ListedAt(), InFlight: r.forwarder.InFlight(), Draining: r.stop.Load() != nil,
-		Core: r.client.Target(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(),
+		Core: r.client.Leader(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(),
 	}
 	if document := r.reporter.document.Load(); document != nil {
 		d.Document = document.Version
--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -162,7 +162,7 @@
 	defer p.mu.Unlock()
 	if err == nil {
 		if p.unheard {
-			klog.InfoS("Core regained", "Silent", asked.Sub(p.heardAt).String(), "Member", p.client.Target())
+			klog.InfoS("Core regained", "Silent", asked.Sub(p.heardAt).String(), "Member", p.client.Leader())
 		}
 		p.unheard = false
 		p.heardAt = asked
--- a/kcw/kcwpb/kcwpbconnect/kcw.connect.go
+++ b/kcw/kcwpb/kcwpbconnect/kcw.connect.go
@@ -72,8 +72,8 @@
 	FleetSyncProcedure = "/kcw.v1.Fleet/Sync"
 	// FleetAdmitProcedure is the fully-qualified name of the Fleet's Admit RPC.
 	FleetAdmitProcedure = "/kcw.v1.Fleet/Admit"
-	// FleetLocateProcedure is the fully-qualified name of the Fleet's Locate RPC.
-	FleetLocateProcedure = "/kcw.v1.Fleet/Locate"
+	// FleetAnnounceProcedure is the fully-qualified name of the Fleet's Announce RPC.
+	FleetAnnounceProcedure = "/kcw.v1.Fleet/Announce"
 )
 
 // PeerClient is a client for the kcw.v1.Peer service.
@@ -586,8 +586,9 @@
 type FleetClient interface {
 	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
 	Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error)
-	// Locate is answered by every member that hears the leader.
-	Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error)
+	// Announce is answered by every host that serves the core, also one that is
+	// no member: caller and callee exchange what they know of the core.
+	Announce(context.Context, *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error)
 }
 
 // NewFleetClient constructs a client for the kcw.v1.Fleet service. By default, it uses the Connect
@@ -613,10 +614,10 @@
 			connect.WithSchema(fleetMethods.ByName("Admit")),
 			connect.WithClientOptions(opts...),
 		),
-		locate: connect.NewClient[kcwpb.FleetLocateRequest, kcwpb.FleetLocateResponse](
+		announce: connect.NewClient[kcwpb.FleetAnnounceRequest, kcwpb.FleetAnnounceResponse](
 			httpClient,
-			baseURL+FleetLocateProcedure,
-			connect.WithSchema(fleetMethods.ByName("Locate")),
+			baseURL+FleetAnnounceProcedure,
+			connect.WithSchema(fleetMethods.ByName("Announce")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -624,9 +625,9 @@
 
 // fleetClient implements FleetClient.
 type fleetClient struct {
-	sync   *connect.Client[kcwpb.FleetSyncRequest, kcwpb.FleetSyncResponse]
-	admit  *connect.Client[kcwpb.FleetAdmitRequest, kcwpb.FleetAdmitResponse]
-	locate *connect.Client[kcwpb.FleetLocateRequest, kcwpb.FleetLocateResponse]
+	sync     *connect.Client[kcwpb.FleetSyncRequest, kcwpb.FleetSyncResponse]
+	admit    *connect.Client[kcwpb.FleetAdmitRequest, kcwpb.FleetAdmitResponse]
+	announce *connect.Client[kcwpb.FleetAnnounceRequest, kcwpb.FleetAnnounceResponse]
 }
 
 // Sync calls kcw.v1.Fleet.Sync.
@@ -639,17 +640,18 @@
 	return c.admit.CallUnary(ctx, req)
 }
 
-// Locate calls kcw.v1.Fleet.Locate.
-func (c *fleetClient) Locate(ctx context.Context, req *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error) {
-	return c.locate.CallUnary(ctx, req)
+// Announce calls kcw.v1.Fleet.Announce.
+func (c *fleetClient) Announce(ctx context.Context, req *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error) {
+	return c.announce.CallUnary(ctx, req)
 }
 
 // FleetHandler is an implementation of the kcw.v1.Fleet service.
 type FleetHandler interface {
 	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
 	Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error)
-	// Locate is answered by every member that hears the leader.
-	Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error)
+	// Announce is answered by every host that serves the core, also one that is
+	// no member: caller and callee exchange what they know of the core.
+	Announce(context.Context, *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error)
 }
 
 // NewFleetHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -671,10 +673,10 @@
 		connect.WithSchema(fleetMethods.ByName("Admit")),
 		connect.WithHandlerOptions(opts...),
 	)
-	fleetLocateHandler := connect.NewUnaryHandler(
-		FleetLocateProcedure,
-		svc.Locate,
-		connect.WithSchema(fleetMethods.ByName("Locate")),
+	fleetAnnounceHandler := connect.NewUnaryHandler(
+		FleetAnnounceProcedure,
+		svc.Announce,
+		connect.WithSchema(fleetMethods.ByName("Announce")),
 		connect.WithHandlerOptions(opts...),
 	)
 	return "/kcw.v1.Fleet/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -683,8 +685,8 @@
 			fleetSyncHandler.ServeHTTP(w, r)
 		case FleetAdmitProcedure:
 			fleetAdmitHandler.ServeHTTP(w, r)
-		case FleetLocateProcedure:
-			fleetLocateHandler.ServeHTTP(w, r)
+		case FleetAnnounceProcedure:
+			fleetAnnounceHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -702,6 +704,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Admit is not implemented"))
 }
 
-func (UnimplementedFleetHandler) Locate(context.Context, *connect.Request[kcwpb.FleetLocateRequest]) (*connect.Response[kcwpb.FleetLocateResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Locate is not implemented"))
+func (UnimplementedFleetHandler) Announce(context.Context, *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Announce is not implemented"))
 }
