kcwroster, kcwforward, kcwheader: obey upstreams that leave or decline requests

Cause: the platform's new words had no code. An answer with Server-Leaving: 1 says that its upstream leaves whatever the list says, and a 503 with Retry-After that it wants no request from this router for a time.

Change: both are read from every answer, also interim and surplus ones, and kept with the upstream: one that leaves gets nothing new until the list shows it leaving and then back, one that declines nothing until its deadline. Neither is a fallback when all others are suspected. If all decline, the request is refused at once with the soonest end, and the spread of returns only adds to it.

Kept connections deliver what is under way.

--- a/kcw-fleet/kcwentry/observe.go
+++ b/kcw-fleet/kcwentry/observe.go
@@ -54,3 +54,8 @@
 	klog.InfoS("Attempt failed", "Request", e.Attempt, "Cause", e.Cause, "Service", e.Service, "Upstream", e.Upstream,
 		"Sends", e.Sends, "ListAge", e.ListAge.String())
 }
+
+// logWithdrawal logs that an upstream wants no requests.
+func logWithdrawal(attempt, upstream string, said kcwforward.Answer) {
+	klog.InfoS("Upstream withdraws", "Request", attempt, "Upstream", upstream, "Leaving", said.Leaving, "DeclinedUntil", said.DeclinedUntil)
+}
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -163,7 +163,7 @@
 		RetryRatio: retryPart * s.Retry.Ratio, RetrySlack: int(retryPart * float64(s.Retry.Slack)), Routers: func() int { return int(r.reporter.routers.Load()) },
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		UsedWithin: s.Upstream.UsedWithin, Patience: s.Upstream.Patience,
-		Stopping: r.stopping, Observe: newObserver(r.meter), Retried: logRetry, Rand: newRand(), Now: time.Now,
+		Stopping: r.stopping, Observe: newObserver(r.meter), Retried: logRetry, Withdrawn: logWithdrawal, Rand: newRand(), Now: time.Now,
 	})
 }
 
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -64,13 +64,16 @@
 	outcome    string
 	cause      string
 	retryAfter time.Duration
+	// notBefore says that a return before retryAfter would be in vain, so that the
+	// spread of returns only adds to it.
+	notBefore bool
 }
 
 // admit finds the route, the team, the body and the tokens of the request.
 func (c *call) admit() *refusal {
 	c.document = c.f.cfg.Document()
 	if c.document == nil {
-		return &refusal{http.StatusServiceUnavailable, "NoConfiguration", "no configuration has been received yet", retryUnready}
+		return &refusal{status: http.StatusServiceUnavailable, outcome: "NoConfiguration", cause: "no configuration has been received yet", retryAfter: retryUnready}
 	}
 	c.event.Document = c.document.Version
 	if err := c.read(); err != nil {
@@ -81,7 +84,7 @@
 	}
 	c.event.Route = c.route.Name
 	if !c.endsInTime() {
-		return &refusal{http.StatusServiceUnavailable, "Stopping", "the router stops before the request would end", retryStopping}
+		return &refusal{status: http.StatusServiceUnavailable, outcome: "Stopping", cause: "the router stops before the request would end", retryAfter: retryStopping}
 	}
 	if refusal := c.identify(); refusal != nil {
 		return refusal
@@ -189,9 +192,9 @@
 	case kcwbalance.Exhausted:
 		return &refusal{status: http.StatusPaymentRequired, outcome: "BudgetExhausted", cause: "the team's prepaid tokens don't cover the request"}
 	case kcwbalance.Held:
-		return &refusal{http.StatusTooManyRequests, "BudgetHeld", "other routers hold the team's last tokens", retryHeld}
+		return &refusal{status: http.StatusTooManyRequests, outcome: "BudgetHeld", cause: "other routers hold the team's last tokens", retryAfter: retryHeld}
 	}
-	return &refusal{http.StatusServiceUnavailable, "BudgetUnknown", "neither the core nor other routers could be asked for enough tokens", retryMissing}
+	return &refusal{status: http.StatusServiceUnavailable, outcome: "BudgetUnknown", cause: "neither the core nor other routers could be asked for enough tokens", retryAfter: retryMissing}
 }
 
 // maxAsks bounds how often one request asks the core for tokens, and how often
@@ -228,7 +231,11 @@
 func (c *call) refuse(r *refusal) {
 	c.event.Outcome, c.event.Cause = r.outcome, r.cause
 	if r.retryAfter > 0 {
-		c.event.RetryAfter = time.Duration(float64(r.retryAfter) * (1 + retrySpread*(c.f.draw()-0.5)))
+		spread := retrySpread * c.f.draw()
+		if !r.notBefore {
+			spread -= retrySpread / 2
+		}
+		c.event.RetryAfter = time.Duration(float64(r.retryAfter) * (1 + spread))
 		c.w.Header().Set("Retry-After", c.f.cfg.Dialect.RetryAfter(c.event.RetryAfter))
 	}
 	c.fail(r.status, r.cause)
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -258,6 +258,17 @@
 	}
 }
 
+// noteWithdrawal notes that an answer, to this request or not, says that the upstream
+// wants no requests.
+func (a *attempt) noteWithdrawal(said Answer) {
+	if !said.DeclinedUntil.IsZero() {
+		a.ticket.Declined(said.DeclinedUntil)
+	}
+	if said.Leaving && a.ticket.Leaving() || !said.DeclinedUntil.IsZero() {
+		a.f.cfg.Withdrawn(a.said.Attempt, a.ticket.ID(), said)
+	}
+}
+
 // response reads the header of the answer to this request, and returns what it says
 // as well. Answers to earlier requests and interim answers are passed over.
 func (a *attempt) response() (*http.Response, Answer, error) {
@@ -274,10 +285,11 @@
 			return nil, Answer{}, err
 		}
 		a.ticket.Answered()
+		said := a.f.cfg.Dialect.ReadAnswer(response.StatusCode, response.Header, a.f.cfg.Now())
+		a.noteWithdrawal(said)
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		said := a.f.cfg.Dialect.ReadAnswer(response.StatusCode, response.Header, a.f.cfg.Now())
 		if said.Attempt == a.said.Attempt || said.Attempt == "" && response.StatusCode >= http.StatusBadRequest {
 			return response, said, nil
 		}
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -59,9 +59,15 @@
 	return h
 }
 
-func (dialect) ReadAnswer(status int, h http.Header, _ time.Time) kcwforward.Answer {
+func (dialect) ReadAnswer(status int, h http.Header, now time.Time) kcwforward.Answer {
 	misdirected := status == http.StatusMisdirectedRequest
-	return kcwforward.Answer{Attempt: h.Get("Attempt"), Misdirected: misdirected, NotRun: misdirected || h.Get("Not-Run") != ""}
+	answer := kcwforward.Answer{
+		Attempt: h.Get("Attempt"), Misdirected: misdirected, NotRun: misdirected || h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != "",
+	}
+	if ms, err := strconv.Atoi(h.Get("Decline")); err == nil {
+		answer.DeclinedUntil = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return answer
 }
 
 func (dialect) RetryAfter(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
@@ -147,6 +153,7 @@
 			defer f.mu.Unlock()
 			f.events = append(f.events, e)
 		},
+		Withdrawn: func(string, string, kcwforward.Answer) {},
 		Retried: func(kcwforward.Event) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -56,6 +56,11 @@
 	// NotRun says that the upstream did not run the request, Misdirected that
 	// another upstream has the address.
 	NotRun, Misdirected bool
+	// Leaving says that the upstream leaves and wants no new requests.
+	Leaving bool
+	// DeclinedUntil is until when the upstream wants no requests from this router,
+	// zero if it does not say.
+	DeclinedUntil time.Time
 	// Load is the upstream's load, nil if it does not say.
 	Load *kcwroster.Load
 	// KeepUntil is when the connection will be closed if it stays idle, zero
@@ -133,9 +138,11 @@
 	// Stopping returns when the router will stop and whether it is about to.
 	// While it is, callers are asked to use other connections.
 	Stopping func() (Stop, bool)
-	// Observe is called when a request has ended, and Retried when an attempt
-	// has failed and another follows; they must not block.
+	// Observe is called when a request has ended, Retried when an attempt has failed
+	// and another follows, and Withdrawn when an answer says that its upstream wants
+	// no requests; they must not block.
 	Observe, Retried func(Event)
+	Withdrawn        func(attempt, upstream string, said Answer)
 	Rand             *rand.Rand
 	Now              func() time.Time
 }
@@ -177,7 +184,7 @@
 // New returns a Forwarder. The error is an *Error of kind Incomplete.
 func New(cfg Config) (*Forwarder, error) {
 	parts := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil && cfg.Link != nil &&
-		cfg.Ask != nil && cfg.Borrow != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.Observe != nil && cfg.Retried != nil && cfg.Rand != nil && cfg.Now != nil
+		cfg.Ask != nil && cfg.Borrow != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.Observe != nil && cfg.Retried != nil && cfg.Withdrawn != nil && cfg.Rand != nil && cfg.Now != nil
 	if !parts || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.Patience <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
 	}
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -100,6 +101,55 @@
 	}
 }
 
+// TestWithdrawn plays upstreams of which some say that they leave or decline requests
+// for a time, in answers of any status, and checks that they get nothing more from
+// then on while their kept connections still deliver what is under way.
+func TestWithdrawn(t *testing.T) {
+	const decline = "Decline: 20000\r\n"
+	for _, test := range []struct {
+		name       string
+		header     string
+		status     int
+		upstreams  int
+		sends      int
+		outcome    string
+		retryAfter int
+	}{
+		{"leaves, with an answer", "Leaving: 1\r\n", 200, 1, 1, "Refused", 0},
+		{"leaves, with a failure", "Leaving: 1\r\n", 500, 1, 1, "Refused", 0},
+		{"declines", "Not-Run: 1\r\n" + decline, 503, 1, 1, "Declined", 20_000},
+		{"declines and may have run", decline, 503, 1, 1, "Declined", 20_000},
+		{"all decline", "Not-Run: 1\r\n" + decline, 503, 3, 3, "Declined", 20_000},
+	} {
+		f := newFixture(t, test.upstreams, once, func(e *exchange) { e.answer(test.status, test.header, "x") })
+		for range 5 {
+			if _, _, err := f.call(t, http.MethodPost, "body"); err != nil {
+				t.Errorf("%s: %v", test.name, err)
+			}
+		}
+		response, _, err := f.call(t, http.MethodPost, "body")
+		if err != nil {
+			t.Errorf("%s: %v", test.name, err)
+			continue
+		}
+		if got := f.runs(); got != test.sends {
+			t.Errorf("%s: the upstreams got %d requests, want %d", test.name, got, test.sends)
+		}
+		f.mu.Lock()
+		last := f.events[len(f.events)-1]
+		f.mu.Unlock()
+		after, err := strconv.Atoi(response.Header.Get("Retry-After"))
+		if response.StatusCode != 503 || last.Outcome != test.outcome || last.Sends != 0 || err != nil {
+			t.Errorf("%s: status %d, outcome %s after %d sends, Retry-After %q", test.name, response.StatusCode, last.Outcome, last.Sends, response.Header.Get("Retry-After"))
+		}
+		// A caller that returns sooner would be refused once more.
+		const elapsed = 10_000
+		if test.retryAfter > 0 && (after < test.retryAfter-elapsed || after > 2*test.retryAfter) {
+			t.Errorf("%s: callers return after %d ms, want about %d", test.name, after, test.retryAfter)
+		}
+	}
+}
+
 // TestUnchanged checks that method, path, query and body reach the upstream as
 // the caller sent them, and that its key does not.
 func TestUnchanged(t *testing.T) {
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -128,10 +128,22 @@
 		c.event.Outcome = "OutcomeUnknown"
 		c.fail(http.StatusBadGateway, cause)
 	default:
-		c.refuse(&refusal{http.StatusServiceUnavailable, "Refused", cause, retryBusy})
+		c.refuse(c.unplaced(cause))
 	}
 }
 
+// unplaced returns the refusal of a request that no upstream has run. Where all
+// upstreams have declined requests for a time, the caller returns when the first
+// wants some again.
+func (c *call) unplaced(cause string) *refusal {
+	r := &refusal{status: http.StatusServiceUnavailable, outcome: "Refused", cause: cause, retryAfter: retryBusy}
+	if free := c.f.cfg.Roster.FreeAt(c.service.Name); !free.IsZero() {
+		r.outcome, r.retryAfter = "Declined", free.Sub(c.f.cfg.Now())
+		r.notBefore = true
+	}
+	return r
+}
+
 // rank returns the rank that the request has at engines: teams first, then the
 // kinds of a team's requests.
 func (c *call) rank() int {
--- a/kcw/kcwroster/roster.go
+++ b/kcw/kcwroster/roster.go
@@ -76,10 +76,17 @@
 	loadAt     time.Time
 	loadFlight int
 	pausedTill time.Time
-	// gone says that another upstream answered at its address.
-	gone bool
+	// declinedUntil is until when the upstream wants no request from this router.
+	declinedUntil time.Time
+	// gone says that another upstream answered at its address, saidLeaving that an
+	// answer of the upstream said that it leaves.
+	gone, saidLeaving bool
 }
 
+// takesNone reports whether the upstream gets no new request at all: it leaves, or
+// is gone.
+func (u *upstream) takesNone() bool { return u.Leaving || u.gone || u.saidLeaving }
+
 // Roster holds upstreams. It is safe for concurrent use. Lock order: mu before
 // the locks of breakers, pools and the placer.
 type Roster struct {
@@ -117,6 +124,10 @@
 		case u == nil || u.Address != e.Address || u.Service != e.Service:
 			u = r.newUpstream(e)
 			changes = append(changes, "added "+e.ID)
+		case u.Leaving && !e.Leaving:
+			// The upstream has started again under its identity.
+			u.saidLeaving = false
+			changes = append(changes, "back "+e.ID)
 		case u.Leaving != e.Leaving:
 			changes = append(changes, "leaving "+e.ID)
 		}
@@ -207,7 +218,7 @@
 func (r *Roster) usable(want Request, now time.Time) []*upstream {
 	var good, rest []*upstream
 	for _, u := range r.services[want.Service] {
-		if u.Leaving || u.gone || slices.Contains(want.Tried, u.ID) {
+		if u.takesNone() || now.Before(u.declinedUntil) || slices.Contains(want.Tried, u.ID) {
 			continue
 		}
 		if u.breaker.Ready(now) && !now.Before(u.pausedTill) && !r.isSilent(u, now) {
@@ -320,6 +331,25 @@
 	u.load, u.loadAt, u.loadFlight = load, now, u.inFlight
 }
 
+// Leaving notes that an answer of the upstream said that it leaves. It reports
+// whether this is news.
+func (t *Ticket) Leaving() bool {
+	t.roster.mu.Lock()
+	defer t.roster.mu.Unlock()
+	news := !t.upstream.saidLeaving
+	t.upstream.saidLeaving = true
+	return news
+}
+
+// Declined notes that the upstream wants no request from this router until then.
+func (t *Ticket) Declined(until time.Time) {
+	t.roster.mu.Lock()
+	defer t.roster.mu.Unlock()
+	if until.After(t.upstream.declinedUntil) {
+		t.upstream.declinedUntil = until
+	}
+}
+
 // IsSilent reports whether the upstream says nothing to anybody.
 func (t *Ticket) IsSilent() bool {
 	now := t.roster.cfg.Now()
@@ -387,8 +417,13 @@
 	list := make([]Upstream, 0, len(r.byID))
 	for _, u := range r.byID {
 		state := u.breaker.State()
-		if u.gone {
+		switch {
+		case u.gone:
 			state = "Gone"
+		case u.saidLeaving:
+			state = "Leaving"
+		case r.cfg.Now().Before(u.declinedUntil):
+			state = "Declining"
 		}
 		list = append(list, Upstream{Entry: u.Entry, State: state, InFlight: u.inFlight, Load: u.load, LoadAt: u.loadAt, Opened: u.pool.Opened()})
 	}
@@ -403,9 +438,28 @@
 	defer r.mu.Unlock()
 	n := 0
 	for _, u := range r.services[service] {
-		if !u.Leaving && !u.gone {
+		if !u.takesNone() {
 			n++
 		}
 	}
 	return n
 }
+
+// FreeAt returns when the first upstream of the service wants requests again, if
+// all that may be given work have declined them for a time; otherwise zero.
+func (r *Roster) FreeAt(service string) time.Time {
+	now := r.cfg.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var first time.Time
+	for _, u := range r.services[service] {
+		switch {
+		case u.takesNone():
+		case !now.Before(u.declinedUntil):
+			return time.Time{}
+		case first.IsZero() || u.declinedUntil.Before(first):
+			first = u.declinedUntil
+		}
+	}
+	return first
+}
--- a/kcw/kcwroster/roster_test.go
+++ b/kcw/kcwroster/roster_test.go
@@ -92,6 +92,46 @@
 			c.now = c.now.Add(time.Second)
 			other.Answered()
 		}, nil, []string{"a", "b", "c"}},
+		{"said to leave", func(r *kcwroster.Roster, _ *clock) { said(r, "a").Leaving() }, nil, []string{"b", "c"}},
+		{"said to leave, and listed as ready", func(r *kcwroster.Roster, c *clock) {
+			said(r, "a").Leaving()
+			r.List(entries("a", "b", "c"), c.now.Add(time.Second))
+		}, nil, []string{"b", "c"}},
+		{"started again after it left", func(r *kcwroster.Roster, c *clock) {
+			said(r, "a").Leaving()
+			list := entries("a", "b", "c")
+			list[0].Leaving = true
+			r.List(list, c.now)
+			r.List(entries("a", "b", "c"), c.now.Add(time.Second))
+		}, nil, []string{"a", "b", "c"}},
+		{"all said to leave", func(r *kcwroster.Roster, _ *clock) {
+			for _, id := range []string{"a", "b", "c"} {
+				said(r, id).Leaving()
+			}
+		}, nil, nil},
+		{"declining", func(r *kcwroster.Roster, c *clock) {
+			said(r, "a").Declined(c.now.Add(2 * time.Second))
+			c.now = c.now.Add(2*time.Second - 1)
+		}, nil, []string{"b", "c"}},
+		{"declining for less, later", func(r *kcwroster.Roster, c *clock) {
+			said(r, "a").Declined(c.now.Add(2 * time.Second))
+			said(r, "b").Declined(c.now.Add(time.Second))
+			c.now = c.now.Add(time.Second)
+		}, nil, []string{"b", "c"}},
+		{"no more declining", func(r *kcwroster.Roster, c *clock) {
+			said(r, "a").Declined(c.now.Add(2 * time.Second))
+			c.now = c.now.Add(2 * time.Second)
+		}, nil, []string{"a", "b", "c"}},
+		{"all declining", func(r *kcwroster.Roster, c *clock) {
+			for _, id := range []string{"a", "b", "c"} {
+				said(r, id).Declined(c.now.Add(time.Second))
+			}
+		}, nil, nil},
+		{"declining beside suspected ones", func(r *kcwroster.Roster, c *clock) {
+			said(r, "a").Declined(c.now.Add(time.Second))
+			end(r, "b", kcwroster.Unreachable, 1)
+			end(r, "c", kcwroster.Unreachable, 1)
+		}, nil, []string{"b", "c"}},
 		{"all suspected", func(r *kcwroster.Roster, _ *clock) {
 			for _, id := range []string{"a", "b", "c"} {
 				end(r, id, kcwroster.Unreachable, 1)
@@ -108,6 +148,46 @@
 	}
 }
 
+// said returns an ended attempt at the upstream id, whose answer says something.
+func said(r *kcwroster.Roster, id string) *kcwroster.Ticket {
+	t := hold(r, id)
+	t.Done(kcwroster.Neutral)
+	return t
+}
+
+// TestFreeAt checks when requests are wanted again, if all upstreams decline them.
+func TestFreeAt(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		declined map[string]time.Duration
+		leaving  string
+		want     time.Duration
+	}{
+		{"none declines", nil, "", 0},
+		{"one wants requests", map[string]time.Duration{"a": 3 * time.Second, "b": time.Second}, "", 0},
+		{"all decline", map[string]time.Duration{"a": 3 * time.Second, "b": time.Second, "c": 2 * time.Second}, "", time.Second},
+		{"the others leave", map[string]time.Duration{"a": 3 * time.Second, "c": 2 * time.Second}, "b", 2 * time.Second},
+	} {
+		c := &clock{now: time.Unix(1_700_000_000, 0)}
+		r := newRoster(c)
+		r.List(entries("a", "b", "c"), c.now)
+		tickets := map[string]*kcwroster.Ticket{"a": said(r, "a"), "b": said(r, "b"), "c": said(r, "c")}
+		for id, after := range test.declined {
+			tickets[id].Declined(c.now.Add(after))
+		}
+		if test.leaving != "" {
+			tickets[test.leaving].Leaving()
+		}
+		got := time.Duration(0)
+		if at := r.FreeAt("s"); !at.IsZero() {
+			got = at.Sub(c.now)
+		}
+		if got != test.want {
+			t.Errorf("%s: free in %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
 // hold begins an attempt at the upstream id.
 func hold(r *kcwroster.Roster, id string) *kcwroster.Ticket {
 	for {
