kcwsharing, kcwentry: routers share one reading of the list; settings take fractions

Change: a router whose list is old asks two others for a later one (kcwsharing, over the routers that the core names as neighbours; the answer holds the list only if its digest differs), and reads by itself in one of as many rounds as there are routers. A router without a configuration doesn't read. Messages and headers of other routers are bounded. Readings are counted and logged. Rate is dropped.

Result: TestCallsAtSize: in a cut of 20 s 300 and 1,000 routers make at most twice the readings of 10, with no list older than 8 s.

--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -14,6 +14,7 @@
 	"kingcupwick.example/kcw-fleet/kcwcore"
 	"kingcupwick.example/kcw-fleet/kcwlending"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
+	"kingcupwick.example/kcw-fleet/kcwsharing"
 	"kingcupwick.example/kcw/kcwbalance"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwroster"
@@ -27,6 +28,7 @@
 	settings *kcwsetup.Router
 	client   *kcwcore.Client
 	lending  *kcwlending.Lending
+	sharing  *kcwsharing.Sharing
 	balance  *kcwbalance.Balance
 	roster   *kcwroster.Roster
 	decode   func([]byte) (*kcwroute.Document, error)
@@ -34,6 +36,8 @@
 
 	document atomic.Pointer[kcwroute.Document]
 	routers  atomic.Int64
+	// neighbours are the addresses of some other routers.
+	neighbours atomic.Pointer[[]netip.AddrPort]
 
 	// mu guards what follows. Lock order: mu before the locks of balance and
 	// roster.
@@ -189,7 +193,10 @@
 		p.balance.Heard(report, response.GetAllowances())
 	}
 	p.routers.Store(int64(response.GetRouters()))
-	p.lending.SetLenders(kcwcore.Addresses(response.GetLenders()))
+	if neighbours := kcwcore.Addresses(response.GetLenders()); len(neighbours) > 0 {
+		p.neighbours.Store(&neighbours)
+		p.lending.SetLenders(neighbours)
+	}
 	p.takeDocument(response.GetDocument())
 	if response.GetListAgeNanos() > 0 {
 		p.takeList(response, report.At)
@@ -241,9 +248,11 @@
 	list := response.GetList()
 	if list == nil {
 		p.roster.Confirmed(readAt)
+		p.sharing.Confirm(readAt)
 		return
 	}
-	p.applyList(list.GetUpstreams(), readAt, "core")
+	p.sharing.Hold(list.GetUpstreams(), readAt)
+	p.applyList(list.GetUpstreams(), readAt, "Core")
 	p.listVersion, p.listReader = list.GetVersion(), list.GetReader()
 }
 
@@ -266,11 +275,11 @@
 	}
 }
 
-// ownList takes a list that the router has read itself. The core's next list is
+// takeOther takes a list that did not come from the core. The core's next list is
 // taken whole.
-func (p *reporter) ownList(records []*kcwpb.UpstreamRecord, readAt time.Time) {
+func (p *reporter) takeOther(records []*kcwpb.UpstreamRecord, readAt time.Time, source kcwsharing.Source) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listVersion, p.listReader = 0, ""
-	p.applyList(records, readAt, "own")
+	p.applyList(records, readAt, string(source))
 }
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -6,9 +6,11 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/metric"
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-fleet/kcwcontrol"
@@ -16,6 +18,7 @@
 	"kingcupwick.example/kcw-fleet/kcwlending"
 	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
+	"kingcupwick.example/kcw-fleet/kcwsharing"
 	"kingcupwick.example/kcw/kcwadmin"
 	"kingcupwick.example/kcw/kcwbalance"
 	"kingcupwick.example/kcw/kcwbreaker"
@@ -25,6 +28,7 @@
 	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwmeter"
+	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwplace"
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
@@ -90,6 +94,9 @@
 	link      *kcwlink.Link
 	reporter  *reporter
 	lending   *kcwlending.Lending
+	sharing   *kcwsharing.Sharing
+	caller    *kcwsharing.Caller
+	listCalls metric.Int64Counter
 	forwarder *kcwforward.Forwarder
 	meter     *kcwmeter.Meter
 	public    *kcwserve.Server
@@ -118,14 +125,22 @@
 	r.roster = newRoster(s)
 	r.link = kcwlink.New(kcwlink.Config{BytesPerSecond: s.Host.LinkMbps * bytesPerMbit, Memory: linkMemory})
 	r.lending = kcwlending.New(kcwlending.Config{Router: s.Host.Name, Balance: r.balance, Timeout: s.Grants.LendTimeout, Now: time.Now})
+	r.caller = kcwsharing.NewCaller(s.Grants.LendTimeout)
+	r.sharing = kcwsharing.New(kcwsharing.Config{
+		Read: r.readList, Call: r.caller.Call, Rand: newRand(), Now: time.Now,
+		Take: func(list []*kcwpb.UpstreamRecord, readAt time.Time, source kcwsharing.Source) {
+			r.reporter.takeOther(list, readAt, source)
+		},
+	})
 	r.reporter = &reporter{
-		settings: s, client: r.client, lending: r.lending, balance: r.balance, roster: r.roster, decode: cfg.Decode,
+		settings: s, client: r.client, lending: r.lending, sharing: r.sharing, balance: r.balance, roster: r.roster, decode: cfg.Decode,
 		uptime: uptime, incarnation: uint64(time.Now().UnixNano()),
 		round: newRound(), wake: make(chan struct{}, 1), heardAt: time.Now(),
 	}
 	if r.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-router", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
 		return nil, err
 	}
+	r.listCalls = r.meter.Counter("kcw_router_list_readings", "Readings of the list of upstreams by this router itself.")
 	if r.forwarder, err = r.newForwarder(); err != nil {
 		return nil, err
 	}
@@ -160,7 +175,7 @@
 	return kcwforward.New(kcwforward.Config{
 		Dialect: r.cfg.Dialect, Document: r.reporter.document.Load, Roster: r.roster, Balance: r.balance, Link: r.link,
 		Ask: r.reporter.ask, Borrow: r.lending.Acquire, AskTimeout: s.Grants.AskTimeout,
-		RetryRatio: retryPart * s.Retry.Ratio, RetrySlack: int(retryPart * float64(s.Retry.Slack)), Routers: func() int { return int(r.reporter.routers.Load()) },
+		RetryRatio: retryPart * s.Retry.Ratio, RetrySlack: int(retryPart * s.Retry.Slack), Routers: func() int { return int(r.reporter.routers.Load()) },
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		UsedWithin: s.Upstream.UsedWithin, Patience: s.Upstream.Patience,
 		Stopping: r.stopping, Observe: newObserver(r.meter), Retried: logRetry, Withdrawn: logWithdrawal, Rand: newRand(), Now: time.Now,
@@ -178,7 +193,10 @@
 		return err
 	}
 	limits := kcwserve.Config{HeaderTimeout: s.Limits.HeaderTimeout, MaxHeaderBytes: s.Limits.MaxHeaderBytes}
-	if r.lender, err = kcwserve.New(s.LendAddress(), r.lending.Handler(), limits); err != nil {
+	neighbours := http.NewServeMux()
+	neighbours.Handle(r.lending.Handler())
+	neighbours.Handle(r.sharing.Handler())
+	if r.lender, err = kcwserve.New(s.LendAddress(), neighbours, limits); err != nil {
 		return err
 	}
 	r.measure()
--- a/kcw-fleet/kcwentry/run.go
+++ b/kcw-fleet/kcwentry/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
@@ -12,7 +13,7 @@
 	"kingcupwick.example/kcw-fleet/kcwreload"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwforward"
-	"kingcupwick.example/kcw/kcwlog"
+	"kingcupwick.example/kcw/kcwpb"
 )
 
 // Run serves until a signal stops the router.
@@ -21,7 +22,7 @@
 	klog.InfoS("Router starts", "Address", s.Host.Address, "Zone", s.Host.Zone, "Incarnation", r.reporter.number(), "Seeds", s.Core.Seeds,
 		"Boot", r.reporter.uptime.Boot(), "Uptime", r.reporter.uptime.Started().String())
 	go r.reporter.run(r.life)
-	go r.readLists()
+	go r.refreshList()
 	go kcwreload.New(kcwreload.Config{Interval: reloadInterval, Reload: r.reload}).Run(r.life)
 	app := kratos.New(
 		kratos.Name("kcw-router"), kratos.Logger(r.cfg.Logger), kratos.Server(r.public, r.lender, r.admin),
@@ -37,6 +38,7 @@
 	r.end()
 	r.client.Close()
 	r.lending.Close()
+	r.caller.Close()
 	klog.InfoS("Router stopped", "LinesDropped", r.cfg.Dropped())
 	return err
 }
@@ -76,28 +78,34 @@
 	}
 }
 
-// readLists reads the list while the core brings none that is fresh.
-func (r *Router) readLists() {
+// refreshList gets the list from other routers or the platform while the core brings
+// none that is fresh. A router without a configuration serves nobody, and gets the
+// list along with that.
+func (r *Router) refreshList() {
 	s := r.cfg.Settings.List
 	for r.life.Err() == nil {
-		// All routers that are cut off read, at half of the allowed rate.
-		const part = 2
-		pause := max(s.Interval, time.Duration(part*float64(max(1, r.reporter.routers.Load()))/s.Rate*float64(time.Second)))
-		time.Sleep(pause/2 + rand.N(pause))
-		if time.Since(r.roster.ListedAt()) < s.StaleAfter {
+		time.Sleep(s.Interval/2 + rand.N(s.Interval))
+		if r.reporter.document.Load() == nil || time.Since(r.roster.ListedAt()) < s.StaleAfter {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(r.life, s.Timeout)
-		began := time.Now()
-		upstreams, skipped, err := r.cfg.Lister.Read(ctx)
-		cancel()
-		if err != nil {
-			klog.InfoS("List of upstreams not read", "Cause", err.Error(), "ListedAt", r.roster.ListedAt())
-			continue
+		var neighbours []netip.AddrPort
+		if known := r.reporter.neighbours.Load(); known != nil {
+			neighbours = *known
 		}
-		klog.V(kcwlog.DebugVerbosity).InfoS("List of upstreams read", "Upstreams", len(upstreams), "Skipped", skipped)
-		r.reporter.ownList(upstreams, began)
+		r.sharing.Refresh(r.life, neighbours, int(r.reporter.routers.Load()))
+	}
+}
+
+// readList reads the list from the platform.
+func (r *Router) readList(ctx context.Context) ([]*kcwpb.UpstreamRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.Settings.List.Timeout)
+	defer cancel()
+	records, skipped, err := r.cfg.Lister.Read(ctx)
+	r.listCalls.Add(ctx, 1)
+	if err == nil {
+		klog.InfoS("List of upstreams read", "Upstreams", len(records), "Skipped", skipped, "ListedAt", r.roster.ListedAt())
 	}
+	return records, err
 }
 
 // reload reads the settings again and takes the seeds from them.
--- a/kcw-fleet/kcwlending/lending.go
+++ b/kcw-fleet/kcwlending/lending.go
@@ -29,6 +29,9 @@
 	// pauseAfter is how long a team's tokens are not asked for again after nobody
 	// lent any: one report of each router to the core.
 	pauseAfter = 250 * time.Millisecond
+	// maxMessageBytes bounds a message of another router, and maxHeaderBytes its header.
+	maxMessageBytes = 64 << 10
+	maxHeaderBytes  = 16 << 10
 	// idleCalls is for how many times a call's timeout a connection is kept
 	// unused: loans come in bursts, and from other routers each time.
 	idleCalls = 10
@@ -78,14 +81,14 @@
 	dialer := &net.Dialer{Timeout: cfg.Timeout}
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleCalls * cfg.Timeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Lending{cfg: cfg, transport: transport, http: &http.Client{Transport: transport}, loans: map[string]*loan{}}
 }
 
 // Handler returns the handler for other routers.
-func (l *Lending) Handler() http.Handler {
-	_, handler := kcwpbconnect.NewLendingHandler(l)
-	return handler
+func (l *Lending) Handler() (string, http.Handler) {
+	return kcwpbconnect.NewLendingHandler(l, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // SetLenders replaces the addresses of other routers, if there are any.
@@ -171,7 +174,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.cfg.Timeout)
 	defer cancel()
 	req := connect.NewRequest(&kcwpb.BorrowRequest{Router: l.cfg.Router, Team: team, Tokens: tokens})
-	response, err := kcwpbconnect.NewLendingClient(l.http, "http://"+lender.String()).Borrow(ctx, req)
+	response, err := kcwpbconnect.NewLendingClient(l.http, "http://"+lender.String(), connect.WithReadMaxBytes(maxMessageBytes)).Borrow(ctx, req)
 	if err != nil {
 		return 0, err
 	}
--- a/kcw-fleet/kcwlending/lending_test.go
+++ b/kcw-fleet/kcwlending/lending_test.go
@@ -53,6 +53,11 @@
 	return kcwlending.New(kcwlending.Config{Router: "r", Balance: p, Timeout: timeout, Now: c.now})
 }
 
+func handler(l *kcwlending.Lending) http.Handler {
+	_, handler := l.Handler()
+	return handler
+}
+
 func serve(t *testing.T, handler http.Handler) netip.AddrPort {
 	t.Helper()
 	server := httptest.NewServer(handler)
@@ -92,7 +97,7 @@
 				addresses = append(addresses, addressOf(gone))
 				continue
 			}
-			addresses = append(addresses, serve(t, newLending(&purse{held: held}, &clock{}).Handler()))
+			addresses = append(addresses, serve(t, handler(newLending(&purse{held: held}, &clock{}))))
 		}
 		lending.SetLenders(addresses)
 		if got := lending.Acquire(t.Context(), "a", 100); got != test.acquired || own.held != test.after {
@@ -105,7 +110,7 @@
 // TestPause checks that lenders are not asked again at once after nobody lent any.
 func TestPause(t *testing.T) {
 	var calls atomic.Int64
-	empty := newLending(&purse{}, &clock{}).Handler()
+	empty := handler(newLending(&purse{}, &clock{}))
 	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls.Add(1)
 		empty.ServeHTTP(w, r)
@@ -128,7 +133,7 @@
 // TestLateLoan checks that requests that lack tokens at once share one loan, and
 // that a loan counts whose request has ended.
 func TestLateLoan(t *testing.T) {
-	lender := newLending(&purse{held: 1000}, &clock{}).Handler()
+	lender := handler(newLending(&purse{held: 1000}, &clock{}))
 	var calls atomic.Int64
 	asked, answer := make(chan struct{}), make(chan struct{})
 	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -34,7 +34,7 @@
 	LogLevel     string         `default:"info" setting:"oneof=error|warning|info|debug|trace"`
 	// MemoryMB is the memory of the host's share that one process may use, in
 	// MiB; the garbage collector keeps below nine tenths of it.
-	MemoryMB int64 `default:"256" setting:"min=16,max=1048576"`
+	MemoryMB float64 `default:"256" setting:"min=16,max=1048576"`
 	// LinkMbps is the rate of the host's network link in Mbit/s, zero if it has no
 	// bound. A router whose link is nearly full takes no new callers.
 	LinkMbps float64 `default:"0" setting:"min=0,max=10000000"`
@@ -94,7 +94,7 @@
 	// Ratio is their part of the first attempts, and Slack the number on top,
 	// which the routers share.
 	Ratio float64 `default:"0.1" setting:"min=0.001,max=1"`
-	Slack int     `default:"50" setting:"min=0,max=1000000"`
+	Slack float64 `default:"50" setting:"min=0,max=1000000"`
 }
 
 // Limits bounds what a router holds.
@@ -144,12 +144,11 @@
 // List says how the list of upstreams is read.
 type List struct {
 	Address netip.AddrPort `setting:"required"`
-	// Interval is the time between two readings by the core's leader, and by a
-	// router that gets no list from the core.
+	// Interval is the time between two readings by the core's leader, and by all
+	// routers together that get no list from the core.
 	Interval time.Duration `default:"500ms" setting:"min=10ms,max=1h"`
-	// Rate is the number of calls a second that all daemons may make together.
-	Rate float64 `default:"40" setting:"min=0.1,max=100000"`
-	// StaleAfter is how old the list may get before a router reads it itself.
+	// StaleAfter is how old the list may get before a router looks for a later one
+	// elsewhere.
 	StaleAfter time.Duration `default:"1200ms" setting:"min=10ms,max=1h"`
 	Timeout    time.Duration `default:"500ms" setting:"min=10ms,max=1m"`
 }
@@ -175,8 +174,8 @@
 	// Folder holds the log. A host without a disk gives none and only sends
 	// operators and routers to the leader.
 	Folder   string
-	LogLevel string `default:"info" setting:"oneof=error|warning|info|debug|trace"`
-	MemoryMB int64  `default:"256" setting:"min=16,max=1048576"`
+	LogLevel string  `default:"info" setting:"oneof=error|warning|info|debug|trace"`
+	MemoryMB float64 `default:"256" setting:"min=16,max=1048576"`
 }
 
 // Group configures the replicated log.
@@ -259,7 +258,7 @@
 
 // LimitMemory makes the garbage collector keep below a process's memory, given in
 // MiB.
-func LimitMemory(megabytes int64) {
+func LimitMemory(megabytes float64) {
 	const megabyte = 1 << 20
-	debug.SetMemoryLimit(int64(memoryPart * float64(megabytes*megabyte)))
+	debug.SetMemoryLimit(int64(memoryPart * megabytes * megabyte))
 }
--- /dev/null
+++ b/kcw-fleet/kcwsharing/sharing_test.go
@@ -0,0 +1,157 @@
+package kcwsharing_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw-fleet/kcwsharing"
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// fleet is routers that the core can't be reached from, with a list that changes.
+type fleet struct {
+	now      time.Time
+	routers  []*kcwsharing.Sharing
+	listedAt []time.Time
+	readings int
+	version  int
+	broken   bool
+}
+
+func at(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 1)
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: start, listedAt: make([]time.Time, n)}
+	for i := range n {
+		f.routers = append(f.routers, kcwsharing.New(kcwsharing.Config{
+			Read: f.read,
+			Take: func(list []*kcwpb.UpstreamRecord, readAt time.Time, _ kcwsharing.Source) {
+				if len(list) == 1 {
+					f.listedAt[i] = readAt
+				}
+			},
+			Call: f.call, Rand: rand.New(rand.NewPCG(uint64(i), 7)), Now: func() time.Time { return f.now },
+		}))
+		f.routers[i].Hold([]*kcwpb.UpstreamRecord{{Id: "0"}}, start)
+		f.listedAt[i] = start
+	}
+	return f
+}
+
+func (f *fleet) read(context.Context) ([]*kcwpb.UpstreamRecord, error) {
+	f.readings++
+	if f.broken {
+		return nil, errors.New("no answer")
+	}
+	return []*kcwpb.UpstreamRecord{{Id: strconv.Itoa(f.version)}}, nil
+}
+
+func (f *fleet) call(_ context.Context, router netip.AddrPort, req *kcwpb.ShareListRequest) (*kcwpb.ShareListResponse, error) {
+	ip := router.Addr().As4()
+	n := int(ip[2])<<8 | int(ip[3])
+	if n >= len(f.routers) {
+		return nil, errors.New("gone")
+	}
+	return f.routers[n].Answer(req), nil
+}
+
+// run plays rounds of half a second, in which each router knows eight others.
+func (f *fleet) run(d time.Duration, gone int) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(500 * time.Millisecond) {
+		f.version++
+		for _, router := range f.routers {
+			var neighbours []netip.AddrPort
+			for range 8 {
+				neighbours = append(neighbours, at(random.IntN(len(f.routers)+gone)))
+			}
+			router.Refresh(context.Background(), neighbours, len(f.routers))
+		}
+	}
+}
+
+// TestCallsAtSize plays a cut of 20 seconds and checks that 300 routers make at most
+// twice the readings of 10, and how old their lists get: a minute's worth of rounds
+// would be the age if each read by itself at this rate.
+func TestCallsAtSize(t *testing.T) {
+	const cut = 20 * time.Second
+	small := newFleet(10)
+	small.run(cut, 0)
+	for _, test := range []struct {
+		name    string
+		routers int
+		gone    int
+	}{
+		{"300 routers", 300, 0},
+		{"300 routers, half of those known are gone", 300, 300},
+		{"1000 routers", 1000, 0},
+	} {
+		f := newFleet(test.routers)
+		f.run(cut, test.gone)
+		if f.readings > 2*small.readings {
+			t.Errorf("%s: %d readings, %d by 10 routers", test.name, f.readings, small.readings)
+		}
+		oldest := f.now
+		for _, listedAt := range f.listedAt {
+			if listedAt.Before(oldest) {
+				oldest = listedAt
+			}
+		}
+		if age := f.now.Sub(oldest); age > 8*time.Second {
+			t.Errorf("%s: a list is %v old", test.name, age)
+		}
+	}
+}
+
+// TestAlone checks that a router that knows no other reads by itself.
+func TestAlone(t *testing.T) {
+	f := newFleet(1)
+	f.routers[0].Refresh(context.Background(), nil, 1)
+	if f.readings != 1 {
+		t.Errorf("%d readings", f.readings)
+	}
+	f.broken = true
+	before := f.listedAt[0]
+	f.routers[0].Refresh(context.Background(), nil, 1)
+	if f.listedAt[0] != before {
+		t.Error("a failed reading was taken")
+	}
+}
+
+// TestShareList checks what a router answers to another, over the network: a list
+// only if it is later and differs.
+func TestShareList(t *testing.T) {
+	f := newFleet(1)
+	mux := http.NewServeMux()
+	mux.Handle(f.routers[0].Handler())
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	caller := kcwsharing.NewCaller(10 * time.Second)
+	defer caller.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	f.now = start.Add(time.Second)
+	first, err := caller.Call(t.Context(), address, &kcwpb.ShareListRequest{AgeNanos: int64(2 * time.Second)})
+	if err != nil || len(first.GetList().GetUpstreams()) != 1 || first.GetAgeNanos() != int64(time.Second) {
+		t.Fatalf("got %v, error %v", first, err)
+	}
+	newer, err := caller.Call(t.Context(), address, &kcwpb.ShareListRequest{AgeNanos: int64(time.Millisecond)})
+	if err != nil || newer.GetList() != nil {
+		t.Errorf("a router with a later list got %v, error %v", newer, err)
+	}
+	server.Close()
+	if _, err := caller.Call(t.Context(), address, &kcwpb.ShareListRequest{}); err == nil {
+		t.Error("a router that is gone answered")
+	}
+}
--- a/kcw/kcwpb/kcwpbconnect/kcw.connect.go
+++ b/kcw/kcwpb/kcwpbconnect/kcw.connect.go
@@ -32,6 +32,8 @@
 	OperatorName = "kcw.v1.Operator"
 	// AnswersName is the fully-qualified name of the Answers service.
 	AnswersName = "kcw.v1.Answers"
+	// SharingName is the fully-qualified name of the Sharing service.
+	SharingName = "kcw.v1.Sharing"
 	// LendingName is the fully-qualified name of the Lending service.
 	LendingName = "kcw.v1.Lending"
 	// FleetName is the fully-qualified name of the Fleet service.
@@ -66,6 +68,8 @@
 	OperatorChangeMembersProcedure = "/kcw.v1.Operator/ChangeMembers"
 	// AnswersFetchProcedure is the fully-qualified name of the Answers's Fetch RPC.
 	AnswersFetchProcedure = "/kcw.v1.Answers/Fetch"
+	// SharingShareListProcedure is the fully-qualified name of the Sharing's ShareList RPC.
+	SharingShareListProcedure = "/kcw.v1.Sharing/ShareList"
 	// LendingBorrowProcedure is the fully-qualified name of the Lending's Borrow RPC.
 	LendingBorrowProcedure = "/kcw.v1.Lending/Borrow"
 	// FleetSyncProcedure is the fully-qualified name of the Fleet's Sync RPC.
@@ -512,6 +516,76 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Answers.Fetch is not implemented"))
 }
 
+// SharingClient is a client for the kcw.v1.Sharing service.
+type SharingClient interface {
+	ShareList(context.Context, *connect.Request[kcwpb.ShareListRequest]) (*connect.Response[kcwpb.ShareListResponse], error)
+}
+
+// NewSharingClient constructs a client for the kcw.v1.Sharing service. By default, it uses the
+// Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewSharingClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) SharingClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	sharingMethods := kcwpb.File_kcw_proto.Services().ByName("Sharing").Methods()
+	return &sharingClient{
+		shareList: connect.NewClient[kcwpb.ShareListRequest, kcwpb.ShareListResponse](
+			httpClient,
+			baseURL+SharingShareListProcedure,
+			connect.WithSchema(sharingMethods.ByName("ShareList")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// sharingClient implements SharingClient.
+type sharingClient struct {
+	shareList *connect.Client[kcwpb.ShareListRequest, kcwpb.ShareListResponse]
+}
+
+// ShareList calls kcw.v1.Sharing.ShareList.
+func (c *sharingClient) ShareList(ctx context.Context, req *connect.Request[kcwpb.ShareListRequest]) (*connect.Response[kcwpb.ShareListResponse], error) {
+	return c.shareList.CallUnary(ctx, req)
+}
+
+// SharingHandler is an implementation of the kcw.v1.Sharing service.
+type SharingHandler interface {
+	ShareList(context.Context, *connect.Request[kcwpb.ShareListRequest]) (*connect.Response[kcwpb.ShareListResponse], error)
+}
+
+// NewSharingHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewSharingHandler(svc SharingHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	sharingMethods := kcwpb.File_kcw_proto.Services().ByName("Sharing").Methods()
+	sharingShareListHandler := connect.NewUnaryHandler(
+		SharingShareListProcedure,
+		svc.ShareList,
+		connect.WithSchema(sharingMethods.ByName("ShareList")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/kcw.v1.Sharing/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case SharingShareListProcedure:
+			sharingShareListHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedSharingHandler returns CodeUnimplemented from all methods.
+type UnimplementedSharingHandler struct{}
+
+func (UnimplementedSharingHandler) ShareList(context.Context, *connect.Request[kcwpb.ShareListRequest]) (*connect.Response[kcwpb.ShareListResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Sharing.ShareList is not implemented"))
+}
+
 // LendingClient is a client for the kcw.v1.Lending service.
 type LendingClient interface {
 	Borrow(context.Context, *connect.Request[kcwpb.BorrowRequest]) (*connect.Response[kcwpb.BorrowResponse], error)
