kcwcontrol: read a list that does not change half as often

Cause: the leader's two readings a second, each of all pages, are most calls to the list once routers share theirs. Change: a list that has not changed for 5 s is read once a second. Routers look elsewhere for a list older than 2.5 s (was 1.2 s), which is longer than a reading and a report take.

--- a/kcw-fleet/kcwcontrol/list.go
+++ b/kcw-fleet/kcwcontrol/list.go
@@ -18,20 +18,49 @@
 	Read(ctx context.Context) (upstreams []*kcwpb.UpstreamRecord, skipped int, err error)
 }
 
+const (
+	// changingFor is how long a list counts as changing after it has changed: upstreams
+	// come and go one after the other.
+	changingFor = 5 * time.Second
+	// calmFactor is how many times as long the pause between two readings of a list
+	// is that does not change.
+	calmFactor = 2
+)
+
 // listReader keeps the newest list of upstreams at the leader.
 type listReader struct {
 	lister Lister
 	name   string
+	// interval is the pause between two readings of a list that changes.
+	interval time.Duration
 
 	mu     sync.Mutex
 	list   *kcwpb.UpstreamList
 	readAt time.Time
 	failed bool
+	// dueAt is when the list is read next, changingUntil when it counts as calm.
+	dueAt, changingUntil time.Time
+}
+
+// due reports whether the list is to be read at now. A list that changes is read more
+// often than one that does not.
+func (l *listReader) due(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Before(l.dueAt) {
+		return false
+	}
+	pause := l.interval
+	if !l.failed && now.After(l.changingUntil) {
+		pause *= calmFactor
+	}
+	// The ticks that ask are an interval apart, give or take some time.
+	l.dueAt = now.Add(pause - l.interval/2)
+	return true
 }
 
-// read reads the list once, until ctx ends.
-func (l *listReader) read(ctx context.Context) {
-	began := time.Now()
+// read reads the list once at began, until ctx ends.
+func (l *listReader) read(ctx context.Context, began time.Time) {
 	upstreams, skipped, err := l.lister.Read(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -47,6 +76,7 @@
 		next.Version++
 		klog.InfoS("List of upstreams changed", "Version", next.Version, "Upstreams", len(upstreams), "Skipped", skipped)
 		l.list = next
+		l.changingUntil = began.Add(changingFor)
 	}
 	l.readAt = began
 }
--- /dev/null
+++ b/kcw-fleet/kcwcontrol/list_test.go
@@ -0,0 +1,57 @@
+package kcwcontrol
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// lister is a list that the test changes or breaks.
+type lister struct {
+	version, readings int
+	broken            bool
+}
+
+func (l *lister) Read(context.Context) ([]*kcwpb.UpstreamRecord, int, error) {
+	l.readings++
+	if l.broken {
+		return nil, 0, errors.New("no answer")
+	}
+	return []*kcwpb.UpstreamRecord{{Id: strconv.Itoa(l.version)}}, 0, nil
+}
+
+// TestPace checks how often the leader reads a list that changes, one that does not,
+// and one that can't be read.
+func TestPace(t *testing.T) {
+	const interval = 500 * time.Millisecond
+	const ticks = 40
+	for _, test := range []struct {
+		name    string
+		changes func(tick int, l *lister)
+		want    int
+	}{
+		{"changes all the time", func(tick int, l *lister) { l.version = tick }, ticks},
+		{"can't be read", func(_ int, l *lister) { l.broken = true }, ticks},
+		{"does not change", func(int, *lister) {}, 10 + (ticks-10)/2},
+		{"changes once", func(tick int, l *lister) { l.version = tick / (ticks / 2) }, 20 + 10},
+	} {
+		source := &lister{}
+		reader := &listReader{lister: source, name: "m", interval: interval}
+		now := time.Now()
+		for tick := range ticks {
+			test.changes(tick, source)
+			// Ticks come a little early or late.
+			at := now.Add(time.Duration(tick)*interval + time.Duration(tick%3)*time.Millisecond)
+			if reader.due(at) {
+				reader.read(t.Context(), at)
+			}
+		}
+		if source.readings < test.want-2 || source.readings > test.want+2 {
+			t.Errorf("%s: %d readings in %d ticks, want %d", test.name, source.readings, ticks, test.want)
+		}
+	}
+}
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -116,7 +116,7 @@
 	}
 	m.service = &service{
 		group: group, table: table,
-		list: &listReader{lister: m.cfg.Lister, name: s.Host.Name + "/" + time.Now().String()},
+		list: &listReader{lister: m.cfg.Lister, name: s.Host.Name + "/" + time.Now().String(), interval: s.List.Interval},
 		steward: kcwsteward.New(kcwsteward.Config{
 			Voters: 2*s.Group.Losses + 1, SilentAfter: s.Group.RemoveAfter, AskedWithin: 4 * askInterval,
 		}),
@@ -297,9 +297,11 @@
 
 // readList reads the list of upstreams if this member leads.
 func (m *Member) readList(ctx context.Context) {
-	if status := m.service.group.Status(); status.GetId() != 0 && status.GetLeader() == status.GetId() {
+	status := m.service.group.Status()
+	now := time.Now()
+	if status.GetId() != 0 && status.GetLeader() == status.GetId() && m.service.list.due(now) {
 		ctx, cancel := context.WithTimeout(ctx, m.cfg.Settings.List.Timeout)
 		defer cancel()
-		m.service.list.read(ctx)
+		m.service.list.read(ctx, now)
 	}
 }
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -144,12 +144,13 @@
 // List says how the list of upstreams is read.
 type List struct {
 	Address netip.AddrPort `setting:"required"`
-	// Interval is the time between two readings by the core's leader, and by all
-	// routers together that get no list from the core.
+	// Interval is the time between two readings by the core's leader of a list that
+	// changes, and twice that for one that does not; and by all routers together that get no list
+	// from the core.
 	Interval time.Duration `default:"500ms" setting:"min=10ms,max=1h"`
 	// StaleAfter is how old the list may get before a router looks for a later one
 	// elsewhere.
-	StaleAfter time.Duration `default:"1200ms" setting:"min=10ms,max=1h"`
+	StaleAfter time.Duration `default:"2500ms" setting:"min=10ms,max=1h"`
 	Timeout    time.Duration `default:"500ms" setting:"min=10ms,max=1m"`
 }
 
