--- a/kcw-fleet/kcwentry/dump.go
+++ b/kcw-fleet/kcwentry/dump.go
@@ -39,6 +39,8 @@
 func (r *Router) measure() {
 	r.meter.Gauge("kcw_router_in_flight", "Requests that are not answered.",
 		func(observe func(int64, ...attribute.KeyValue)) { observe(r.forwarder.InFlight()) })
+	r.meter.Gauge("kcw_router_memory_held", "Memory that bodies, answers and events hold, in bytes.",
+		func(observe func(int64, ...attribute.KeyValue)) { observe(r.memory.Held()) })
 	r.meter.Gauge("kcw_router_log_dropped", "Log lines dropped because the queue was full.",
 		func(observe func(int64, ...attribute.KeyValue)) { observe(r.cfg.Dropped()) })
 	r.meter.Gauge("kcw_router_document", "Version of the configuration in force.",
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -27,6 +27,7 @@
 	"kingcupwick.example/kcw/kcwgrant"
 	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwlog"
+	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwmeter"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwplace"
@@ -55,6 +56,9 @@
 	// linkMemory is the time over which the load of the link is averaged, some
 	// dozens of requests of a link that is nearly full.
 	linkMemory = time.Second
+	// requestsPart is the part of the process's memory that bodies, answers and events
+	// may hold together; connections, the roster and the collector need the rest.
+	requestsPart = 0.3
 	// bytesPerMbit is a megabit in bytes.
 	bytesPerMbit = 1e6 / 8
 )
@@ -92,6 +96,7 @@
 	balance   *kcwbalance.Balance
 	roster    *kcwroster.Roster
 	link      *kcwlink.Link
+	memory    *kcwmemory.Account
 	reporter  *reporter
 	lending   *kcwlending.Lending
 	sharing   *kcwsharing.Sharing
@@ -123,6 +128,8 @@
 		Active: s.Grants.Active, Sleep: s.Grants.Sleep, Fresh: s.Grants.Fresh, Uptime: uptime.Now,
 	})
 	r.roster = newRoster(s)
+	const megabyte = 1 << 20
+	r.memory = kcwmemory.New(int64(requestsPart * s.Host.MemoryMB * megabyte))
 	r.link = kcwlink.New(kcwlink.Config{BytesPerSecond: s.Host.LinkMbps * bytesPerMbit, Memory: linkMemory})
 	r.lending = kcwlending.New(kcwlending.Config{Router: s.Host.Name, Balance: r.balance, Timeout: s.Grants.LendTimeout, Now: time.Now})
 	r.caller = kcwsharing.NewCaller(s.Grants.LendTimeout)
@@ -176,6 +183,7 @@
 		Dialect: r.cfg.Dialect, Document: r.reporter.document.Load, Roster: r.roster, Balance: r.balance, Link: r.link,
 		Ask: r.reporter.ask, Borrow: r.lending.Acquire, AskTimeout: s.Grants.AskTimeout,
 		RetryRatio: retryPart * s.Retry.Ratio, RetrySlack: int(retryPart * s.Retry.Slack), Routers: func() int { return int(r.reporter.routers.Load()) },
+		Memory: r.memory, MaxHeadBytes: int64(s.Limits.MaxHeaderBytes),
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		UsedWithin: s.Upstream.UsedWithin, Patience: s.Upstream.Patience,
 		Stopping: r.stopping, Observe: newObserver(r.meter), Retried: logRetry, Withdrawn: logWithdrawal, Rand: newRand(), Now: time.Now,
--- a/kcw/kcwconn/pool.go
+++ b/kcw/kcwconn/pool.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -44,8 +45,13 @@
 // Kind classifies an Error.
 type Kind int
 
-// Dial means that no connection could be opened, so that nothing was sent.
-const Dial Kind = 1
+// Kinds of errors.
+const (
+	// Dial means that no connection could be opened, so that nothing was sent.
+	Dial Kind = iota + 1
+	// HeadTooLarge means that the upstream sent more than the bound of a head.
+	HeadTooLarge
+)
 
 // Error is the error of this package.
 type Error struct {
@@ -67,10 +73,41 @@
 	Reader *bufio.Reader
 	// Reused says that the connection has carried a request before.
 	Reused bool
+	source *source
 	idleAt time.Time
 	until  time.Time
 }
 
+// source reads from a connection. While a head is read it stops at a bound, since
+// http.ReadResponse has none.
+type source struct {
+	conn    net.Conn
+	bounded bool
+	left    int64
+}
+
+var errHead = errors.New("the head of an answer does not end")
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (int, error) {
+	if !s.bounded {
+		return s.conn.Read(p)
+	}
+	if s.left <= 0 {
+		return 0, &Error{Op: "read", Kind: HeadTooLarge, Err: errHead}
+	}
+	n, err := s.conn.Read(p[:min(int64(len(p)), s.left)])
+	s.left -= int64(n)
+	return n, err
+}
+
+// BoundHead lets Reader read no more than so many bytes from the network until
+// EndHead is called. Bytes that are buffered count as read.
+func (c *Conn) BoundHead(bytes int64) { c.source.bounded, c.source.left = true, bytes }
+
+// EndHead ends the bound of BoundHead.
+func (c *Conn) EndHead() { c.source.bounded = false }
+
 // Pool keeps connections to one upstream. It is safe for concurrent use.
 type Pool struct {
 	cfg    Config
@@ -121,7 +158,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	from := &source{conn: raw}
+	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(from, readBuffer), source: from}, nil
 }
 
 // kept takes the connection that was used last, since that is the least likely
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwroute"
 )
 
@@ -50,6 +52,8 @@
 	hasBody  bool
 	deadline time.Time
 
+	// taken is the memory taken for the request, in bytes.
+	taken int64
 	// reserved are the tokens reserved for the request.
 	reserved int64
 	// mayHaveRun says that an upstream may have run the request.
@@ -152,11 +156,26 @@
 	if !c.hasBody {
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	// A caller that sends slowly has as long as its answer would have.
+	control := http.NewResponseController(c.w)
+	if err := control.SetReadDeadline(c.deadline); err != nil {
+		return &refusal{status: http.StatusServiceUnavailable, outcome: "CallerGone", cause: "the connection is closed: " + err.Error()}
+	}
+	body, taken, err := c.f.cfg.Memory.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit)
+	c.taken += taken
+	if err == nil {
+		// After a failure the server reads the rest of the body, within that time too.
+		err = control.SetReadDeadline(time.Time{})
+	}
 	var large *http.MaxBytesError
+	var memory *kcwmemory.Error
 	switch {
-	case errors.As(err, &large):
+	case errors.As(err, &large), errors.As(err, &memory) && memory.Kind == kcwmemory.TooLarge:
 		return &refusal{status: http.StatusRequestEntityTooLarge, outcome: "TooLarge", cause: "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"}
+	case memory != nil:
+		return &refusal{status: http.StatusServiceUnavailable, outcome: "MemoryFull", cause: "the requests under way hold all memory that they may", retryAfter: retryBusy}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{status: http.StatusRequestTimeout, outcome: "BodySlow", cause: "the body did not come within the time of the request"}
 	case err != nil:
 		return &refusal{status: http.StatusBadRequest, outcome: "BodyBroken", cause: "the body could not be read: " + err.Error()}
 	}
--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -74,15 +74,12 @@
 
 // hold reads a whole answer.
 func (a *attempt) hold(response *http.Response) (*heldAnswer, error) {
-	limit := a.f.cfg.MaxAnswerBytes
 	a.ran = true
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, taken, err := a.f.cfg.Memory.ReadAll(response.Body, response.ContentLength, a.f.cfg.MaxAnswerBytes)
+	a.taken += taken
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > limit {
-		return nil, errors.New("it is larger than " + strconv.FormatInt(limit, 10) + " bytes")
-	}
 	a.f.carried(len(body), len(body))
 	a.reusable = !response.Close
 	header := response.Header.Clone()
@@ -108,11 +105,32 @@
 	}
 }
 
-// errEventTooLarge ends a stream with an event larger than the limit.
-var errEventTooLarge = errors.New("an event is too large")
+// errEventTooLarge ends a stream with an event larger than the limit, and
+// errMemoryFull one for whose events there is no memory.
+var (
+	errEventTooLarge = errors.New("an event is too large")
+	errMemoryFull    = errors.New("requests hold all memory that they may")
+)
+
+// grow returns buffer with twice its room.
+func (a *attempt) grow(buffer []byte) ([]byte, error) {
+	if len(buffer) >= a.f.cfg.MaxEventBytes {
+		return nil, errEventTooLarge
+	}
+	if more := int64(2 * cap(buffer)); !a.f.cfg.Memory.Take(more) {
+		return nil, errMemoryFull
+	}
+	a.f.cfg.Memory.Give(int64(cap(buffer)))
+	a.taken += int64(cap(buffer))
+	return append(make([]byte, 0, 2*cap(buffer)), buffer...), nil
+}
 
 // relay passes the events of a stream on as they come, whole events only.
 func (a *attempt) relay(response *http.Response) (result, kcwroster.Outcome) {
+	if !a.f.cfg.Memory.Take(readSize) {
+		return a.streamBroken(errMemoryFull)
+	}
+	a.taken += readSize
 	buffer := make([]byte, 0, readSize)
 	for {
 		if err := a.r.Context().Err(); err != nil && a.ran {
@@ -122,10 +140,10 @@
 			return a.streamBroken(err)
 		}
 		if len(buffer) == cap(buffer) {
-			if len(buffer) >= a.f.cfg.MaxEventBytes {
-				return a.streamBroken(errEventTooLarge)
+			var err error
+			if buffer, err = a.grow(buffer); err != nil {
+				return a.streamBroken(err)
 			}
-			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
 		}
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -24,6 +24,8 @@
 	leaveTimeout = 50 * time.Millisecond
 	// maxSurplusBytes bounds the body of such an answer.
 	maxSurplusBytes = 1 << 20
+	// maxInterim bounds the interim answers before an answer.
+	maxInterim = 16
 	// directWrite is the size in bytes up to which a request is written at once;
 	// a larger one may have to wait for an upstream that answers before it has
 	// read it, so that it is written beside the reading.
@@ -171,7 +173,8 @@
 	if !a.f.cfg.Now().Before(a.deadline) {
 		return expired, kcwroster.Neutral
 	}
-	if a.conn.Reused && !errors.Is(err, errSilent) {
+	var endless *kcwconn.Error
+	if a.conn.Reused && !errors.Is(err, errSilent) && !errors.As(err, &endless) {
 		// The upstream may have closed a kept connection at the same moment,
 		// which says nothing of its health.
 		return unknown, kcwroster.Neutral
@@ -273,7 +276,10 @@
 // as well. Answers to earlier requests and interim answers are passed over.
 func (a *attempt) response() (*http.Response, Answer, error) {
 	request := &http.Request{Method: a.r.Method}
-	for surplus := 0; ; {
+	// The bound is one for all heads that belong to this request.
+	a.conn.BoundHead(a.f.cfg.MaxHeadBytes)
+	defer a.conn.EndHead()
+	for surplus, interim := 0, 0; ; {
 		if err := a.await(); err != nil {
 			return nil, Answer{}, err
 		}
@@ -288,16 +294,21 @@
 		said := a.f.cfg.Dialect.ReadAnswer(response.StatusCode, response.Header, a.f.cfg.Now())
 		a.noteWithdrawal(said)
 		if response.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterim {
+				return nil, Answer{}, errors.New("interim answers do not end")
+			}
 			continue
 		}
 		if said.Attempt == a.said.Attempt || said.Attempt == "" && response.StatusCode >= http.StatusBadRequest {
 			return response, said, nil
 		}
-		if surplus++; surplus > maxSurplus || response.ContentLength < 0 {
+		if surplus++; surplus > maxSurplus || response.ContentLength < 0 || response.ContentLength > maxSurplusBytes {
 			return nil, Answer{}, errors.New("the answer is to another request")
 		}
+		a.conn.EndHead()
 		if _, err := io.CopyN(io.Discard, response.Body, response.ContentLength); err != nil {
 			return nil, Answer{}, err
 		}
+		a.conn.BoundHead(a.f.cfg.MaxHeadBytes)
 	}
 }
--- /dev/null
+++ b/kcw/kcwforward/endless_test.go
@@ -0,0 +1,158 @@
+package kcwforward_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwroute"
+)
+
+// TestEndlessUpstream plays upstreams that send bytes without end at each place of an
+// answer, and checks what the caller gets, that the upstream is cut off soon, and
+// that little memory was allocated for it.
+func TestEndlessUpstream(t *testing.T) {
+	const (
+		// offered is what an upstream sends at most, in bytes, allocated what may be
+		// allocated for a request and taken what the upstream may get rid of: bounds
+		// of a head, an answer of 1 MiB that doubles as it grows, and the buffers of a
+		// connection.
+		offered   = 256 << 20
+		allocated = 16 << 20
+		taken     = 32 << 20
+	)
+	line := strings.Repeat("x", 1000)
+	const head = "HTTP/1.1 200 OK\r\nAttempt: id-1\r\n"
+	for _, test := range []struct {
+		name  string
+		route kcwroute.Route
+		begin string
+		again string
+		// status is what the caller gets, broken that the answer visibly breaks off.
+		status int
+		broken bool
+	}{
+		{"header lines", once, head, "Line: " + line + "\r\n", 502, false},
+		{"short header lines", once, head, "A:\r\n", 502, false},
+		{"one header line", once, head + "Line: ", line, 502, false},
+		{"the status line", once, "HTTP/1.1 200 ", line, 502, false},
+		{"no answer at all", once, "", line, 502, false},
+		{"interim answers", once, "", "HTTP/1.1 100 Continue\r\n\r\n", 502, false},
+		{"interim answers with headers", once, "", "HTTP/1.1 103 Early Hints\r\nLink: " + line + "\r\n\r\n", 502, false},
+		{"a surplus answer", once, "HTTP/1.1 200 OK\r\nAttempt: id-0\r\nContent-Length: 1099511627776\r\n\r\n", line, 502, false},
+		{"surplus answers", once, "", "HTTP/1.1 200 OK\r\nAttempt: id-0\r\nContent-Length: 1\r\n\r\nx", 502, false},
+		{"a body with its length", once, head + "Content-Length: 1099511627776\r\n\r\n", line, 502, false},
+		{"a body up to its end", once, head + "\r\n", line, 502, false},
+		{"a body in chunks", once, head + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + line + "\r\n", 502, false},
+		{"a chunk's extension", once, head + "Transfer-Encoding: chunked\r\n\r\n3;", line, 502, false},
+		{"a trailer", once, head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Line: " + line + "\r\n", 502, false},
+		{"one trailer line", once, head + "Transfer-Encoding: chunked\r\n\r\n0\r\nLine: ", line, 502, false},
+		{"the body of a failure", once, "HTTP/1.1 500 X\r\nAttempt: id-1\r\n\r\n", line, 502, false},
+		{"the body of a refusal", once, "HTTP/1.1 503 X\r\nAttempt: id-1\r\nNot-Run: 1\r\n\r\n", line, 503, false},
+		{"the first event", stream, head + "\r\ndata: ", line, 502, false},
+		{"a later event", stream, head + "\r\nid: 1\ndata: a\n\ndata: ", line, 200, true},
+		{"lines of an event", stream, head + "\r\n", "data: " + line + "\n", 502, false},
+	} {
+		var sent atomic.Int64
+		ended := make(chan struct{}, 8)
+		f := newFixture(t, 1, test.route, func(e *exchange) {
+			defer func() { ended <- struct{}{} }()
+			if _, err := io.WriteString(e.conn, test.begin); err != nil {
+				return
+			}
+			block := strings.Repeat(test.again, 1+(64<<10)/len(test.again))
+			for sent.Load() < offered {
+				n, err := io.WriteString(e.conn, block)
+				sent.Add(int64(n))
+				if err != nil {
+					return
+				}
+			}
+		})
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		response, _, err := f.call(t, http.MethodPost, "body")
+		<-ended
+		runtime.ReadMemStats(&after)
+		if (err != nil) != test.broken || response != nil && response.StatusCode != test.status {
+			t.Errorf("%s: got %v, error %v", test.name, response, err)
+		}
+		if sent.Load() > taken {
+			t.Errorf("%s: the upstream got rid of %d bytes", test.name, sent.Load())
+		}
+		// The script's own block is counted as well.
+		if got := after.TotalAlloc - before.TotalAlloc; got > allocated {
+			t.Errorf("%s: %d bytes were allocated", test.name, got)
+		}
+	}
+}
+
+// TestMemoryTogether checks that answers which are small each are bounded together:
+// what does not fit ends, and all memory is given back.
+func TestMemoryTogether(t *testing.T) {
+	const size = 900 << 10
+	body := strings.Repeat("x", size)
+	f := newFixture(t, 1, once, func(e *exchange) { e.answer(200, "", body) })
+	most := int64(4 * largest)
+	if !f.memory.Take(most - size) {
+		t.Fatal("memory is held before a request")
+	}
+	if response, _, err := f.call(t, http.MethodPost, ""); err != nil || response.StatusCode != 502 {
+		t.Errorf("an answer for which there is no memory: %v, %v", response, err)
+	}
+	if response, _, err := f.call(t, http.MethodPost, body); err != nil || response.StatusCode != 503 || response.Header.Get("Retry-After") == "" {
+		t.Errorf("a body for which there is no memory: %v, %v", response, err)
+	}
+	f.memory.Give(most - size)
+	if response, got, err := f.call(t, http.MethodPost, body); err != nil || response.StatusCode != 200 || got != body {
+		t.Errorf("an answer for which there is memory: %v, %v", response, err)
+	}
+	for f.forwarder.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if held := f.memory.Held(); held != 0 {
+		t.Errorf("%d bytes are held after all requests", held)
+	}
+}
+
+// TestSlowCaller checks that a caller which sends its body a byte now and then ends
+// with its time, and that the connection of one that is in time can be used again.
+func TestSlowCaller(t *testing.T) {
+	f := newFixture(t, 1, once, good)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	const head = "POST /a/x HTTP/1.1\r\nHost: host.example\r\nKey: key\r\nAttempt: id-1\r\nContent-Length: 9999\r\nWait: 200\r\n\r\n"
+	if _, err := io.WriteString(conn, head); err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+				if _, err := io.WriteString(conn, "x"); err != nil {
+					return
+				}
+			}
+		}
+	}()
+	answer, err := io.ReadAll(io.LimitReader(conn, 12))
+	close(stop)
+	if err != nil && !errors.Is(err, io.EOF) || string(answer) != "HTTP/1.1 408" {
+		t.Errorf("got %q, %v", answer, err)
+	}
+	if f.runs() != 0 {
+		t.Error("the request was sent on")
+	}
+}
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -21,6 +21,7 @@
 	"kingcupwick.example/kcw/kcwforward"
 	"kingcupwick.example/kcw/kcwgrant"
 	"kingcupwick.example/kcw/kcwlink"
+	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwplace"
 	"kingcupwick.example/kcw/kcwroster"
@@ -103,6 +104,7 @@
 type fixture struct {
 	forwarder *kcwforward.Forwarder
 	balance   *kcwbalance.Balance
+	memory    *kcwmemory.Account
 	url       string
 	// stop is the planned stop, set between requests.
 	stop kcwforward.Stop
@@ -119,7 +121,7 @@
 // connection open by leaving it alone.
 func newFixture(t *testing.T, upstreams int, route kcwroute.Route, script func(e *exchange)) *fixture {
 	t.Helper()
-	f := &fixture{}
+	f := &fixture{memory: kcwmemory.New(4 * largest)}
 	roster := newRoster()
 	var entries []kcwroster.Entry
 	for i := range upstreams {
@@ -143,8 +145,9 @@
 	f.forwarder, err = kcwforward.New(kcwforward.Config{
 		Dialect: dialect{}, Document: func() *kcwroute.Document { return document }, Roster: roster, Balance: f.balance,
 		Borrow: func(context.Context, string, int64) bool { return false },
-		Link:   kcwlink.New(kcwlink.Config{Memory: time.Second}),
-		Ask:    func(context.Context) bool { return false }, AskTimeout: time.Second,
+		Memory: f.memory, MaxHeadBytes: 1 << 16,
+		Link: kcwlink.New(kcwlink.Config{Memory: time.Second}),
+		Ask:  func(context.Context) bool { return false }, AskTimeout: time.Second,
 		RetryRatio: 0.1, RetrySlack: 10, Routers: func() int { return 1 },
 		MaxBodyBytes: largest, MaxAnswerBytes: 1 << 20, MaxEventBytes: 1 << 16,
 		UsedWithin: time.Second, Patience: 20 * time.Millisecond, Stopping: func() (kcwforward.Stop, bool) { return f.stop, !f.stop.EndsAt.IsZero() },
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -16,6 +16,7 @@
 
 	"kingcupwick.example/kcw/kcwbalance"
 	"kingcupwick.example/kcw/kcwlink"
+	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwpace"
 	"kingcupwick.example/kcw/kcwretry"
 	"kingcupwick.example/kcw/kcwroster"
@@ -125,6 +126,10 @@
 	RetryRatio float64
 	RetrySlack int
 	Routers    func() int
+	// Memory is what bodies, answers and events of all requests may hold together.
+	Memory *kcwmemory.Account
+	// MaxHeadBytes bounds the heads that an upstream sends for one request.
+	MaxHeadBytes int64
 	// MaxBodyBytes bounds a request's body and MaxAnswerBytes an answer that is
 	// not a stream. MaxEventBytes bounds one event.
 	MaxBodyBytes, MaxAnswerBytes int64
@@ -183,7 +188,7 @@
 
 // New returns a Forwarder. The error is an *Error of kind Incomplete.
 func New(cfg Config) (*Forwarder, error) {
-	parts := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil && cfg.Link != nil &&
+	parts := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil && cfg.Link != nil && cfg.Memory != nil && cfg.MaxHeadBytes > 0 &&
 		cfg.Ask != nil && cfg.Borrow != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.Observe != nil && cfg.Retried != nil && cfg.Withdrawn != nil && cfg.Rand != nil && cfg.Now != nil
 	if !parts || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.Patience <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
@@ -205,6 +210,7 @@
 	}
 	c.event.ListAge = c.start.Sub(f.cfg.Roster.ListedAt())
 	defer c.observe()
+	defer func() { f.cfg.Memory.Give(c.taken) }()
 	if refusal := c.admit(); refusal != nil {
 		c.refuse(refusal)
 		return
