--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -178,7 +178,10 @@
 
 // ready returns nil if the member hears a leader.
 func (m *Member) ready() error {
-	if !m.service.group.Fresh() {
+	switch {
+	case m.service.group.Full():
+		return errDiskFull
+	case !m.service.group.Fresh():
 		return errNoLeader
 	}
 	return nil
@@ -193,6 +196,12 @@
 	gauge("kcw_control_term", "Term of the replicated log.", func() int64 { return int64(group.Status().GetTerm()) })
 	gauge("kcw_control_commit", "Highest committed index.", func() int64 { return int64(group.Status().GetCommit()) })
 	gauge("kcw_control_document", "Version of the newest document.", func() int64 { return int64(m.service.table.Version()) })
+	gauge("kcw_control_disk_full", "Whether this member waits for room on its disk, 0 or 1.", func() int64 {
+		if group.Full() {
+			return 1
+		}
+		return 0
+	})
 	gauge("kcw_control_leads", "Whether this member leads, 0 or 1.", func() int64 {
 		if status := group.Status(); status.GetLeader() == status.GetId() {
 			return 1
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -158,8 +158,12 @@
 	return core
 }
 
-// errNotLeader is the refusal of a member that does not lead.
-var errNotLeader = errors.New("not the leader")
+// errNotLeader is the refusal of a member that does not lead, errDiskFull why one that
+// waits for room on its disk is not ready.
+var (
+	errNotLeader = errors.New("not the leader")
+	errDiskFull  = errors.New("the disk is full")
+)
 
 // refusal returns the answer to a call that this member could not carry out. It
 // names the leader if one is known.
--- a/kcw/kcwgroup/config.go
+++ b/kcw/kcwgroup/config.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/netip"
+	"os"
 	"time"
 
 	"kingcupwick.example/kcw/kcwfolder"
@@ -78,6 +79,8 @@
 	// SegmentBytes is the size at which a log segment is closed; 16 MiB if
 	// zero.
 	SegmentBytes int64
+	// Write writes to a segment of the log, (*os.File).Write if nil.
+	Write func(*os.File, []byte) (int, error)
 	// Queue bounds the proposals waiting to be appended; 16,384 if zero.
 	Queue int
 	// Seed seeds the random election delays; the identity if zero.
--- a/kcw/kcwgroup/group.go
+++ b/kcw/kcwgroup/group.go
@@ -50,8 +50,11 @@
 	applierDone sync.WaitGroup
 	writers     sync.WaitGroup
 	closeOnce   sync.Once
-	fault       atomic.Pointer[error]
-	status      atomic.Pointer[kcwpb.GroupStatus]
+	// stopping is closed by Close. It ends the wait of a loop whose disk is full.
+	stopping chan struct{}
+	full     atomic.Bool
+	fault    atomic.Pointer[error]
+	status   atomic.Pointer[kcwpb.GroupStatus]
 	// sendingUntil is when a snapshot that is being sent counts as given up.
 	sendingUntil atomic.Pointer[time.Time]
 	heard        atomic.Pointer[time.Time]
@@ -84,6 +87,7 @@
 		changes:    make(chan *call),
 		events:     make(chan func() error, eventCalls),
 		halting:    make(chan struct{}),
+		stopping:   make(chan struct{}),
 		done:       make(chan struct{}),
 		contacts:   map[uint64]*kcwpb.Member{},
 		confirming: map[uint64][]*call{},
@@ -176,7 +180,10 @@
 // before, if any.
 func (g *Group) Close() error {
 	g.closeOnce.Do(func() {
-		g.handOver()
+		if !g.full.Load() {
+			g.handOver()
+		}
+		close(g.stopping)
 		g.post(func() error { return errStopped })
 		<-g.done
 		g.writers.Wait()
@@ -203,8 +210,8 @@
 	}
 }
 
-// ask runs f in the loop and waits for it; it returns at once if the loop has
-// stopped.
+// ask runs f in the loop and waits for it, for an election timeout at most; it returns
+// at once if the loop has stopped.
 func (g *Group) ask(f func()) {
 	ran := make(chan struct{})
 	g.post(func() error {
@@ -215,6 +222,8 @@
 	select {
 	case <-ran:
 	case <-g.halting:
+	case <-time.After(g.cfg.Election):
+		// The loop waits for its disk.
 	}
 }
 
--- a/kcw/kcwgroup/loop.go
+++ b/kcw/kcwgroup/loop.go
@@ -210,7 +210,7 @@
 func (g *Group) handle(ready kcwreplica.Ready) error {
 	g.sendAll(ready.Messages)
 	if ready.MustSave {
-		if err := g.wal.Save(ready.Term, ready.Vote, ready.Entries); err != nil {
+		if err := g.whenRoom(func() error { return g.wal.Save(ready.Term, ready.Vote, ready.Entries) }); err != nil {
 			return fail("save", Storage, err)
 		}
 	}
@@ -254,6 +254,7 @@
 
 // halt ends all calls and stops the applier. What is committed is applied.
 func (g *Group) halt(err error) {
+	g.full.Store(false)
 	if !errors.Is(err, errStopped) {
 		klog.ErrorS(err, "group stopped", "Group", g.cfg.Group, "Replica", g.identity.ID)
 		g.fault.Store(&err)
--- a/kcw/kcwgroup/open.go
+++ b/kcw/kcwgroup/open.go
@@ -58,7 +58,7 @@
 	}
 	g.wal, err = kcwwal.Open(kcwwal.Config{
 		Path: path, Owner: g.identity.ID,
-		SegmentBytes: g.cfg.SegmentBytes, Existing: g.identity.Started,
+		SegmentBytes: g.cfg.SegmentBytes, Existing: g.identity.Started, Write: g.cfg.Write,
 	})
 	if err != nil {
 		return fail("open", Storage, err)
--- a/kcw/kcwgroup/transport.go
+++ b/kcw/kcwgroup/transport.go
@@ -1,11 +1,13 @@
 package kcwgroup
 
 import (
+	"errors"
 	"net/netip"
 
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwsnapshot"
 )
 
 // chunkBytes is the size of the parts in which a snapshot is sent.
@@ -68,6 +70,12 @@
 // place of the log.
 func (g *Group) receive(m *kcwpb.Message) error {
 	next, whole, err := g.store.Receive(m.Chunk)
+	var full *kcwsnapshot.Error
+	if errors.As(err, &full) && full.Kind == kcwsnapshot.Full {
+		// The leader sends the snapshot once more.
+		klog.InfoS("No room for a snapshot", "Group", g.cfg.Group, "Index", m.Chunk.Index, "Cause", err.Error())
+		return nil
+	}
 	if err != nil {
 		return fail("receive", Storage, err)
 	}
@@ -78,7 +86,7 @@
 	if !g.replica.Restore(m) {
 		return nil
 	}
-	if err := g.wal.Reset(m.Chunk.Index, m.Chunk.Term); err != nil {
+	if err := g.whenRoom(func() error { return g.wal.Reset(m.Chunk.Index, m.Chunk.Term) }); err != nil {
 		return fail("receive", Storage, err)
 	}
 	g.applier.push(work{snapshot: m.Chunk})
@@ -101,11 +109,20 @@
 // withLeader adds the leader's address to e, if it is known.
 func (g *Group) withLeader(e *Error) *Error {
 	if m := g.contact(g.replica.Leader()); m != nil {
-		e.Leader, _ = netip.ParseAddrPort(m.Address)
+		e.Leader = addressOf(m)
 	}
 	return e
 }
 
+// addressOf returns the address of a member, not valid if it is malformed.
+func addressOf(m *kcwpb.Member) netip.AddrPort {
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		klog.InfoS("Malformed address of a member", "Member", m.GetId(), "Address", m.GetAddress(), "Cause", err.Error())
+	}
+	return address
+}
+
 // publish renews what Status returns when the leadership has changed, and
 // otherwise once in a while.
 func (g *Group) publish() {
--- a/kcw/kcwsnapshot/error.go
+++ b/kcw/kcwsnapshot/error.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // Kind classifies an Error.
@@ -22,6 +23,9 @@
 	Missing
 	// Invalid is a wrong argument.
 	Invalid
+	// Full means that the disk has no room for another snapshot; those that are kept
+	// are as they were.
+	Full
 )
 
 // String returns the kind's name.
@@ -37,6 +41,8 @@
 		return "missing"
 	case Invalid:
 		return "invalid"
+	case Full:
+		return "disk full"
 	}
 	return fmt.Sprintf("kind %d", int(k))
 }
@@ -61,6 +67,15 @@
 	return e.Err
 }
 
+// failWrite returns the error of a write that failed.
+func failWrite(op, file string, offset int64, err error) *Error {
+	kind := Storage
+	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
+		kind = Full
+	}
+	return fail(op, kind, file, offset, err)
+}
+
 func fail(op string, kind Kind, file string, offset int64, err error) *Error {
 	return &Error{Op: op, Kind: kind, File: file, Offset: offset, Err: eris.Wrap(err, op)}
 }
--- a/kcw/kcwsnapshot/store.go
+++ b/kcw/kcwsnapshot/store.go
@@ -126,7 +126,7 @@
 	path := filepath.Join(s.path, fileName(index)) + temporary
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
-		return fail("write", Storage, path, 0, err)
+		return failWrite("write", path, 0, err)
 	}
 	body := &bodyWriter{w: bufio.NewWriterSize(file, bufferSize)}
 	err = fill(body)
@@ -134,8 +134,8 @@
 		err = body.w.Flush()
 	}
 	if err != nil {
-		_ = file.Close()
-		return fail("write", Storage, path, body.size, err)
+		s.discard(file)
+		return failWrite("write", path, body.size, err)
 	}
 	meta := &kcwpb.SnapshotChunk{
 		Index: index, Term: term, Membership: membership,
@@ -151,13 +151,15 @@
 	if err == nil {
 		_, err = file.WriteAt(trailer, meta.Offset)
 	}
-	if err == nil {
-		err = file.Sync()
+	path := filepath.Join(s.path, fileName(meta.Index))
+	if err != nil {
+		s.discard(file)
+		return failWrite("finish", path, meta.Offset, err)
 	}
+	err = file.Sync()
 	if closed := file.Close(); err == nil {
 		err = closed
 	}
-	path := filepath.Join(s.path, fileName(meta.Index))
 	if err == nil {
 		err = os.Rename(file.Name(), path)
 	}
@@ -170,6 +172,21 @@
 	return s.add(meta)
 }
 
+// discard closes and removes a file that became no snapshot, so that it takes no room.
+func (s *Store) discard(file *os.File) {
+	_ = file.Close()
+	if err := os.Remove(file.Name()); err != nil {
+		klog.ErrorS(err, "an unfinished snapshot is left", "File", file.Name())
+	}
+}
+
+// DropOlder removes all snapshots but the newest, to make room on a full disk.
+func (s *Store) DropOlder() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.prune(1)
+}
+
 func (s *Store) add(meta *kcwpb.SnapshotChunk) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,14 +197,19 @@
 		}
 	}
 	sort.Slice(metas, func(i, j int) bool { return metas[i].Index < metas[j].Index })
-	for len(metas) > kept {
-		path := filepath.Join(s.path, fileName(metas[0].Index))
+	s.metas = metas
+	return s.prune(kept)
+}
+
+// prune removes all but the newest snapshots. The caller holds mu.
+func (s *Store) prune(newest int) error {
+	for len(s.metas) > newest {
+		path := filepath.Join(s.path, fileName(s.metas[0].Index))
 		if err := os.Remove(path); err != nil {
 			return fail("prune", Storage, path, 0, err)
 		}
-		metas = metas[1:]
+		s.metas = s.metas[1:]
 	}
-	s.metas = metas
 	return nil
 }
 
--- a/kcw/kcwsnapshot/transfer.go
+++ b/kcw/kcwsnapshot/transfer.go
@@ -60,7 +60,7 @@
 	if _, err := s.file.WriteAt(chunk.Data, chunk.Offset); err != nil {
 		path := s.file.Name()
 		s.dropIncoming()
-		return 0, false, fail("receive", Storage, path, chunk.Offset, err)
+		return 0, false, failWrite("receive", path, chunk.Offset, err)
 	}
 	s.incoming.Offset += int64(len(chunk.Data))
 	if !chunk.Last {
@@ -89,7 +89,7 @@
 	path := filepath.Join(s.path, partial)
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
-		return fail("receive", Storage, path, 0, err)
+		return failWrite("receive", path, 0, err)
 	}
 	s.file = file
 	s.incoming = &kcwpb.SnapshotChunk{
--- a/kcw/kcwwal/error.go
+++ b/kcw/kcwwal/error.go
@@ -23,6 +23,9 @@
 	Missing
 	// Invalid is a wrong argument.
 	Invalid
+	// Full means that the disk has no room. Nothing was changed, and the call may be
+	// made again.
+	Full
 )
 
 // String returns the kind's name.
@@ -38,6 +41,8 @@
 		return "missing segment"
 	case Invalid:
 		return "invalid"
+	case Full:
+		return "disk full"
 	}
 	return fmt.Sprintf("kind %d", int(k))
 }
--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -4,6 +4,7 @@
 package kcwwal
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 
@@ -29,6 +30,8 @@
 	// Existing says that the log was written before, so that finding no
 	// segment is an error.
 	Existing bool
+	// Write writes to a segment, (*os.File).Write if nil.
+	Write func(*os.File, []byte) (int, error)
 }
 
 // Log is an open log. It must be used by one goroutine at a time.
@@ -51,6 +54,9 @@
 	if cfg.SegmentBytes <= 0 {
 		cfg.SegmentBytes = defaultSegmentBytes
 	}
+	if cfg.Write == nil {
+		cfg.Write = (*os.File).Write
+	}
 	if cfg.Path == "" || cfg.Owner == 0 {
 		return nil, failText("open", Invalid, cfg.Path, 0, "Path and Owner must be set")
 	}
@@ -133,21 +139,25 @@
 }
 
 // roll begins a segment with the sequence given, and then closes the one in
-// use. A closed segment thus always has a successor on the disk.
+// use. A closed segment thus always has a successor on the disk. If the disk is
+// full the segment in use stays.
 func (l *Log) roll(sequence uint64) error {
 	old, oldSize := l.file, l.size
 	path := filepath.Join(l.cfg.Path, segmentName(sequence))
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_EXCL, fileMode)
 	if err != nil {
-		return fail("roll", Storage, path, 0, err)
+		return fail("roll", kindOfCall(err), path, 0, err)
 	}
 	l.file = file
 	l.segments = append(l.segments, &segment{sequence: sequence, path: path})
 	buf := appendHeader(nil, header{owner: l.cfg.Owner, sequence: sequence})
 	buf = appendPair(buf, 0, kindState, l.state)
 	l.size = 0
-	if err := l.write(buf); err != nil {
-		return err
+	if err := l.append(buf); err != nil {
+		if old == nil || !isFull(err) {
+			return err
+		}
+		return l.unroll(old, oldSize, err)
 	}
 	if err := syncFolder(l.cfg.Path); err != nil {
 		return fail("roll", Storage, path, 0, err)
@@ -158,8 +168,29 @@
 	return l.closeSegment(old, oldSize)
 }
 
+// unroll removes the segment that was begun on a full disk, and returns cause.
+func (l *Log) unroll(old *os.File, oldSize int64, cause error) error {
+	path := l.file.Name()
+	err := l.file.Close()
+	if removed := os.Remove(path); err == nil {
+		err = removed
+	}
+	if err != nil {
+		l.failure = fail("roll", Storage, path, 0, err)
+		return l.failure
+	}
+	l.file, l.size = old, oldSize
+	l.segments = l.segments[:len(l.segments)-1]
+	return cause
+}
+
+// closeSegment notes in file that another segment follows, and closes it. On a full
+// disk it goes without the note, which only helps to find lost segments.
 func (l *Log) closeSegment(file *os.File, size int64) error {
-	_, err := file.Write(appendClose(nil, size))
+	_, err := l.cfg.Write(file, appendClose(nil, size))
+	if kindOfCall(err) == Full {
+		err = file.Truncate(size)
+	}
 	if err == nil {
 		err = l.sync(file)
 	}
@@ -187,7 +218,7 @@
 // Save writes term, vote and entries with one sync. Entries must follow each
 // other; what the log held at the first one's index and after is replaced. When
 // Save returns nil all of it is on the disk. After an error every later call
-// returns that error.
+// returns that error, unless its kind is Full: then nothing was changed.
 func (l *Log) Save(term, vote uint64, entries []*kcwpb.Entry) error {
 	if l.failure != nil {
 		return l.failure
@@ -207,7 +238,7 @@
 	if len(buf) == 0 {
 		return nil
 	}
-	if err := l.write(buf); err != nil {
+	if err := l.append(buf); err != nil {
 		return err
 	}
 	l.buf = buf[:0]
@@ -223,11 +254,13 @@
 	if l.size < l.cfg.SegmentBytes {
 		return nil
 	}
-	l.failure = l.roll(l.segments[len(l.segments)-1].sequence + 1)
-	if l.failure == nil {
+	err := l.roll(l.segments[len(l.segments)-1].sequence + 1)
+	if err == nil || isFull(err) {
+		// What was saved is on the disk; a full one is tried again at the next call.
 		return nil
 	}
-	return l.failure
+	l.failure = err
+	return err
 }
 
 // Reset drops all entries; the next one to be saved follows index, whose term
@@ -237,7 +270,7 @@
 		return l.failure
 	}
 	buf := appendPair(nil, l.size, kindReset, pair{index, term})
-	if err := l.write(buf); err != nil {
+	if err := l.append(buf); err != nil {
 		return err
 	}
 	return l.removeBefore(len(l.segments) - 1)
@@ -277,12 +310,22 @@
 	return nil
 }
 
-func (l *Log) write(buf []byte) error {
-	_, err := l.file.Write(buf)
+// append writes buf at the end of the segment in use and syncs it. If the disk is
+// full the part that was written is cut.
+func (l *Log) append(buf []byte) error {
+	_, err := l.cfg.Write(l.file, buf)
+	if kindOfCall(err) == Full {
+		if cut := l.cut(); cut != nil {
+			l.failure = fail("cut", Storage, l.file.Name(), l.size, cut)
+			return l.failure
+		}
+		return fail("write", Full, l.file.Name(), l.size, err)
+	}
 	if err == nil {
 		err = l.sync(l.file)
 	}
 	if err != nil {
+		// A failed sync leaves unknown what is on the disk, full or not.
 		l.failure = fail("write", Storage, l.file.Name(), l.size, err)
 		return l.failure
 	}
@@ -290,6 +333,29 @@
 	return nil
 }
 
+// cut drops what was written to the segment in use after the last sync.
+func (l *Log) cut() error {
+	if err := l.file.Truncate(l.size); err != nil {
+		return err
+	}
+	_, err := l.file.Seek(l.size, 0)
+	return err
+}
+
+// kindOfCall returns the kind of a failed call of the file system.
+func kindOfCall(err error) Kind {
+	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
+		return Full
+	}
+	return Storage
+}
+
+// isFull reports whether err is an *Error of kind Full.
+func isFull(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == Full
+}
+
 func syncFile(file *os.File) error {
 	return unix.Fdatasync(int(file.Fd()))
 }
