kcwallowance, kcwcontrol: give tokens back when clocks prove a loss of power short

Change: reports carry the router's time of day, and the leader stamps them with its process, uptime and time of day. What a router held beyond its limit comes back if it is proved that it ended before its allowances became active: by the uptime of the same leader, or by time of day, once more than half of the routers that reported to the one leader have reported to the next and their clocks moved by 300 ms at most against the leaders'; a leader that sees its own clock set says so, and what was reported before is not proved. Until then the tokens count as used. It assumes that the clocks of more than half of the hosts are not set back by the same amount in one outage of the core.

TestLossOfPower fails without each of: the majority, the steps, the bound.

--- a/kcw-fleet/kcwcontrol/list.go
+++ b/kcw-fleet/kcwcontrol/list.go
@@ -22,6 +22,9 @@
 	// changingFor is how long a list counts as changing after it has changed: upstreams
 	// come and go one after the other.
 	changingFor = 5 * time.Second
+	// listTick is the pause between two looks at whether the list is to be read: a new
+	// leader, and routers that have just started, have none.
+	listTick = 50 * time.Millisecond
 	// calmFactor is how many times as long the pause between two readings of a list
 	// is that does not change.
 	calmFactor = 2
@@ -54,8 +57,8 @@
 	if !l.failed && now.After(l.changingUntil) {
 		pause *= calmFactor
 	}
-	// The ticks that ask are an interval apart, give or take some time.
-	l.dueAt = now.Add(pause - l.interval/2)
+	// Ticks come a little early or late.
+	l.dueAt = now.Add(pause - listTick/2)
 	return true
 }
 
--- a/kcw-fleet/kcwcontrol/list_test.go
+++ b/kcw-fleet/kcwcontrol/list_test.go
@@ -42,16 +42,19 @@
 		source := &lister{}
 		reader := &listReader{lister: source, name: "m", interval: interval}
 		now := time.Now()
-		for tick := range ticks {
-			test.changes(tick, source)
+		for look := range ticks * int(interval/listTick) {
+			test.changes(look/int(interval/listTick), source)
 			// Ticks come a little early or late.
-			at := now.Add(time.Duration(tick)*interval + time.Duration(tick%3)*time.Millisecond)
+			at := now.Add(time.Duration(look)*listTick + time.Duration(look%3)*time.Millisecond)
 			if reader.due(at) {
 				reader.read(t.Context(), at)
 			}
 		}
+		if look := now.Add(listTick / 10); !(&listReader{interval: interval}).due(look) {
+			t.Error("a new leader does not read the list at once")
+		}
 		if source.readings < test.want-2 || source.readings > test.want+2 {
-			t.Errorf("%s: %d readings in %d ticks, want %d", test.name, source.readings, ticks, test.want)
+			t.Errorf("%s: %d readings in %d intervals, want %d", test.name, source.readings, ticks, test.want)
 		}
 	}
 }
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -114,8 +114,12 @@
 	if err != nil {
 		return err
 	}
+	clocks, err := newStamper()
+	if err != nil {
+		return err
+	}
 	m.service = &service{
-		group: group, table: table,
+		group: group, table: table, stamper: clocks,
 		list: &listReader{lister: m.cfg.Lister, name: s.Host.Name + "/" + time.Now().String(), interval: s.List.Interval},
 		steward: kcwsteward.New(kcwsteward.Config{
 			Voters: 2*s.Group.Losses + 1, SilentAfter: s.Group.RemoveAfter, AskedWithin: 4 * askInterval,
@@ -248,7 +252,7 @@
 func (m *Member) work(app *kratos.App) {
 	go m.repeat(tendInterval, m.service.tend)
 	go m.repeat(askInterval, m.askForVote)
-	go m.repeat(m.cfg.Settings.List.Interval, m.readList)
+	go m.repeat(listTick, m.readList)
 	go func() {
 		// A group that stops by itself has met a fault of its disk.
 		<-m.service.group.Done()
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -38,6 +38,7 @@
 	list    *listReader
 	steward *kcwsteward.Steward
 	client  *kcwcore.Client
+	stamper *stamper
 
 	// mu guards what follows and the steward.
 	mu    sync.Mutex
@@ -57,10 +58,19 @@
 // Sync takes the report of a router and tells it what is new.
 func (s *service) Sync(ctx context.Context, req *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
 	report := req.Msg.GetAllowances()
+	if report == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the call has no report"))
+	}
+	stamp, steps := s.stamper.stamp()
+	report.Stamp = stamp
 	result, err := s.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_SyncAllowances{SyncAllowances: report}})
 	if err != nil {
 		return nil, s.refusal(err)
 	}
+	s.stamper.told(steps)
+	if result.GetProved() > 0 {
+		klog.InfoS("Tokens came back: clocks agree that a loss of power was short", "Router", report.GetRouter(), "Tokens", result.GetProved())
+	}
 	if result.GetReplaced() {
 		klog.InfoS("Router restarted", "Router", report.GetRouter(), "Incarnation", report.GetIncarnation(),
 			"TokensWrittenOff", result.GetWrittenOff(), "TokensRecovered", result.GetRecovered())
--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -76,8 +76,8 @@
 }
 
 // unreadyRate is how many times as often a router reports that has no
-// configuration yet, and so serves nobody: the core answers within milliseconds
-// once it has a leader.
+// configuration or no list yet, and so serves nobody: the core answers within
+// milliseconds once it has a leader.
 const unreadyRate = 3
 
 // run reports until ctx ends.
@@ -87,7 +87,7 @@
 	for {
 		p.report(ctx)
 		interval := p.settings.Core.Interval
-		if p.document.Load() == nil {
+		if p.document.Load() == nil || p.roster.ListedAt().IsZero() {
 			interval /= unreadyRate
 		}
 		// Half of the interval varies, so that routers don't report together.
@@ -137,6 +137,7 @@
 		Allowances: &kcwpb.SyncAllowances{
 			Router: p.settings.Host.Name, Incarnation: p.incarnation, Serial: p.serial, Reports: report.Teams,
 			Boot: p.uptime.Boot(), Started: int64(p.uptime.Started()), Wakes: int64(report.Wakes), Reported: int64(report.Uptime),
+			Wall: asked.UnixNano(),
 		},
 		ListVersion: p.listVersion, ListReader: p.listReader, Address: p.settings.LendAddress().String(),
 	}
--- a/kcw/kcwallowance/image.go
+++ b/kcw/kcwallowance/image.go
@@ -62,6 +62,10 @@
 		r := t.routers[name]
 		image.Routers = append(image.Routers, &kcwpb.SyncAllowances{
 			Router: name, Incarnation: r.incarnation, Serial: r.serial, Boot: r.boot, Wakes: r.wakes, Reported: r.reported,
+			Wall: r.clock.wall, Stamp: r.clock.stamp,
+		})
+		image.Clocks = append(image.Clocks, &kcwpb.FleetClock{
+			Router: name, Lag: r.clock.lag, From: r.clock.moved.from, To: r.clock.moved.to, Shift: r.clock.moved.shift, Epoch: r.clock.epoch,
 		})
 		for _, team := range slices.Sorted(maps.Keys(r.teams)) {
 			held := r.teams[team]
@@ -75,6 +79,14 @@
 	for _, team := range slices.Sorted(maps.Keys(t.budgets)) {
 		image.Retired = append(image.Retired, &kcwpb.TeamBudget{Team: team, Prepaid: t.budgets[team].retired})
 	}
+	image.Epoch = t.epoch
+	for _, c := range t.claims {
+		record := &kcwpb.FleetClaim{From: c.moved.from, To: c.moved.to, Shift: c.moved.shift}
+		for _, team := range slices.Sorted(maps.Keys(c.kept)) {
+			record.Kept = append(record.Kept, &kcwpb.TeamBudget{Team: team, Prepaid: c.kept[team]})
+		}
+		image.Claims = append(image.Claims, record)
+	}
 	return image
 }
 
@@ -97,6 +109,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.document, t.routers, t.budgets = next.document, next.routers, next.budgets
+	t.epoch, t.claims = next.epoch, next.claims
 	return nil
 }
 
@@ -112,7 +125,22 @@
 	for _, r := range image.GetRouters() {
 		t.routers[r.GetRouter()] = &router{
 			incarnation: r.GetIncarnation(), serial: r.GetSerial(), boot: r.GetBoot(), wakes: r.GetWakes(), reported: r.GetReported(), teams: map[string]*totals{},
+			clock: clock{wall: r.GetWall(), stamp: r.GetStamp()},
+		}
+	}
+	t.epoch = image.GetEpoch()
+	for _, c := range image.GetClocks() {
+		if r := t.routers[c.GetRouter()]; r != nil {
+			r.clock.lag, r.clock.epoch = c.GetLag(), c.GetEpoch()
+			r.clock.moved = move{c.GetFrom(), c.GetTo(), c.GetShift()}
+		}
+	}
+	for _, record := range image.GetClaims() {
+		c := claim{moved: move{record.GetFrom(), record.GetTo(), record.GetShift()}, kept: map[string]int64{}}
+		for _, kept := range record.GetKept() {
+			c.kept[kept.GetTeam()] = kept.GetPrepaid()
 		}
+		t.claims = append(t.claims, c)
 	}
 	for _, h := range image.GetHoldings() {
 		r := t.routers[h.GetRouter()]
--- /dev/null
+++ b/kcw/kcwallowance/proof.go
@@ -0,0 +1,195 @@
+package kcwallowance
+
+import (
+	"slices"
+	"time"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// What a router held when its host lost power comes back as far as it is proved that
+// the router kept to its limits: that it ended before the core had been silent for
+// long enough to make its allowances active. There are three proofs.
+//
+//   - The successor started on the same boot of the host: by the host's uptime.
+//   - The same process leads before and after: by the uptime of the leader's host.
+//   - Otherwise by time of day, since nothing else outlasts a loss of all power. Clocks
+//     may have been set meanwhile, so that the tokens stay written off until more than
+//     half of the routers that reported to the one leader have reported to the other,
+//     and their clocks moved against the leaders' by no more than a tolerance. This
+//     fails only if the clocks of more than half of the hosts were set back by the
+//     same amount during one outage of the core.
+
+const (
+	// clockTolerance is by how much the clocks of hosts may differ, and move against
+	// each other, and still agree.
+	clockTolerance = int64(300 * time.Millisecond)
+	// uptimeTolerance bounds the error of a time measured by the uptimes of two hosts:
+	// the quickest message between them.
+	uptimeTolerance = int64(50 * time.Millisecond)
+	// maxClaims bounds the claims kept, some for each router of a large fleet.
+	maxClaims = 4096
+)
+
+// proof says what is known of an incarnation that has ended.
+type proof int
+
+const (
+	// unproved: it may have used all that it held.
+	unproved proof = iota
+	// likely: it kept to its limits if the clocks of others agree.
+	likely
+	// proved: it kept to its limits.
+	proved
+)
+
+// move is how far a router's time of day moved against the leaders' between its last
+// report to the process from and its first to the process to.
+type move struct {
+	from, to uint64
+	shift    int64
+}
+
+// agrees reports whether the clocks moved little.
+func (m move) agrees() bool { return -clockTolerance <= m.shift && m.shift <= clockTolerance }
+
+// clock is what the last report of a router says of its host's clocks.
+type clock struct {
+	// wall is the router's time of day when the report was made, stamp when the
+	// leader took it.
+	wall  int64
+	stamp *kcwpb.LeaderStamp
+	// lag is the least time by which a stamp of this leader exceeds the uptime that
+	// the router reported: what one uptime is by the other, and the quickest message.
+	lag   int64
+	epoch uint64
+	moved move
+}
+
+// movedTo returns the move up to the report s.
+func (c *clock) movedTo(s *kcwpb.SyncAllowances) move {
+	before := c.wall - c.stamp.GetWall()
+	after := s.GetWall() - s.GetStamp().GetWall()
+	return move{c.stamp.GetProcess(), s.GetStamp().GetProcess(), after - before}
+}
+
+// isComplete reports whether a report tells all clocks.
+func isComplete(wall int64, stamp *kcwpb.LeaderStamp) bool {
+	return wall != 0 && stamp.GetProcess() != 0 && stamp.GetWall() != 0
+}
+
+// noteClocks notes the clocks of a report of r.
+func (t *Table) noteClocks(r *router, s *kcwpb.SyncAllowances) {
+	stamp := s.GetStamp()
+	if stamp.GetStepped() {
+		t.epoch++
+	}
+	if !isComplete(s.GetWall(), stamp) {
+		r.clock = clock{}
+		return
+	}
+	lag := stamp.GetUptime() - s.GetReported()
+	if r.clock.stamp.GetProcess() != stamp.GetProcess() {
+		if isComplete(r.clock.wall, r.clock.stamp) {
+			r.clock.moved = r.clock.movedTo(s)
+		}
+		r.clock.lag = lag
+	}
+	if r.serial == 0 || lag < r.clock.lag {
+		r.clock.lag = lag
+	}
+	r.clock.wall, r.clock.stamp, r.clock.epoch = s.GetWall(), stamp, t.epoch
+}
+
+// prove returns what is known of the incarnation r when next takes its place.
+func (t *Table) prove(r *router, next *kcwpb.SyncAllowances) proof {
+	// A host that was booted between the two counts its time anew, mostly under
+	// another boot; a start before the last report shows it as well.
+	if r.boot != "" && next.GetBoot() == r.boot && next.GetStarted() >= r.reported {
+		if next.GetStarted() < r.wakes {
+			return proved
+		}
+		return unproved
+	}
+	stamp := next.GetStamp()
+	if !isComplete(r.clock.wall, r.clock.stamp) || !isComplete(next.GetWall(), stamp) {
+		return unproved
+	}
+	// The time for which r kept to its limits after its last report, and that which
+	// next has run.
+	dormant := r.wakes - r.reported
+	running := next.GetReported() - next.GetStarted()
+	byRouter := next.GetWall() - running - r.clock.wall
+	if r.clock.stamp.GetProcess() == stamp.GetProcess() {
+		// The time of day covers a lag that was never seen small.
+		byUptime := stamp.GetUptime() - running - (r.reported + r.clock.lag)
+		if max(byUptime+uptimeTolerance, byRouter+clockTolerance) < dormant {
+			return proved
+		}
+		return unproved
+	}
+	byLeaders := stamp.GetWall() - running - r.clock.stamp.GetWall()
+	for _, gap := range []int64{byRouter, byLeaders} {
+		if gap < -clockTolerance || gap+clockTolerance >= dormant {
+			return unproved
+		}
+	}
+	if r.clock.epoch != t.epoch || stamp.GetStepped() || !r.clock.movedTo(next).agrees() {
+		return unproved
+	}
+	return likely
+}
+
+// claim is tokens of a replaced incarnation, by team, that come back if the clocks of
+// others agree. Until then they count as used.
+type claim struct {
+	moved move
+	kept  map[string]int64
+}
+
+// claim keeps c until the clocks of others are known.
+func (t *Table) claim(c claim) {
+	t.claims = append(t.claims, c)
+	if len(t.claims) > maxClaims {
+		t.claims = slices.Delete(t.claims, 0, len(t.claims)-maxClaims)
+	}
+}
+
+// settleClaims returns the tokens of claims between the two leaders of moved to their
+// teams, once the clocks of more than half of the routers agree. It returns their
+// number.
+func (t *Table) settleClaims(moved move) int64 {
+	matches := func(m move) bool { return m.from == moved.from && m.to == moved.to }
+	if !slices.ContainsFunc(t.claims, func(c claim) bool { return matches(c.moved) }) {
+		return 0
+	}
+	agreeing, all := 0, 0
+	for _, r := range t.routers {
+		switch {
+		case matches(r.clock.moved):
+			all++
+			if r.clock.moved.agrees() {
+				agreeing++
+			}
+		case r.clock.stamp.GetProcess() == moved.from:
+			all++
+		}
+	}
+	if 2*agreeing <= all {
+		return 0
+	}
+	returned := int64(0)
+	t.claims = slices.DeleteFunc(t.claims, func(c claim) bool {
+		if !matches(c.moved) {
+			return false
+		}
+		for team, kept := range c.kept {
+			b := t.budget(team)
+			b.retired -= kept
+			b.outstanding -= kept
+			returned += kept
+		}
+		return true
+	})
+	return returned
+}
--- /dev/null
+++ b/kcw/kcwallowance/proof_test.go
@@ -0,0 +1,382 @@
+package kcwallowance_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw/kcwallowance"
+	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwgrant"
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// moment is when a report is made, in milliseconds of true time.
+type moment struct {
+	at, booted, routerStep, leaderStep int64
+	leader                             uint64
+	stepped                            bool
+}
+
+func reportAt(router string, incarnation, serial uint64, m moment) *kcwpb.FleetCommand {
+	const ms = int64(time.Millisecond)
+	const epoch = int64(1_700_000_000_000)
+	command := sync(router, incarnation, serial, &kcwpb.AllowanceReport{Want: 60, Limit: 20})
+	s := command.GetSyncAllowances()
+	s.Boot = fmt.Sprint(m.booted)
+	s.Started, s.Reported = 0, (m.at-m.booted)*ms
+	s.Wakes = s.Reported + 2500*ms
+	s.Wall = (epoch + m.at + m.routerStep) * ms
+	s.Stamp = &kcwpb.LeaderStamp{Process: m.leader, Uptime: (m.at + 5_000_000) * ms, Wall: (epoch + m.at + 2 + m.leaderStep) * ms, Stepped: m.stepped}
+	return command
+}
+
+// TestLossOfPower checks how much of what five routers held comes back after all
+// of them lost their power, each holding 60 of 1000 tokens with a limit of 20.
+func TestLossOfPower(t *testing.T) {
+	const routers = 5
+	before := moment{at: 10_000, booted: 0, leader: 1}
+	after := moment{at: 11_500, booted: 11_000, leader: 2}
+	for _, test := range []struct {
+		name string
+		// change alters the reports of router i before and after.
+		change func(i int, before, after *moment)
+		// want is how many routers' tokens come back.
+		want int
+	}{
+		{"a short outage", func(int, *moment, *moment) {}, 5},
+		{"a long outage", func(_ int, _, a *moment) { a.at, a.booted = 13_000, 12_500 }, 0},
+		{"one was cut off before", func(i int, b, _ *moment) {
+			if i == 0 {
+				b.at = 5000
+			}
+		}, 4},
+		{"one was cut off before, and its clock was set back", func(i int, b, a *moment) {
+			if i == 0 {
+				b.at, a.routerStep = 5000, -5000
+			}
+		}, 4},
+		{"two clocks were set back", func(i int, _, a *moment) {
+			if i < 2 {
+				a.routerStep = -5000
+			}
+		}, 3},
+		{"most clocks were set back", func(i int, _, a *moment) {
+			if i < 3 {
+				a.routerStep = -5000
+			}
+		}, 0},
+		{"the next leader's clock was set back", func(_ int, _, a *moment) { a.leaderStep = -5000 }, 0},
+		{"one was cut off, and its clock and the leader's were set back", func(i int, b, a *moment) {
+			a.leaderStep = -5000
+			if i == 0 {
+				b.at, a.routerStep = 5000, -5000
+			}
+		}, 0},
+		{"the leader's clock was set before the outage", func(i int, b, a *moment) {
+			b.stepped = i == 4
+			if i == 0 {
+				b.at = 9000
+			}
+		}, 1},
+		{"only two are back", func(i int, _, a *moment) {
+			if i > 1 {
+				a.leader = 0
+			}
+		}, 0},
+		{"the same leader", func(_ int, _, a *moment) { a.leader = 1 }, 5},
+		{"the same leader, and one was cut off before", func(i int, b, a *moment) {
+			a.leader = 1
+			if i == 0 {
+				b.at, a.routerStep = 5000, -5000
+			}
+		}, 4},
+		{"clocks are not told", func(_ int, b, _ *moment) { b.leader = 0 }, 0},
+	} {
+		table := kcwallowance.New()
+		apply(t, table, put(1, 1000))
+		for i := range routers {
+			b, a := before, after
+			test.change(i, &b, &a)
+			for serial := range uint64(3) {
+				apply(t, table, reportAt(fmt.Sprint(i), 1, serial+1, b))
+			}
+		}
+		table = restored(t, table)
+		returned := int64(0)
+		for i := range routers {
+			b, a := before, after
+			test.change(i, &b, &a)
+			if a.leader == 0 && b.leader != 0 {
+				continue
+			}
+			command := reportAt(fmt.Sprint(i), 2, 1, a)
+			command.GetSyncAllowances().Reports[0].Want = 0
+			result := apply(t, table, command)
+			returned += result.GetRecovered() + result.GetProved()
+			table = restored(t, table)
+		}
+		if want := int64(test.want) * 40; returned != want {
+			t.Errorf("%s: %d tokens come back, want %d", test.name, returned, want)
+		}
+	}
+}
+
+// restored returns a table made from an image of table.
+func restored(t *testing.T, table *kcwallowance.Table) *kcwallowance.Table {
+	t.Helper()
+	var image, again bytes.Buffer
+	if err := table.Freeze()(&image); err != nil {
+		t.Fatal(err)
+	}
+	next := kcwallowance.New()
+	if err := next.Restore(bytes.NewReader(image.Bytes())); err != nil {
+		t.Fatal(err)
+	}
+	if err := next.Freeze()(&again); err != nil || !bytes.Equal(image.Bytes(), again.Bytes()) {
+		t.Fatalf("an image of the restored table differs, error %v", err)
+	}
+	return next
+}
+
+// machine is a host of the model. Times are true ones, in nanoseconds.
+type machine struct {
+	booted time.Duration
+	boots  int
+	step   time.Duration
+}
+
+func (m *machine) uptime(now time.Duration) time.Duration { return now - m.booted }
+
+func (m *machine) wall(now time.Duration) int64 {
+	return time.Unix(1_700_000_000, 0).UnixNano() + int64(now+m.step)
+}
+
+// spender is a router of the model, which uses all that it may.
+type spender struct {
+	machine
+	name        string
+	balance     *kcwbalance.Balance
+	incarnation uint64
+	serial      uint64
+	started     time.Duration
+	down        time.Duration
+	cut         bool
+	nextReport  time.Duration
+}
+
+// budgetModel is a core and routers with one budget.
+type budgetModel struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     time.Duration
+	table   *kcwallowance.Table
+	routers []*spender
+	leader  machine
+	process uint64
+	drift   time.Duration
+	// dead is until when the core takes no reports.
+	dead     time.Duration
+	spent    int64
+	returned int64
+	late     []*kcwpb.FleetCommand
+	history  []string
+}
+
+const (
+	modelPrepaid = 400_000
+	modelTick    = 50 * time.Millisecond
+)
+
+func newBudgetModel(t *testing.T, seed uint64) *budgetModel {
+	m := &budgetModel{t: t, random: rand.New(rand.NewPCG(seed, 11)), now: time.Hour, table: kcwallowance.New(), process: 1}
+	apply(t, m.table, put(1, modelPrepaid))
+	for i := range 5 {
+		r := &spender{name: fmt.Sprint(i), incarnation: uint64(time.Hour)}
+		m.routers = append(m.routers, r)
+		m.start(r)
+	}
+	return m
+}
+
+func (m *budgetModel) clock() time.Time { return time.Unix(0, int64(m.now)) }
+
+// start starts the process of a router.
+func (m *budgetModel) start(r *spender) {
+	r.incarnation++
+	r.serial = 0
+	r.started = r.uptime(m.now)
+	r.balance = kcwbalance.New(kcwbalance.Config{
+		Grant:  kcwgrant.Config{Endurance: 10 * time.Second, IdleAfter: 20 * time.Second, Memory: 5 * time.Second},
+		Active: 2 * time.Second, Sleep: 2500 * time.Millisecond, Fresh: 750 * time.Millisecond,
+		Uptime: func() time.Duration { return r.uptime(m.now) },
+	})
+}
+
+// boot has the host of a router lose its power for some time.
+func (m *budgetModel) boot(r *spender, off time.Duration) {
+	r.down = m.now + off
+	r.booted = r.down - 100*time.Millisecond
+	r.boots++
+}
+
+// report makes the report of a router and has the core take it, now or late.
+func (m *budgetModel) report(r *spender) {
+	report := r.balance.Report(m.clock())
+	r.serial++
+	s := &kcwpb.SyncAllowances{
+		Router: r.name, Incarnation: r.incarnation, Serial: r.serial, Reports: report.Teams,
+		Boot: fmt.Sprint(r.name, "-", r.boots), Started: int64(r.started), Wakes: int64(report.Wakes), Reported: int64(report.Uptime), Wall: r.wall(m.now),
+	}
+	// The command is its own copy.
+	command := proto.Clone(&kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_SyncAllowances{SyncAllowances: s}}).(*kcwpb.FleetCommand)
+	switch {
+	case r.cut || m.now < m.dead:
+		if m.random.IntN(4) == 0 {
+			m.late = append(m.late, command)
+		}
+		return
+	case m.random.IntN(20) == 0:
+		// The answer is lost.
+		m.take(command)
+		return
+	}
+	result := m.take(command)
+	if result.GetCode() == kcwpb.Code_CODE_OK {
+		r.balance.Heard(report, result.GetAllowances())
+	}
+}
+
+// take has the core take a report, stamped with the leader's clocks.
+func (m *budgetModel) take(command *kcwpb.FleetCommand) *kcwpb.FleetResult {
+	drift := time.Duration(m.leader.wall(m.now)) - m.leader.uptime(m.now)
+	stepped := m.drift != 0 && (drift-m.drift).Abs() > 100*time.Millisecond
+	m.drift = drift
+	command.GetSyncAllowances().Stamp = &kcwpb.LeaderStamp{
+		Process: m.process, Uptime: int64(m.leader.uptime(m.now)), Wall: m.leader.wall(m.now), Stepped: stepped,
+	}
+	result := apply(m.t, m.table, command)
+	m.returned += result.GetProved()
+	return result
+}
+
+// elect makes another process lead.
+func (m *budgetModel) elect(booted bool) {
+	m.process++
+	m.drift = 0
+	if booted {
+		m.leader.booted = m.now
+	}
+}
+
+// disturb makes one random disturbance. At most two of five routers' clocks are set,
+// and the leader's.
+func (m *budgetModel) disturb() {
+	x := m.routers[m.random.IntN(len(m.routers))]
+	step := time.Duration(m.random.IntN(12_000)-6000) * time.Millisecond
+	switch kind := m.random.IntN(9); kind {
+	case 0, 1:
+		for _, r := range m.routers {
+			r.cut = m.random.IntN(2) == 0
+		}
+		m.history = append(m.history, fmt.Sprint(m.now, " cut"))
+	case 2:
+		for _, r := range m.routers {
+			r.cut = false
+		}
+		m.history = append(m.history, fmt.Sprint(m.now, " heal"))
+	case 3, 4:
+		off := time.Duration(300+m.random.IntN(1500)) * time.Millisecond
+		for _, r := range m.routers {
+			m.boot(r, off+time.Duration(m.random.IntN(300))*time.Millisecond)
+		}
+		m.dead = m.now + off
+		m.elect(true)
+		m.history = append(m.history, fmt.Sprint(m.now, " power of all ", off))
+	case 5:
+		off := time.Duration(300+m.random.IntN(1500)) * time.Millisecond
+		m.boot(x, off)
+		m.history = append(m.history, fmt.Sprint(m.now, " power of ", x.name, " ", off))
+	case 6:
+		m.start(x)
+		m.history = append(m.history, fmt.Sprint(m.now, " restart of ", x.name))
+	case 7:
+		// All clocks that are set are set by the same amount.
+		for _, r := range m.routers[:2] {
+			r.step = step * time.Duration(m.random.IntN(2))
+		}
+		m.leader.step = step * time.Duration(m.random.IntN(2))
+		m.history = append(m.history, fmt.Sprint(m.now, " step ", step))
+	case 8:
+		m.dead = m.now + time.Duration(m.random.IntN(6000))*time.Millisecond
+		m.elect(false)
+		m.history = append(m.history, fmt.Sprint(m.now, " no leader until ", m.dead))
+	}
+}
+
+// tick has all routers use what they may, lend and report.
+func (m *budgetModel) tick() {
+	for i, r := range m.routers {
+		if m.now < r.down {
+			continue
+		}
+		if r.down > 0 {
+			r.down = 0
+			m.start(r)
+		}
+		for range 4 {
+			tokens := int64(100 + m.random.IntN(400))
+			r.balance.Demand("a", tokens, m.clock())
+			if r.balance.Reserve("a", tokens, m.clock()) == kcwbalance.Reserved {
+				used := tokens - int64(m.random.IntN(50))
+				r.balance.Settle("a", tokens, used)
+				m.spent += used
+			} else if other := m.routers[(i+1)%len(m.routers)]; m.now >= other.down {
+				if short := r.balance.Short("a", tokens, m.clock()); short > 0 && m.random.IntN(3) == 0 {
+					r.balance.Borrowed("a", other.balance.Lend("a", short, m.clock()))
+				}
+			}
+		}
+		if m.now >= r.nextReport {
+			r.nextReport = m.now + 200*time.Millisecond + time.Duration(m.random.IntN(100))*time.Millisecond
+			m.report(r)
+		}
+	}
+	if len(m.late) > 0 && m.now >= m.dead && m.random.IntN(20) == 0 {
+		m.take(m.late[0])
+		m.late = m.late[1:]
+	}
+	m.now += modelTick
+}
+
+// TestNoOverspend plays random histories of cuts, losses of power, restarts, steps of
+// clocks, lost answers and late reports with routers that use all they may, and
+// checks that the tokens used never exceed the prepaid ones.
+func TestNoOverspend(t *testing.T) {
+	const histories = 150
+	returned, used := 0, int64(0)
+	for seed := range uint64(histories) {
+		m := newBudgetModel(t, seed)
+		for m.now < time.Hour+60*time.Second {
+			if m.random.IntN(30) == 0 {
+				m.disturb()
+			}
+			m.tick()
+			if m.spent > modelPrepaid {
+				t.Fatalf("seed %d: %d of %d tokens are used at %v: %v", seed, m.spent, modelPrepaid, m.now, m.history)
+			}
+		}
+		used += m.spent
+		if m.returned > 0 {
+			returned++
+		}
+	}
+	if returned < histories/10 {
+		t.Errorf("tokens came back by proof in %d of %d histories", returned, histories)
+	}
+	t.Logf("%d tokens used in a history of %d, proofs in %d of %d", used/histories, modelPrepaid, returned, histories)
+}
--- a/kcw/kcwallowance/table.go
+++ b/kcw/kcwallowance/table.go
@@ -45,6 +45,7 @@
 	boot            string
 	reported, wakes int64
 	teams           map[string]*totals
+	clock           clock
 }
 
 // budget is the prepaid tokens of one team, those that replaced incarnations
@@ -67,6 +68,9 @@
 	document *kcwpb.PutDocument
 	routers  map[string]*router
 	budgets  map[string]*budget
+	// epoch counts the steps of leaders' clocks.
+	epoch  uint64
+	claims []claim
 }
 
 // New returns an empty table.
@@ -152,8 +156,10 @@
 	result.Incarnation = r.incarnation
 	late := s.GetSerial() <= r.serial
 	if !late {
+		t.noteClocks(r, s)
 		r.serial, r.reported, r.wakes = s.GetSerial(), s.GetReported(), s.GetWakes()
 	}
+	result.Proved = t.settleClaims(r.clock.moved)
 	for _, report := range s.GetReports() {
 		held := r.holding(report.GetTeam())
 		t.take(held, report)
@@ -183,34 +189,43 @@
 		result.Replaced = true
 		result.WrittenOff, result.Recovered = t.retire(r, s)
 	}
-	r = &router{incarnation: s.GetIncarnation(), boot: s.GetBoot(), teams: map[string]*totals{}}
-	t.routers[s.GetRouter()] = r
-	return r
+	next := &router{incarnation: s.GetIncarnation(), boot: s.GetBoot(), teams: map[string]*totals{}}
+	if r != nil {
+		// The clock of the host goes on, but for its uptime.
+		next.clock = r.clock
+		next.clock.lag = 0
+	}
+	t.routers[s.GetRouter()] = next
+	return next
 }
 
 // retire counts what the incarnation r has used at most, when next takes its
-// place. If next started before r's allowances would have woken, r kept to its
-// limits; otherwise it may have used all that it held. A host that was booted
-// between the two counts its time anew, mostly under another boot; a start before
-// the last report shows it as well. It returns the tokens that
-// r may have used beyond those reported, and those that come back.
+// place. If next started before r's allowances would have become active, r kept to its
+// limits; otherwise it may have used all that it held. It returns the tokens that r
+// may have used beyond those reported, and those that come back.
 func (t *Table) retire(r *router, next *kcwpb.SyncAllowances) (writtenOff, recovered int64) {
-	sameBoot := r.boot != "" && next.GetBoot() == r.boot && next.GetStarted() >= r.reported
-	dormant := sameBoot && next.GetStarted() < r.wakes
+	proof := t.prove(r, next)
+	pending := claim{moved: r.clock.movedTo(next), kept: map[string]int64{}}
 	for team, held := range r.teams {
 		b := t.budget(team)
 		b.spent -= held.spent
 		b.wanted -= held.want
 		used := held.granted - held.returned
-		if dormant {
-			kept := max(0, used-max(held.limit, held.spent))
+		kept := max(0, used-max(held.limit, held.spent))
+		switch proof {
+		case proved:
 			used -= kept
 			b.outstanding -= kept
 			recovered += kept
+		case likely:
+			pending.kept[team] = kept
 		}
 		b.retired += used
 		writtenOff += used - held.spent
 	}
+	if proof == likely {
+		t.claim(pending)
+	}
 	return writtenOff, recovered
 }
 
