kcwbalance, kcwallowance, kcw-fleet: name standby tokens and load reports by their terms

Load reports, silent and permanent take the place of paraphrases. No behaviour changes; tests of the packages pass.

--- a/kcw-fleet/kcwcontrol/redirect.go
+++ b/kcw-fleet/kcwcontrol/redirect.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// leaderKnownFor is how old a member's word on the leader may be to send callers
+	// leaderKnownFor is how old a member's report on the leader may be to send callers
 	// there unasked: an operator waits a second for its answer.
 	leaderKnownFor = 500 * time.Millisecond
 	// locateTries bounds the hosts asked for the leader: one that is gone, one that
--- a/kcw-fleet/kcwcore/client_test.go
+++ b/kcw-fleet/kcwcore/client_test.go
@@ -104,7 +104,7 @@
 	t.Error("the member was not found")
 }
 
-// TestSilentMember checks that a call to a member that accepts and says nothing
+// TestSilentMember checks that a call to a member that accepts and stays silent
 // ends, and that the next goes elsewhere.
 func TestSilentMember(t *testing.T) {
 	leader := &member{}
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -125,7 +125,7 @@
 	}
 	r.balance = kcwbalance.New(kcwbalance.Config{
 		Grant:  kcwgrant.Config{Endurance: s.Grants.Endurance, IdleAfter: s.Grants.IdleAfter, Memory: s.Grants.Memory},
-		Active: s.Grants.Active, Sleep: s.Grants.Sleep, Fresh: s.Grants.Fresh, Uptime: uptime.Now,
+		Active: s.Grants.Active, ActivateAfter: s.Grants.ActivateAfter, Fresh: s.Grants.Fresh, Uptime: uptime.Now,
 	})
 	r.roster = newRoster(s)
 	const megabyte = 1 << 20
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -69,11 +69,11 @@
 type Grants struct {
 	// Endurance is how long the router should serve its demand by itself.
 	Endurance time.Duration `default:"10s" setting:"min=0s,max=24h"`
-	// Active is how long it may do so at once. The rest wakes when the core has
-	// been silent for Sleep, and comes back to the team if the router restarts
+	// Active is how long it may do so at once. The rest becomes active when the core
+	// has been silent for ActivateAfter, and comes back to the team if the router restarts
 	// sooner: longer than a restart takes.
-	Active time.Duration `default:"2s" setting:"min=0s,max=24h"`
-	Sleep  time.Duration `default:"2500ms" setting:"min=0s,max=24h"`
+	Active        time.Duration `default:"2s" setting:"min=0s,max=24h"`
+	ActivateAfter time.Duration `default:"2500ms" setting:"min=0s,max=24h"`
 	// Memory is the time over which demand is averaged, and IdleAfter how long
 	// a team without requests keeps its tokens here.
 	Memory    time.Duration `default:"5s" setting:"min=1s,max=1h"`
@@ -85,7 +85,7 @@
 	// round trips between zones.
 	LendTimeout time.Duration `default:"60ms" setting:"min=1ms,max=1m"`
 	// Fresh is how old the core's state of a budget may be to refuse a request
-	// for good, three reports.
+	// permanently, three reports.
 	Fresh time.Duration `default:"750ms" setting:"min=10ms,max=1m"`
 }
 
@@ -114,7 +114,7 @@
 	// DialTimeout bounds the opening of a connection, a few hundred round
 	// trips between zones.
 	DialTimeout time.Duration `default:"300ms" setting:"min=1ms,max=1m"`
-	// SilenceTimeout is how long an upstream may say nothing to anybody while
+	// SilenceTimeout is how long an upstream may be silent on all connections while
 	// requests wait there, and how long sent bytes may stay unacknowledged.
 	SilenceTimeout time.Duration `default:"1s" setting:"min=10ms,max=10m"`
 	// Patience is the pause between two looks at whether a waited-for upstream
@@ -133,7 +133,7 @@
 	LoadFactor float64 `default:"1.25" setting:"min=1,max=10"`
 	LoadMargin float64 `default:"0.05" setting:"min=0,max=10"`
 	ZoneMargin float64 `default:"0.1" setting:"min=0,max=10"`
-	// LoadHalfLife is the age at which an upstream's word on its load counts
+	// LoadHalfLife is the age at which an upstream's load report counts
 	// half.
 	LoadHalfLife time.Duration `default:"1s" setting:"min=1ms,max=1m"`
 	// PromptWeight is the load, in requests, of a thousand prompt tokens on
--- a/kcw-ledger/config_test.go
+++ b/kcw-ledger/config_test.go
@@ -284,7 +284,7 @@
 }
 
 // TestSilentConnections makes every connection of clients and replicas silent
-// for good, while new ones work, before each kind of call.
+// permanently, while new ones work, before each kind of call.
 func TestSilentConnections(t *testing.T) {
 	f := newLinkedFleet(t, 3, nil)
 	operator, router := f.client(t, testKeys.Operator), f.client(t, testKeys.Router)
--- a/kcw-ledger/link_test.go
+++ b/kcw-ledger/link_test.go
@@ -34,7 +34,7 @@
 	pipes   map[*pipe]bool
 }
 
-// pipe is one joined connection. Silent is for good.
+// pipe is one joined connection. Silent is permanent.
 type pipe struct {
 	ends   [2]net.Conn
 	silent bool
@@ -145,7 +145,7 @@
 	f.changed.Broadcast()
 }
 
-// hush makes the connections of now silent for good. New ones work.
+// hush makes the open connections silent permanently. New ones work.
 func (f *forwarder) hush() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/kcw-proof/link_test.go
+++ b/kcw-proof/link_test.go
@@ -39,7 +39,7 @@
 type pipe struct {
 	dialled, target net.Conn
 	owner           int
-	// silent holds the connection back for good.
+	// silent holds the connection back permanently.
 	silent bool
 }
 
@@ -142,7 +142,7 @@
 	l.open.Broadcast()
 }
 
-// silence holds the present connections of a process back for good, while new
+// silence holds the present connections of a process back permanently, while new
 // ones work.
 func (l *link) silence(owner int) {
 	l.mu.Lock()
--- a/kcw/kcwallowance/image.go
+++ b/kcw/kcwallowance/image.go
@@ -61,7 +61,7 @@
 	for _, name := range t.names() {
 		r := t.routers[name]
 		image.Routers = append(image.Routers, &kcwpb.SyncAllowances{
-			Router: name, Incarnation: r.incarnation, Serial: r.serial, Boot: r.boot, Wakes: r.wakes, Reported: r.reported,
+			Router: name, Incarnation: r.incarnation, Serial: r.serial, Boot: r.boot, Activation: r.activation, Reported: r.reported,
 			Wall: r.clock.wall, Stamp: r.clock.stamp,
 		})
 		image.Clocks = append(image.Clocks, &kcwpb.FleetClock{
@@ -124,7 +124,7 @@
 	}
 	for _, r := range image.GetRouters() {
 		t.routers[r.GetRouter()] = &router{
-			incarnation: r.GetIncarnation(), serial: r.GetSerial(), boot: r.GetBoot(), wakes: r.GetWakes(), reported: r.GetReported(), teams: map[string]*totals{},
+			incarnation: r.GetIncarnation(), serial: r.GetSerial(), boot: r.GetBoot(), activation: r.GetActivation(), reported: r.GetReported(), teams: map[string]*totals{},
 			clock: clock{wall: r.GetWall(), stamp: r.GetStamp()},
 		}
 	}
--- a/kcw/kcwallowance/proof.go
+++ b/kcw/kcwallowance/proof.go
@@ -106,7 +106,7 @@
 	// A host that was booted between the two counts its time anew, mostly under
 	// another boot; a start before the last report shows it as well.
 	if r.boot != "" && next.GetBoot() == r.boot && next.GetStarted() >= r.reported {
-		if next.GetStarted() < r.wakes {
+		if next.GetStarted() < r.activation {
 			return proved
 		}
 		return unproved
@@ -117,7 +117,7 @@
 	}
 	// The time for which r kept to its limits after its last report, and that which
 	// next has run.
-	dormant := r.wakes - r.reported
+	dormant := r.activation - r.reported
 	running := next.GetReported() - next.GetStarted()
 	byRouter := next.GetWall() - running - r.clock.wall
 	if r.clock.stamp.GetProcess() == stamp.GetProcess() {
--- a/kcw/kcwallowance/proof_test.go
+++ b/kcw/kcwallowance/proof_test.go
@@ -29,7 +29,7 @@
 	s := command.GetSyncAllowances()
 	s.Boot = fmt.Sprint(m.booted)
 	s.Started, s.Reported = 0, (m.at-m.booted)*ms
-	s.Wakes = s.Reported + 2500*ms
+	s.Activation = s.Reported + 2500*ms
 	s.Wall = (epoch + m.at + m.routerStep) * ms
 	s.Stamp = &kcwpb.LeaderStamp{Process: m.leader, Uptime: (m.at + 5_000_000) * ms, Wall: (epoch + m.at + 2 + m.leaderStep) * ms, Stepped: m.stepped}
 	return command
@@ -212,7 +212,7 @@
 	r.started = r.uptime(m.now)
 	r.balance = kcwbalance.New(kcwbalance.Config{
 		Grant:  kcwgrant.Config{Endurance: 10 * time.Second, IdleAfter: 20 * time.Second, Memory: 5 * time.Second},
-		Active: 2 * time.Second, Sleep: 2500 * time.Millisecond, Fresh: 750 * time.Millisecond,
+		Active: 2 * time.Second, ActivateAfter: 2500 * time.Millisecond, Fresh: 750 * time.Millisecond,
 		Uptime: func() time.Duration { return r.uptime(m.now) },
 	})
 }
@@ -230,7 +230,7 @@
 	r.serial++
 	s := &kcwpb.SyncAllowances{
 		Router: r.name, Incarnation: r.incarnation, Serial: r.serial, Reports: report.Teams,
-		Boot: fmt.Sprint(r.name, "-", r.boots), Started: int64(r.started), Wakes: int64(report.Wakes), Reported: int64(report.Uptime), Wall: r.wall(m.now),
+		Boot: fmt.Sprint(r.name, "-", r.boots), Started: int64(r.started), Activation: int64(report.Activation), Reported: int64(report.Uptime), Wall: r.wall(m.now),
 	}
 	// The command is its own copy.
 	command := proto.Clone(&kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_SyncAllowances{SyncAllowances: s}}).(*kcwpb.FleetCommand)
--- a/kcw/kcwallowance/sums_test.go
+++ b/kcw/kcwallowance/sums_test.go
@@ -53,7 +53,7 @@
 				}
 				sync := &kcwpb.SyncAllowances{
 					Router: fmt.Sprint("router-", router), Incarnation: incarnations[router], Serial: uint64(random.IntN(2 * step)),
-					Boot: "b", Started: int64(step), Reported: int64(step), Wakes: int64(step + random.IntN(40)),
+					Boot: "b", Started: int64(step), Reported: int64(step), Activation: int64(step + random.IntN(40)),
 				}
 				for team := range 3 {
 					sync.Reports = append(sync.Reports, &kcwpb.AllowanceReport{
--- a/kcw/kcwallowance/table.go
+++ b/kcw/kcwallowance/table.go
@@ -39,13 +39,13 @@
 type router struct {
 	incarnation uint64
 	serial      uint64
-	// boot, reported and wakes bound what the incarnation has used if it ends:
-	// from its last report until wakes, in time since the boot, it keeps to its
+	// boot, reported and activation bound what the incarnation has used if it ends:
+	// from its last report until activation, in time since the boot, it keeps to its
 	// limits.
-	boot            string
-	reported, wakes int64
-	teams           map[string]*totals
-	clock           clock
+	boot                 string
+	reported, activation int64
+	teams                map[string]*totals
+	clock                clock
 }
 
 // budget is the prepaid tokens of one team, those that replaced incarnations
@@ -157,7 +157,7 @@
 	late := s.GetSerial() <= r.serial
 	if !late {
 		t.noteClocks(r, s)
-		r.serial, r.reported, r.wakes = s.GetSerial(), s.GetReported(), s.GetWakes()
+		r.serial, r.reported, r.activation = s.GetSerial(), s.GetReported(), s.GetActivation()
 	}
 	result.Proved = t.settleClaims(r.clock.moved)
 	for _, report := range s.GetReports() {
--- a/kcw/kcwallowance/table_test.go
+++ b/kcw/kcwallowance/table_test.go
@@ -122,8 +122,8 @@
 		started int64
 		want    int64
 	}{
-		{"before its allowances woke", "b", 99, 900},
-		{"after they may have woken", "b", 100, 700},
+		{"before its allowances became active", "b", 99, 900},
+		{"after they may have become active", "b", 100, 700},
 		{"the host was booted", "c", 50, 700},
 		{"the host was booted, and its clock has gone back", "b", 39, 700},
 		{"the boot is not known", "", 50, 700},
@@ -131,7 +131,7 @@
 		table := kcwallowance.New()
 		apply(t, table, put(1, 1000))
 		first := sync("r", 1, 1, &kcwpb.AllowanceReport{Want: 500, Limit: 100})
-		first.GetSyncAllowances().Boot, first.GetSyncAllowances().Wakes = "b", 100
+		first.GetSyncAllowances().Boot, first.GetSyncAllowances().Activation = "b", 100
 		first.GetSyncAllowances().Reported = 40
 		apply(t, table, first)
 		next := sync("r", 2, 1, &kcwpb.AllowanceReport{})
@@ -148,13 +148,13 @@
 	name                            string
 	incarnation, serial             uint64
 	granted, returned, spent, limit int64
-	started, wakes                  int64
+	started, activation             int64
 }
 
 // mayUse returns the tokens that h may use at now.
 func (h *holder) mayUse(now int64) int64 {
 	held := h.granted - h.returned - h.spent
-	if now >= h.wakes {
+	if now >= h.activation {
 		return held
 	}
 	return min(held, h.limit-h.spent)
@@ -163,7 +163,7 @@
 // TestNeverOverspent plays routers that spend, return, restart and lose or
 // repeat messages, while the budget changes.
 func TestNeverOverspent(t *testing.T) {
-	const sleep = 20
+	const standby = 20
 	for seed := range uint64(300) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		table := kcwallowance.New()
@@ -178,7 +178,7 @@
 			switch random.IntN(7) {
 			case 0:
 				if random.IntN(4) == 0 {
-					*h = holder{name: h.name, incarnation: h.incarnation + 1, started: now, wakes: now + sleep}
+					*h = holder{name: h.name, incarnation: h.incarnation + 1, started: now, activation: now + standby}
 				}
 			case 1, 2:
 				if amount := random.Int64N(60); amount <= h.mayUse(now) {
@@ -207,12 +207,12 @@
 				})
 				h.limit = min(h.limit, limit)
 				s := command.GetSyncAllowances()
-				s.Boot, s.Started, s.Wakes, s.Reported = "b", h.started, h.wakes, now
+				s.Boot, s.Started, s.Activation, s.Reported = "b", h.started, h.activation, now
 				old = append(old, command)
 				result := apply(t, table, command)
 				if len(result.GetAllowances()) == 1 && random.IntN(4) > 0 {
 					h.granted = max(h.granted, result.GetAllowances()[0].GetGranted())
-					h.limit, h.wakes = limit, now+sleep
+					h.limit, h.activation = limit, now+standby
 				}
 			}
 			if used > prepaid {
--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -3,7 +3,7 @@
 // many to give back. It answers a router that is cut off, which lives on what it
 // holds, and budgets that run out, where what is held idle is missing elsewhere.
 //
-// Most of what a router holds is asleep: until the core has been silent for some
+// Most of what a router holds is on standby: until the core has been silent for some
 // time the router keeps to a limit that it has reported, so that the rest comes
 // back to the team if the router restarts soon. The time is that since the host's
 // boot, suspension included, which a process and its successor share.
@@ -28,12 +28,13 @@
 type Config struct {
 	// Grant is the policy of what to hold.
 	Grant kcwgrant.Config
-	// Active is the time for which the tokens that are awake last.
+	// Active is the time for which the active tokens last.
 	Active time.Duration
-	// Sleep is how long the core must be silent for all tokens to wake.
-	Sleep time.Duration
+	// ActivateAfter is how long the core must be silent for all tokens to become
+	// active.
+	ActivateAfter time.Duration
 	// Fresh is how old the core's state of a budget may be to refuse a request
-	// for good.
+	// permanently.
 	Fresh time.Duration
 	// Uptime returns the time since the host's boot, suspension included.
 	Uptime func() time.Duration
@@ -47,7 +48,7 @@
 	// Reserved means that the tokens are reserved.
 	Reserved Verdict = iota + 1
 	// Missing means that the router may use too few tokens; the core may grant
-	// or wake more.
+	// or activate more.
 	Missing
 	// Held means that other routers hold the tokens, which may come back.
 	Held
@@ -67,7 +68,7 @@
 	borrowed int64
 	// reserved are the tokens of requests under way, borrowed ones first.
 	reserved int64
-	// limit bounds spent and reserved while the tokens sleep.
+	// limit bounds spent and reserved while the other tokens are on standby.
 	limit  int64
 	demand kcwgrant.Demand
 	// available, unspent and share are what the core told last, as of heardAt.
@@ -85,17 +86,17 @@
 func (a *account) free() int64 { return a.granted - a.returned - a.spent - a.ownReserved() }
 
 // lendable returns the router's own free tokens that it may use: as long as they
-// sleep no more than its limit allows.
-func (a *account) lendable(awake bool) int64 {
-	if awake {
+// are on standby no more than its limit allows.
+func (a *account) lendable(active bool) int64 {
+	if active {
 		return a.free()
 	}
 	return max(0, min(a.free(), a.limit-a.spent-a.ownReserved()))
 }
 
 // usable returns the free tokens that the router may use, borrowed ones included.
-func (a *account) usable(awake bool) int64 {
-	return a.lendable(awake) + max(0, a.borrowed-a.reserved)
+func (a *account) usable(active bool) int64 {
+	return a.lendable(active) + max(0, a.borrowed-a.reserved)
 }
 
 // Balance is a router's tokens. It is safe for concurrent use.
@@ -105,15 +106,15 @@
 
 	mu    sync.Mutex
 	teams map[string]*account
-	// wakes is the uptime at which all tokens wake.
-	wakes time.Duration
+	// activation is the uptime at which all tokens become active.
+	activation time.Duration
 	// returning says that the router stops and gives everything back.
 	returning bool
 }
 
 // New returns a Balance without tokens.
 func New(cfg Config) *Balance {
-	return &Balance{cfg: cfg, policy: kcwgrant.New(cfg.Grant), teams: map[string]*account{}, wakes: cfg.Uptime() + cfg.Sleep}
+	return &Balance{cfg: cfg, policy: kcwgrant.New(cfg.Grant), teams: map[string]*account{}, activation: cfg.Uptime() + cfg.ActivateAfter}
 }
 
 func (b *Balance) account(team string) *account {
@@ -125,9 +126,9 @@
 	return a
 }
 
-// awake reports whether the core has been silent for so long that all tokens may
+// allActive reports whether the core has been silent for so long that all tokens may
 // be used.
-func (b *Balance) awake() bool { return b.cfg.Uptime() >= b.wakes }
+func (b *Balance) allActive() bool { return b.cfg.Uptime() >= b.activation }
 
 // Demand notes a new request for tokens of team.
 func (b *Balance) Demand(team string, tokens int64, now time.Time) {
@@ -142,7 +143,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(team)
-	if tokens <= a.usable(b.awake()) {
+	if tokens <= a.usable(b.allActive()) {
 		a.reserved += tokens
 		return Reserved
 	}
@@ -197,7 +198,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(team)
-	lacking := tokens - a.usable(b.awake())
+	lacking := tokens - a.usable(b.allActive())
 	if lacking <= 0 {
 		return 0
 	}
@@ -213,7 +214,7 @@
 	if a == nil || b.returning {
 		return 0
 	}
-	lent := min(tokens, a.lendable(b.awake())-b.policy.Mean(a.demand, lookahead, now))
+	lent := min(tokens, a.lendable(b.allActive())-b.policy.Mean(a.demand, lookahead, now))
 	if lent <= 0 {
 		return 0
 	}
@@ -231,10 +232,10 @@
 // Report is what a router tells the core at one time.
 type Report struct {
 	Teams []*kcwpb.AllowanceReport
-	// At and Uptime are when the report was made, Wakes when the router's
-	// tokens wake if the core stays silent.
-	At            time.Time
-	Uptime, Wakes time.Duration
+	// At and Uptime are when the report was made, Activation when the
+	// router's tokens become active if the core stays silent.
+	At                 time.Time
+	Uptime, Activation time.Duration
 }
 
 // Report returns what to tell the core, of each team with tokens or demand, and
@@ -242,7 +243,7 @@
 func (b *Balance) Report(now time.Time) Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	report := Report{At: now, Uptime: b.cfg.Uptime(), Wakes: b.wakes}
+	report := Report{At: now, Uptime: b.cfg.Uptime(), Activation: b.activation}
 	for team, a := range b.teams {
 		report.Teams = append(report.Teams, b.reportTeam(team, a, now))
 	}
@@ -281,7 +282,7 @@
 func (b *Balance) Heard(report Report, allowances []*kcwpb.Allowance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.wakes = max(b.wakes, report.Uptime+b.cfg.Sleep)
+	b.activation = max(b.activation, report.Uptime+b.cfg.ActivateAfter)
 	for _, r := range report.Teams {
 		a := b.account(r.GetTeam())
 		a.limit = r.GetLimit()
--- a/kcw/kcwbalance/balance_test.go
+++ b/kcw/kcwbalance/balance_test.go
@@ -19,7 +19,7 @@
 func newBalance(h *host) *kcwbalance.Balance {
 	return kcwbalance.New(kcwbalance.Config{
 		Grant:  kcwgrant.Config{Endurance: 10 * time.Second, IdleAfter: time.Minute, Memory: 5 * time.Second},
-		Active: time.Second, Sleep: 3 * time.Second, Fresh: time.Second, Uptime: h.uptime,
+		Active: time.Second, ActivateAfter: 3 * time.Second, Fresh: time.Second, Uptime: h.uptime,
 	})
 }
 
@@ -55,7 +55,7 @@
 }
 
 // TestSleep checks that a router keeps to the limit that the core has heard until
-// the core has been silent for the time of sleep, by the host's uptime.
+// the core has been silent for ActivateAfter, by the host's uptime.
 func TestSleep(t *testing.T) {
 	h := &host{}
 	b := newBalance(h)
@@ -73,11 +73,11 @@
 	b.Report(start)
 	h.up = 3*time.Second - 1
 	if got := b.Reserve("a", 2000, start); got == kcwbalance.Reserved {
-		t.Error("beyond the limit before the time of sleep was over")
+		t.Error("beyond the limit before the standby was over")
 	}
 	h.up = 3 * time.Second
 	if got := b.Reserve("a", 2000, start); got != kcwbalance.Reserved {
-		t.Errorf("after the time of sleep: %v", got)
+		t.Errorf("after the standby: %v", got)
 	}
 	hear(b, 20_000, 0, 20_000, 20_000)
 	if got := b.Reserve("a", 10_000, start); got == kcwbalance.Reserved {
--- a/kcw/kcwbalance/lending_test.go
+++ b/kcw/kcwbalance/lending_test.go
@@ -18,14 +18,14 @@
 		// held are the lender's tokens, reserved those of its own requests, and
 		// demand what it was asked for in each of the last seconds.
 		held, reserved, demand int64
-		asleep                 bool
+		standby                bool
 		asked, least, most     int64
 	}{
 		{"all of it", 500, 0, 0, false, 300, 300, 300},
 		{"what is left", 500, 300, 0, false, 300, 200, 200},
 		{"not what its own requests need", 500, 0, 100, false, 500, 380, 420},
 		{"nothing to spare", 500, 450, 100, false, 100, 0, 0},
-		{"no more than its limit while it sleeps", 500, 0, 0, true, 300, 0, 0},
+		{"no more than its limit while on standby", 500, 0, 0, true, 300, 0, 0},
 		{"nothing asked", 500, 0, 0, false, 0, 0, 0},
 	} {
 		h := &host{}
@@ -34,7 +34,7 @@
 			b.Demand("a", test.demand, start.Add(time.Duration(second-30)*time.Second))
 		}
 		hear(b, test.held, 0, 1000, test.held)
-		if !test.asleep {
+		if !test.standby {
 			h.up += time.Minute
 		}
 		if test.reserved > 0 && b.Reserve("a", test.reserved, start) != kcwbalance.Reserved {
@@ -50,7 +50,7 @@
 }
 
 // TestBorrowed checks that borrowed tokens are used first, also while the router's
-// own sleep, and that the core hears nothing of them.
+// own standby, and that the core hears nothing of them.
 func TestBorrowed(t *testing.T) {
 	b := newBalance(&host{})
 	hear(b, 100, 0, 1000, 100)
@@ -119,7 +119,7 @@
 	r.serial++
 	return &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_SyncAllowances{SyncAllowances: &kcwpb.SyncAllowances{
 		Router: r.name, Incarnation: r.incarnation, Serial: r.serial, Reports: report.Teams,
-		Boot: "b", Started: int64(r.started), Wakes: int64(report.Wakes), Reported: int64(report.Uptime),
+		Boot: "b", Started: int64(r.started), Activation: int64(report.Activation), Reported: int64(report.Uptime),
 	}}}, report
 }
 
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -176,7 +176,7 @@
 	var endless *kcwconn.Error
 	if a.conn.Reused && !errors.Is(err, errSilent) && !errors.As(err, &endless) {
 		// The upstream may have closed a kept connection at the same moment,
-		// which says nothing of its health.
+		// which tells nothing of its health.
 		return unknown, kcwroster.Neutral
 	}
 	return unknown, kcwroster.Failed
@@ -219,8 +219,8 @@
 	return nil
 }
 
-// errSilent ends the wait for an upstream that says nothing to anybody.
-var errSilent = errors.New("the upstream says nothing")
+// errSilent ends the wait for an upstream that is silent on all connections.
+var errSilent = errors.New("the upstream is silent")
 
 // await waits for bytes of an answer. While other attempts are allowed, it gives
 // up on an upstream that has become silent.
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -137,8 +137,8 @@
 	}
 	roster.List(entries, time.Now())
 	f.balance = kcwbalance.New(kcwbalance.Config{
-		Grant: kcwgrant.Config{Endurance: time.Second, IdleAfter: time.Minute, Memory: time.Second},
-		Sleep: longTime, Fresh: longTime, Uptime: func() time.Duration { return 0 },
+		Grant:         kcwgrant.Config{Endurance: time.Second, IdleAfter: time.Minute, Memory: time.Second},
+		ActivateAfter: longTime, Fresh: longTime, Uptime: func() time.Duration { return 0 },
 	})
 	document := newDocument(t, route)
 	var err error
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -287,7 +287,7 @@
 		{"dropped after the header", func(e *exchange) { e.events(false); e.reset() }, 0},
 		{"says that it did not run", func(e *exchange) { e.answer(503, "Not-Run: 1\r\n", "") }, 0},
 		{"answered meanwhile", func(e *exchange) { e.events(true, "data: a\n\n") }, 500},
-		{"says nothing", func(*exchange) {}, 500},
+		{"silent", func(*exchange) {}, 500},
 	} {
 		arrived := make(chan struct{})
 		f := newFixture(t, 1, route, func(e *exchange) {
@@ -326,7 +326,7 @@
 }
 
 // TestSilentUpstream checks that a repeatable request leaves an upstream that
-// says nothing to anybody, and that another request waits.
+// is silent on all connections, and that another request waits.
 func TestSilentUpstream(t *testing.T) {
 	silent := func(*exchange) {}
 	f := newFixture(t, 2, repeatable, first(silent, good))
--- a/kcw/kcwgroup/found.go
+++ b/kcw/kcwgroup/found.go
@@ -15,7 +15,7 @@
 // both be in force, and a founder whose disk was lost is recognised:
 //
 //  1. each founder tells the others the identity that it minted;
-//  2. one that knows all identities settles on them, durably and for good;
+//  2. one that knows all identities settles on them, durably;
 //  3. one that has heard that all others settled on the same set begins its log
 //     with it.
 //
--- a/kcw/kcwledger/links.go
+++ b/kcw/kcwledger/links.go
@@ -104,7 +104,7 @@
 }
 
 // renew gives the replica of used a fresh connection: the one that fell silent
-// may be dead for good, and the transport would go on using it. The caller
+// may be dead permanently, and the transport would go on using it. The caller
 // holds mu.
 func (l *links) renew(used *link) {
 	for i, known := range l.all {
--- a/kcw/kcwroster/roster.go
+++ b/kcw/kcwroster/roster.go
@@ -29,7 +29,7 @@
 	Leaving bool
 }
 
-// Load is an upstream's own word on its load.
+// Load is the load that an upstream reports.
 type Load struct {
 	Running, Waiting, Slots int
 }
@@ -49,7 +49,7 @@
 	// DialPause is how long an upstream is passed over after a connection to
 	// it could not be opened.
 	DialPause time.Duration
-	// HalfLife is the age at which an upstream's word on its load counts half.
+	// HalfLife is the age at which an upstream's load report counts half.
 	HalfLife time.Duration
 	// PromptWeight is the load, in requests, of a thousand prompt tokens that
 	// this router has sent and that are not answered yet.
@@ -70,7 +70,7 @@
 	pendingTokens int64
 	waiting       map[*Ticket]time.Time
 	heardAt       time.Time
-	// load is the upstream's word as of loadAt, when loadFlight attempts of
+	// load is the upstream's load report as of loadAt, when loadFlight attempts of
 	// this router were in flight.
 	load       Load
 	loadAt     time.Time
@@ -250,7 +250,7 @@
 // meanLoad returns the mean of the fractions last told by the service's
 // upstreams.
 func (r *Roster) meanLoad(service string, now time.Time) float64 {
-	const told = 5 * time.Second // Older words on the load say nothing of now.
+	const told = 5 * time.Second // Older load reports tell nothing of now.
 	sum, n := 0.0, 0
 	for _, u := range r.services[service] {
 		if u.load.Slots > 0 && now.Sub(u.loadAt) < told {
@@ -264,7 +264,7 @@
 	return sum / float64(n)
 }
 
-// estimate returns the fraction of u's capacity in use: its own word, which
+// estimate returns the fraction of u's capacity in use: its load report, which
 // fades to the mean of the service with age, and what this router has started
 // and ended since.
 func (r *Roster) estimate(u *upstream, mean float64, now time.Time) float64 {
@@ -322,7 +322,7 @@
 	t.upstream.heardAt = now
 }
 
-// Loaded takes the upstream's word on its load.
+// Loaded takes the upstream's load report.
 func (t *Ticket) Loaded(load Load) {
 	now := t.roster.cfg.Now()
 	t.roster.mu.Lock()
@@ -350,7 +350,7 @@
 	}
 }
 
-// IsSilent reports whether the upstream says nothing to anybody.
+// IsSilent reports whether the upstream is silent on all connections.
 func (t *Ticket) IsSilent() bool {
 	now := t.roster.cfg.Now()
 	t.roster.mu.Lock()
--- a/kcw/kcwservice/service_test.go
+++ b/kcw/kcwservice/service_test.go
@@ -242,7 +242,7 @@
 func TestOnlyTheLeadersViewMarksASilentOwner(t *testing.T) {
 	b := newBench(t)
 	b.book.claim = &kcwpb.Claim{Router: "r1", Incarnation: 4}
-	// The caller's own word on silence must not count.
+	// The caller's own report on silence must not count.
 	submit := func() *kcwpb.OpenClaim {
 		open := &kcwpb.OpenClaim{Router: "r2", SilentRouter: "r1", SilentIncarnation: 4}
 		_, err := b.service.submit(t.Context(), []*kcwpb.Command{{Op: &kcwpb.Command_OpenClaim{OpenClaim: open}}}, isRouterCommand)
--- a/kcw/kcwsteward/steward.go
+++ b/kcw/kcwsteward/steward.go
@@ -1,6 +1,6 @@
 // Package kcwsteward decides on the members of a core that looks after itself:
 // it admits newcomers as learners, gives them a vote when they have caught up,
-// and removes members whose disk was lost or that are gone for good. It answers
+// and removes members whose disk was lost or that are gone permanently. It answers
 // the loss of a host or its disk right after the repair of another. It does no
 // I/O and takes the clock as an argument.
 package kcwsteward
--- a/kcw/kcwwallet/wallet.go
+++ b/kcw/kcwwallet/wallet.go
@@ -186,7 +186,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil {
-		// A caller that went away says nothing about the ledger.
+		// A caller that went away tells nothing about the ledger.
 		if ctx.Err() == nil {
 			w.silentUntil = w.cfg.Now().Add(w.cfg.ProbeAfter)
 		}
