kcwallowance: tell a boot that its identity hides by the uptime

Cause: a host may keep the identity of its boot over a loss of power and count its uptime from any value. Result: two new rows of TestLossOfPower, the first of which fails before.

--- a/kcw/kcwallowance/proof.go
+++ b/kcw/kcwallowance/proof.go
@@ -27,6 +27,9 @@
 	// uptimeTolerance bounds the error of a time measured by the uptimes of two hosts:
 	// the quickest message between them.
 	uptimeTolerance = int64(50 * time.Millisecond)
+	// longestStep is longer than a host's time of day is ever set by: an uptime that
+	// differs by more from what the time of day tells is that of another boot.
+	longestStep = int64(time.Hour)
 	// maxClaims bounds the claims kept, some for each router of a large fleet.
 	maxClaims = 4096
 )
@@ -101,11 +104,17 @@
 	r.clock.wall, r.clock.stamp, r.clock.epoch = s.GetWall(), stamp, t.epoch
 }
 
+// isSameBoot reports whether the host of r may not have been booted before next
+// started. A host that was booted counts its time anew, mostly under another boot; a
+// start before the last report, or long after it, shows it as well.
+func isSameBoot(r *router, next *kcwpb.SyncAllowances) bool {
+	since := next.GetStarted() - r.reported
+	return r.boot != "" && next.GetBoot() == r.boot && since >= 0 && since < longestStep
+}
+
 // prove returns what is known of the incarnation r when next takes its place.
 func (t *Table) prove(r *router, next *kcwpb.SyncAllowances) proof {
-	// A host that was booted between the two counts its time anew, mostly under
-	// another boot; a start before the last report shows it as well.
-	if r.boot != "" && next.GetBoot() == r.boot && next.GetStarted() >= r.reported {
+	if isSameBoot(r, next) {
 		if next.GetStarted() < r.activation {
 			return proved
 		}
--- a/kcw/kcwallowance/proof_test.go
+++ b/kcw/kcwallowance/proof_test.go
@@ -19,7 +19,9 @@
 type moment struct {
 	at, booted, routerStep, leaderStep int64
 	leader                             uint64
-	stepped                            bool
+	stepped, sameBoot                  bool
+	// uptime is the host's at the start of the process, zero if it has just booted.
+	uptime int64
 }
 
 func reportAt(router string, incarnation, serial uint64, m moment) *kcwpb.FleetCommand {
@@ -28,7 +30,10 @@
 	command := sync(router, incarnation, serial, &kcwpb.AllowanceReport{Want: 60, Limit: 20})
 	s := command.GetSyncAllowances()
 	s.Boot = fmt.Sprint(m.booted)
-	s.Started, s.Reported = 0, (m.at-m.booted)*ms
+	if m.sameBoot {
+		s.Boot = "same"
+	}
+	s.Started, s.Reported = m.uptime*ms, (m.uptime+m.at-m.booted)*ms
 	s.Activation = s.Reported + 2500*ms
 	s.Wall = (epoch + m.at + m.routerStep) * ms
 	s.Stamp = &kcwpb.LeaderStamp{Process: m.leader, Uptime: (m.at + 5_000_000) * ms, Wall: (epoch + m.at + 2 + m.leaderStep) * ms, Stepped: m.stepped}
@@ -95,6 +100,11 @@
 				b.at, a.routerStep = 5000, -5000
 			}
 		}, 4},
+		{"the hosts hide that they were booted", func(_ int, b, a *moment) { b.sameBoot, a.sameBoot, a.uptime = true, true, 40_000_000 }, 5},
+		{"the processes alone ended, long after", func(_ int, b, a *moment) {
+			b.sameBoot, a.sameBoot, a.uptime = true, true, 13_000
+			a.routerStep, a.leaderStep = -2000, -2000
+		}, 0},
 		{"clocks are not told", func(_ int, b, _ *moment) { b.leader = 0 }, 0},
 	} {
 		table := kcwallowance.New()
