kcwbalance: keep most of what a router holds on standby where it holds little

Cause: a router's limit covers two seconds of its demand, also where it holds no more than that, as at the end of a budget. Change: the limit covers a third of what the router holds, half a second of demand at least and two at most. A router that is cut off uses the same tokens over a longer time. TestLimitOfLittle fails before.

--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -229,6 +229,15 @@
 	b.account(team).borrowed += max(0, tokens)
 }
 
+// Where a router holds less than it wants, its limit covers a part of that only: one in
+// activePart, but leastActive of the demand. The end of a budget would otherwise be
+// active everywhere, and be lost when all hosts lose their power. A router that is cut
+// off uses the same tokens, over a longer time.
+const (
+	activePart  = 3
+	leastActive = 500 * time.Millisecond
+)
+
 // Report is what a router tells the core at one time.
 type Report struct {
 	Teams []*kcwpb.AllowanceReport
@@ -253,6 +262,9 @@
 func (b *Balance) reportTeam(team string, a *account, now time.Time) *kcwpb.AllowanceReport {
 	want := b.policy.Need(a.demand, b.cfg.Grant.Endurance, now)
 	active := b.policy.Mean(a.demand, b.cfg.Active, now)
+	if !a.heardAt.IsZero() {
+		active = min(active, max(b.policy.Mean(a.demand, leastActive, now), a.free()/activePart))
+	}
 	if b.returning {
 		want, active = 0, 0
 	}
--- a/kcw/kcwbalance/balance_test.go
+++ b/kcw/kcwbalance/balance_test.go
@@ -173,3 +173,30 @@
 		t.Errorf("returned %d of 1000 tokens with a share of 300", r.GetReturned())
 	}
 }
+
+// TestLimitOfLittle checks that a router which holds less than it wants may use a third
+// of it at once, or half a second of its demand, and no more than a second in any case.
+func TestLimitOfLittle(t *testing.T) {
+	limit := func(free int64) int64 {
+		b := newBalance(&host{})
+		for range 100 {
+			b.Demand("a", 100, start)
+		}
+		hear(b, free, 0, free, free)
+		return b.Report(start).Teams[0].GetLimit()
+	}
+	second := limit(1_000_000)
+	for _, test := range []struct {
+		name       string
+		free, want int64
+	}{
+		{"three seconds of demand", 3 * second, second},
+		{"somewhat less", 24 * second / 10, 8 * second / 10},
+		{"a second and a half", 15 * second / 10, second / 2},
+		{"next to nothing", second / 10, second / 2},
+	} {
+		if got := limit(test.free); got < test.want-1 || got > test.want+1 {
+			t.Errorf("%s: the limit is %d, want %d", test.name, got, test.want)
+		}
+	}
+}
