--- a/kcw-fleet/kcwcontrol/list.go
+++ b/kcw-fleet/kcwcontrol/list.go
@@ -30,12 +30,18 @@
 	calmFactor = 2
 )
 
+// listConfig configures a listReader.
+type listConfig struct {
+	Lister Lister
+	// Name identifies the reader, so that its versions are not taken for another's.
+	Name string
+	// Interval is the pause between two readings of a list that changes.
+	Interval time.Duration
+}
+
 // listReader keeps the newest list of upstreams at the leader.
 type listReader struct {
-	lister Lister
-	name   string
-	// interval is the pause between two readings of a list that changes.
-	interval time.Duration
+	cfg listConfig
 
 	mu     sync.Mutex
 	list   *kcwpb.UpstreamList
@@ -53,7 +59,7 @@
 	if now.Before(l.dueAt) {
 		return false
 	}
-	pause := l.interval
+	pause := l.cfg.Interval
 	if !l.failed && now.After(l.changingUntil) {
 		pause *= calmFactor
 	}
@@ -64,7 +70,7 @@
 
 // read reads the list once at began, until ctx ends.
 func (l *listReader) read(ctx context.Context, began time.Time) {
-	upstreams, skipped, err := l.lister.Read(ctx)
+	upstreams, skipped, err := l.cfg.Lister.Read(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if (err != nil) != l.failed {
@@ -74,7 +80,7 @@
 	if err != nil {
 		return
 	}
-	next := &kcwpb.UpstreamList{Version: l.list.GetVersion(), Reader: l.name, Upstreams: upstreams}
+	next := &kcwpb.UpstreamList{Version: l.list.GetVersion(), Reader: l.cfg.Name, Upstreams: upstreams}
 	if l.list == nil || !proto.Equal(l.list, next) {
 		next.Version++
 		klog.InfoS("List of upstreams changed", "Version", next.Version, "Upstreams", len(upstreams), "Skipped", skipped)
--- a/kcw-fleet/kcwcontrol/list_test.go
+++ b/kcw-fleet/kcwcontrol/list_test.go
@@ -40,7 +40,7 @@
 		{"changes once", func(tick int, l *lister) { l.version = tick / (ticks / 2) }, 20 + 10},
 	} {
 		source := &lister{}
-		reader := &listReader{lister: source, name: "m", interval: interval}
+		reader := &listReader{cfg: listConfig{Lister: source, Name: "m", Interval: interval}}
 		now := time.Now()
 		for look := range ticks * int(interval/listTick) {
 			test.changes(look/int(interval/listTick), source)
@@ -50,7 +50,7 @@
 				reader.read(t.Context(), at)
 			}
 		}
-		if look := now.Add(listTick / 10); !(&listReader{interval: interval}).due(look) {
+		if look := now.Add(listTick / 10); !(&listReader{cfg: listConfig{Interval: interval}}).due(look) {
 			t.Error("a new leader does not read the list at once")
 		}
 		if source.readings < test.want-2 || source.readings > test.want+2 {
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -120,7 +120,9 @@
 	}
 	m.service = &service{
 		group: group, table: table, stamper: clocks,
-		list: &listReader{lister: m.cfg.Lister, name: s.Host.Name + "/" + time.Now().String(), interval: s.List.Interval},
+		list: &listReader{cfg: listConfig{
+			Lister: m.cfg.Lister, Name: s.Host.Name + "/" + time.Now().String(), Interval: s.List.Interval,
+		}},
 		steward: kcwsteward.New(kcwsteward.Config{
 			Voters: 2*s.Group.Losses + 1, SilentAfter: s.Group.RemoveAfter, AskedWithin: 4 * askInterval,
 		}),
--- a/kcw/kcwallowance/proof_test.go
+++ b/kcw/kcwallowance/proof_test.go
@@ -82,7 +82,7 @@
 				b.at, a.routerStep = 5000, -5000
 			}
 		}, 0},
-		{"the leader's clock was set before the outage", func(i int, b, a *moment) {
+		{"the leader's clock was set before the outage", func(i int, b, _ *moment) {
 			b.stepped = i == 4
 			if i == 0 {
 				b.at = 9000
--- a/kcw/kcwroster/roster.go
+++ b/kcw/kcwroster/roster.go
@@ -83,10 +83,6 @@
 	gone, saidLeaving bool
 }
 
-// takesNone reports whether the upstream gets no new request at all: it leaves, or
-// is gone.
-func (u *upstream) takesNone() bool { return u.Leaving || u.gone || u.saidLeaving }
-
 // Roster holds upstreams. It is safe for concurrent use. Lock order: mu before
 // the locks of breakers, pools and the placer.
 type Roster struct {
@@ -331,25 +327,6 @@
 	u.load, u.loadAt, u.loadFlight = load, now, u.inFlight
 }
 
-// Leaving notes that an answer of the upstream said that it leaves. It reports
-// whether this is news.
-func (t *Ticket) Leaving() bool {
-	t.roster.mu.Lock()
-	defer t.roster.mu.Unlock()
-	news := !t.upstream.saidLeaving
-	t.upstream.saidLeaving = true
-	return news
-}
-
-// Declined notes that the upstream wants no request from this router until then.
-func (t *Ticket) Declined(until time.Time) {
-	t.roster.mu.Lock()
-	defer t.roster.mu.Unlock()
-	if until.After(t.upstream.declinedUntil) {
-		t.upstream.declinedUntil = until
-	}
-}
-
 // IsSilent reports whether the upstream is silent on all connections.
 func (t *Ticket) IsSilent() bool {
 	now := t.roster.cfg.Now()
@@ -444,22 +421,3 @@
 	}
 	return n
 }
-
-// FreeAt returns when the first upstream of the service wants requests again, if
-// all that may be given work have declined them for a time; otherwise zero.
-func (r *Roster) FreeAt(service string) time.Time {
-	now := r.cfg.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var first time.Time
-	for _, u := range r.services[service] {
-		switch {
-		case u.takesNone():
-		case !now.Before(u.declinedUntil):
-			return time.Time{}
-		case first.IsZero() || u.declinedUntil.Before(first):
-			first = u.declinedUntil
-		}
-	}
-	return first
-}
