kcwcontrol: spread documents over the link of the leader's host

A document with 1,610 routes goes to 300 routers within one interval of their reports over 100 Mbit/s: sent side by side it takes longer than a call lasts (600 ms), so that calls end without it and all ask again.

--- /dev/null
+++ b/kcw-fleet/kcwcontrol/pace_test.go
@@ -0,0 +1,67 @@
+package kcwcontrol
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestDocumentToAll plays routers that each ask for a new document at their reports,
+// over the link of one host, and checks that the link is never asked for more than it
+// carries before a call ends, and when the last router has the document.
+func TestDocumentToAll(t *testing.T) {
+	const (
+		megabit  = 1e6 / 8
+		interval = 250 * time.Millisecond
+		callEnds = 600 * time.Millisecond
+	)
+	for _, test := range []struct {
+		name     string
+		routers  int
+		bytes    int
+		linkMbps float64
+		within   time.Duration
+	}{
+		{"hundreds, and a large document", 300, 40_000, 100, 3 * time.Second},
+		{"as many as are planned for", 377, 40_000, 100, 3 * time.Second},
+		{"a few on a fast link", 10, 40_000, 1000, 2 * interval},
+		{"a link without a bound", 300, 40_000, 0, 2 * interval},
+	} {
+		random := rand.New(rand.NewPCG(1, 5))
+		pace := &sendPace{bytesPerSecond: test.linkMbps * megabit}
+		start := time.Unix(1_700_000_000, 0)
+		asks := make([]time.Duration, test.routers)
+		for i := range asks {
+			asks[i] = time.Duration(random.Int64N(int64(interval)))
+		}
+		var sent []time.Duration
+		now := time.Duration(0)
+		for ; len(sent) < test.routers && now < time.Minute; now += time.Millisecond {
+			for i, at := range asks {
+				if at < 0 || at.Truncate(time.Millisecond) != now {
+					continue
+				}
+				if pace.allow(test.bytes, start.Add(now)) {
+					sent = append(sent, now)
+					asks[i] = -1
+					continue
+				}
+				asks[i] = now + interval/2 + time.Duration(random.Int64N(int64(interval)))
+			}
+		}
+		if len(sent) < test.routers || sent[len(sent)-1] > test.within {
+			t.Errorf("%s: %d of %d routers have the document after %v, want all within %v", test.name, len(sent), test.routers, now, test.within)
+		}
+		for i, from := range sent {
+			bytes := 0
+			for _, at := range sent[i:] {
+				if at-from < callEnds {
+					bytes += test.bytes
+				}
+			}
+			if most := test.linkMbps * megabit * callEnds.Seconds(); most > 0 && float64(bytes) > most {
+				t.Fatalf("%s: %d bytes are sent in %v from %v on, the link carries %.0f", test.name, bytes, callEnds, from, most)
+			}
+		}
+	}
+}
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -39,6 +39,7 @@
 	steward *kcwsteward.Steward
 	client  *kcwcore.Client
 	stamper *stamper
+	pace    *sendPace
 
 	// mu guards what follows and the steward.
 	mu    sync.Mutex
@@ -78,15 +79,17 @@
 	response := &kcwpb.FleetSyncResponse{Allowances: result.GetAllowances(), Incarnation: result.GetIncarnation()}
 	now := time.Now()
 	response.Routers, response.Lenders = s.note(report.GetRouter(), contact{now, req.Msg.GetAddress()})
-	if document := s.table.Document(); document.GetVersion() > req.Msg.GetDocumentVersion() {
+	if document := s.table.Document(); document.GetVersion() > req.Msg.GetDocumentVersion() && s.pace.allow(len(document.GetDocument()), now) {
 		response.Document = document
 	}
 	list, age := s.list.latest(now)
-	if list != nil && (list.GetVersion() != req.Msg.GetListVersion() || list.GetReader() != req.Msg.GetListReader()) {
-		response.List = list
-	}
-	if list != nil {
+	isNews := list != nil && (list.GetVersion() != req.Msg.GetListVersion() || list.GetReader() != req.Msg.GetListReader())
+	switch {
+	case list == nil:
+	case !isNews:
 		response.ListAgeNanos = max(1, int64(age))
+	case s.pace.allow(proto.Size(list), now):
+		response.List, response.ListAgeNanos = list, max(1, int64(age))
 	}
 	response.Core = addresses(s.group.Status())
 	return connect.NewResponse(response), nil
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -177,6 +177,9 @@
 	Folder   string
 	LogLevel string  `default:"info" setting:"oneof=error|warning|info|debug|trace"`
 	MemoryMB float64 `default:"256" setting:"min=16,max=1048576"`
+	// LinkMbps is the rate of the host's network link in Mbit/s, zero if it has no
+	// bound. Documents are sent to routers at a part of it.
+	LinkMbps float64 `default:"0" setting:"min=0,max=10000000"`
 }
 
 // Group configures the replicated log.
