--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -41,8 +41,6 @@
 	reloadInterval = 2 * time.Second
 	// headerTimeout bounds the wait for a request's header.
 	headerTimeout = 10 * time.Second
-	// bytesPerMbit is a megabit in bytes.
-	bytesPerMbit = 1e6 / 8
 	// founding is the role of a replica whose group does not exist yet.
 	founding = "founding"
 )
@@ -122,7 +120,7 @@
 	}
 	m.service = &service{
 		group: group, table: table, stamper: clocks,
-		pace: &sendPace{bytesPerSecond: s.Host.LinkMbps * bytesPerMbit},
+		pace: &sendPace{bytesPerSecond: kcwsetup.BytesPerSecond(s.Host.LinkMbps)},
 		list: &listReader{cfg: listConfig{
 			Lister: m.cfg.Lister, Name: s.Host.Name + "/" + time.Now().String(), Interval: s.List.Interval,
 		}},
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -59,8 +59,6 @@
 	// requestsPart is the part of the process's memory that bodies, answers and events
 	// may hold together; connections, the roster and the collector need the rest.
 	requestsPart = 0.3
-	// bytesPerMbit is a megabit in bytes.
-	bytesPerMbit = 1e6 / 8
 )
 
 // The breaker of each upstream opens on three failures in a row, or when half of
@@ -130,7 +128,7 @@
 	r.roster = newRoster(s)
 	const megabyte = 1 << 20
 	r.memory = kcwmemory.New(int64(requestsPart * s.Host.MemoryMB * megabyte))
-	r.link = kcwlink.New(kcwlink.Config{BytesPerSecond: s.Host.LinkMbps * bytesPerMbit, Memory: linkMemory})
+	r.link = kcwlink.New(kcwlink.Config{BytesPerSecond: kcwsetup.BytesPerSecond(s.Host.LinkMbps), Memory: linkMemory})
 	r.lending = kcwlending.New(kcwlending.Config{Router: s.Host.Name, Balance: r.balance, Timeout: s.Grants.LendTimeout, Now: time.Now})
 	r.caller = kcwsharing.NewCaller(s.Grants.LendTimeout)
 	r.sharing = kcwsharing.New(kcwsharing.Config{
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -256,6 +256,12 @@
 	return addresses
 }
 
+// BytesPerSecond returns the rate of a link that is given in Mbit/s.
+func BytesPerSecond(mbps float64) float64 {
+	const bytesPerMbit = 1e6 / 8
+	return mbps * bytesPerMbit
+}
+
 // memoryPart is the fraction of a process's memory that the garbage collector
 // keeps below.
 const memoryPart = 0.9
--- a/kcw/kcwfolder/error.go
+++ b/kcw/kcwfolder/error.go
@@ -1,9 +1,11 @@
 package kcwfolder
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // Kind classifies an Error.
@@ -58,6 +60,12 @@
 	return e.Err
 }
 
+// IsFull reports whether err, of a call of the file system, says that the disk has no
+// room.
+func IsFull(err error) bool {
+	return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT)
+}
+
 func fail(op string, kind Kind, path string, err error) *Error {
 	return &Error{Op: op, Kind: kind, Path: path, Err: eris.Wrap(err, op)}
 }
--- a/kcw/kcwsnapshot/error.go
+++ b/kcw/kcwsnapshot/error.go
@@ -5,7 +5,8 @@
 	"fmt"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
+
+	"kingcupwick.example/kcw/kcwfolder"
 )
 
 // Kind classifies an Error.
@@ -70,7 +71,7 @@
 // failWrite returns the error of a write that failed.
 func failWrite(op, file string, offset int64, err error) *Error {
 	kind := Storage
-	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
+	if kcwfolder.IsFull(err) {
 		kind = Full
 	}
 	return fail(op, kind, file, offset, err)
--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"kingcupwick.example/kcw/kcwfolder"
 	"kingcupwick.example/kcw/kcwpb"
 )
 
@@ -344,7 +345,7 @@
 
 // kindOfCall returns the kind of a failed call of the file system.
 func kindOfCall(err error) Kind {
-	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
+	if kcwfolder.IsFull(err) {
 		return Full
 	}
 	return Storage
