--- a/kcw/kcwallowance/proof_test.go
+++ b/kcw/kcwallowance/proof_test.go
@@ -195,6 +195,9 @@
 	returned int64
 	late     []*kcwpb.FleetCommand
 	history  []string
+	// requests is how many each router is asked for in a tick; asked and served count
+	// them.
+	requests, asked, served int
 }
 
 const (
@@ -203,7 +206,7 @@
 )
 
 func newBudgetModel(t *testing.T, seed uint64) *budgetModel {
-	m := &budgetModel{t: t, random: rand.New(rand.NewPCG(seed, 11)), now: time.Hour, table: kcwallowance.New(), process: 1}
+	m := &budgetModel{t: t, random: rand.New(rand.NewPCG(seed, 11)), now: time.Hour, table: kcwallowance.New(), process: 1, requests: 4}
 	apply(t, m.table, put(1, modelPrepaid))
 	for i := range 5 {
 		r := &spender{name: fmt.Sprint(i), incarnation: uint64(time.Hour)}
@@ -234,6 +237,23 @@
 	r.boots++
 }
 
+// powerOff has all hosts lose their power for about the time off.
+func (m *budgetModel) powerOff(off time.Duration) {
+	for _, r := range m.routers {
+		m.boot(r, off+time.Duration(m.random.IntN(300))*time.Millisecond)
+	}
+	m.dead = m.now + off
+	m.elect(true)
+	m.history = append(m.history, fmt.Sprint(m.now, " power of all ", off))
+}
+
+// playUntil plays undisturbed time.
+func (m *budgetModel) playUntil(end time.Duration) {
+	for m.now < end {
+		m.tick()
+	}
+}
+
 // report makes the report of a router and has the core take it, now or late.
 func (m *budgetModel) report(r *spender) {
 	report := r.balance.Report(m.clock())
@@ -300,13 +320,7 @@
 		}
 		m.history = append(m.history, fmt.Sprint(m.now, " heal"))
 	case 3, 4:
-		off := time.Duration(300+m.random.IntN(1500)) * time.Millisecond
-		for _, r := range m.routers {
-			m.boot(r, off+time.Duration(m.random.IntN(300))*time.Millisecond)
-		}
-		m.dead = m.now + off
-		m.elect(true)
-		m.history = append(m.history, fmt.Sprint(m.now, " power of all ", off))
+		m.powerOff(time.Duration(300+m.random.IntN(1500)) * time.Millisecond)
 	case 5:
 		off := time.Duration(300+m.random.IntN(1500)) * time.Millisecond
 		m.boot(x, off)
@@ -338,13 +352,15 @@
 			r.down = 0
 			m.start(r)
 		}
-		for range 4 {
+		for range m.requests {
+			m.asked++
 			tokens := int64(100 + m.random.IntN(400))
 			r.balance.Demand("a", tokens, m.clock())
 			if r.balance.Reserve("a", tokens, m.clock()) == kcwbalance.Reserved {
 				used := tokens - int64(m.random.IntN(50))
 				r.balance.Settle("a", tokens, used)
 				m.spent += used
+				m.served++
 			} else if other := m.routers[(i+1)%len(m.routers)]; m.now >= other.down {
 				if short := r.balance.Short("a", tokens, m.clock()); short > 0 && m.random.IntN(3) == 0 {
 					r.balance.Borrowed("a", other.balance.Lend("a", short, m.clock()))
