kcwallowance, kcwcontrol: log what is known of a router's last moments

Router restarted told how many tokens were written off, not why: whether nothing showed for how long the former incarnation had run, or it was too long. The line has Evidence and Silence now.

--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -74,7 +74,8 @@
 	}
 	if result.GetReplaced() {
 		klog.InfoS("Router restarted", "Router", report.GetRouter(), "Incarnation", report.GetIncarnation(),
-			"TokensWrittenOff", result.GetWrittenOff(), "TokensRecovered", result.GetRecovered())
+			"TokensWrittenOff", result.GetWrittenOff(), "TokensRecovered", result.GetRecovered(),
+			"Evidence", result.GetEvidence(), "Silence", time.Duration(result.GetSilence()).String())
 	}
 	response := &kcwpb.FleetSyncResponse{Allowances: result.GetAllowances(), Incarnation: result.GetIncarnation()}
 	now := time.Now()
--- a/kcw/kcwallowance/table.go
+++ b/kcw/kcwallowance/table.go
@@ -187,7 +187,7 @@
 		return r
 	case r != nil:
 		result.Replaced = true
-		result.WrittenOff, result.Recovered = t.retire(r, s)
+		t.retire(r, s, result)
 	}
 	next := &router{incarnation: s.GetIncarnation(), boot: s.GetBoot(), teams: map[string]*totals{}}
 	if r != nil {
@@ -201,32 +201,36 @@
 
 // retire counts what the incarnation r has used at most, when next takes its
 // place. If next started before r's allowances would have become active, r kept to its
-// limits; otherwise it may have used all that it held. It returns the tokens that r
-// may have used beyond those reported, and those that come back.
-func (t *Table) retire(r *router, next *kcwpb.SyncAllowances) (writtenOff, recovered int64) {
-	proof := t.prove(r, next)
+// limits; otherwise it may have used all that it held. The result tells the tokens that
+// r may have used beyond those reported, those that come back, and why.
+func (t *Table) retire(r *router, next *kcwpb.SyncAllowances, result *kcwpb.FleetResult) {
+	known, silence := t.silence(r, next)
+	result.Evidence, result.Silence = string(known), silence
+	// Dormant is the time for which r kept to its limits after its last report.
+	dormant := r.activation - r.reported
+	isShort := known != none && silence < dormant
 	pending := claim{moved: r.clock.movedTo(next), kept: map[string]int64{}}
 	for team, held := range r.teams {
 		b := t.budget(team)
 		b.spent -= held.spent
 		b.wanted -= held.want
 		used := held.granted - held.returned
-		kept := max(0, used-max(held.limit, held.spent))
-		switch proof {
-		case proved:
-			used -= kept
-			b.outstanding -= kept
-			recovered += kept
-		case likely:
-			pending.kept[team] = kept
+		if isShort {
+			kept := max(0, used-max(held.limit, held.spent))
+			if known == clocks {
+				pending.kept[team] = kept
+			} else {
+				used -= kept
+				b.outstanding -= kept
+				result.Recovered += kept
+			}
 		}
 		b.retired += used
-		writtenOff += used - held.spent
+		result.WrittenOff += used - held.spent
 	}
-	if proof == likely {
+	if len(pending.kept) > 0 {
 		t.claim(pending)
 	}
-	return writtenOff, recovered
 }
 
 func (r *router) holding(team string) *totals {
