kcwallowance: count a router as running when it made its last report

Where reports had always been late and the router's clock was set back, the time after the last report came out negative, and a part of what was active at that report came back. The time is at least zero now.

--- a/kcw/kcwallowance/losses_test.go
+++ b/kcw/kcwallowance/losses_test.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// TestActiveAtLastReport checks that what was active when a router made its last report
+// does not come back, although a late report and a clock that was set back tell that its
+// successor started before that: it held 60 with a limit of 20, and half of the rest was
+// active.
+func TestActiveAtLastReport(t *testing.T) {
+	table := kcwallowance.New()
+	apply(t, table, put(1, 1000))
+	before := moment{at: 10_000, leader: 1, late: 1000}
+	for serial := range uint64(3) {
+		command := reportAt("r", 1, serial+1, before)
+		s := command.GetSyncAllowances()
+		s.Activation, s.Span = s.Reported+int64(5*time.Second), int64(10*time.Second)
+		apply(t, table, command)
+	}
+	result := apply(t, table, reportAt("r", 2, 1, moment{at: 10_700, booted: 10_200, leader: 1, routerStep: -5000}))
+	if got := result.GetRecovered(); got > 20 {
+		t.Errorf("%d tokens come back of 20 that were not active", got)
+	}
+}
+
 // TestServedAfterLossesOfPower guards against a fleet without tokens once all hosts
 // have lost their power several times.
 func TestServedAfterLossesOfPower(t *testing.T) {
--- a/kcw/kcwallowance/proof.go
+++ b/kcw/kcwallowance/proof.go
@@ -143,7 +143,7 @@
 	}
 	if isSameLeader {
 		// The time of day covers a lag that was never seen small.
-		return sameLeader, max(byLeaders+uptimeTolerance, byRouter+clockTolerance)
+		return sameLeader, max(0, byLeaders+uptimeTolerance, byRouter+clockTolerance)
 	}
 	if min(byRouter, byLeaders) < -clockTolerance || r.clock.epoch != t.epoch || stamp.GetStepped() || !r.clock.movedTo(next).agrees() {
 		return none, 0
