kcwwallet, kcw-router: let a request without a grant wait for a slow ledger

TestFrozenUpstream was red once beside a load of 25: a router that had just started refused its first four asks as ledger_unavailable although the ledger had a leader. A router has no grants then, and the wallet gave up the first call after 300 ms, the time after which a grant is used, and refused all others at once for 500 ms.

A request that no grant covers waits up to LedgerPatience (1 s) now, and is refused at once only after the ledger has been silent for that long or a call failed at once. Requests that a grant covers use it after 300 ms as before.

--- a/kcw-router/kcwsetup/settings.go
+++ b/kcw-router/kcwsetup/settings.go
@@ -72,6 +72,10 @@
 	IdleAfter time.Duration `default:"10m" setting:"min=1s,max=24h"`
 	// LedgerDeadline bounds the wait for the ledger before a grant is used.
 	LedgerDeadline time.Duration `default:"300ms" setting:"min=1ms,max=1m"`
+	// LedgerPatience bounds the wait where no grant covers the request, and is how long
+	// the ledger must be silent for such a request to be refused at once: longer than an
+	// election takes.
+	LedgerPatience time.Duration `default:"1s" setting:"min=1ms,max=1m"`
 	// Routers share the limits of a contract then, and Rank is this router's
 	// place among them, from zero.
 	Routers int `default:"10" setting:"min=1,max=100000"`
--- a/kcw-router/process.go
+++ b/kcw-router/process.go
@@ -140,7 +140,7 @@
 	wallet, err := kcwwallet.New(kcwwallet.Config{
 		Ledger: p.client, Journal: p.journal, Router: p.settings.Host.Name, Incarnation: incarnation,
 		Policy:         kcwgrant.New(kcwgrant.Config{Endurance: s.Endurance, Divisor: s.Divisor, IdleAfter: s.IdleAfter}),
-		LedgerDeadline: s.LedgerDeadline,
+		LedgerDeadline: s.LedgerDeadline, LedgerPatience: s.LedgerPatience,
 	})
 	p.wallet = wallet
 	return err
--- a/kcw/kcwwallet/open.go
+++ b/kcw/kcwwallet/open.go
@@ -11,7 +11,8 @@
 
 // Open opens a claim before its request is dispatched: at the ledger, or, if
 // the ledger does not answer within the deadline, out of the router's grant if
-// the request may be repeated. The request may run only if the result's code is
+// that covers the request, which may be repeated. Other requests wait longer for the
+// ledger, unless it has been silent already. The request may run only if the result's code is
 // CODE_OK or CODE_REPEATED. An *Error of KindNotRun means that it must not run;
 // the caller then settles the claim as not run.
 func (w *Wallet) Open(ctx context.Context, claim *kcwpb.OpenClaim) (*kcwpb.Result, error) {
@@ -20,7 +21,7 @@
 		return result, nil
 	}
 	if e.asked {
-		answer, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_OpenClaim{OpenClaim: e.open}})
+		answer, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_OpenClaim{OpenClaim: e.open}}, e.patience)
 		if err == nil {
 			return w.opened(e, answer), nil
 		}
@@ -55,7 +56,12 @@
 	p := w.balance(e.name.customer)
 	p.demand = w.cfg.Policy.Add(p.demand, claim.GetTokens(), now)
 	w.claims[e.name] = e
-	if e.asked = w.asks(now); e.asked {
+	isCovered := w.cfg.Journal != nil && claim.GetRepeatable() && claim.GetTokens() <= p.free
+	e.patience = w.cfg.LedgerPatience
+	if isCovered {
+		e.patience = w.cfg.LedgerDeadline
+	}
+	if e.asked = w.asks(now, isCovered); e.asked {
 		e.hold = min(p.free, claim.GetTokens())
 		e.open.UseGrant = e.hold > 0
 		p.take(e.hold)
--- a/kcw/kcwwallet/settle.go
+++ b/kcw/kcwwallet/settle.go
@@ -22,7 +22,7 @@
 	}
 	settle := proto.Clone(claim).(*kcwpb.SettleClaim)
 	if w.answering(settle) {
-		answer, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_SettleClaim{SettleClaim: settle}})
+		answer, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_SettleClaim{SettleClaim: settle}}, w.cfg.LedgerDeadline)
 		if err == nil {
 			w.settled(e, answer)
 			return answer, nil
@@ -36,7 +36,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	claim.Over = w.over()
-	return w.cfg.Journal == nil || w.asks(w.cfg.Now())
+	return w.cfg.Journal == nil || w.asks(w.cfg.Now(), true)
 }
 
 // settling returns the entry of the claim, a new one if only the ledger has it.
--- a/kcw/kcwwallet/tend.go
+++ b/kcw/kcwwallet/tend.go
@@ -66,7 +66,7 @@
 			settle.Over = w.over()
 		}
 		w.mu.Unlock()
-		result, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_SettleClaim{SettleClaim: settle}})
+		result, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_SettleClaim{SettleClaim: settle}}, w.cfg.LedgerDeadline)
 		if err != nil {
 			return false
 		}
@@ -150,7 +150,7 @@
 	for i, g := range w.olds {
 		result, err := w.submit(ctx, &kcwpb.Command{Op: &kcwpb.Command_ReleaseGrant{ReleaseGrant: &kcwpb.ReleaseGrant{
 			Customer: g.GetCustomer(), Router: g.GetRouter(), Incarnation: g.GetIncarnation(),
-		}}})
+		}}}, w.cfg.LedgerDeadline)
 		if err != nil {
 			w.olds = append(kept, w.olds[i:]...)
 			return false
@@ -178,7 +178,7 @@
 	if cmd == nil {
 		return true
 	}
-	result, err := w.submit(ctx, cmd)
+	result, err := w.submit(ctx, cmd, w.cfg.LedgerDeadline)
 	if err != nil {
 		return false
 	}
--- a/kcw/kcwwallet/wallet.go
+++ b/kcw/kcwwallet/wallet.go
@@ -35,6 +35,10 @@
 	// LedgerDeadline bounds the wait for the ledger before the grant is used;
 	// 300 ms if zero.
 	LedgerDeadline time.Duration
+	// LedgerPatience bounds the wait where no grant covers the request, and is how long
+	// the ledger must not have answered for such a request to be refused at once; a
+	// second if zero.
+	LedgerPatience time.Duration
 	// ProbeAfter is how long after a failed call the ledger is asked again; 500
 	// ms if zero.
 	ProbeAfter time.Duration
@@ -64,9 +68,12 @@
 	// olds are the grants of older incarnations, to be released once their
 	// claims are settled.
 	olds []*kcwpb.Grant
-	// silentUntil is until when the ledger is not asked by requests.
-	silentUntil time.Time
-	fenced      bool
+	// unansweredSince is when the first call was made of those that the ledger did not
+	// answer, zero since it has answered one. Until slowUntil it is not asked by requests
+	// that a grant covers, and until silentUntil by none.
+	unansweredSince        time.Time
+	slowUntil, silentUntil time.Time
+	fenced                 bool
 	// closing is set when all grants are to go back.
 	closing bool
 	// serial numbers the openings sent to the ledger, and sent holds those whose
@@ -87,6 +94,8 @@
 	open *kcwpb.OpenClaim
 	// hold is the tokens of the balance that the claim keeps from others.
 	hold int64
+	// patience bounds the wait for the ledger to open the claim.
+	patience time.Duration
 	// asked says that the ledger may have opened the claim.
 	asked bool
 	// local says that the claim runs out of the grant.
@@ -106,6 +115,9 @@
 	if cfg.LedgerDeadline <= 0 {
 		cfg.LedgerDeadline = 300 * time.Millisecond
 	}
+	if cfg.LedgerPatience <= 0 {
+		cfg.LedgerPatience = time.Second
+	}
 	if cfg.ProbeAfter <= 0 {
 		cfg.ProbeAfter = 500 * time.Millisecond
 	}
@@ -178,9 +190,11 @@
 	return len(w.pending), w.refused
 }
 
-// submit sends op to the ledger and notes whether it answers.
-func (w *Wallet) submit(ctx context.Context, cmd *kcwpb.Command) (*kcwpb.Result, error) {
-	limited, cancel := context.WithTimeout(ctx, w.cfg.LedgerDeadline)
+// submit sends cmd to the ledger, waits for at most the time patience, and notes
+// whether it answers.
+func (w *Wallet) submit(ctx context.Context, cmd *kcwpb.Command, patience time.Duration) (*kcwpb.Result, error) {
+	asked := w.cfg.Now()
+	limited, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	result, err := w.cfg.Ledger.Submit(limited, cmd)
 	w.mu.Lock()
@@ -188,17 +202,30 @@
 	if err != nil {
 		// A caller that went away tells nothing about the ledger.
 		if ctx.Err() == nil {
-			w.silentUntil = w.cfg.Now().Add(w.cfg.ProbeAfter)
+			w.unanswered(asked, limited.Err() != nil)
 		}
 		return nil, err
 	}
-	w.silentUntil = time.Time{}
+	w.unansweredSince, w.slowUntil, w.silentUntil = time.Time{}, time.Time{}, time.Time{}
 	if b := result.GetBudget(); b != nil {
 		w.balance(b.GetCustomer()).available = b.GetPrepaid() - b.GetBilled() - b.GetReserved() - b.GetGranted()
 	}
 	return result, nil
 }
 
+// unanswered notes that the ledger did not answer the call made at asked, in time or at
+// all.
+func (w *Wallet) unanswered(asked time.Time, isLate bool) {
+	now := w.cfg.Now()
+	if w.unansweredSince.IsZero() {
+		w.unansweredSince = asked
+	}
+	w.slowUntil = now.Add(w.cfg.ProbeAfter)
+	if !isLate || now.Sub(w.unansweredSince) >= w.cfg.LedgerPatience {
+		w.silentUntil = w.slowUntil
+	}
+}
+
 // over returns the serial below which all openings have ended.
 func (w *Wallet) over() uint64 {
 	oldest := w.serial + 1
@@ -208,16 +235,23 @@
 	return oldest
 }
 
-// asks says whether a request is to ask the ledger at the time now. While the
-// ledger is silent one request in each ProbeAfter does.
-func (w *Wallet) asks(now time.Time) bool {
-	if w.silentUntil.IsZero() {
+// asks says whether a request is to ask the ledger at the time now, which a grant covers
+// or not. While the ledger is slow or silent one request in each ProbeAfter does.
+func (w *Wallet) asks(now time.Time, isCovered bool) bool {
+	until := w.silentUntil
+	if isCovered {
+		until = w.slowUntil
+	}
+	if until.IsZero() {
 		return true
 	}
-	if now.Before(w.silentUntil) {
+	if now.Before(until) {
 		return false
 	}
-	w.silentUntil = now.Add(w.cfg.ProbeAfter)
+	w.slowUntil = now.Add(w.cfg.ProbeAfter)
+	if !w.silentUntil.IsZero() {
+		w.silentUntil = w.slowUntil
+	}
 	return true
 }
 
