kcwhorizon, kcwentry, kcwallowance: keep on the disk how far a router went

A router that lost its power counts as having run until its host was back.

Such a router uses tokens that become active with the time only up to an uptime that is on its disk, under its incarnation. It writes that while the core is silent, 2 s ahead, and nothing while the core answers. Its successor tells the core the last four records. If the disk takes nothing, the router keeps to its limit in a cut.

--- /dev/null
+++ b/kcw-fleet/kcwentry/horizon.go
@@ -0,0 +1,104 @@
+package kcwentry
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwhorizon"
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+const (
+	// horizonInterval is the pause between two looks at whether the record on the disk
+	// is due: a fraction of horizonAhead.
+	horizonInterval = 100 * time.Millisecond
+	// horizonAfter is how long the core must be silent for tokens to become active, on a
+	// host with a disk: two reports, so that nothing is written while the core answers.
+	horizonAfter = 500 * time.Millisecond
+	// horizonAhead is how far ahead the record is written: a slow disk takes about half
+	// of it.
+	horizonAhead = 2 * time.Second
+	// horizonWait bounds the wait of the first report for the record of earlier
+	// processes; the disk may not answer.
+	horizonWait = 300 * time.Millisecond
+)
+
+// horizonKeeper keeps a router's record on its host's disk.
+type horizonKeeper struct {
+	horizon *kcwhorizon.Horizon
+	balance *kcwbalance.Balance
+	uptime  func() time.Duration
+	// incarnation returns the one under which the router reports.
+	incarnation func() uint64
+	// opened is closed once the record of earlier processes was read, or can't be.
+	opened chan struct{}
+	// failed says that the last write failed.
+	failed bool
+}
+
+// until returns the uptime after which no more tokens become active.
+func (k *horizonKeeper) until() time.Duration { return k.horizon.Own().Until }
+
+// formers waits for the record of earlier processes, and returns them.
+func (k *horizonKeeper) formers(ctx context.Context) []*kcwpb.RouterRun {
+	if k == nil {
+		return nil
+	}
+	wait := time.NewTimer(horizonWait)
+	defer wait.Stop()
+	select {
+	case <-k.opened:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	var formers []*kcwpb.RouterRun
+	for _, run := range k.horizon.Formers() {
+		formers = append(formers, &kcwpb.RouterRun{Incarnation: run.Incarnation, Until: int64(run.Until)})
+	}
+	return formers
+}
+
+// run keeps the record until ctx ends.
+func (k *horizonKeeper) run(ctx context.Context) {
+	err := k.horizon.Open()
+	close(k.opened)
+	if err != nil {
+		klog.ErrorS(err, "Record of tokens not read")
+	}
+	klog.InfoS("Record of tokens read", "Formers", len(k.horizon.Formers()))
+	timer := time.NewTicker(horizonInterval)
+	defer timer.Stop()
+	for {
+		k.extend()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			if err := k.horizon.Close(); err != nil {
+				klog.ErrorS(err, "Record of tokens not closed")
+			}
+			return
+		}
+	}
+}
+
+// extend writes the record if it is due.
+func (k *horizonKeeper) extend() {
+	own, incarnation, now := k.horizon.Own(), k.incarnation(), k.uptime()
+	var until time.Duration
+	if silence := k.balance.Silence(); silence > horizonAfter && now+horizonAhead/2 > own.Until {
+		until = now + horizonAhead
+	} else if own.Incarnation == incarnation {
+		return
+	}
+	err := k.horizon.Extend(incarnation, until)
+	switch {
+	case err != nil && !k.failed:
+		klog.ErrorS(err, "Record of tokens not written", "Until", own.Until.String())
+	case err == nil && k.failed:
+		klog.InfoS("Record of tokens written again", "Until", until.String())
+	}
+	k.failed = err != nil
+}
--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -33,6 +33,8 @@
 	roster   *kcwroster.Roster
 	decode   func([]byte) (*kcwroute.Document, error)
 	uptime   *kcwuptime.Clock
+	// horizon is nil on a host without a disk.
+	horizon *horizonKeeper
 
 	document atomic.Pointer[kcwroute.Document]
 	routers  atomic.Int64
@@ -126,6 +128,7 @@
 
 // report makes one report and takes the answer.
 func (p *reporter) report(ctx context.Context) {
+	formers := p.horizon.formers(ctx)
 	asked := time.Now()
 	p.mu.Lock()
 	// Requests that lack tokens from now on are for the next round.
@@ -138,7 +141,7 @@
 			Router: p.settings.Host.Name, Incarnation: p.incarnation, Serial: p.serial, Reports: report.Teams,
 			Boot: p.uptime.Boot(), Started: int64(p.uptime.Started()), Reported: int64(report.Uptime),
 			Activation: int64(report.Accrual.Full), Span: int64(report.Accrual.Full - report.Accrual.Since),
-			Wall: asked.UnixNano(),
+			Wall: asked.UnixNano(), Formers: formers,
 		},
 		ListVersion: p.listVersion, ListReader: p.listReader, Address: p.settings.LendAddress().String(),
 	}
--- a/kcw-fleet/kcwentry/router.go
+++ b/kcw-fleet/kcwentry/router.go
@@ -25,6 +25,7 @@
 	"kingcupwick.example/kcw/kcwconn"
 	"kingcupwick.example/kcw/kcwforward"
 	"kingcupwick.example/kcw/kcwgrant"
+	"kingcupwick.example/kcw/kcwhorizon"
 	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwmemory"
@@ -92,6 +93,7 @@
 	cfg       Config
 	client    *kcwcore.Client
 	balance   *kcwbalance.Balance
+	horizon   *horizonKeeper
 	roster    *kcwroster.Roster
 	link      *kcwlink.Link
 	memory    *kcwmemory.Account
@@ -121,10 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.balance = kcwbalance.New(kcwbalance.Config{
-		Grant:  kcwgrant.Config{Endurance: s.Grants.Endurance, IdleAfter: s.Grants.IdleAfter, Memory: s.Grants.Memory},
-		Active: s.Grants.Active, ActivateAfter: s.Grants.ActivateAfter, Fresh: s.Grants.Fresh, Uptime: uptime.Now,
-	})
+	r.newBalance(uptime)
 	r.roster = newRoster(s)
 	const megabyte = 1 << 20
 	r.memory = kcwmemory.New(int64(requestsPart * s.Host.MemoryMB * megabyte))
@@ -139,7 +138,7 @@
 	})
 	r.reporter = &reporter{
 		settings: s, client: r.client, lending: r.lending, sharing: r.sharing, balance: r.balance, roster: r.roster, decode: cfg.Decode,
-		uptime: uptime, incarnation: uint64(time.Now().UnixNano()),
+		uptime: uptime, horizon: r.horizon, incarnation: uint64(time.Now().UnixNano()),
 		round: newRound(), wake: make(chan struct{}, 1), heardAt: time.Now(),
 	}
 	if r.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-router", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
@@ -152,6 +151,26 @@
 	return r, r.listen()
 }
 
+// newBalance makes the balance, and the keeper of its record if the host has a disk.
+func (r *Router) newBalance(uptime *kcwuptime.Clock) {
+	s := r.cfg.Settings
+	cfg := kcwbalance.Config{
+		Grant:  kcwgrant.Config{Endurance: s.Grants.Endurance, IdleAfter: s.Grants.IdleAfter, Memory: s.Grants.Memory},
+		Active: s.Grants.Active, ActivateAfter: s.Grants.ActivateAfter, Fresh: s.Grants.Fresh, Uptime: uptime.Now,
+	}
+	if s.Host.Folder != "" {
+		r.horizon = &horizonKeeper{
+			horizon: kcwhorizon.New(kcwhorizon.Config{Folder: s.Host.Folder}), uptime: uptime.Now,
+			incarnation: func() uint64 { return r.reporter.number() }, opened: make(chan struct{}),
+		}
+		cfg.Horizon = r.horizon.until
+	}
+	r.balance = kcwbalance.New(cfg)
+	if r.horizon != nil {
+		r.horizon.balance = r.balance
+	}
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func newRoster(s *kcwsetup.Router) *kcwroster.Roster {
--- a/kcw-fleet/kcwentry/run.go
+++ b/kcw-fleet/kcwentry/run.go
@@ -21,6 +21,9 @@
 	s := r.cfg.Settings
 	klog.InfoS("Router starts", "Address", s.Host.Address, "Zone", s.Host.Zone, "Incarnation", r.reporter.number(), "Seeds", s.Core.Seeds,
 		"Boot", r.reporter.uptime.Boot(), "Uptime", r.reporter.uptime.Started().String())
+	if r.horizon != nil {
+		go r.horizon.run(r.life)
+	}
 	go r.reporter.run(r.life)
 	go r.refreshList()
 	go kcwreload.New(kcwreload.Config{Interval: reloadInterval, Reload: r.reload}).Run(r.life)
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -38,6 +38,9 @@
 	// LinkMbps is the rate of the host's network link in Mbit/s, zero if it has no
 	// bound. A router whose link is nearly full takes no new callers.
 	LinkMbps float64 `default:"0" setting:"min=0,max=10000000"`
+	// Folder is the router's data folder, empty on a host without a disk. What the
+	// router keeps there bounds the tokens that are lost with it.
+	Folder string
 	// LendPort is where the router lends tokens to others, on the host of
 	// Address. Zero stands for the port after that of the core.
 	LendPort uint16
--- a/kcw/kcwallowance/losses_test.go
+++ b/kcw/kcwallowance/losses_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kingcupwick.example/kcw/kcwallowance"
+	"kingcupwick.example/kcw/kcwpb"
 )
 
 // TestPartOfSpan checks how many tokens come back after outages of a part of the 10 s in
@@ -45,6 +46,44 @@
 	}
 }
 
+// TestRecordOnDisk checks how many tokens come back after an outage of 20 s, by what the
+// disk of the router's host tells: it held 60 with a limit of 20, and the rest became
+// active within 10 s of its last report, at an uptime of 10 s.
+func TestRecordOnDisk(t *testing.T) {
+	const span = 10 * time.Second
+	for _, test := range []struct {
+		name    string
+		formers []*kcwpb.RouterRun
+		leader  uint64
+		want    int64
+	}{
+		{"no record", nil, 2, 0},
+		{"never beyond its limit", []*kcwpb.RouterRun{{Incarnation: 1}}, 2, 40},
+		{"never beyond its limit, same leader", []*kcwpb.RouterRun{{Incarnation: 1}}, 1, 40},
+		{"for a silence before", []*kcwpb.RouterRun{{Incarnation: 1, Until: int64(9 * time.Second)}}, 2, 40},
+		{"for half of the span", []*kcwpb.RouterRun{{Incarnation: 1, Until: int64(15 * time.Second)}}, 2, 20},
+		{"for longer than the span", []*kcwpb.RouterRun{{Incarnation: 1, Until: int64(25 * time.Second)}}, 2, 0},
+		{"of another process", []*kcwpb.RouterRun{{Incarnation: 3}}, 2, 0},
+		{"of several processes", []*kcwpb.RouterRun{{Incarnation: 3}, {Incarnation: 1}, {Incarnation: 4}}, 2, 40},
+	} {
+		table := kcwallowance.New()
+		apply(t, table, put(1, 1000))
+		for serial := range uint64(3) {
+			command := reportAt("r", 1, serial+1, moment{at: 10_000, leader: 1})
+			s := command.GetSyncAllowances()
+			s.Activation, s.Span = s.Reported+int64(span), int64(span)
+			apply(t, table, command)
+		}
+		table = restored(t, table)
+		command := reportAt("r", 5, 1, moment{at: 30_500, booted: 30_000, leader: test.leader})
+		command.GetSyncAllowances().Formers = test.formers
+		result := apply(t, table, command)
+		if got := result.GetRecovered(); got != test.want {
+			t.Errorf("%s: %d tokens come back, want %d", test.name, got, test.want)
+		}
+	}
+}
+
 // TestActiveAtLastReport checks that what was active when a router made its last report
 // does not come back, although a late report and a clock that was set back tell that its
 // successor started before that: it held 60 with a limit of 20, and half of the rest was
--- a/kcw/kcwallowance/proof.go
+++ b/kcw/kcwallowance/proof.go
@@ -9,8 +9,9 @@
 )
 
 // What a router held when its host lost power comes back as far as it had not become
-// active when the router ended at the latest. Three proofs bound that time.
+// active when the router ended at the latest. Four proofs bound that time.
 //
+//   - A host with a disk tells it by a record that the router never went beyond.
 //   - The successor started on the same boot of the host: by the host's uptime, where
 //     another clock agrees that it went on.
 //   - The same process leads before and after: by the uptime of the leader's host.
@@ -48,6 +49,8 @@
 	sameLeader evidence = "SameLeader"
 	// clocks: times of day, if the clocks of others agree.
 	clocks evidence = "Clocks"
+	// disk: the record on the disk of the router's host.
+	disk evidence = "Disk"
 )
 
 // move is how far a router's time of day moved against the leaders' between its last
@@ -113,6 +116,21 @@
 // have run after its last report when next takes its place, and how that is known.
 // The time says nothing if the evidence is none.
 func (t *Table) silence(r *router, next *kcwpb.SyncAllowances) (evidence, int64) {
+	known, silence := t.silenceByClocks(r, next)
+	for _, run := range next.GetFormers() {
+		if run.GetIncarnation() != r.incarnation {
+			continue
+		}
+		byDisk := max(0, run.GetUntil()-r.reported)
+		if known == none || known == clocks || byDisk < silence {
+			return disk, byDisk
+		}
+	}
+	return known, silence
+}
+
+// silenceByClocks is silence as far as clocks tell it.
+func (t *Table) silenceByClocks(r *router, next *kcwpb.SyncAllowances) (evidence, int64) {
 	byBoot := int64(noTime)
 	if since := next.GetStarted() - r.reported; r.boot != "" && next.GetBoot() == r.boot && since >= 0 {
 		byBoot = since
--- a/kcw/kcwallowance/proof_test.go
+++ b/kcw/kcwallowance/proof_test.go
@@ -190,6 +190,11 @@
 	down        time.Duration
 	cut         bool
 	nextReport  time.Duration
+	// hasDisk says that the host has a disk, which holds records as kcwhorizon does, but
+	// takes none until stalled.
+	hasDisk bool
+	stalled time.Duration
+	records []*kcwpb.RouterRun
 }
 
 // budgetModel is a core and routers with one budget.
@@ -225,7 +230,7 @@
 	m := &budgetModel{t: t, random: rand.New(rand.NewPCG(seed, 11)), now: time.Hour, table: kcwallowance.New(), process: 1, requests: 4}
 	apply(t, m.table, put(1, modelPrepaid))
 	for i := range 5 {
-		r := &spender{name: fmt.Sprint(i), incarnation: uint64(time.Hour)}
+		r := &spender{name: fmt.Sprint(i), incarnation: uint64(time.Hour), hasDisk: i < 2}
 		m.routers = append(m.routers, r)
 		m.start(r)
 	}
@@ -239,11 +244,17 @@
 	r.incarnation++
 	r.serial = 0
 	r.started = r.uptime(m.now)
-	r.balance = kcwbalance.New(kcwbalance.Config{
+	own := &kcwpb.RouterRun{Incarnation: r.incarnation}
+	cfg := kcwbalance.Config{
 		Grant:  kcwgrant.Config{Endurance: 10 * time.Second, IdleAfter: 20 * time.Second, Memory: 5 * time.Second},
 		Active: 2 * time.Second, ActivateAfter: 10 * time.Second, Fresh: 750 * time.Millisecond,
 		Uptime: func() time.Duration { return r.uptime(m.now) },
-	})
+	}
+	if r.hasDisk {
+		r.records = append(r.records[max(0, len(r.records)-3):], own)
+		cfg.Horizon = func() time.Duration { return time.Duration(own.Until) }
+	}
+	r.balance = kcwbalance.New(cfg)
 }
 
 // boot has the host of a router lose its power for some time.
@@ -282,7 +293,7 @@
 	s := &kcwpb.SyncAllowances{
 		Router: r.name, Incarnation: r.incarnation, Serial: r.serial, Reports: report.Teams,
 		Boot: fmt.Sprint(r.name, "-", r.boots), Started: int64(r.started), Activation: int64(report.Accrual.Full), Span: int64(report.Accrual.Full - report.Accrual.Since),
-		Reported: int64(report.Uptime), Wall: r.wall(m.now),
+		Reported: int64(report.Uptime), Wall: r.wall(m.now), Formers: r.records[:max(0, len(r.records)-1)],
 	}
 	// The command is its own copy.
 	command := proto.Clone(&kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_SyncAllowances{SyncAllowances: s}}).(*kcwpb.FleetCommand)
@@ -330,7 +341,7 @@
 func (m *budgetModel) disturb() {
 	x := m.routers[m.random.IntN(len(m.routers))]
 	step := time.Duration(m.random.IntN(12_000)-6000) * time.Millisecond
-	switch kind := m.random.IntN(9); kind {
+	switch kind := m.random.IntN(10); kind {
 	case 0, 1:
 		for _, r := range m.routers {
 			r.cut = m.random.IntN(2) == 0
@@ -348,6 +359,9 @@
 		m.boot(x, off)
 		m.history = append(m.history, fmt.Sprint(m.now, " power of ", x.name, " ", off))
 	case 6:
+		if m.random.IntN(4) == 0 {
+			x.records = nil
+		}
 		m.start(x)
 		m.history = append(m.history, fmt.Sprint(m.now, " restart of ", x.name))
 	case 7:
@@ -361,6 +375,9 @@
 		m.dead = m.now + time.Duration(m.random.IntN(6000))*time.Millisecond
 		m.elect(false)
 		m.history = append(m.history, fmt.Sprint(m.now, " no leader until ", m.dead))
+	case 9:
+		x.stalled = m.now + time.Duration(m.random.IntN(10_000))*time.Millisecond
+		m.history = append(m.history, fmt.Sprint(m.now, " disk of ", x.name, " stalls until ", x.stalled))
 	}
 }
 
@@ -390,6 +407,10 @@
 			r.down = 0
 			m.start(r)
 		}
+		if up := r.uptime(m.now); r.hasDisk && r.balance.Silence() > 500*time.Millisecond && m.now >= r.stalled {
+			own := r.records[len(r.records)-1]
+			own.Until = max(own.Until, int64(up+2*time.Second))
+		}
 		for range m.requests {
 			m.asked++
 			tokens := int64(100 + m.random.IntN(400))
--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -40,6 +40,9 @@
 	Fresh time.Duration
 	// Uptime returns the time since the host's boot, suspension included.
 	Uptime func() time.Duration
+	// Horizon returns the uptime after which no more tokens become active. Nil stands
+	// for no such time.
+	Horizon func() time.Duration
 }
 
 // Verdict says whether a request may use a team's tokens.
@@ -125,6 +128,22 @@
 	return a
 }
 
+// activeAt returns the uptime that says which tokens are active.
+func (b *Balance) activeAt() time.Duration {
+	now := b.cfg.Uptime()
+	if b.cfg.Horizon == nil {
+		return now
+	}
+	return min(now, b.cfg.Horizon())
+}
+
+// Silence returns how long the core has not been heard.
+func (b *Balance) Silence() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cfg.Uptime() - b.accrual().Since
+}
+
 // accrual returns when tokens become active if the core stays silent.
 func (b *Balance) accrual() kcwaccrual.Accrual {
 	return kcwaccrual.Accrual{Since: b.activation - b.cfg.ActivateAfter, Full: b.activation}
@@ -143,7 +162,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(team)
-	if tokens <= a.usable(b.accrual(), b.cfg.Uptime()) {
+	if tokens <= a.usable(b.accrual(), b.activeAt()) {
 		a.reserved += tokens
 		return Reserved
 	}
@@ -198,7 +217,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(team)
-	lacking := tokens - a.usable(b.accrual(), b.cfg.Uptime())
+	lacking := tokens - a.usable(b.accrual(), b.activeAt())
 	if lacking <= 0 {
 		return 0
 	}
@@ -214,7 +233,7 @@
 	if a == nil || b.returning {
 		return 0
 	}
-	lent := min(tokens, a.lendable(b.accrual(), b.cfg.Uptime())-b.policy.Mean(a.demand, lookahead, now))
+	lent := min(tokens, a.lendable(b.accrual(), b.activeAt())-b.policy.Mean(a.demand, lookahead, now))
 	if lent <= 0 {
 		return 0
 	}
--- /dev/null
+++ b/kcw/kcwhorizon/horizon_test.go
@@ -0,0 +1,97 @@
+package kcwhorizon_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwhorizon"
+)
+
+func open(t *testing.T, folder string) *kcwhorizon.Horizon {
+	t.Helper()
+	h := kcwhorizon.New(kcwhorizon.Config{Folder: folder})
+	if err := h.Open(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = h.Close() })
+	return h
+}
+
+func extend(t *testing.T, h *kcwhorizon.Horizon, incarnation uint64, until time.Duration) {
+	t.Helper()
+	if err := h.Extend(incarnation, until); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestFormers checks what successors read of the processes before them.
+func TestFormers(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "router")
+	first := open(t, folder)
+	if got := first.Own(); got != (kcwhorizon.Run{}) || len(first.Formers()) > 0 {
+		t.Errorf("a blank folder gives %v and %v", got, first.Formers())
+	}
+	extend(t, first, 7, 0)
+	extend(t, first, 7, 5*time.Second)
+	extend(t, first, 8, 3*time.Second)
+	if got, want := first.Own(), (kcwhorizon.Run{Incarnation: 8, Until: 5 * time.Second}); got != want {
+		t.Errorf("after a raised incarnation and a lower time %v, want %v", got, want)
+	}
+	if err := first.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var want []kcwhorizon.Run
+	want = append(want, first.Own())
+	for i := range uint64(5) {
+		h := open(t, folder)
+		if got := h.Formers(); !slices.Equal(got, want) {
+			t.Errorf("successor %d reads %v, want %v", i, got, want)
+		}
+		extend(t, h, 9+i, time.Duration(i))
+		want = append(want, h.Own())
+		want = want[max(0, len(want)-4):]
+		if err := h.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestFailures(t *testing.T) {
+	var failure *kcwhorizon.Error
+	closed := kcwhorizon.New(kcwhorizon.Config{Folder: t.TempDir()})
+	if err := closed.Extend(1, time.Second); !errors.As(err, &failure) || failure.Kind != kcwhorizon.Unwritten {
+		t.Errorf("a record without a folder: %v", err)
+	}
+	folder := t.TempDir()
+	if err := os.WriteFile(filepath.Join(folder, "Horizon.json"), []byte("[{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	damaged := kcwhorizon.New(kcwhorizon.Config{Folder: folder})
+	if err := damaged.Open(); !errors.As(err, &failure) || failure.Kind != kcwhorizon.Unreadable {
+		t.Errorf("a damaged record: %v", err)
+	}
+	extend(t, damaged, 3, time.Second)
+	if err := damaged.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := open(t, folder).Formers(); len(got) != 1 || got[0].Incarnation != 3 {
+		t.Errorf("after a damaged record was replaced %v", got)
+	}
+	full := t.TempDir()
+	h := open(t, full)
+	extend(t, h, 4, time.Second)
+	// A folder in place of the temporary file refuses each write.
+	if err := os.Mkdir(filepath.Join(full, "Horizon.json.tmp"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Extend(4, 2*time.Second); !errors.As(err, &failure) || failure.Kind != kcwhorizon.Unwritten {
+		t.Errorf("a disk that takes no record: %v", err)
+	}
+	if got := h.Own().Until; got != time.Second {
+		t.Errorf("after a write that failed the router may go on until %v", got)
+	}
+}
