kcwbalance: keep a sixth of little active, and a report's interval at least

What a router may use without the core's word is lost with it, also where the time is known exactly. Since tokens become active as soon as the core is silent, a limit need not last longer than the time between two reports.

TestLimitOfLittle has the new parts, as strict as before.

--- a/kcw/kcwbalance/balance.go
+++ b/kcw/kcwbalance/balance.go
@@ -249,12 +249,12 @@
 }
 
 // Where a router holds less than it wants, its limit covers a part of that only: one in
-// activePart, but leastActive of the demand. The end of a budget would otherwise be
-// active everywhere, and be lost when all hosts lose their power. A router that is cut
-// off uses the same tokens, over a longer time.
+// activePart, but leastActive of the demand, the time between two reports. The end of a
+// budget would otherwise be active everywhere, and be lost when all hosts lose their
+// power. More becomes active as soon as the core is silent.
 const (
-	activePart  = 3
-	leastActive = 500 * time.Millisecond
+	activePart  = 6
+	leastActive = 250 * time.Millisecond
 )
 
 // Report is what a router tells the core at one time.
--- a/kcw/kcwbalance/balance_test.go
+++ b/kcw/kcwbalance/balance_test.go
@@ -197,8 +197,9 @@
 	}
 }
 
-// TestLimitOfLittle checks that a router which holds less than it wants may use a third
-// of it at once, or half a second of its demand, and no more than a second in any case.
+// TestLimitOfLittle checks that a router which holds less than it wants may use a sixth
+// of it at once, or a quarter of a second of its demand, and no more than a second in any
+// case.
 func TestLimitOfLittle(t *testing.T) {
 	limit := func(free int64) int64 {
 		b := newBalance(&host{})
@@ -213,10 +214,10 @@
 		name       string
 		free, want int64
 	}{
-		{"three seconds of demand", 3 * second, second},
-		{"somewhat less", 24 * second / 10, 8 * second / 10},
-		{"a second and a half", 15 * second / 10, second / 2},
-		{"next to nothing", second / 10, second / 2},
+		{"six seconds of demand", 6 * second, second},
+		{"somewhat less", 48 * second / 10, 8 * second / 10},
+		{"a second and a half", 15 * second / 10, second / 4},
+		{"next to nothing", second / 10, second / 4},
 	} {
 		if got := limit(test.free); got < test.want-1 || got > test.want+1 {
 			t.Errorf("%s: the limit is %d, want %d", test.name, got, test.want)
