kcwentry, kcwhorizon: wait once for the record, and open a folder that could not be

Found in review. A folder that could not be opened at the start, on a full disk, was never tried again, so that the router had only its limit in each later cut; each write tries now. Tests of the keeper and of both; TestFailures of kcwhorizon failed before with a folder that comes late.

--- a/kcw-fleet/kcwentry/horizon.go
+++ b/kcw-fleet/kcwentry/horizon.go
@@ -42,18 +42,20 @@
 // until returns the uptime after which no more tokens become active.
 func (k *horizonKeeper) until() time.Duration { return k.horizon.Own().Until }
 
-// formers waits for the record of earlier processes, and returns them.
-func (k *horizonKeeper) formers(ctx context.Context) []*kcwpb.RouterRun {
-	if k == nil {
-		return nil
-	}
+// await waits for the record of earlier processes, but not for long.
+func (k *horizonKeeper) await(ctx context.Context) {
 	wait := time.NewTimer(horizonWait)
 	defer wait.Stop()
 	select {
 	case <-k.opened:
 	case <-wait.C:
+		klog.InfoS("Record of tokens not read in time", "Waited", horizonWait.String())
 	case <-ctx.Done():
 	}
+}
+
+// formers returns the earlier processes that the record tells of.
+func (k *horizonKeeper) formers() []*kcwpb.RouterRun {
 	var formers []*kcwpb.RouterRun
 	for _, run := range k.horizon.Formers() {
 		formers = append(formers, &kcwpb.RouterRun{Incarnation: run.Incarnation, Until: int64(run.Until)})
@@ -63,18 +65,18 @@
 
 // run keeps the record until ctx ends.
 func (k *horizonKeeper) run(ctx context.Context) {
-	err := k.horizon.Open()
-	close(k.opened)
-	if err != nil {
+	if err := k.horizon.Open(); err != nil {
 		klog.ErrorS(err, "Record of tokens not read")
+	} else {
+		klog.InfoS("Record of tokens read", "Formers", len(k.horizon.Formers()))
 	}
-	klog.InfoS("Record of tokens read", "Formers", len(k.horizon.Formers()))
-	timer := time.NewTicker(horizonInterval)
-	defer timer.Stop()
+	close(k.opened)
+	ticker := time.NewTicker(horizonInterval)
+	defer ticker.Stop()
 	for {
 		k.extend()
 		select {
-		case <-timer.C:
+		case <-ticker.C:
 		case <-ctx.Done():
 			if err := k.horizon.Close(); err != nil {
 				klog.ErrorS(err, "Record of tokens not closed")
--- a/kcw-fleet/kcwentry/reporter.go
+++ b/kcw-fleet/kcwentry/reporter.go
@@ -84,6 +84,9 @@
 
 // run reports until ctx ends.
 func (p *reporter) run(ctx context.Context) {
+	if p.horizon != nil {
+		p.horizon.await(ctx)
+	}
 	timer := time.NewTimer(p.settings.Core.Interval)
 	defer timer.Stop()
 	for {
@@ -128,7 +131,6 @@
 
 // report makes one report and takes the answer.
 func (p *reporter) report(ctx context.Context) {
-	formers := p.horizon.formers(ctx)
 	asked := time.Now()
 	p.mu.Lock()
 	// Requests that lack tokens from now on are for the next round.
@@ -141,11 +143,14 @@
 			Router: p.settings.Host.Name, Incarnation: p.incarnation, Serial: p.serial, Reports: report.Teams,
 			Boot: p.uptime.Boot(), Started: int64(p.uptime.Started()), Reported: int64(report.Uptime),
 			Activation: int64(report.Accrual.Full), Span: int64(report.Accrual.Full - report.Accrual.Since),
-			Wall: asked.UnixNano(), Formers: formers,
+			Wall: asked.UnixNano(),
 		},
 		ListVersion: p.listVersion, ListReader: p.listReader, Address: p.settings.LendAddress().String(),
 	}
 	p.mu.Unlock()
+	if p.horizon != nil {
+		req.Allowances.Formers = p.horizon.formers()
+	}
 	if document := p.document.Load(); document != nil {
 		req.DocumentVersion = document.Version
 	}
--- a/kcw/kcwallowance/proof_test.go
+++ b/kcw/kcwallowance/proof_test.go
@@ -110,6 +110,9 @@
 			a.at, a.booted = 15_000, 14_500
 			b.sameBoot, a.sameBoot, a.uptime = true, true, 11_000
 		}, 0},
+		{"the hosts hide that they were booted, and their uptimes are not much later", func(_ int, b, a *moment) {
+			b.sameBoot, a.sameBoot, a.uptime = true, true, 2_400_000
+		}, 5},
 		{"the processes alone ended, and all clocks were set", func(_ int, b, a *moment) {
 			b.sameBoot, a.sameBoot, a.uptime, a.leader = true, true, 11_000, 1
 			a.routerStep, a.leaderStep = 7000, 5000
--- a/kcw/kcwhorizon/horizon.go
+++ b/kcw/kcwhorizon/horizon.go
@@ -78,8 +78,9 @@
 func New(cfg Config) *Horizon { return &Horizon{cfg: cfg} }
 
 // Open reads the record of earlier processes. It returns an *Error of kind Unreadable if
-// the folder can't be used, and also if its record is damaged; the latter tells nothing of
-// earlier processes then, and Extend replaces it.
+// the folder can't be used, and may be called again then. It returns one as well if the
+// record is damaged, which tells nothing of earlier processes then and is replaced by
+// Extend.
 func (h *Horizon) Open() error {
 	folder, err := kcwfolder.Open(kcwfolder.Config{Path: h.cfg.Folder})
 	if err != nil {
@@ -116,11 +117,14 @@
 }
 
 // Extend makes durable that this process, under the given incarnation, may use tokens that
-// become active up to the uptime until. It never lowers the time. It returns an *Error
-// and allows no more than before if the disk does not take the record.
+// become active up to the uptime until. It never lowers the time. It opens the folder if
+// Open could not. It returns an *Error and allows no more than before if the disk does not
+// take the record.
 func (h *Horizon) Extend(incarnation uint64, until time.Duration) error {
 	if h.folder == nil {
-		return &Error{Op: "extend", Kind: Unwritten, Err: eris.New("the folder is not open")}
+		if err := h.Open(); h.folder == nil {
+			return &Error{Op: "extend", Kind: Unwritten, Err: eris.Wrap(err, "the folder is not open")}
+		}
 	}
 	h.mu.Lock()
 	next := Run{Incarnation: incarnation, Until: max(until, h.own.Until)}
--- a/kcw/kcwhorizon/horizon_test.go
+++ b/kcw/kcwhorizon/horizon_test.go
@@ -62,10 +62,25 @@
 
 func TestFailures(t *testing.T) {
 	var failure *kcwhorizon.Error
-	closed := kcwhorizon.New(kcwhorizon.Config{Folder: t.TempDir()})
-	if err := closed.Extend(1, time.Second); !errors.As(err, &failure) || failure.Kind != kcwhorizon.Unwritten {
+	// A file in place of the folder keeps it from being opened for some time.
+	place := filepath.Join(t.TempDir(), "router")
+	if err := os.WriteFile(place, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	late := kcwhorizon.New(kcwhorizon.Config{Folder: place})
+	if err := late.Open(); !errors.As(err, &failure) || failure.Kind != kcwhorizon.Unreadable {
+		t.Errorf("a folder that can't be opened: %v", err)
+	}
+	if err := late.Extend(1, time.Second); !errors.As(err, &failure) || failure.Kind != kcwhorizon.Unwritten {
 		t.Errorf("a record without a folder: %v", err)
 	}
+	if err := os.Remove(place); err != nil {
+		t.Fatal(err)
+	}
+	extend(t, late, 1, time.Second)
+	if err := late.Close(); err != nil {
+		t.Fatal(err)
+	}
 	folder := t.TempDir()
 	if err := os.WriteFile(filepath.Join(folder, "Horizon.json"), []byte("[{"), 0o600); err != nil {
 		t.Fatal(err)
