--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -18,6 +18,7 @@
 func newObserver(m *kcwmeter.Meter) func(kcwforward.Event) {
 	requests := m.Counter("kcw_router_requests", "Requests that ended, by service, outcome and status.")
 	sends := m.Counter("kcw_router_sends", "Attempts at upstreams, by service.")
+	cut := m.Counter("kcw_router_attempts_cut", "Last attempts of requests whose upstream closed the connection, by service and whether an answer had begun.")
 	used := m.Counter("kcw_router_tokens", "Tokens used, by team.")
 	firstByte := m.Histogram("kcw_router_first_byte", "Time until the first byte of an answer, by service.", "s", timeBounds...)
 	elapsed := m.Histogram("kcw_router_request", "Time until a request ended, by service.", "s", timeBounds...)
@@ -30,6 +31,9 @@
 		if e.FirstByte > 0 {
 			firstByte.Record(ctx, e.FirstByte.Seconds(), metric.WithAttributes(service))
 		}
+		if e.Cut {
+			cut.Add(ctx, 1, metric.WithAttributes(service, attribute.Bool("begun", e.Begun)))
+		}
 		if e.Used > 0 {
 			used.Add(ctx, e.Used, metric.WithAttributes(attribute.String("team", e.Team)))
 		}
@@ -47,13 +51,22 @@
 	klog.InfoS("Request ended", "Request", e.RequestID, "Outcome", e.Outcome, "Status", e.Status, "Cause", e.Cause,
 		"Route", e.Route, "Team", e.Team, "Service", e.Service, "Upstream", e.Upstream, "Sends", e.Sends,
 		"Elapsed", e.Elapsed.String(), "FirstByte", e.FirstByte.String(), "RetryAfter", e.RetryAfter.String(),
-		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used)
+		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used, "Cut", e.Cut, "Parts", loggedParts(e))
+}
+
+// loggedParts returns the parts of the prompt of a request whose upstream closed the
+// connection, and none for other requests.
+func loggedParts(e kcwforward.Event) []string {
+	if !e.Cut {
+		return nil
+	}
+	return e.Parts
 }
 
 // logRetry logs a failed attempt that is followed by another.
 func logRetry(e kcwforward.Event) {
 	klog.InfoS("Attempt failed", "Request", e.RequestID, "Cause", e.Cause, "Service", e.Service, "Upstream", e.Upstream,
-		"Sends", e.Sends, "ListAge", e.ListAge.String())
+		"Sends", e.Sends, "ListAge", e.ListAge.String(), "Cut", e.Cut, "Begun", e.Begun, "Parts", loggedParts(e))
 }
 
 // logWithdrawal logs an answer whose upstream declines further requests.
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -109,7 +109,7 @@
 func (c *call) parseHeader() error {
 	info, err := c.f.cfg.Dialect.ParseRequest(c.r, c.start)
 	c.request = info
-	c.event.RequestID = info.RequestID
+	c.event.RequestID, c.event.Parts = info.RequestID, info.Parts
 	if err != nil {
 		return err
 	}
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"kingcupwick.example/kcw/kcwconn"
@@ -60,6 +61,8 @@
 	// error that ended the attempt.
 	bodyStarted bool
 	err         error
+	// cut is set if the upstream closed the connection before the answer was whole.
+	cut bool
 }
 
 // do makes the attempt and returns how it ended.
@@ -182,6 +185,7 @@
 // its cause.
 func (a *attempt) endBroken(what string, err error) (result, kcwroster.Outcome) {
 	a.err = err
+	a.cut = isClosed(err)
 	a.cause = "upstream " + a.ticket.ID() + ": " + what + ": " + err.Error()
 	if !a.f.cfg.Now().Before(a.deadline) {
 		return expired, kcwroster.Neutral
@@ -195,6 +199,11 @@
 	return unknownRun, kcwroster.Failed
 }
 
+// isClosed reports whether err means that the peer has closed the connection.
+func isClosed(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // send writes the request, a large one in the background.
 func (a *attempt) send() error {
 	var head bytes.Buffer
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -38,6 +38,11 @@
 	// Prefix is the hash of the part of the prompt that is shared with other
 	// requests, zero if there is none.
 	Prefix uint64
+	// Parts identify the parts of the prompt that other requests may share, in order.
+	// Prompt identifies the last part, which belongs to the request or its session; it
+	// is empty if the request has no parts.
+	Parts  []string
+	Prompt string
 	// LastEventID identifies the last event of a stream that the caller received.
 	LastEventID string
 }
@@ -98,6 +103,11 @@
 	Outcome, Cause string
 	// Sends is the number of attempts.
 	Sends int
+	// Cut is set if the upstream closed the connection of the last attempt before its
+	// answer was whole, and Begun if a part of an answer had been passed on by then.
+	Cut, Begun bool
+	// Parts are those of RequestInfo.
+	Parts []string
 	// Elapsed is the time from the arrival of the request to its end, zero for a
 	// failed attempt. FirstByte is the time until a stream was started, or until
 	// another answer was read whole, zero if neither occurred.
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -67,6 +67,7 @@
 		a := &attempt{call: c, ticket: ticket, final: !c.mayRepeat(possibleRuns + 1)}
 		res := a.do()
 		c.event.Sends, c.event.Upstream = sends+1, ticket.ID()
+		c.event.Cut, c.event.Begun = a.cut, c.stream.started
 		lastCause = a.cause
 		if a.failedAnswer != nil {
 			lastFailure = a.failedAnswer
