--- /dev/null
+++ b/kcw-fleet/kcwcontrol/blocks_test.go
@@ -0,0 +1,209 @@
+package kcwcontrol
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kingcupwick.example/kcw-fleet/kcwsetup"
+	"kingcupwick.example/kcw/kcwallowance"
+	"kingcupwick.example/kcw/kcwblocklist"
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// keeperFixture is a blockKeeper whose proposals are applied at once.
+type keeperFixture struct {
+	*blockKeeper
+	t   *testing.T
+	now time.Time
+	// fails is set to refuse proposals.
+	fails     bool
+	proposals int
+	serial    int
+}
+
+const testTrialAfter = 10 * time.Minute
+
+func newKeeperFixture(t *testing.T, table *kcwallowance.Table) *keeperFixture {
+	t.Helper()
+	parts := kcwsetup.Parts{MinMoments: 3, MinPrompts: 3, Window: 10 * time.Minute}
+	keeper, err := newBlockKeeper("member", testTrialAfter, table, parts.Detector())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &keeperFixture{blockKeeper: keeper, t: t, now: time.Unix(1_700_000_000, 0)}
+	keeper.propose = func(_ context.Context, cmd *kcwpb.FleetCommand) (*kcwpb.FleetResult, error) {
+		f.proposals++
+		if f.fails {
+			return nil, errors.New("no quorum")
+		}
+		data, err := proto.Marshal(cmd)
+		if err != nil {
+			return nil, err
+		}
+		result := &kcwpb.FleetResult{}
+		return result, proto.Unmarshal(table.Apply(1, data), result)
+	}
+	return f
+}
+
+// report makes a report of the given router.
+func (f *keeperFixture) report(router string, req *kcwpb.FleetSyncRequest) (*kcwpb.FleetSyncResponse, error) {
+	req.Allowances = &kcwpb.SyncAllowances{Router: router}
+	response := &kcwpb.FleetSyncResponse{}
+	err := f.sync(context.Background(), req, response, f.now)
+	return response, err
+}
+
+// crash reports that a prompt with the deadly part was cut, and answers to others.
+func (f *keeperFixture) crash(router string) {
+	f.t.Helper()
+	f.serial++
+	n := strconv.Itoa(f.serial)
+	evidence := &kcwpb.PartEvidence{
+		Cuts:    []*kcwpb.CutAttempt{{Request: n, Upstream: "u" + n, Prompt: n, Parts: []string{"class", "deadly"}}},
+		Begun:   []*kcwpb.BegunPart{{Part: "class", Answers: 200}},
+		Answers: 200,
+	}
+	if _, err := f.report(router, &kcwpb.FleetSyncRequest{Evidence: evidence}); err != nil {
+		f.t.Error(err)
+	}
+	f.now = f.now.Add(300 * time.Millisecond)
+}
+
+// block brings the deadly part to be blocked.
+func (f *keeperFixture) block() {
+	f.t.Helper()
+	for i := range 3 {
+		f.crash("r" + strconv.Itoa(i))
+	}
+	f.now = f.now.Add(time.Second)
+	if response, err := f.report("r0", &kcwpb.FleetSyncRequest{}); err != nil || blockKeys(response.GetBlocks()) != "deadly" {
+		f.t.Fatalf("got %v, %v", response, err)
+	}
+}
+
+func blockKeys(blocks []*kcwpb.PartBlock) string {
+	var keys []string
+	for _, b := range blocks {
+		keys = append(keys, kcwblocklist.Key(b))
+	}
+	return strings.Join(keys, " ")
+}
+
+func TestFleetDecides(t *testing.T) {
+	table := kcwallowance.New()
+	f := newKeeperFixture(t, table)
+	f.block()
+	response, err := f.report("r9", &kcwpb.FleetSyncRequest{BlocksVersion: 1})
+	if err != nil || response.GetBlocksVersion() != 1 || len(response.GetBlocks()) > 0 || response.GetCollector() != f.collector {
+		t.Errorf("a router with the newest blocks gets %v, %v", response, err)
+	}
+	for range 20 {
+		f.crash("r1")
+	}
+	if f.proposals != 1 {
+		t.Errorf("%d proposals for one decision", f.proposals)
+	}
+	// Another leader has the decision, and none of the evidence.
+	next := newKeeperFixture(t, table)
+	if response, err := next.report("r9", &kcwpb.FleetSyncRequest{}); err != nil || blockKeys(response.GetBlocks()) != "deadly" || response.GetCollector() == f.collector {
+		t.Errorf("another leader answers %v, %v", response, err)
+	}
+}
+
+func TestLocalBlocksAreCommitted(t *testing.T) {
+	f := newKeeperFixture(t, kcwallowance.New())
+	local := []*kcwpb.PartBlock{{Parts: []string{"a"}}, {Parts: []string{"a", "b"}}}
+	f.fails = true
+	if _, err := f.report("r", &kcwpb.FleetSyncRequest{LocalBlocks: local}); err == nil {
+		t.Error("a report whose blocks are not committed is acknowledged")
+	}
+	f.fails = false
+	if response, err := f.report("r", &kcwpb.FleetSyncRequest{LocalBlocks: local}); err != nil || blockKeys(response.GetBlocks()) != "a" {
+		t.Errorf("got %v, %v", response, err)
+	}
+}
+
+func TestDamagedReport(t *testing.T) {
+	for _, req := range []*kcwpb.FleetSyncRequest{
+		{LocalBlocks: []*kcwpb.PartBlock{{}}},
+		{Evidence: &kcwpb.PartEvidence{Cuts: []*kcwpb.CutAttempt{{Request: "r"}}}},
+	} {
+		if checkEvidence(req) == nil {
+			t.Errorf("%v: no error", req)
+		}
+	}
+	if err := checkEvidence(&kcwpb.FleetSyncRequest{}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestTrials(t *testing.T) {
+	begun := func() *kcwpb.PartEvidence {
+		return &kcwpb.PartEvidence{Begun: []*kcwpb.BegunPart{{Part: "deadly", Answers: 1}}, Answers: 1}
+	}
+	grant := func(f *keeperFixture, after time.Duration, want string) {
+		t.Helper()
+		f.now = f.now.Add(after)
+		response, err := f.report("r", &kcwpb.FleetSyncRequest{})
+		if err != nil || blockKeys(response.GetTrials()) != want {
+			t.Errorf("after %v: trials %q, %v; want %q", after, blockKeys(response.GetTrials()), err, want)
+		}
+	}
+	f := newKeeperFixture(t, kcwallowance.New())
+	f.block()
+	grant(f, time.Second, "")
+	grant(f, testTrialAfter, "deadly")
+	grant(f, time.Second, "")
+	grant(f, trialTimeout, "deadly")
+	f.crash("r")
+	grant(f, testTrialAfter, "")
+	grant(f, trialFactor*testTrialAfter, "deadly")
+	f.now = f.now.Add(time.Second)
+	if response, err := f.report("r", &kcwpb.FleetSyncRequest{Evidence: begun()}); err != nil || response.GetBlocksVersion() != 3 || len(response.GetBlocks()) > 0 {
+		t.Errorf("after a trial that succeeded: got %v, %v", response, err)
+	}
+
+	// A part that fails each trial costs a bounded number of upstreams.
+	f = newKeeperFixture(t, kcwallowance.New())
+	f.block()
+	trials := 0
+	for range 20_000 {
+		f.now = f.now.Add(time.Minute)
+		response, err := f.report("r", &kcwpb.FleetSyncRequest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(response.GetTrials()) > 0 {
+			trials++
+			f.crash("r")
+		}
+		if response.GetBlocksVersion() != 1 && len(response.GetBlocks()) == 0 {
+			break
+		}
+	}
+	if blocks, _ := f.table.Blocks(); trials != maxTrials || len(blocks) > 0 {
+		t.Errorf("%d trials, want %d, and %d blocks in the end", trials, maxTrials, len(blocks))
+	}
+}
+
+func TestLift(t *testing.T) {
+	f := newKeeperFixture(t, kcwallowance.New())
+	f.block()
+	if err := f.lift(context.Background(), []string{"other"}); !errors.Is(err, errNoBlock) {
+		t.Errorf("got %v", err)
+	}
+	if err := f.lift(context.Background(), []string{"deadly"}); err != nil {
+		t.Error(err)
+	}
+	f.now = f.now.Add(time.Second)
+	if response, err := f.report("r", &kcwpb.FleetSyncRequest{}); err != nil || len(response.GetBlocks()) > 0 {
+		t.Errorf("blocked again: %v, %v", response, err)
+	}
+}
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -120,8 +120,12 @@
 	if err != nil {
 		return err
 	}
+	blocks, err := newBlockKeeper(s.Host.Name, s.Parts.TrialAfter, table, s.Parts.Detector())
+	if err != nil {
+		return err
+	}
 	m.service = &service{
-		group: group, table: table, stamper: stamper,
+		group: group, table: table, stamper: stamper, blocks: blocks,
 		pacer: &sendPacer{bytesPerSecond: kcwsetup.BytesPerSecond(s.Host.LinkMbps)},
 		list: &listReader{cfg: listConfig{
 			Lister: m.cfg.Lister, Name: s.Host.Name + "/" + time.Now().String(), Interval: s.List.Interval,
@@ -132,6 +136,7 @@
 		client:  m.client,
 		routers: map[string]contact{},
 	}
+	blocks.propose = m.service.propose
 	return nil
 }
 
@@ -205,6 +210,10 @@
 	gauge("kcw_control_term", "Term of the replicated log.", func() int64 { return int64(group.Status().GetTerm()) })
 	gauge("kcw_control_commit", "Highest committed index.", func() int64 { return int64(group.Status().GetCommit()) })
 	gauge("kcw_control_document", "Version of the newest document.", func() int64 { return int64(m.service.table.Version()) })
+	gauge("kcw_control_blocks", "Sets of prompt parts that are refused because they crash upstreams.", func() int64 {
+		blocks, _ := m.service.table.Blocks()
+		return int64(len(blocks))
+	})
 	gauge("kcw_control_disk_full", "Whether this member waits for room on its disk, 0 or 1.", func() int64 {
 		if group.Full() {
 			return 1
--- a/kcw-fleet/kcwcontrol/operator.go
+++ b/kcw-fleet/kcwcontrol/operator.go
@@ -31,10 +31,14 @@
 	decode   func([]byte) (*kcwroute.Document, error)
 }
 
-// ServeHTTP handles GET and PUT of the configuration.
+// ServeHTTP handles GET and PUT of the configuration, and calls at BlocksPath.
 func (o *operator) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), o.settings.Group.PutTimeout)
 	defer cancel()
+	if r.URL.Path == BlocksPath {
+		o.serveBlocks(ctx, w, r)
+		return
+	}
 	switch r.Method {
 	case http.MethodPut:
 		o.put(ctx, w, r)
@@ -60,7 +64,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if o.redirectToLeader(w) {
+	if o.redirectToLeader(w, r) {
 		return
 	}
 	put, err := pack(document, body)
@@ -127,8 +131,8 @@
 
 // get answers with the newest document, once a quorum has confirmed that this
 // member leads.
-func (o *operator) get(ctx context.Context, w http.ResponseWriter, _ *http.Request) {
-	if o.redirectToLeader(w) {
+func (o *operator) get(ctx context.Context, w http.ResponseWriter, r *http.Request) {
+	if o.redirectToLeader(w, r) {
 		return
 	}
 	if err := o.group.Confirm(ctx); err != nil {
@@ -155,7 +159,7 @@
 // redirectToLeader redirects the operator to the leader if that is another member, or
 // answers with status 503 if none is known. It returns false, without an answer, if
 // this member leads.
-func (o *operator) redirectToLeader(w http.ResponseWriter) bool {
+func (o *operator) redirectToLeader(w http.ResponseWriter, r *http.Request) bool {
 	status := o.group.Status()
 	if status.GetId() != 0 && status.GetLeader() == status.GetId() {
 		return false
@@ -164,18 +168,22 @@
 	if err != nil || !o.group.Fresh() {
 		leader = netip.AddrPort{}
 	}
-	redirect(w, leader, o.settings.Host.Address.Port())
+	redirect(w, r, leader, o.settings.Host.Address.Port())
 	return true
 }
 
 // redirect redirects an operator to the given port on the leader's host, or answers
 // with status 503 if leader is not valid.
-func redirect(w http.ResponseWriter, leader netip.AddrPort, port uint16) {
+func redirect(w http.ResponseWriter, r *http.Request, leader netip.AddrPort, port uint16) {
 	if !leader.IsValid() {
 		unavailable(w, errNoLeader.Error())
 		return
 	}
-	w.Header().Set("Location", "http://"+netip.AddrPortFrom(leader.Addr(), port).String()+ConfigurationPath)
+	path := ConfigurationPath
+	if r.URL.Path == BlocksPath {
+		path = r.URL.RequestURI()
+	}
+	w.Header().Set("Location", "http://"+netip.AddrPortFrom(leader.Addr(), port).String()+path)
 	w.WriteHeader(http.StatusTemporaryRedirect)
 }
 
--- a/kcw-fleet/kcwcontrol/redirect.go
+++ b/kcw-fleet/kcwcontrol/redirect.go
@@ -73,7 +73,7 @@
 		http.Error(w, "the document can't be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	redirect(w, r.locate(req.Context()), r.settings.Host.Address.Port())
+	redirect(w, req, r.locate(req.Context()), r.settings.Host.Address.Port())
 }
 
 // refusal returns the answer to a call that only the leader handles.
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -40,6 +40,7 @@
 	client  *kcwcore.Client
 	stamper *stamper
 	pacer   *sendPacer
+	blocks  *blockKeeper
 
 	// mu guards routers and the planner.
 	mu sync.Mutex
@@ -65,6 +66,9 @@
 	if report == nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the call has no report"))
 	}
+	if err := checkEvidence(req.Msg); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	stamp, steps := s.stamper.stamp()
 	report.Stamp = stamp
 	result, err := s.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_SyncAllowances{SyncAllowances: report}})
@@ -96,6 +100,9 @@
 		response.List, response.ListAgeNanos = list, max(1, int64(age))
 	}
 	response.Core = memberAddresses(s.group.Status())
+	if err := s.blocks.sync(ctx, req.Msg, response, now); err != nil {
+		return nil, s.refusal(err)
+	}
 	return connect.NewResponse(response), nil
 }
 
--- /dev/null
+++ b/kcw-fleet/kcwguard/guard.go
@@ -0,0 +1,276 @@
+// Package kcwguard connects a router of a document-driven fleet with the detection of
+// prompt parts that crash upstreams. It collects the router's evidence for the core and
+// for other routers, and holds the blocks in force.
+package kcwguard
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw/kcwblocklist"
+	"kingcupwick.example/kcw/kcwdetector"
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// trialPermit is how long a router may use its permission to send one request with blocked
+// parts. The core waits longer before it gives the next one.
+const trialPermit = 20 * time.Second
+
+// Config configures a Guard. Every field is needed.
+type Config struct {
+	// Router is this router's name.
+	Router   string
+	Detector kcwdetector.Config
+	Now      func() time.Time
+}
+
+// Guard holds a router's evidence and its blocks. It is safe for concurrent use. Lock
+// order: mu before the locks of the detector and the block list.
+type Guard struct {
+	cfg      Config
+	detector *kcwdetector.Detector
+	blocks   *kcwblocklist.Blocklist
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// pending is the evidence that the core has not acknowledged, sent the part of it that
+	// is in the report under way.
+	pending, sent evidence
+	// collector is the core's process that has the evidence acknowledged so far.
+	collector uint64
+}
+
+// evidence is a router's evidence since the last report.
+type evidence struct {
+	cuts    []kcwdetector.Cut
+	begun   map[string]begun
+	answers uint32
+}
+
+// begun describes the answers that have begun on prompts with a part.
+type begun struct {
+	answers uint32
+	last    time.Time
+}
+
+// New returns a Guard without blocks. The error is an *kcwdetector.Error.
+func New(cfg Config) (*Guard, error) {
+	detector, err := kcwdetector.New(cfg.Detector)
+	if err != nil {
+		return nil, err
+	}
+	return &Guard{cfg: cfg, detector: detector, blocks: kcwblocklist.New()}, nil
+}
+
+// Admit implements kcwforward.PartGuard.
+func (g *Guard) Admit(parts []string) (blocked []string, isTrial bool) {
+	block, isTrial := g.blocks.Admit(parts, g.cfg.Now())
+	if isTrial {
+		klog.InfoS("Blocked parts are tried", "Parts", block.GetParts(), "DecidedAt", time.Unix(0, block.GetDecidedAt()), "FailedTrials", block.GetFailedTrials())
+	}
+	return block.GetParts(), isTrial
+}
+
+// Match implements kcwforward.PartGuard.
+func (g *Guard) Match(parts []string) (blocked []string) { return g.blocks.Match(parts).GetParts() }
+
+// Begin implements kcwforward.PartGuard.
+func (g *Guard) Begin(parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	now := g.cfg.Now()
+	g.detector.Begin(parts, now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pending.answers++
+	for _, part := range parts {
+		g.pending.begin(part, begun{1, now})
+	}
+}
+
+func (e *evidence) begin(part string, b begun) {
+	if e.begun == nil {
+		e.begun = map[string]begun{}
+	}
+	before, found := e.begun[part]
+	if !found && len(e.begun) == kcwdetector.MaxBegunInMessage {
+		return
+	}
+	b.answers += before.answers
+	if before.last.After(b.last) {
+		b.last = before.last
+	}
+	e.begun[part] = b
+}
+
+// Cut implements kcwforward.PartGuard.
+func (g *Guard) Cut(cut kcwdetector.Cut) {
+	if len(cut.Parts) == 0 {
+		return
+	}
+	g.detector.Cut(cut)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pending.cut(cut)
+}
+
+// cut adds a cut. If there are as many as fit into a message, it drops the earliest.
+func (e *evidence) cut(cut kcwdetector.Cut) {
+	if len(e.cuts) == kcwdetector.MaxCutsInMessage {
+		e.cuts = e.cuts[1:]
+	}
+	e.cuts = append(e.cuts, cut)
+}
+
+// Report adds to a report to the core the evidence that the core does not have, the version
+// of the blocks, and those decided without the core. EndReport must follow.
+func (g *Guard) Report(req *kcwpb.FleetSyncRequest) {
+	now := g.cfg.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sent, g.pending = g.pending, evidence{}
+	if len(g.sent.cuts) > 0 || g.sent.answers > 0 {
+		req.Evidence = g.sent.encode(now)
+	}
+	req.BlocksVersion, _ = g.blocks.Core()
+	req.LocalBlocks = g.blocks.Local()
+}
+
+func (e *evidence) encode(now time.Time) *kcwpb.PartEvidence {
+	message := &kcwpb.PartEvidence{Answers: e.answers}
+	for _, c := range e.cuts {
+		message.Cuts = append(message.Cuts, c.Encode(now))
+	}
+	for part, b := range e.begun {
+		message.Begun = append(message.Begun, &kcwpb.BegunPart{Part: part, Answers: b.answers, AgeNanos: max(0, int64(now.Sub(b.last)))})
+	}
+	return message
+}
+
+// EndReport applies the core's answer to the last report. The response is nil if there was
+// no answer; the evidence of the report is then sent again.
+func (g *Guard) EndReport(req *kcwpb.FleetSyncRequest, response *kcwpb.FleetSyncResponse) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if response == nil {
+		g.restore(g.sent)
+		return
+	}
+	if collector := response.GetCollector(); collector != g.collector {
+		g.collector = collector
+		// Another process collects now, and it has none of the earlier evidence.
+		for _, c := range g.detector.Cuts(g.cfg.Now()) {
+			g.pending.cut(c)
+		}
+	}
+	g.blocks.DropLocal(req.GetLocalBlocks())
+	if response.GetBlocksVersion() != req.GetBlocksVersion() {
+		g.setCore(response.GetBlocksVersion(), response.GetBlocks())
+	}
+	for _, block := range response.GetTrials() {
+		g.blocks.AllowTrial(block, g.cfg.Now().Add(trialPermit))
+	}
+}
+
+// restore puts evidence that was not acknowledged back before the evidence since.
+func (g *Guard) restore(e evidence) {
+	since := g.pending
+	g.pending = evidence{cuts: e.cuts, begun: maps.Clone(e.begun), answers: e.answers + since.answers}
+	for _, c := range since.cuts {
+		g.pending.cut(c)
+	}
+	for part, b := range since.begun {
+		g.pending.begin(part, b)
+	}
+}
+
+// setCore puts the core's blocks in force and logs the changes.
+func (g *Guard) setCore(version uint64, blocks []*kcwpb.PartBlock) {
+	added, removed := g.blocks.SetCore(version, blocks)
+	for _, block := range added {
+		logBlock("Parts blocked", "Core", version, block)
+	}
+	for _, block := range removed {
+		if g.blocks.Match(block.GetParts()) != nil {
+			continue // A block of fewer parts has replaced it.
+		}
+		// The evidence must not lead to the same decision again.
+		g.detector.Forget(block.GetParts())
+		logBlock("Parts no longer blocked", "Core", version, block)
+	}
+}
+
+func logBlock(message, source string, version uint64, block *kcwpb.PartBlock) {
+	klog.InfoS(message, "Parts", block.GetParts(), "Source", source, "BlocksVersion", version, "DecidedBy", block.GetDecidedBy(),
+		"DecidedAt", time.Unix(0, block.GetDecidedAt()), "Moments", block.GetMoments(), "Prompts", block.GetPrompts(),
+		"EndedUpstreams", block.GetUpstreams(), "CutRequests", block.GetRequests())
+}
+
+// DecideAlone decides on the evidence that this router has. It is called while the router
+// can't reach the core.
+func (g *Guard) DecideAlone() {
+	if !g.detector.HasCuts() {
+		return
+	}
+	now := g.cfg.Now()
+	for _, block := range g.detector.Decide(now) {
+		block.DecidedAt, block.DecidedBy = now.UnixNano(), g.cfg.Router
+		if g.blocks.AddLocal(block) {
+			logBlock("Parts blocked", "Router", 0, block)
+		}
+	}
+}
+
+// State returns what this router knows, for another router.
+func (g *Guard) State() *kcwpb.PartState {
+	state := &kcwpb.PartState{LocalBlocks: g.blocks.Local()}
+	state.BlocksVersion, state.Blocks = g.blocks.Core()
+	if g.detector.HasCuts() {
+		state.Evidence = g.detector.Export(g.cfg.Now())
+	}
+	return state
+}
+
+// MergeState merges what another router knows. Cuts that were not known are reported to
+// the core too, which that router may not reach. The error is an *kcwdetector.Error of
+// kind Malformed if the state is damaged; nothing is merged then.
+func (g *Guard) MergeState(state *kcwpb.PartState) error {
+	for _, blocks := range [][]*kcwpb.PartBlock{state.GetBlocks(), state.GetLocalBlocks()} {
+		for _, block := range blocks {
+			if err := kcwdetector.CheckParts(block.GetParts()); err != nil {
+				return err
+			}
+		}
+	}
+	added, err := g.detector.Merge(state.GetEvidence(), g.cfg.Now())
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range added {
+		g.pending.cut(c)
+	}
+	if version, _ := g.blocks.Core(); state.GetBlocksVersion() > version {
+		g.setCore(state.GetBlocksVersion(), state.GetBlocks())
+	}
+	for _, block := range state.GetLocalBlocks() {
+		if g.blocks.AddLocal(block) {
+			logBlock("Parts blocked", "OtherRouter", 0, block)
+		}
+	}
+	return nil
+}
+
+// Blocks returns the blocks in force: the core's, and those decided without it.
+func (g *Guard) Blocks() []*kcwpb.PartBlock {
+	_, blocks := g.blocks.Core()
+	return append(g.blocks.Local(), blocks...)
+}
+
+// Suspects returns the parts that this router suspects.
+func (g *Guard) Suspects() []kcwdetector.Suspect { return g.detector.Suspects(g.cfg.Now()) }
--- a/kcw-fleet/kcwrouter/dump.go
+++ b/kcw-fleet/kcwrouter/dump.go
@@ -7,6 +7,8 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwdetector"
+	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwroster"
 )
 
@@ -21,13 +23,17 @@
 	Core         netip.AddrPort
 	Teams        []kcwbalance.Team
 	Upstreams    []kcwroster.Upstream
+	// Blocks are the sets of prompt parts that are refused, and Suspects the parts that
+	// this router suspects.
+	Blocks   []*kcwpb.PartBlock
+	Suspects []kcwdetector.Suspect
 }
 
 func (r *Router) dump() dump {
 	d := dump{
 		Router: r.cfg.Settings.Host.Name, Zone: r.cfg.Settings.Host.Zone, Incarnation: r.reporter.currentIncarnation(),
 		ListedAt: r.roster.ListedAt(), InFlight: r.forwarder.InFlight(), Draining: r.stop.Load() != nil,
-		Core: r.client.Leader(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(),
+		Core: r.client.Leader(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(), Blocks: r.guard.Blocks(), Suspects: r.guard.Suspects(),
 	}
 	if document := r.reporter.document.Load(); document != nil {
 		d.Document = document.Version
@@ -43,6 +49,10 @@
 		func(observe func(int64, ...attribute.KeyValue)) { observe(r.memory.Held()) })
 	r.meter.Gauge("kcw_router_log_dropped", "Log lines dropped because the queue was full.",
 		func(observe func(int64, ...attribute.KeyValue)) { observe(r.cfg.Dropped()) })
+	r.meter.Gauge("kcw_router_blocks", "Sets of prompt parts that are refused because they crash upstreams.",
+		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(len(r.guard.Blocks()))) })
+	r.meter.Gauge("kcw_router_suspects", "Prompt parts that this router suspects of crashing upstreams.",
+		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(len(r.guard.Suspects()))) })
 	r.meter.Gauge("kcw_router_document", "Version of the configuration in force.",
 		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(r.dump().Document)) })
 }
--- a/kcw-fleet/kcwrouter/reporter.go
+++ b/kcw-fleet/kcwrouter/reporter.go
@@ -12,6 +12,7 @@
 
 	"kingcupwick.example/kcw-fleet/kcwcontrol"
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwguard"
 	"kingcupwick.example/kcw-fleet/kcwlending"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw-fleet/kcwsharing"
@@ -32,6 +33,7 @@
 	sharing  *kcwsharing.Sharing
 	balance  *kcwbalance.Balance
 	roster   *kcwroster.Roster
+	guard    *kcwguard.Guard
 	decode   func([]byte) (*kcwroute.Document, error)
 	uptime   *kcwuptime.Clock
 	// record is nil on a host without a disk.
@@ -160,8 +162,12 @@
 	if document := p.document.Load(); document != nil {
 		req.DocumentVersion = document.Version
 	}
+	p.guard.Report(req)
 	response, err := p.call(ctx, req)
-	p.recordOutcome(sentAt, err)
+	p.guard.EndReport(req, response)
+	if isLost := p.recordOutcome(sentAt, err); isLost {
+		p.guard.DecideAlone()
+	}
 	if err == nil {
 		p.applyResponse(response, report)
 	}
@@ -176,9 +182,9 @@
 	return p.client.Sync(ctx, req)
 }
 
-// recordOutcome records the outcome of the report sent at sentAt. It logs when the core
-// is lost or answers again.
-func (p *reporter) recordOutcome(sentAt time.Time, err error) {
+// recordOutcome records the outcome of the report sent at sentAt, and returns whether the
+// core counts as lost. It logs when the core is lost or answers again.
+func (p *reporter) recordOutcome(sentAt time.Time, err error) (isLost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil {
@@ -187,12 +193,13 @@
 		}
 		p.coreLost = false
 		p.answeredAt = sentAt
-		return
+		return false
 	}
 	if !p.coreLost && sentAt.Sub(p.answeredAt) > coreLostAfter {
 		p.coreLost = true
 		klog.InfoS("Core lost", "Cause", err.Error(), "LastHeardAt", p.answeredAt)
 	}
+	return p.coreLost
 }
 
 // coreLostAfter is the time without an answer from any member after which the core
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -15,6 +15,7 @@
 
 	"kingcupwick.example/kcw-fleet/kcwcontrol"
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwguard"
 	"kingcupwick.example/kcw-fleet/kcwlending"
 	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
@@ -98,6 +99,7 @@
 	balance     *kcwbalance.Balance
 	record      *recordKeeper
 	roster      *kcwroster.Roster
+	guard       *kcwguard.Guard
 	link        *kcwlink.Link
 	memory      *kcwmemory.Account
 	reporter    *reporter
@@ -128,19 +130,22 @@
 	}
 	r.newBalance(uptime)
 	r.roster = newRoster(s)
+	if r.guard, err = kcwguard.New(kcwguard.Config{Router: s.Host.Name, Detector: s.Parts.Detector(), Now: time.Now}); err != nil {
+		return nil, err
+	}
 	const megabyte = 1 << 20
 	r.memory = kcwmemory.New(int64(requestMemoryFraction * s.Host.MemoryMB * megabyte))
 	r.link = kcwlink.New(kcwlink.Config{BytesPerSecond: kcwsetup.BytesPerSecond(s.Host.LinkMbps), TimeConstant: linkAveragingTime})
 	r.lending = kcwlending.New(kcwlending.Config{Router: s.Host.Name, Balance: r.balance, Timeout: s.Grants.LendTimeout, Now: time.Now})
 	r.shareCaller = kcwsharing.NewCaller(s.Grants.LendTimeout)
 	r.sharing = kcwsharing.New(kcwsharing.Config{
-		Read: r.readList, Call: r.shareCaller.Call, Rand: newRand(), Now: time.Now,
+		Read: r.readList, Call: r.shareCaller.Call, Parts: r.guard, Rand: newRand(), Now: time.Now,
 		Apply: func(list []*kcwpb.UpstreamRecord, readAt time.Time, source kcwsharing.Source) {
 			r.reporter.applyOtherList(list, readAt, source)
 		},
 	})
 	r.reporter = &reporter{
-		settings: s, client: r.client, lending: r.lending, sharing: r.sharing, balance: r.balance, roster: r.roster, decode: cfg.Decode,
+		settings: s, client: r.client, lending: r.lending, sharing: r.sharing, balance: r.balance, roster: r.roster, guard: r.guard, decode: cfg.Decode,
 		uptime: uptime, record: r.record, incarnation: uint64(time.Now().UnixNano()),
 		round: newRound(), wake: make(chan struct{}, 1), answeredAt: time.Now(),
 	}
@@ -201,7 +206,7 @@
 	s := r.cfg.Settings
 	return kcwforward.New(kcwforward.Config{
 		Dialect: r.cfg.Dialect, Document: r.reporter.document.Load, Roster: r.roster, Balance: r.balance, Link: r.link,
-		RequestTokens: r.reporter.requestReport, BorrowTokens: r.lending.Acquire, TokenTimeout: s.Grants.AskTimeout,
+		RequestTokens: r.reporter.requestReport, BorrowTokens: r.lending.Acquire, Guard: r.guard, TokenTimeout: s.Grants.AskTimeout,
 		RetryRatio: retryFraction * s.Retry.Ratio, RetrySlack: int(retryFraction * s.Retry.Slack), Routers: func() int { return int(r.reporter.routers.Load()) },
 		Memory: r.memory, MaxHeadBytes: int64(s.Limits.MaxHeaderBytes),
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 	"time"
 
+	"kingcupwick.example/kcw/kcwdetector"
 	"kingcupwick.example/kcw/kcwsettings"
 )
 
@@ -20,6 +21,7 @@
 	Limits   Limits
 	Upstream Upstream
 	List     List
+	Parts    Parts
 }
 
 // RouterHost holds a router's name, addresses and host resources.
@@ -161,12 +163,54 @@
 	Timeout time.Duration `default:"500ms" setting:"min=10ms,max=1m"`
 }
 
+// Parts configures when requests are refused because parts of their prompts crash
+// upstreams. Routers use these settings while they can't reach the core.
+type Parts struct {
+	// MinMoments and MinPrompts are at how many separate moments, and on how many
+	// different prompts, upstreams must have ended. With one prompt less, twice as many
+	// moments are enough. The numbers are low because each further end costs an upstream.
+	MinMoments int `default:"3" setting:"min=2,max=1000"`
+	MinPrompts int `default:"3" setting:"min=2,max=1000"`
+	// Window is how long an end of an upstream counts.
+	Window time.Duration `default:"10m" setting:"min=1s,max=24h"`
+	// TrialAfter is the time until one request with the parts is sent again. After each
+	// failed trial it is several times as long.
+	TrialAfter time.Duration `default:"10m" setting:"min=1s,max=24h"`
+}
+
+// Fixed parameters of the detection of parts that crash upstreams.
+const (
+	// partMomentSpan covers the spread of the ends of upstreams that have one cause.
+	partMomentSpan = 100 * time.Millisecond
+	// partEndSpan is shorter than the restart of an upstream.
+	partEndSpan = time.Second
+	// partSettle covers the report of a router and the time until it reaches the core.
+	partSettle = 400 * time.Millisecond
+	// partMinAnswers is the number of answers to other prompts without which a part is
+	// not told from an outage of all upstreams.
+	partMinAnswers = 10
+	// partMaxChance leaves less than one wrong block a day at a thousand prompts a
+	// second, since it applies to the few that are cut.
+	partMaxChance = 1e-6
+	maxParts      = 16384
+	maxPartCuts   = 1024
+)
+
+// Detector returns the configuration of a detector of parts that crash upstreams.
+func (p *Parts) Detector() kcwdetector.Config {
+	return kcwdetector.Config{
+		MinMoments: p.MinMoments, MomentSpan: partMomentSpan, EndSpan: partEndSpan, MinUpstreams: p.MinMoments, MinPrompts: p.MinPrompts, MaxChance: partMaxChance,
+		MinAnswers: partMinAnswers, Settle: partSettle, Window: p.Window, MaxParts: maxParts, MaxCuts: maxPartCuts,
+	}
+}
+
 // Control holds the settings in the INI file of a member of the core.
 type Control struct {
 	Host  ControlHost
 	Group Group
 	List  List
 	Stop  Stop
+	Parts Parts
 }
 
 // ControlHost holds a member's name, addresses and host resources.
--- a/kcw-fleet/kcwsharing/sharing.go
+++ b/kcw-fleet/kcwsharing/sharing.go
@@ -52,8 +52,18 @@
 	Apply func(list []*kcwpb.UpstreamRecord, readAt time.Time, source Source)
 	// Call requests the list of another router; Caller.Call does so over the network.
 	Call func(ctx context.Context, router netip.AddrPort, req *kcwpb.ShareListRequest) (*kcwpb.ShareListResponse, error)
-	Rand *rand.Rand
-	Now  func() time.Time
+	// Parts is exchanged along with the list.
+	Parts parts
+	Rand  *rand.Rand
+	Now   func() time.Time
+}
+
+// parts is what a router knows of prompt parts that crash upstreams.
+type parts interface {
+	// State returns what this router knows.
+	State() *kcwpb.PartState
+	// MergeState merges what another router knows. The error states what is damaged.
+	MergeState(state *kcwpb.PartState) error
 }
 
 // Sharing holds the newest list that a router has received. It is safe for concurrent
@@ -107,7 +117,12 @@
 
 // ShareList answers the request of another router.
 func (s *Sharing) ShareList(_ context.Context, req *connect.Request[kcwpb.ShareListRequest]) (*connect.Response[kcwpb.ShareListResponse], error) {
-	return connect.NewResponse(s.Respond(req.Msg)), nil
+	if err := s.cfg.Parts.MergeState(req.Msg.GetParts()); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	response := s.Respond(req.Msg)
+	response.Parts = s.cfg.Parts.State()
+	return connect.NewResponse(response), nil
 }
 
 // Respond returns the answer to another router: the age of the list, and the list itself
@@ -161,12 +176,16 @@
 	req := &kcwpb.ShareListRequest{Digest: s.digest, AgeNanos: int64(s.cfg.Now().Sub(s.readAt))}
 	current := s.list
 	s.mu.Unlock()
+	req.Parts = s.cfg.Parts.State()
 	began := s.cfg.Now()
 	response, err := s.cfg.Call(ctx, router, req)
 	if err != nil {
 		klog.V(kcwlog.DebugVerbosity).InfoS("Router did not share its list", "Address", router, "Cause", err.Error())
 		return false
 	}
+	if err := s.cfg.Parts.MergeState(response.GetParts()); err != nil {
+		klog.InfoS("State of prompt parts refused", "Address", router, "Cause", err.Error())
+	}
 	if age := response.GetAgeNanos(); age <= 0 || age >= req.GetAgeNanos() {
 		return false
 	}
--- a/kcw/kcwallowance/image.go
+++ b/kcw/kcwallowance/image.go
@@ -82,6 +82,7 @@
 		image.Retired = append(image.Retired, &kcwpb.TeamBudget{Team: team, Prepaid: t.budgets[team].retired})
 	}
 	image.Epoch = t.epoch
+	image.Blocks, image.BlocksVersion = t.blocks, t.blocksVersion
 	for _, c := range t.claims {
 		record := &kcwpb.FleetClaim{From: c.shift.from, To: c.shift.to, Shift: c.shift.amount}
 		for _, team := range slices.Sorted(maps.Keys(c.unused)) {
@@ -113,6 +114,7 @@
 	defer t.mu.Unlock()
 	t.document, t.routers, t.budgets = next.document, next.routers, next.budgets
 	t.epoch, t.claims = next.epoch, next.claims
+	t.blocks, t.blocksVersion = next.blocks, next.blocksVersion
 	return nil
 }
 
@@ -133,6 +135,7 @@
 		}
 	}
 	t.epoch = image.GetEpoch()
+	t.blocks, t.blocksVersion = image.GetBlocks(), image.GetBlocksVersion()
 	for _, c := range image.GetClocks() {
 		if r := t.routers[c.GetRouter()]; r != nil {
 			r.clock.lag, r.clock.epoch = c.GetLag(), c.GetEpoch()
--- a/kcw/kcwallowance/table.go
+++ b/kcw/kcwallowance/table.go
@@ -1,6 +1,7 @@
 // Package kcwallowance implements the state machine of a core that is configured
-// by documents. The state is the newest configuration document and the number of
-// prepaid tokens that each router incarnation may use.
+// by documents. The state is the newest configuration document, the number of
+// prepaid tokens that each router incarnation may use, and the sets of prompt parts
+// that are refused because they crash upstreams.
 //
 // For each incarnation and team the state holds two totals that never decrease:
 // tokens granted and tokens returned. Tokens are granted only while the sum of
@@ -76,6 +77,10 @@
 	// epoch counts how often a leader's time of day was set.
 	epoch  uint64
 	claims []claim
+	// blocks are the sets of prompt parts that are refused. blocksVersion counts their
+	// changes.
+	blocks        []*kcwpb.PartBlock
+	blocksVersion uint64
 }
 
 // New returns an empty table.
@@ -108,6 +113,8 @@
 		return encode(t.putDocument(op.PutDocument))
 	case *kcwpb.FleetCommand_SyncAllowances:
 		return encode(t.sync(op.SyncAllowances))
+	case *kcwpb.FleetCommand_PutBlocks:
+		return encode(t.putBlocks(op.PutBlocks))
 	}
 	return encode(&kcwpb.FleetResult{Code: kcwpb.Code_CODE_INVALID, Detail: "the operation is not known"})
 }
@@ -138,6 +145,24 @@
 	return &kcwpb.FleetResult{Code: kcwpb.Code_CODE_OK, Version: put.GetVersion()}
 }
 
+// putBlocks replaces the blocks if put is based on the current ones. Otherwise it changes
+// nothing.
+func (t *Table) putBlocks(put *kcwpb.PutBlocks) *kcwpb.FleetResult {
+	if put.GetBase() != t.blocksVersion {
+		return &kcwpb.FleetResult{Code: kcwpb.Code_CODE_REPEATED, Version: t.document.GetVersion()}
+	}
+	t.blocks = put.GetBlocks()
+	t.blocksVersion++
+	return &kcwpb.FleetResult{Code: kcwpb.Code_CODE_OK, Version: t.document.GetVersion()}
+}
+
+// Blocks returns the sets of prompt parts that are refused, and their version.
+func (t *Table) Blocks() (blocks []*kcwpb.PartBlock, version uint64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.blocks, t.blocksVersion
+}
+
 func (t *Table) budget(team string) *budget {
 	b := t.budgets[team]
 	if b == nil {
--- a/kcw/kcwallowance/table_test.go
+++ b/kcw/kcwallowance/table_test.go
@@ -264,3 +264,46 @@
 		t.Errorf("a damaged image gives error %v and version %d", err, restored.Version())
 	}
 }
+
+// TestBlocks checks that blocks replace those that they are based on, and outlast a
+// snapshot.
+func TestBlocks(t *testing.T) {
+	putBlocks := func(base uint64, parts ...string) *kcwpb.FleetCommand {
+		op := &kcwpb.PutBlocks{Base: base}
+		for _, part := range parts {
+			op.Blocks = append(op.Blocks, &kcwpb.PartBlock{Parts: []string{part}})
+		}
+		return &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_PutBlocks{PutBlocks: op}}
+	}
+	table := kcwallowance.New()
+	for _, test := range []struct {
+		command *kcwpb.FleetCommand
+		code    kcwpb.Code
+		blocks  int
+		version uint64
+	}{
+		{putBlocks(0, "a"), kcwpb.Code_CODE_OK, 1, 1},
+		{putBlocks(0, "b", "c", "d"), kcwpb.Code_CODE_REPEATED, 1, 1},
+		{putBlocks(1, "a", "b"), kcwpb.Code_CODE_OK, 2, 2},
+		{putBlocks(1), kcwpb.Code_CODE_REPEATED, 2, 2},
+	} {
+		result := apply(t, table, test.command)
+		if blocks, version := table.Blocks(); result.GetCode() != test.code || len(blocks) != test.blocks || version != test.version {
+			t.Errorf("%v: got %v, %d blocks, version %d", test.command, result.GetCode(), len(blocks), version)
+		}
+	}
+	var image bytes.Buffer
+	if err := table.Freeze()(&image); err != nil {
+		t.Fatal(err)
+	}
+	restored := kcwallowance.New()
+	if err := restored.Restore(&image); err != nil {
+		t.Fatal(err)
+	}
+	if blocks, version := restored.Blocks(); len(blocks) != 2 || version != 2 || blocks[1].GetParts()[0] != "b" {
+		t.Errorf("restored: got %v, version %d", blocks, version)
+	}
+	if result := apply(t, restored, putBlocks(2)); result.GetCode() != kcwpb.Code_CODE_OK {
+		t.Errorf("after the restore: got %v", result.GetCode())
+	}
+}
--- /dev/null
+++ b/kcw/kcwdetector/evidence.go
@@ -0,0 +1,121 @@
+package kcwdetector
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"kingcupwick.example/kcw/kcwpb"
+)
+
+// MaxCutsInMessage and MaxBegunInMessage bound the evidence in one message.
+const (
+	MaxCutsInMessage  = 256
+	MaxBegunInMessage = 4096
+)
+
+const (
+	// maxParts bounds the parts of one prompt, and maxNameBytes each name in a message.
+	maxParts     = 16
+	maxNameBytes = 128
+)
+
+// Encode returns the message for a cut. Its age is that at now.
+func (c *Cut) Encode(now time.Time) *kcwpb.CutAttempt {
+	return &kcwpb.CutAttempt{Request: c.Request, Upstream: c.Upstream, Prompt: c.Prompt, Parts: c.Parts, AgeNanos: max(0, int64(now.Sub(c.At)))}
+}
+
+// Cuts returns the cuts within the window at now, in the order of their times.
+func (d *Detector) Cuts(now time.Time) []Cut {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	var cuts []Cut
+	for _, c := range d.cuts {
+		cuts = append(cuts, c.Cut)
+	}
+	return cuts
+}
+
+// Export returns the latest cuts that the detector holds, from all sources, and the
+// answers that have begun on their parts.
+func (d *Detector) Export(now time.Time) *kcwpb.PartEvidence {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	evidence := &kcwpb.PartEvidence{}
+	exported := map[string]bool{}
+	for _, c := range d.cuts[max(0, len(d.cuts)-MaxCutsInMessage):] {
+		evidence.Cuts = append(evidence.Cuts, c.Encode(now))
+		for _, part := range c.Parts {
+			h, found := d.parts.Peek(part)
+			if !found || exported[part] || len(evidence.Begun) == MaxBegunInMessage {
+				continue
+			}
+			exported[part] = true
+			// The count stays with the host that took it, so that an exchange in a circle
+			// does not raise it.
+			evidence.Begun = append(evidence.Begun, &kcwpb.BegunPart{Part: part, AgeNanos: max(0, int64(now.Sub(h.last)))})
+		}
+	}
+	return evidence
+}
+
+// Merge adds evidence from another host that was received at now. It returns the cuts that
+// were not known. The error is an *Error of kind Malformed if any of it is damaged; nothing
+// is added then.
+func (d *Detector) Merge(evidence *kcwpb.PartEvidence, now time.Time) ([]Cut, error) {
+	if err := Check(evidence); err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var added []Cut
+	for _, m := range evidence.GetCuts() {
+		age := time.Duration(m.GetAgeNanos())
+		c := Cut{Request: m.GetRequest(), Upstream: m.GetUpstream(), Prompt: m.GetPrompt(), Parts: m.GetParts(), At: now.Add(-age)}
+		if age <= d.cfg.Window && d.addCut(c) {
+			added = append(added, c)
+		}
+	}
+	d.addAnswers(uint64(evidence.GetAnswers()), now)
+	for _, b := range evidence.GetBegun() {
+		d.begin(b.GetPart(), uint64(b.GetAnswers()), now.Add(-time.Duration(b.GetAgeNanos())))
+	}
+	return added, nil
+}
+
+// Check returns an *Error of kind Malformed if evidence from another host is damaged.
+func Check(evidence *kcwpb.PartEvidence) error {
+	if len(evidence.GetCuts()) > MaxCutsInMessage || len(evidence.GetBegun()) > MaxBegunInMessage {
+		return malformed("there are " + strconv.Itoa(len(evidence.GetCuts())) + " cuts and " + strconv.Itoa(len(evidence.GetBegun())) + " parts")
+	}
+	for _, c := range evidence.GetCuts() {
+		if c.GetAgeNanos() < 0 || !isName(c.GetUpstream()) || !isName(c.GetRequest()) || len(c.GetPrompt()) > maxNameBytes {
+			return malformed("a cut attempt has no valid request, upstream, prompt or age")
+		}
+		if err := CheckParts(c.GetParts()); err != nil {
+			return err
+		}
+	}
+	for _, b := range evidence.GetBegun() {
+		if b.GetAgeNanos() < 0 || !isName(b.GetPart()) {
+			return malformed("a part has no valid name or age")
+		}
+	}
+	return nil
+}
+
+// CheckParts returns an *Error of kind Malformed unless there are parts, within the
+// bounds of a message.
+func CheckParts(parts []string) error {
+	if len(parts) == 0 || len(parts) > maxParts || slices.ContainsFunc(parts, func(part string) bool { return !isName(part) }) {
+		return malformed("a set of parts is empty, too large or has an invalid name")
+	}
+	return nil
+}
+
+// isName reports whether text can be a name in a message.
+func isName(text string) bool { return text != "" && len(text) <= maxNameBytes }
+
+func malformed(detail string) error { return &Error{Op: "merge", Kind: Malformed, Detail: detail} }
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"kingcupwick.example/kcw/kcwbalance"
@@ -60,8 +61,10 @@
 	reservedTokens int64
 	// mayHaveRun is set if an upstream may have run the request.
 	mayHaveRun bool
-	stream     streamProgress
-	event      Event
+	// isTrial is set if the request tests whether a blocked part still crashes upstreams.
+	isTrial bool
+	stream  streamProgress
+	event   Event
 }
 
 // refusal is the router's own answer to a request that no upstream has run.
@@ -96,6 +99,9 @@
 	if refusal := c.authenticate(); refusal != nil {
 		return refusal
 	}
+	if refusal := c.checkParts(); refusal != nil {
+		return refusal
+	}
 	c.service = c.document.Service(c.route.ChooseService(c.f.randomFloat()))
 	c.event.Service = c.service.Name
 	if refusal := c.readBody(); refusal != nil {
@@ -150,6 +156,28 @@
 	return nil
 }
 
+// checkParts refuses a request whose prompt has parts that crash upstreams. The status
+// tells the caller that the request itself is the cause, so that it is not sent again.
+func (c *call) checkParts() *refusal {
+	blocked, isTrial := c.f.cfg.Guard.Admit(c.request.Parts)
+	c.isTrial = isTrial
+	if blocked == nil || isTrial {
+		return nil
+	}
+	return &refusal{status: blockedStatus, outcome: blockedOutcome, cause: blockedCause(blocked)}
+}
+
+const (
+	// blockedStatus and blockedOutcome are the status and the outcome of a request that is
+	// refused for the parts of its prompt.
+	blockedStatus  = http.StatusBadRequest
+	blockedOutcome = "PartBlocked"
+)
+
+func blockedCause(parts []string) string {
+	return "requests with these parts of the prompt crash upstreams: " + strings.Join(parts, ", ")
+}
+
 // readBody reads the whole body into memory, so that it can be sent again.
 func (c *call) readBody() *refusal {
 	limit := c.f.cfg.MaxBodyBytes
--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -69,6 +69,9 @@
 		a.cause = "upstream " + a.ticket.ID() + " failed the request with status " + strconv.Itoa(answer.status)
 		return failedRun, kcwroster.Failed
 	}
+	if isSuccess {
+		a.begin()
+	}
 	answer.write(a.call)
 	return delivered, kcwroster.Succeeded
 }
@@ -155,6 +158,7 @@
 			return a.endBrokenStream(callerErr)
 		}
 		if size := completeEventsSize(buffer); size > 0 {
+			a.begin()
 			if n > 0 {
 				a.ticket.DataReceived()
 			}
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"kingcupwick.example/kcw/kcwconn"
+	"kingcupwick.example/kcw/kcwdetector"
 	"kingcupwick.example/kcw/kcwroster"
 )
 
@@ -61,8 +62,9 @@
 	// error that ended the attempt.
 	bodyStarted bool
 	err         error
-	// cut is set if the upstream closed the connection before the answer was whole.
-	cut bool
+	// cut is set if the upstream closed the connection before the answer was whole, and
+	// begun once an event of the answer, or all of another answer, has arrived.
+	cut, begun bool
 }
 
 // do makes the attempt and returns how it ended.
@@ -90,9 +92,22 @@
 		}
 	}
 	a.ticket.Done(outcome)
+	if res == unknownRun && a.cut && !a.begun && a.waitWritten() {
+		a.f.cfg.Guard.Cut(kcwdetector.Cut{
+			Request: a.request.RequestID, Upstream: a.ticket.ID(), Prompt: a.request.Prompt, Parts: a.request.Parts, At: a.f.cfg.Now(),
+		})
+	}
 	return res
 }
 
+// begin records that the answer has begun.
+func (a *attempt) begin() {
+	if !a.begun {
+		a.begun = true
+		a.f.cfg.Guard.Begin(a.request.Parts)
+	}
+}
+
 // onCallerGone ends the attempt because the caller has disconnected. If tokens are
 // reserved for the request, it closes only the writing side and waits up to
 // callerGoneTimeout for the upstream's reaction, which shows whether the request ran:
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 	"kingcupwick.example/kcw/kcwbalance"
 	"kingcupwick.example/kcw/kcwbreaker"
 	"kingcupwick.example/kcw/kcwconn"
+	"kingcupwick.example/kcw/kcwdetector"
 	"kingcupwick.example/kcw/kcwforward"
 	"kingcupwick.example/kcw/kcwgrant"
 	"kingcupwick.example/kcw/kcwlink"
@@ -39,7 +41,7 @@
 type dialect struct{}
 
 func (dialect) ParseRequest(r *http.Request, now time.Time) (kcwforward.RequestInfo, error) {
-	info := kcwforward.RequestInfo{RequestID: r.Header.Get("Attempt"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last")}
+	info := kcwforward.RequestInfo{RequestID: r.Header.Get("Attempt"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last"), Parts: strings.Fields(r.Header.Get("Parts")), Prompt: r.Header.Get("Prompt-Part")}
 	if ms, err := strconv.Atoi(r.Header.Get("Wait")); err == nil {
 		info.Deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
@@ -116,13 +118,61 @@
 	events   []kcwforward.Event
 	// retries counts the calls of OnRetry.
 	retries int
+	guard   *guard
+}
+
+// guard is a PartGuard that refuses prompts with given parts and keeps what it is told.
+type guard struct {
+	mu sync.Mutex
+	// blocked are the parts whose prompts are refused. After the first cut, those in
+	// blockedAfterCut are refused too.
+	blocked, blockedAfterCut []string
+	// trials is the number of requests that are admitted nevertheless.
+	trials int
+	begun  [][]string
+	cuts   []kcwdetector.Cut
+}
+
+func (g *guard) Admit(parts []string) (blocked []string, isTrial bool) {
+	blocked = g.Match(parts)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if blocked == nil || g.trials == 0 {
+		return blocked, false
+	}
+	g.trials--
+	return blocked, true
+}
+
+func (g *guard) Match(parts []string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range parts {
+		if slices.Contains(g.blocked, part) {
+			return []string{part}
+		}
+	}
+	return nil
+}
+
+func (g *guard) Begin(parts []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.begun = append(g.begun, parts)
+}
+
+func (g *guard) Cut(cut kcwdetector.Cut) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cuts = append(g.cuts, cut)
+	g.blocked = append(g.blocked, g.blockedAfterCut...)
 }
 
 // newFixture starts a forwarder and upstreams that call script for each request. Each
 // connection stays open unless script closes it.
 func newFixture(t *testing.T, upstreams int, route kcwroute.Route, script func(e *exchange)) *fixture {
 	t.Helper()
-	f := &fixture{memory: kcwmemory.New(4 * maxBodyBytes)}
+	f := &fixture{memory: kcwmemory.New(4 * maxBodyBytes), guard: &guard{}}
 	roster := newRoster()
 	var entries []kcwroster.Entry
 	for i := range upstreams {
@@ -146,6 +196,7 @@
 	f.forwarder, err = kcwforward.New(kcwforward.Config{
 		Dialect: dialect{}, Document: func() *kcwroute.Document { return document }, Roster: roster, Balance: f.balance,
 		BorrowTokens: func(context.Context, string, int64) bool { return false },
+		Guard:        f.guard,
 		Memory:       f.memory, MaxHeadBytes: 1 << 16,
 		Link:          kcwlink.New(kcwlink.Config{TimeConstant: time.Second}),
 		RequestTokens: func(context.Context) bool { return false }, TokenTimeout: time.Second,
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwdetector"
 	"kingcupwick.example/kcw/kcwlatency"
 	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwmemory"
@@ -94,6 +95,20 @@
 	RetryAfter(d time.Duration) string
 }
 
+// PartGuard refuses requests whose prompts have parts that crash upstreams, and is told how
+// attempts go.
+type PartGuard interface {
+	// Admit returns the parts for which a request with these parts is refused, nil for
+	// none. If isTrial is set, the request may be sent once nevertheless.
+	Admit(parts []string) (blocked []string, isTrial bool)
+	// Match is like Admit for a request that is under way already and is no trial.
+	Match(parts []string) (blocked []string)
+	// Begin records that the answer to a prompt with these parts has begun.
+	Begin(parts []string)
+	// Cut records an attempt whose upstream closed the connection before that.
+	Cut(cut kcwdetector.Cut)
+}
+
 // Event describes the end of a request, or a failed attempt, for logs and metrics.
 type Event struct {
 	RequestID, Route, Team, Service string
@@ -143,6 +158,7 @@
 	// BorrowTokens borrows tokens of a team from other routers, for when the core
 	// does not answer. It reports whether there may be enough tokens now.
 	BorrowTokens func(ctx context.Context, team string, tokens int64) bool
+	Guard        PartGuard
 	// TokenTimeout bounds one call of RequestTokens or BorrowTokens.
 	TokenTimeout time.Duration
 	// RetryRatio and RetrySlack bound the retries to one service: all routers
@@ -222,7 +238,7 @@
 // field is missing or not positive. New does not check TokenTimeout, RetryRatio,
 // RetrySlack and UsedWithin; ServeHTTP panics if RetryRatio is not in (0, 1].
 func New(cfg Config) (*Forwarder, error) {
-	complete := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil && cfg.Link != nil && cfg.Memory != nil && cfg.MaxHeadBytes > 0 &&
+	complete := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil && cfg.Link != nil && cfg.Guard != nil && cfg.Memory != nil && cfg.MaxHeadBytes > 0 &&
 		cfg.RequestTokens != nil && cfg.BorrowTokens != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.OnEnd != nil && cfg.OnRetry != nil && cfg.OnWithdrawal != nil && cfg.Rand != nil && cfg.Now != nil
 	if !complete || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.SilenceCheckInterval <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -24,6 +24,8 @@
 	callerGone
 	// expired: the deadline of the request has passed.
 	expired
+	// blocked: the prompt has parts that crash upstreams.
+	blocked
 )
 
 // maxExtraSends is the number of attempts allowed beyond the route's maximum after an
@@ -52,6 +54,10 @@
 			c.finish(expired, lastFailure, "the time of the request is over; "+lastCause)
 			return
 		}
+		if parts := c.f.cfg.Guard.Match(c.request.Parts); parts != nil && !(c.isTrial && sends == 0) {
+			c.finish(blocked, lastFailure, blockedCause(parts))
+			return
+		}
 		if connected > 0 && !retryBudget.TryWithdraw() {
 			c.finish(notRun, lastFailure, "no retries are left; "+lastCause)
 			return
@@ -123,6 +129,9 @@
 	case lastFailure != nil:
 		c.event.Outcome = "UpstreamFailed"
 		lastFailure.write(c)
+	case res == blocked:
+		c.event.Outcome = blockedOutcome
+		c.fail(blockedStatus, cause)
 	case res == expired && c.mayHaveRun:
 		c.event.Outcome = "Expired"
 		c.fail(http.StatusGatewayTimeout, cause)
