kcwforward: a close-delimited stream without events has broken off

Other positions were right already. TestCloseDelimitedStream cuts a stream at each byte; before the change "cut at 0: got 200, "" and error <nil>, want a broken stream".

--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -172,7 +172,9 @@
 		case err == nil:
 		case err != io.EOF:
 			return a.endBrokenStream(err)
-		case len(buffer) > 0:
+		case len(buffer) > 0 || !a.stream.started && isCloseDelimited(response):
+			// An empty stream that ends with its connection can't be told from one that
+			// broke off before its first event.
 			return a.endBrokenStream(io.ErrUnexpectedEOF)
 		default:
 			a.reusable = !response.Close
@@ -182,6 +184,12 @@
 	}
 }
 
+// isCloseDelimited reports whether only the end of the connection ends the answer (RFC 9112,
+// section 6.3).
+func isCloseDelimited(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // initialBufferBytes is the initial size of a stream's buffer in bytes, enough for
 // several events.
 const initialBufferBytes = 4 << 10
