kcwforward: reset the connection of an HTTP/1.0 caller whose stream breaks off

To an HTTP/1.0 caller an answer ends with its connection, so that a stream that broke off between two events looked whole. Its connection is reset now. TestOldCallerSeesBrokenStream failed before: "whole false: got one event, <nil>".

--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -1,6 +1,7 @@
 package kcwforward
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -125,6 +126,7 @@
 		c.event.Outcome = "StreamBroken"
 		// Closing the connection without the end of the stream shows the caller that
 		// the answer is incomplete.
+		c.resetOldCaller()
 		panic(http.ErrAbortHandler)
 	case lastFailure != nil:
 		c.event.Outcome = "UpstreamFailed"
@@ -143,6 +145,23 @@
 	}
 }
 
+// resetOldCaller resets the connection of an HTTP/1.0 caller, to which the end of a
+// connection is the end of an answer.
+func (c *call) resetOldCaller() {
+	if c.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		return // The connection is closed already.
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Linger fails only on a connection that is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // notRunRefusal returns the refusal of a request that no upstream has run. If all
 // upstreams have declined requests for a time, Retry-After is the time until the first
 // of them accepts requests again.
