kcwforward: do not repeat a request whose answer exceeds a limit

An answer or an event above its limit, or above the memory that the router's requests may hold together, is as large at another upstream; the request ran again there, and each upstream counted as failed, also where the router's own memory was full. Such an attempt is not repeated now, and a full memory is not the upstream's failure.

--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -14,6 +14,7 @@
 
 	"kingcupwick.example/kcw/kcwconn"
 	"kingcupwick.example/kcw/kcwdetector"
+	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwroster"
 )
 
@@ -205,6 +206,12 @@
 	if !a.f.cfg.Now().Before(a.deadline) {
 		return expired, kcwroster.Neutral
 	}
+	switch {
+	case isMemoryFull(err):
+		return oversized, kcwroster.Neutral
+	case isTooLarge(err):
+		return oversized, kcwroster.Failed
+	}
 	var headTooLarge *kcwconn.Error
 	if a.conn.Reused && !errors.Is(err, errSilent) && !errors.As(err, &headTooLarge) {
 		// The upstream may have closed the idle connection before the request
@@ -214,6 +221,19 @@
 	return unknownRun, kcwroster.Failed
 }
 
+// isMemoryFull reports whether err means that the requests of this router hold all memory
+// that they may.
+func isMemoryFull(err error) bool {
+	var memory *kcwmemory.Error
+	return errors.Is(err, errMemoryFull) || errors.As(err, &memory) && memory.Kind != kcwmemory.TooLarge
+}
+
+// isTooLarge reports whether err means that an answer or an event exceeds its limit.
+func isTooLarge(err error) bool {
+	var memory *kcwmemory.Error
+	return errors.Is(err, errEventTooLarge) || errors.As(err, &memory) && memory.Kind == kcwmemory.TooLarge
+}
+
 // isClosed reports whether err means that the peer has closed the connection.
 func isClosed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
--- a/kcw/kcwforward/endless_test.go
+++ b/kcw/kcwforward/endless_test.go
@@ -159,3 +159,46 @@
 		t.Error("the request was forwarded")
 	}
 }
+
+// TestOversizedAnswerIsNotRepeated checks that a request whose answer exceeds a limit is
+// sent to one upstream only.
+func TestOversizedAnswerIsNotRepeated(t *testing.T) {
+	const tooLarge = 2 << 20
+	body := strings.Repeat("x", tooLarge)
+	for _, test := range []struct {
+		name   string
+		route  kcwroute.Route
+		script func(e *exchange)
+	}{
+		{"answer", repeatable, func(e *exchange) { e.answer(200, "", body) }},
+		{"failure", repeatable, func(e *exchange) { e.answer(500, "", body) }},
+		{"event", resumable, func(e *exchange) { e.events(true, "data: "+body+"\n\n") }},
+	} {
+		f := newFixture(t, 3, test.route, test.script)
+		response, _, err := f.call(t, http.MethodPost, "")
+		if err != nil || response.StatusCode != http.StatusBadGateway || f.arrivals() != 1 {
+			t.Errorf("%s: got %v, error %v after %d sends, want status 502 after one", test.name, response, err, f.arrivals())
+		}
+	}
+}
+
+// TestFullMemoryIsNotRepeated checks that a router without memory for an answer does not
+// request it from further upstreams, nor count their answers as failures.
+func TestFullMemoryIsNotRepeated(t *testing.T) {
+	const size = 900 << 10
+	body := strings.Repeat("x", size)
+	f := newFixture(t, 3, repeatable, func(e *exchange) { e.answer(200, "", body) })
+	limit := int64(4 * maxBodyBytes)
+	if !f.memory.TryAcquire(limit - size/2) {
+		t.Fatal("memory is held before the first request")
+	}
+	const calls = 5
+	for range calls {
+		if response, _, err := f.call(t, http.MethodPost, ""); err != nil || response.StatusCode != http.StatusBadGateway {
+			t.Errorf("got %v, %v", response, err)
+		}
+	}
+	if got := f.arrivals(); got != calls {
+		t.Errorf("%d requests were sent %d times", calls, got)
+	}
+}
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -23,6 +23,9 @@
 	failedRun
 	// callerGone: the caller disconnected.
 	callerGone
+	// oversized: the answer exceeds what the router may hold, as it would at another
+	// upstream.
+	oversized
 	// expired: the deadline of the request has passed.
 	expired
 	// blocked: the prompt has parts that crash upstreams.
