--- a/kcw-fleet/kcwguard/guard_test.go
+++ b/kcw-fleet/kcwguard/guard_test.go
@@ -23,7 +23,7 @@
 	name   string
 }
 
-func newRouter(t *testing.T, name string) *router {
+func newRouter(t testing.TB, name string) *router {
 	t.Helper()
 	r := &router{now: time.Unix(1_700_000_000, 0), name: name}
 	parts := kcwsetup.Parts{MinMoments: 3, MinPrompts: 3, Window: 10 * time.Minute, TrialAfter: 10 * time.Minute}
