kcwdetector: decide on two prompts after four ends

BUDGET allows three requests after the fifth end; another prompt, tried twice and sent again by its caller, would have made four. Two prompts need four moments now.

--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -167,8 +167,8 @@
 // upstreams. Routers use these settings while they can't reach the core.
 type Parts struct {
 	// MinMoments and MinPrompts are at how many separate moments, and on how many
-	// different prompts, upstreams must have ended. With one prompt less, twice as many
-	// moments are enough. The numbers are low because each further end costs an upstream.
+	// different prompts, upstreams must have ended. With one prompt less, one moment more
+	// is needed. The numbers are low because each further end costs an upstream.
 	MinMoments int `default:"3" setting:"min=2,max=1000"`
 	MinPrompts int `default:"3" setting:"min=2,max=1000"`
 	// Window is how long an end of an upstream counts.
--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -42,7 +42,7 @@
 	// different routers arrive with different delays.
 	EndSpan time.Duration
 	// MinUpstreams and MinPrompts are the numbers of different upstreams and prompts
-	// that must have been cut. With one prompt less, twice as many moments are enough.
+	// that must have been cut. With one prompt less, one moment more is needed.
 	MinUpstreams, MinPrompts int
 	// MaxChance is the largest probability that all attempts of a part's prompts were cut
 	// by chance, by ends of upstreams that have nothing to do with them. The more attempts
@@ -458,7 +458,7 @@
 	case s.Prompts < d.cfg.MinPrompts-1:
 		return false
 	case s.Prompts < d.cfg.MinPrompts:
-		minMoments *= 2
+		minMoments++
 	}
 	return s.Moments >= minMoments+bits.Len64(s.Answers) && s.Upstreams >= d.cfg.MinUpstreams && s.othersBegun >= uint64(d.cfg.MinAnswers)
 }
