kcwguard: send a new collector the answers counted so far

Routers sent the new leader their cuts, but not the answers that had begun: nearly all attempts seemed to be cut, so that three or seven moments could be chance. A new collector gets the answers of the last minute and those on the parts of cut prompts as well. TestNewLeaderDecidesOnEarlierEvidence failed before (no block).

--- a/kcw-fleet/kcwcontrol/blocks_test.go
+++ b/kcw-fleet/kcwcontrol/blocks_test.go
@@ -10,9 +10,11 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"kingcupwick.example/kcw-fleet/kcwguard"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwallowance"
 	"kingcupwick.example/kcw/kcwblocklist"
+	"kingcupwick.example/kcw/kcwdetector"
 	"kingcupwick.example/kcw/kcwpb"
 )
 
@@ -207,3 +209,63 @@
 		t.Errorf("blocked again: %v, %v", response, err)
 	}
 }
+
+// TestNewLeaderDecidesOnEarlierEvidence checks that a leader that takes over decides on the
+// cuts and the answers that routers have reported to the one before.
+func TestNewLeaderDecidesOnEarlierEvidence(t *testing.T) {
+	table := kcwallowance.New()
+	before, after := newKeeperFixture(t, table), newKeeperFixture(t, table)
+	parts := kcwsetup.Parts{MinMoments: 3, MinPrompts: 3, Window: 10 * time.Minute}
+	now := before.now
+	guard, err := kcwguard.New(kcwguard.Config{Router: "r", Detector: parts.Detector(), Now: func() time.Time { return now }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	report := func(f *keeperFixture) {
+		t.Helper()
+		now = now.Add(250 * time.Millisecond)
+		f.now = now
+		req := &kcwpb.FleetSyncRequest{}
+		guard.Report(req)
+		response, err := f.report("r", req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		guard.EndReport(req, response)
+	}
+	serial := 0
+	cut := func(parts ...string) {
+		serial++
+		n := strconv.Itoa(serial)
+		guard.Cut(kcwdetector.Cut{Request: n, Upstream: "u" + n, Prompt: n, Parts: parts, At: now})
+	}
+	for i := range 40 {
+		for range 50 {
+			guard.Begin([]string{"class", "subject" + strconv.Itoa(i)})
+		}
+		if i%4 == 0 {
+			cut("class", "rare"+strconv.Itoa(i))
+		}
+		report(before)
+	}
+	cut("class", "deadly")
+	report(before)
+	cut("class", "deadly")
+	report(before)
+	for range 3 {
+		guard.Begin([]string{"class"})
+		report(after)
+	}
+	cut("class", "deadly")
+	report(after)
+	cut("class", "deadly")
+	for range 3 {
+		for range 5 {
+			guard.Begin([]string{"class"})
+		}
+		report(after)
+	}
+	if blocks, _ := table.Blocks(); blockKeys(blocks) != "deadly" {
+		t.Errorf("got %q", blockKeys(blocks))
+	}
+}
--- a/kcw-fleet/kcwguard/guard.go
+++ b/kcw-fleet/kcwguard/guard.go
@@ -39,8 +39,10 @@
 	// pending is the evidence that the core has not acknowledged, sent the part of it that
 	// is in the report under way.
 	pending, sent evidence
-	// collector is the core's process that has the evidence acknowledged so far.
-	collector uint64
+	// collector is the core's process that has the evidence acknowledged so far. If
+	// startsAnew is set, another one has taken over and gets all evidence.
+	collector  uint64
+	startsAnew bool
 }
 
 // evidence is a router's evidence since the last report.
@@ -133,7 +135,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sent, g.pending = g.pending, evidence{}
-	if len(g.sent.cuts) > 0 || g.sent.answers > 0 {
+	switch {
+	case g.startsAnew:
+		// This includes the pending evidence, except for parts that no cut has.
+		req.Evidence = g.detector.ExportAll(now)
+	case len(g.sent.cuts) > 0 || g.sent.answers > 0:
 		req.Evidence = g.sent.encode(now)
 	}
 	req.BlocksVersion, _ = g.blocks.Core()
@@ -160,13 +166,8 @@
 		g.restore(g.sent)
 		return
 	}
-	if collector := response.GetCollector(); collector != g.collector {
-		g.collector = collector
-		// Another process collects now, and it has none of the earlier evidence.
-		for _, c := range g.detector.Cuts(g.cfg.Now()) {
-			g.pending.cut(c)
-		}
-	}
+	g.startsAnew = response.GetCollector() != g.collector
+	g.collector = response.GetCollector()
 	g.blocks.DropLocal(req.GetLocalBlocks())
 	if response.GetBlocksVersion() != req.GetBlocksVersion() {
 		g.setCore(response.GetBlocksVersion(), response.GetBlocks())
--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -343,18 +343,24 @@
 // shareCut estimates the share of recent attempts that were cut, apart from the cuts that
 // are marked, by Laplace's rule of succession.
 func (d *Detector) shareCut(marks []bool, now time.Time) float64 {
-	cuts, begun := 0.0, 0.0
+	cuts, begun := 0.0, float64(d.recentAnswers(now))
 	for i, c := range d.cuts {
 		if now.Sub(c.At) < rateSeconds*time.Second && !marks[i] {
 			cuts++
 		}
 	}
+	return (cuts + 1) / (cuts + begun + 2)
+}
+
+// recentAnswers returns the number of answers that began in the last rateSeconds.
+func (d *Detector) recentAnswers(now time.Time) uint64 {
+	n := uint64(0)
 	for _, bin := range d.recent {
 		if now.Unix()-bin.second < rateSeconds {
-			begun += float64(bin.answers)
+			n += bin.answers
 		}
 	}
-	return (cuts + 1) / (cuts + begun + 2)
+	return n
 }
 
 // expire drops the cuts older than the window.
--- a/kcw/kcwdetector/detector_test.go
+++ b/kcw/kcwdetector/detector_test.go
@@ -307,7 +307,7 @@
 		d.Cut(kcwdetector.Cut{Request: n, Upstream: "u" + n, Prompt: n, Parts: []string{"a" + n, "b" + n}, At: start})
 		d.Begin([]string{"c" + n, "d" + n}, start)
 	}
-	if n := len(d.Cuts(start)); n != config().MaxCuts {
+	if n := len(d.Export(start).GetCuts()); n != config().MaxCuts {
 		t.Errorf("%d cuts are kept, want %d", n, config().MaxCuts)
 	}
 	if d.CutSince([]string{"a0"}, start) {
--- a/kcw/kcwdetector/evidence.go
+++ b/kcw/kcwdetector/evidence.go
@@ -25,25 +25,26 @@
 	return &kcwpb.CutAttempt{Request: c.Request, Upstream: c.Upstream, Prompt: c.Prompt, Parts: c.Parts, AgeNanos: max(0, int64(now.Sub(c.At)))}
 }
 
-// Cuts returns the cuts within the window at now, in the order of their times.
-func (d *Detector) Cuts(now time.Time) []Cut {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.expire(now)
-	var cuts []Cut
-	for _, c := range d.cuts {
-		cuts = append(cuts, c.Cut)
+// Export returns, for another router, the latest cuts that the detector holds, from all
+// sources, and when answers last began on their parts. It has no numbers of answers, which
+// an exchange in a circle would raise.
+func (d *Detector) Export(now time.Time) *kcwpb.PartEvidence {
+	evidence := d.ExportAll(now)
+	evidence.Answers = 0
+	for _, b := range evidence.GetBegun() {
+		b.Answers = 0
 	}
-	return cuts
+	return evidence
 }
 
-// Export returns the latest cuts that the detector holds, from all sources, and the
-// answers that have begun on their parts.
-func (d *Detector) Export(now time.Time) *kcwpb.PartEvidence {
+// ExportAll returns, for a process that collects the evidence of all routers anew, what
+// Export does and the numbers of answers that this host has counted: on the parts, and in
+// the time over which the share of cut attempts is taken.
+func (d *Detector) ExportAll(now time.Time) *kcwpb.PartEvidence {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
-	evidence := &kcwpb.PartEvidence{}
+	evidence := &kcwpb.PartEvidence{Answers: uint32(d.recentAnswers(now))}
 	exported := map[string]bool{}
 	for _, c := range d.cuts[max(0, len(d.cuts)-MaxCutsInMessage):] {
 		evidence.Cuts = append(evidence.Cuts, c.Encode(now))
@@ -53,9 +54,7 @@
 				continue
 			}
 			exported[part] = true
-			// The count stays with the host that took it, so that an exchange in a circle
-			// does not raise it.
-			evidence.Begun = append(evidence.Begun, &kcwpb.BegunPart{Part: part, AgeNanos: max(0, int64(now.Sub(h.last)))})
+			evidence.Begun = append(evidence.Begun, &kcwpb.BegunPart{Part: part, Answers: uint32(h.answers), AgeNanos: max(0, int64(now.Sub(h.last)))})
 		}
 	}
 	return evidence
@@ -70,6 +69,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.addAnswers(uint64(evidence.GetAnswers()), now)
 	var added []Cut
 	for _, m := range evidence.GetCuts() {
 		age := time.Duration(m.GetAgeNanos())
@@ -78,7 +78,6 @@
 			added = append(added, c)
 		}
 	}
-	d.addAnswers(uint64(evidence.GetAnswers()), now)
 	for _, b := range evidence.GetBegun() {
 		d.begin(b.GetPart(), uint64(b.GetAnswers()), now.Add(-time.Duration(b.GetAgeNanos())))
 	}
