--- a/kcw-fleet/kcwcontrol/blocks.go
+++ b/kcw-fleet/kcwcontrol/blocks.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// decideInterval is the minimum time between two decisions on the evidence.
+	// decideInterval is the minimum time between two decisions on the evidence, and
+	// calmInterval that when no attempt has been cut for as long.
 	decideInterval = 100 * time.Millisecond
+	calmInterval   = 2 * time.Second
 	// maxBlocks bounds the blocks in force. A router checks each request against them.
 	maxBlocks = 64
 	// trialTimeout is how long the core waits for the outcome of a trial. It covers the
@@ -112,7 +114,11 @@
 		return nil
 	}
 	defer k.mu.Unlock()
-	if len(local) == 0 && now.Sub(k.decidedAt) < decideInterval {
+	interval := decideInterval
+	if len(k.trials) == 0 && now.Sub(k.detector.LastCut()) > calmInterval {
+		interval = calmInterval
+	}
+	if len(local) == 0 && now.Sub(k.decidedAt) < interval {
 		return nil
 	}
 	k.decidedAt = now
--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -252,6 +252,16 @@
 	return len(d.cuts) > 0
 }
 
+// LastCut returns the time of the latest cut, zero if there is none.
+func (d *Detector) LastCut() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.cuts) == 0 {
+		return time.Time{}
+	}
+	return d.cuts[len(d.cuts)-1].At
+}
+
 // Suspect is a part that was in cut prompts and in no prompt whose answer has begun since.
 type Suspect struct {
 	Part string
