kcwdetector: an answer rules out parts also after it is forgotten

The detector compared cuts with the last answer on each part, and remembers as many parts as MaxParts. In a large fleet a part that was cut and answered, and then not used for a while, became suspected again through its old cuts, and three such cuts could block it. An answer now ends the suspicion in the cuts themselves. TestForgottenAnswersRuleOutParts failed before ("got [sound]").

--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -71,9 +71,12 @@
 	At     time.Time
 }
 
-// cut is a stored Cut. answers is the number of answers that had begun before it.
+// cut is a stored Cut.
 type cut struct {
 	Cut
+	// suspected are those of Parts on which no answer has begun since.
+	suspected []string
+	// answers is the number of answers that had begun before.
 	answers uint64
 }
 
@@ -95,6 +98,8 @@
 	cuts    []cut
 	known   map[attemptKey]bool
 	answers uint64
+	// suspected counts the cuts in which each part is suspected.
+	suspected map[string]int
 	// recent counts the answers that have begun in each of the last seconds, at the index
 	// of the Unix time modulo its length.
 	recent [rateSeconds]answersInSecond
@@ -143,7 +148,7 @@
 	if err != nil {
 		return nil, &Error{Op: "new", Kind: Invalid, Detail: err.Error()}
 	}
-	return &Detector{cfg: cfg, parts: parts, known: map[attemptKey]bool{}}, nil
+	return &Detector{cfg: cfg, parts: parts, known: map[attemptKey]bool{}, suspected: map[string]int{}}, nil
 }
 
 // Cut adds an attempt that was cut. It ignores one that is known already or has no parts.
@@ -165,18 +170,54 @@
 	d.known[key] = true
 	// Cuts are kept in the order of their times. Those of other hosts arrive late.
 	at := sort.Search(len(d.cuts), func(i int) bool { return d.cuts[i].At.After(c.At) })
-	d.cuts = slices.Insert(d.cuts, at, cut{c, d.answers})
+	stored := cut{Cut: c, answers: d.answers}
+	for _, part := range c.Parts {
+		if h, _ := d.parts.Peek(part); c.At.After(h.last) && !slices.Contains(stored.suspected, part) {
+			stored.suspected = append(stored.suspected, part)
+			d.suspected[part]++
+		}
+	}
+	d.cuts = slices.Insert(d.cuts, at, stored)
 	return true
 }
 
+// clearPart ends the suspicion of a part in the cuts up to a time.
+func (d *Detector) clearPart(part string, until time.Time) {
+	for i := range d.cuts {
+		c := &d.cuts[i]
+		if c.At.After(until) {
+			break
+		}
+		if at := slices.Index(c.suspected, part); at >= 0 {
+			c.suspected = slices.Delete(c.suspected, at, at+1)
+			d.release(part)
+		}
+	}
+}
+
+// release counts one cut less in which the part is suspected.
+func (d *Detector) release(part string) {
+	if d.suspected[part]--; d.suspected[part] == 0 {
+		delete(d.suspected, part)
+	}
+}
+
 // dropCuts drops the n earliest cuts.
 func (d *Detector) dropCuts(n int) {
 	for _, c := range d.cuts[:n] {
-		delete(d.known, attemptKey{c.Request, c.Upstream})
+		d.forgetCut(c)
 	}
 	d.cuts = slices.Delete(d.cuts, 0, n)
 }
 
+// forgetCut removes a cut from the indices of the detector.
+func (d *Detector) forgetCut(c cut) {
+	delete(d.known, attemptKey{c.Request, c.Upstream})
+	for _, part := range c.suspected {
+		d.release(part)
+	}
+}
+
 // Begin records that the answer to a prompt with the given parts began at a time.
 func (d *Detector) Begin(parts []string, at time.Time) {
 	d.mu.Lock()
@@ -205,6 +246,9 @@
 		h.last = at
 	}
 	d.parts.Add(part, h)
+	if d.suspected[part] > 0 {
+		d.clearPart(part, at)
+	}
 }
 
 // BegunSince reports whether answers on prompts with each of the parts have begun at or
@@ -234,7 +278,7 @@
 	d.cuts = slices.DeleteFunc(d.cuts, func(c cut) bool {
 		drop := containsAll(c.Parts, parts)
 		if drop {
-			delete(d.known, attemptKey{c.Request, c.Upstream})
+			d.forgetCut(c)
 		}
 		return drop
 	})
@@ -390,12 +434,8 @@
 		if now.Sub(c.At) < d.cfg.Settle {
 			break
 		}
-		for _, part := range c.Parts {
-			h, _ := d.parts.Peek(part)
-			indices := suspicions[part]
-			if c.At.After(h.last) && (len(indices) == 0 || indices[len(indices)-1] != i) {
-				suspicions[part] = append(indices, i)
-			}
+		for _, part := range c.suspected {
+			suspicions[part] = append(suspicions[part], i)
 		}
 	}
 	return suspicions
--- a/kcw/kcwdetector/detector_test.go
+++ b/kcw/kcwdetector/detector_test.go
@@ -318,6 +318,26 @@
 	}
 }
 
+// TestForgottenAnswersRuleOutParts checks that an answer rules out the parts of its prompt
+// although more parts have been used since than are remembered.
+func TestForgottenAnswersRuleOutParts(t *testing.T) {
+	cfg := config()
+	cfg.MaxParts = 10
+	d, err := kcwdetector.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 4 {
+		at, n := start.Add(time.Duration(i)*time.Second), strconv.Itoa(i)
+		d.Cut(kcwdetector.Cut{Request: n, Upstream: "u" + n, Prompt: n, Parts: []string{"sound"}, At: at})
+		d.Begin([]string{"sound"}, at.Add(500*time.Millisecond))
+		play(d, others(time.Duration(i)*time.Second))
+	}
+	if got := blocked(d.Decide(start.Add(5 * time.Second))); len(got) > 0 {
+		t.Errorf("got %q", got)
+	}
+}
+
 func TestInvalidConfig(t *testing.T) {
 	for _, change := range []func(c *kcwdetector.Config){
 		func(c *kcwdetector.Config) { c.MinMoments = 0 },
