--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -231,7 +231,7 @@
 // addAnswers counts answers that began at a time.
 func (d *Detector) addAnswers(n uint64, at time.Time) {
 	d.answers += n
-	bin := &d.recent[at.Unix()%rateSeconds]
+	bin := &d.recent[uint64(at.Unix())%rateSeconds]
 	if bin.second != at.Unix() {
 		*bin = answersInSecond{second: at.Unix()}
 	}
--- a/kcw/kcwdetector/detector_test.go
+++ b/kcw/kcwdetector/detector_test.go
@@ -338,6 +338,16 @@
 	}
 }
 
+// TestClockBeforeEpoch checks that a host whose clock is set before 1970 counts answers.
+func TestClockBeforeEpoch(t *testing.T) {
+	d := newDetector(t)
+	at := time.Unix(-12345, 0)
+	d.Begin([]string{"a"}, at)
+	if !d.BegunSince([]string{"a"}, at) {
+		t.Error("the answer is not known")
+	}
+}
+
 func TestInvalidConfig(t *testing.T) {
 	for _, change := range []func(c *kcwdetector.Config){
 		func(c *kcwdetector.Config) { c.MinMoments = 0 },
