kcwservice: a promoted replica answers once its promotion is applied

A replica counted as a voter once its promotion was in its log, and the log that it had to apply was that of its start, which was empty. It has to apply the log as it was when it was first known to be a voter now; the bound is fixed then, so that a growing log does not delay it.

TestFresh, "its promotion is in the log and not applied", and TestPromotedReplicaCatchesUpUnderLoad failed before.

--- a/kcw/kcwservice/fresh.go
+++ b/kcw/kcwservice/fresh.go
@@ -8,16 +8,21 @@
 	return s.cfg.Group.Fresh() && s.hasCaughtUp()
 }
 
-// hasCaughtUp reports whether the replica, as a voter, has applied the whole log
-// that it had at its start, except entries that a leader has since truncated. A
-// restarted replica has contact with its leader before it has applied the entries
-// that it had acknowledged, and one with an empty disk before it has any state.
+// hasCaughtUp reports whether the replica, as a voter, has applied the whole log that it
+// had at its start or, if it was promoted since, when its promotion was in the log, except
+// entries that a leader has since truncated. A restarted replica has contact with its
+// leader before it has applied the entries that it had acknowledged, and one with an empty
+// disk before it has any state.
 func (s *Service) hasCaughtUp() bool {
 	if s.caughtUp.Load() {
 		return true
 	}
 	status := s.cfg.Group.Status()
-	if !isVoter(status) || status.Applied < min(s.lastAtStart, status.Last) {
+	if !isVoter(status) {
+		return false
+	}
+	s.lastAsVoter.CompareAndSwap(0, status.Last)
+	if status.Applied < min(s.lastAsVoter.Load(), status.Last) {
 		return false
 	}
 	s.caughtUp.Store(true)
--- a/kcw/kcwservice/service.go
+++ b/kcw/kcwservice/service.go
@@ -72,9 +72,9 @@
 	recalls *recalls
 	stopped chan struct{}
 	once    sync.Once
-	// lastAtStart is the last index of the replica's log when the service was
-	// created, and caughtUp whether the replica has caught up since.
-	lastAtStart uint64
+	// lastAsVoter is the last index of the replica's log when it was first known to be a
+	// voter, zero before. caughtUp is set once the replica has caught up with it.
+	lastAsVoter atomic.Uint64
 	caughtUp    atomic.Bool
 }
 
@@ -84,10 +84,11 @@
 	if err := check(cfg); err != nil {
 		return nil, &Error{Op: "new", Kind: Invalid, Err: err}
 	}
-	return &Service{
-		cfg: cfg, roster: newRoster(), recalls: newRecalls(), stopped: make(chan struct{}),
-		lastAtStart: cfg.Group.Status().GetLast(),
-	}, nil
+	s := &Service{cfg: cfg, roster: newRoster(), recalls: newRecalls(), stopped: make(chan struct{})}
+	if status := cfg.Group.Status(); isVoter(status) {
+		s.lastAsVoter.Store(status.GetLast())
+	}
+	return s, nil
 }
 
 func check(cfg Config) error {
