kcwgroup: hand the loop's answer over when its caller may have left

The answer is handed over by a channel with room for it now. The other callers of runInLoop take no value from it. TestStopWhileLoopIsBlocked, under the race detector, failed before.

--- a/kcw/kcwgroup/failure_test.go
+++ b/kcw/kcwgroup/failure_test.go
@@ -409,3 +409,21 @@
 	_ = old.folder.Close()
 	c.proposeMany("after", 3)
 }
+
+// TestStopWhileLoopIsBlocked stops a leader whose loop a disk blocks for longer than the
+// stop waits for it. The race detector finds values that the loop writes after that.
+func TestStopWhileLoopIsBlocked(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	group := c.leader().group
+	// transferLeadership waits for the loop twice, for an election timeout each. The test
+	// sleeps because any other wait would synchronise it with the loop.
+	const blocked = 3
+	group.post(func() error {
+		time.Sleep(blocked * group.cfg.Election)
+		return nil
+	})
+	group.transferLeadership()
+	time.Sleep(blocked * group.cfg.Election)
+	c.proposeMany("after", 3)
+}
--- a/kcw/kcwgroup/group.go
+++ b/kcw/kcwgroup/group.go
@@ -208,9 +208,15 @@
 	g.runInLoop(func() { g.replica.Transfer(g.cfg.Now()) })
 	pause := max(g.cfg.Heartbeat/ticksPerHeartbeat, minTick)
 	for range int(g.cfg.Election / pause) {
-		transferring := false
-		g.runInLoop(func() { transferring = g.replica.IsTransferring() })
-		if !transferring {
+		// The loop may answer after runInLoop has given up.
+		transferring := make(chan bool, 1)
+		g.runInLoop(func() { transferring <- g.replica.IsTransferring() })
+		select {
+		case isTransferring := <-transferring:
+			if !isTransferring {
+				return
+			}
+		default:
 			return
 		}
 		time.Sleep(pause)
