kcwcontrol: bound the blocks, and answer reports whose decision is not committed

With more than 64 sets of parts to block, each decision displaced earlier blocks, which the next decision added again: a proposal ten times a second, and prompts admitted that had been blocked. Blocks beyond 64 are left out now, and a report with more is refused. And a block that could not be committed failed the report of a router, whose tokens were granted already; only a router that reports blocks of its own gets the error now.

TestBlocksAreBounded and TestReportOutlastsFailedDecision failed before. Blocks in the dump and at /blocks have Pascal-case names like all our own formats.

--- a/kcw-fleet/kcwcontrol/blocks.go
+++ b/kcw-fleet/kcwcontrol/blocks.go
@@ -58,6 +58,8 @@
 	decidedAt time.Time
 	// trials holds, by the key of a block, when the trial in progress was granted.
 	trials map[string]time.Time
+	// isFull is set while there are more sets of parts to block than maxBlocks.
+	isFull bool
 }
 
 func newBlockKeeper(host string, trialAfter time.Duration, table *kcwallowance.Table, cfg kcwdetector.Config) (*blockKeeper, error) {
@@ -70,9 +72,15 @@
 	}, nil
 }
 
-// checkEvidence returns a *kcwdetector.Error if the evidence or the blocks of a report are
-// damaged.
+// errTooManyBlocks means that a report has more blocks than may be in force.
+var errTooManyBlocks = errors.New("the report has too many blocks")
+
+// checkEvidence returns errTooManyBlocks or a *kcwdetector.Error if the evidence or the
+// blocks of a report are damaged.
 func checkEvidence(req *kcwpb.FleetSyncRequest) error {
+	if len(req.GetLocalBlocks()) > maxBlocks {
+		return errTooManyBlocks
+	}
 	for _, block := range req.GetLocalBlocks() {
 		if err := kcwdetector.CheckParts(block.GetParts()); err != nil {
 			return err
@@ -88,7 +96,8 @@
 	if _, err := k.detector.Merge(req.GetEvidence(), now); err != nil {
 		return err
 	}
-	if err := k.update(ctx, req.GetLocalBlocks(), now); err != nil {
+	if err := k.update(ctx, req.GetLocalBlocks(), now); err != nil && len(req.GetLocalBlocks()) > 0 {
+		// The router keeps its blocks until the core has committed them.
 		return err
 	}
 	blocks, version := k.table.Blocks()
@@ -124,18 +133,33 @@
 	k.decidedAt = now
 	current, base := k.table.Blocks()
 	next := k.endTrials(current, now)
-	for _, block := range local {
-		next, _ = kcwblocklist.Add(next, block)
-	}
-	for _, block := range k.detector.Decide(now) {
+	decided := k.detector.Decide(now)
+	for _, block := range decided {
 		block.DecidedAt, block.DecidedBy = now.UnixNano(), k.host
-		next, _ = kcwblocklist.Add(next, block)
 	}
-	if len(next) > maxBlocks {
-		klog.InfoS("Too many blocks: the earliest are dropped", "Blocks", len(next), "Limit", maxBlocks)
-		next = next[len(next)-maxBlocks:]
+	err := k.put(ctx, current, k.add(next, slices.Concat(local, decided)), base)
+	if err != nil {
+		k.decidedAt = time.Time{}
+	}
+	return err
+}
+
+// add returns blocks with the additional ones, as many as there is room for.
+func (k *blockKeeper) add(blocks, additional []*kcwpb.PartBlock) []*kcwpb.PartBlock {
+	wasFull := k.isFull
+	k.isFull = false
+	for _, block := range additional {
+		next, _ := kcwblocklist.Add(blocks, block)
+		if len(next) > maxBlocks {
+			k.isFull = true
+			continue
+		}
+		blocks = next
+	}
+	if k.isFull && !wasFull {
+		klog.InfoS("Too many parts to block", "Blocks", len(blocks), "Limit", maxBlocks)
 	}
-	return k.put(ctx, current, next, base)
+	return blocks
 }
 
 // put commits the next blocks, if they differ from the current ones, and logs the changes.
@@ -247,8 +271,8 @@
 		blocks, version := o.table.Blocks()
 		writeJSON(w, struct {
 			Version uint64
-			Blocks  []*kcwpb.PartBlock
-		}{version, blocks})
+			Blocks  []kcwblocklist.Summary
+		}{version, kcwblocklist.Summarize(blocks)})
 	case http.MethodDelete:
 		err := o.blocks.lift(ctx, strings.Split(r.URL.Query().Get("parts"), ","))
 		switch {
--- a/kcw-fleet/kcwcontrol/blocks_test.go
+++ b/kcw-fleet/kcwcontrol/blocks_test.go
@@ -146,6 +146,51 @@
 	}
 }
 
+// TestBlocksAreBounded checks that further blocks neither displace those in force nor cost
+// proposals.
+func TestBlocksAreBounded(t *testing.T) {
+	f := newKeeperFixture(t, kcwallowance.New())
+	block := func(n int) *kcwpb.PartBlock { return &kcwpb.PartBlock{Parts: []string{"p" + strconv.Itoa(n)}} }
+	var local []*kcwpb.PartBlock
+	for n := range maxBlocks {
+		local = append(local, block(n))
+	}
+	if checkEvidence(&kcwpb.FleetSyncRequest{LocalBlocks: append(local, block(maxBlocks))}) == nil {
+		t.Error("a report with too many blocks is taken")
+	}
+	if _, err := f.report("r", &kcwpb.FleetSyncRequest{LocalBlocks: local}); err != nil {
+		t.Fatal(err)
+	}
+	for n := range 3 {
+		f.now = f.now.Add(time.Second)
+		if _, err := f.report("r", &kcwpb.FleetSyncRequest{LocalBlocks: []*kcwpb.PartBlock{block(maxBlocks + n)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if blocks, version := f.table.Blocks(); len(blocks) != maxBlocks || kcwblocklist.Key(blocks[0]) != "p0" || version != 1 {
+		t.Errorf("%d blocks from %q on, version %d", len(blocks), kcwblocklist.Key(blocks[0]), version)
+	}
+}
+
+// TestReportOutlastsFailedDecision checks that a router's report is answered although a
+// block could not be committed.
+func TestReportOutlastsFailedDecision(t *testing.T) {
+	f := newKeeperFixture(t, kcwallowance.New())
+	f.fails = true
+	for i := range 3 {
+		f.crash("r" + strconv.Itoa(i))
+	}
+	f.now = f.now.Add(time.Second)
+	if _, err := f.report("r0", &kcwpb.FleetSyncRequest{}); err != nil || f.proposals == 0 {
+		t.Errorf("got %v after %d proposals", err, f.proposals)
+	}
+	f.fails = false
+	f.now = f.now.Add(time.Second)
+	if response, err := f.report("r0", &kcwpb.FleetSyncRequest{}); err != nil || blockKeys(response.GetBlocks()) != "deadly" {
+		t.Errorf("got %v, %v", response, err)
+	}
+}
+
 func TestTrials(t *testing.T) {
 	begun := func() *kcwpb.PartEvidence {
 		return &kcwpb.PartEvidence{Begun: []*kcwpb.BegunPart{{Part: "deadly", Answers: 1}}, Answers: 1}
--- a/kcw-fleet/kcwrouter/dump.go
+++ b/kcw-fleet/kcwrouter/dump.go
@@ -7,8 +7,8 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"kingcupwick.example/kcw/kcwbalance"
+	"kingcupwick.example/kcw/kcwblocklist"
 	"kingcupwick.example/kcw/kcwdetector"
-	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwroster"
 )
 
@@ -25,7 +25,7 @@
 	Upstreams    []kcwroster.Upstream
 	// Blocks are the sets of prompt parts that are refused, and Suspects the parts that
 	// this router suspects.
-	Blocks   []*kcwpb.PartBlock
+	Blocks   []kcwblocklist.Summary
 	Suspects []kcwdetector.Suspect
 }
 
@@ -33,7 +33,7 @@
 	d := dump{
 		Router: r.cfg.Settings.Host.Name, Zone: r.cfg.Settings.Host.Zone, Incarnation: r.reporter.currentIncarnation(),
 		ListedAt: r.roster.ListedAt(), InFlight: r.forwarder.InFlight(), Draining: r.stop.Load() != nil,
-		Core: r.client.Leader(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(), Blocks: r.guard.Blocks(), Suspects: r.guard.Suspects(),
+		Core: r.client.Leader(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(), Blocks: kcwblocklist.Summarize(r.guard.Blocks()), Suspects: r.guard.Suspects(),
 	}
 	if document := r.reporter.document.Load(); document != nil {
 		d.Document = document.Version
--- a/kcw/kcwblocklist/blocklist.go
+++ b/kcw/kcwblocklist/blocklist.go
@@ -23,6 +23,30 @@
 	trials map[string]time.Time
 }
 
+// Summary describes a block in dumps and to operators.
+type Summary struct {
+	Parts          []string
+	DecidedAt      time.Time
+	DecidedBy      string
+	Moments        uint32
+	Prompts        uint32
+	EndedUpstreams []string
+	CutRequests    []string
+	FailedTrials   uint32
+}
+
+// Summarize returns the summaries of blocks.
+func Summarize(blocks []*kcwpb.PartBlock) []Summary {
+	summaries := make([]Summary, 0, len(blocks))
+	for _, b := range blocks {
+		summaries = append(summaries, Summary{
+			Parts: b.GetParts(), DecidedAt: time.Unix(0, b.GetDecidedAt()), DecidedBy: b.GetDecidedBy(), Moments: b.GetMoments(), Prompts: b.GetPrompts(),
+			EndedUpstreams: b.GetUpstreams(), CutRequests: b.GetRequests(), FailedTrials: b.GetFailedTrials(),
+		})
+	}
+	return summaries
+}
+
 // New returns an empty Blocklist.
 func New() *Blocklist { return &Blocklist{trials: map[string]time.Time{}} }
 
