kcwguard: no caller can make a router's reports invalid

Found by reading the diff. The identity of a request and the parts of its prompt are the caller's words. A request without an identity, or with one of over 128 bytes or not UTF-8, that was cut would have made the evidence in its router's report invalid; the core refuses such a report as a whole, and the router sends the same evidence again: it would have been without the core until its restart. Long names and names that are not UTF-8 are replaced by their hash, cuts without valid names are left out, and evidence that would be refused is dropped with a log line.

--- a/kcw-fleet/kcwguard/guard.go
+++ b/kcw-fleet/kcwguard/guard.go
@@ -5,9 +5,12 @@
 
 import (
 	"maps"
+	"strconv"
 	"sync"
 	"time"
+	"unicode/utf8"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw/kcwblocklist"
@@ -111,15 +114,27 @@
 
 // Cut implements kcwforward.PartGuard.
 func (g *Guard) Cut(cut kcwdetector.Cut) {
-	if len(cut.Parts) == 0 {
+	cut.Request, cut.Prompt = callerName(cut.Request), callerName(cut.Prompt)
+	if !g.detector.Cut(cut) {
 		return
 	}
-	g.detector.Cut(cut)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pending.cut(cut)
 }
 
+// maxCallerName bounds a name that a caller chooses, in bytes.
+const maxCallerName = 64
+
+// callerName returns a name that a caller has chosen, or its hash if it is too long or is
+// not UTF-8, so that no caller can make this router's reports invalid.
+func callerName(name string) string {
+	if len(name) <= maxCallerName && utf8.ValidString(name) {
+		return name
+	}
+	return strconv.FormatUint(xxhash.Sum64String(name), 16)
+}
+
 // cut adds a cut. If there are as many as fit into a message, it drops the earliest.
 func (e *evidence) cut(cut kcwdetector.Cut) {
 	if len(e.cuts) == kcwdetector.MaxCutsInMessage {
@@ -142,6 +157,11 @@
 	case len(g.sent.cuts) > 0 || g.sent.answers > 0:
 		req.Evidence = g.sent.encode(now)
 	}
+	if err := kcwdetector.Check(req.GetEvidence()); err != nil {
+		// The core would refuse the whole report, now and each time that it is sent again.
+		klog.ErrorS(err, "Evidence left out of the report", "Cuts", len(g.sent.cuts))
+		req.Evidence, g.sent = nil, evidence{}
+	}
 	req.BlocksVersion, _ = g.blocks.Core()
 	req.LocalBlocks = g.blocks.Local()
 }
--- a/kcw-fleet/kcwguard/guard_test.go
+++ b/kcw-fleet/kcwguard/guard_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"kingcupwick.example/kcw-fleet/kcwguard"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwdetector"
@@ -91,6 +94,36 @@
 	}
 }
 
+// TestCallersDoNotSpoilReports checks that the core takes the reports of a router whatever
+// identities its callers choose.
+func TestCallersDoNotSpoilReports(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		cut  kcwdetector.Cut
+		cuts int
+	}{
+		{"long", kcwdetector.Cut{Request: strings.Repeat("x", 5000), Upstream: "u", Prompt: strings.Repeat("y", 5000), Parts: []string{"a"}}, 1},
+		{"not UTF-8", kcwdetector.Cut{Request: "\xff", Upstream: "u", Prompt: "\xfe", Parts: []string{"a"}}, 1},
+		{"no prompt", kcwdetector.Cut{Request: "r", Upstream: "u", Parts: []string{"a"}}, 1},
+		{"no request", kcwdetector.Cut{Upstream: "u", Prompt: "p", Parts: []string{"a"}}, 0},
+		{"long upstream", kcwdetector.Cut{Request: "r", Upstream: strings.Repeat("x", 5000), Prompt: "p", Parts: []string{"a"}}, 0},
+		{"part not UTF-8", kcwdetector.Cut{Request: "r", Upstream: "u", Prompt: "p", Parts: []string{"\xff"}}, 0},
+		{"many parts", kcwdetector.Cut{Request: "r", Upstream: "u", Prompt: "p", Parts: strings.Split(strings.Repeat("a,", 99)+"a", ",")}, 0},
+	} {
+		r := newRouter(t, "r")
+		r.cut()
+		test.cut.At = r.now
+		r.Cut(test.cut)
+		req := r.report()
+		if _, err := proto.Marshal(req); err != nil {
+			t.Errorf("%s: %v", test.name, err)
+		}
+		if err := kcwdetector.Check(req.GetEvidence()); err != nil || len(req.GetEvidence().GetCuts()) != 1+test.cuts {
+			t.Errorf("%s: got %d cuts, %v; want %d", test.name, len(req.GetEvidence().GetCuts()), err, 1+test.cuts)
+		}
+	}
+}
+
 func TestBlocksOfCore(t *testing.T) {
 	r := newRouter(t, "r")
 	prompt := []string{"class", "deadly", "x"}
--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -146,17 +146,18 @@
 	return &Detector{cfg: cfg, parts: parts, known: map[attemptKey]bool{}, suspected: map[string]int{}}, nil
 }
 
-// Cut adds an attempt that was cut. It ignores one that is known already or has no parts.
-func (d *Detector) Cut(c Cut) {
+// Cut adds an attempt that was cut. It ignores one that is known already, and one that has
+// no parts or no names that fit into a message (Check). It reports whether it added c.
+func (d *Detector) Cut(c Cut) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.addCut(c)
+	return d.addCut(c)
 }
 
-// addCut adds a cut and reports whether it was not known.
+// addCut is Cut for a caller that holds the lock.
 func (d *Detector) addCut(c Cut) bool {
 	key := attemptKey{c.Request, c.Upstream}
-	if len(c.Parts) == 0 || d.known[key] {
+	if d.known[key] || !c.isValid() {
 		return false
 	}
 	if len(d.cuts) == d.cfg.MaxCuts {
--- a/kcw/kcwdetector/evidence.go
+++ b/kcw/kcwdetector/evidence.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"kingcupwick.example/kcw/kcwpb"
 )
@@ -90,11 +91,9 @@
 		return malformed("there are " + strconv.Itoa(len(evidence.GetCuts())) + " cuts and " + strconv.Itoa(len(evidence.GetBegun())) + " parts")
 	}
 	for _, c := range evidence.GetCuts() {
-		if c.GetAgeNanos() < 0 || !isName(c.GetUpstream()) || !isName(c.GetRequest()) || len(c.GetPrompt()) > maxNameBytes {
-			return malformed("a cut attempt has no valid request, upstream, prompt or age")
-		}
-		if err := CheckParts(c.GetParts()); err != nil {
-			return err
+		decoded := Cut{Request: c.GetRequest(), Upstream: c.GetUpstream(), Prompt: c.GetPrompt(), Parts: c.GetParts()}
+		if c.GetAgeNanos() < 0 || !decoded.isValid() {
+			return malformed("a cut attempt has no valid request, upstream, prompt, parts or age")
 		}
 	}
 	for _, b := range evidence.GetBegun() {
@@ -114,7 +113,14 @@
 	return nil
 }
 
-// isName reports whether text can be a name in a message.
-func isName(text string) bool { return text != "" && len(text) <= maxNameBytes }
+// isValid reports whether the names of the cut fit into a message.
+func (c *Cut) isValid() bool {
+	return isName(c.Request) && isName(c.Upstream) && (c.Prompt == "" || isName(c.Prompt)) && CheckParts(c.Parts) == nil
+}
+
+// isName reports whether text can be a name in a message, which is UTF-8.
+func isName(text string) bool {
+	return text != "" && len(text) <= maxNameBytes && utf8.ValidString(text)
+}
 
 func malformed(detail string) error { return &Error{Op: "merge", Kind: Malformed, Detail: detail} }
