--- a/kcw-fleet/kcwcontrol/blocks.go
+++ b/kcw-fleet/kcwcontrol/blocks.go
@@ -110,7 +110,7 @@
 }
 
 // update changes the blocks as the evidence, the trials and the blocks decided without the
-// core require. If another call is at it, update leaves it to that one, unless there are
+// core require. While another call changes them, it returns at once unless there are local
 // blocks to add.
 func (k *blockKeeper) update(ctx context.Context, local []*kcwpb.PartBlock, now time.Time) error {
 	current, _ := k.table.Blocks()
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -189,8 +189,7 @@
 	// partMinAnswers is the number of answers to other prompts without which a part is
 	// not told from an outage of all upstreams.
 	partMinAnswers = 10
-	// partMaxChance leaves less than one wrong block a day at a thousand prompts a
-	// second, since it applies to the few that are cut.
+	// partMaxChance is small against the number of prompts that are cut in a day.
 	partMaxChance = 1e-6
 	maxParts      = 16384
 	maxPartCuts   = 1024
--- a/kcw/kcwdetector/decide.go
+++ b/kcw/kcwdetector/decide.go
@@ -238,7 +238,7 @@
 // maxSamples bounds the upstreams and the requests that a block names as evidence.
 const maxSamples = 8
 
-// block returns the block of parts with its evidence.
+// block returns the block of parts with the evidence against lead, one of them.
 func (d *Detector) block(parts []string, lead *tally) *kcwpb.PartBlock {
 	b := &kcwpb.PartBlock{Parts: parts, Moments: uint32(lead.Moments), Prompts: uint32(lead.Prompts)}
 	for _, i := range lead.cuts {
