--- a/kcw/kcwblocklist/blocklist.go
+++ b/kcw/kcwblocklist/blocklist.go
@@ -53,19 +53,19 @@
 // Key returns a text that identifies the parts of a block.
 func Key(block *kcwpb.PartBlock) string { return strings.Join(block.GetParts(), ",") }
 
-// Covers reports whether each prompt that other refuses is refused by block too: all parts
-// of block are in other.
-func Covers(block *kcwpb.PartBlock, other []string) bool {
-	return !slices.ContainsFunc(block.GetParts(), func(part string) bool { return !slices.Contains(other, part) })
+// Covers reports whether a block of the given parts refuses a prompt with the parts in
+// prompt: all parts are among those of the prompt.
+func Covers(parts, prompt []string) bool {
+	return !slices.ContainsFunc(parts, func(part string) bool { return !slices.Contains(prompt, part) })
 }
 
 // Add returns blocks with block added and without those that it covers. It returns blocks
 // itself and false if one of them covers block.
 func Add(blocks []*kcwpb.PartBlock, block *kcwpb.PartBlock) ([]*kcwpb.PartBlock, bool) {
-	if slices.ContainsFunc(blocks, func(b *kcwpb.PartBlock) bool { return Covers(b, block.GetParts()) }) {
+	if slices.ContainsFunc(blocks, func(b *kcwpb.PartBlock) bool { return Covers(b.GetParts(), block.GetParts()) }) {
 		return blocks, false
 	}
-	next := slices.DeleteFunc(slices.Clone(blocks), func(b *kcwpb.PartBlock) bool { return Covers(block, b.GetParts()) })
+	next := slices.DeleteFunc(slices.Clone(blocks), func(b *kcwpb.PartBlock) bool { return Covers(block.GetParts(), b.GetParts()) })
 	return append(next, block), true
 }
 
@@ -79,7 +79,7 @@
 func (l *Blocklist) match(parts []string) *kcwpb.PartBlock {
 	for _, blocks := range [][]*kcwpb.PartBlock{l.core, l.local} {
 		for _, b := range blocks {
-			if Covers(b, parts) {
+			if Covers(b.GetParts(), parts) {
 				return b
 			}
 		}
@@ -134,7 +134,7 @@
 func (l *Blocklist) AddLocal(block *kcwpb.PartBlock) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if slices.ContainsFunc(l.core, func(b *kcwpb.PartBlock) bool { return Covers(b, block.GetParts()) }) {
+	if slices.ContainsFunc(l.core, func(b *kcwpb.PartBlock) bool { return Covers(b.GetParts(), block.GetParts()) }) {
 		return false
 	}
 	var added bool
--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"kingcupwick.example/kcw/kcwblocklist"
 )
 
 // Config configures a Detector. Every field must be positive, and MaxChance less than one.
@@ -264,7 +266,7 @@
 func (d *Detector) CutSince(parts []string, since time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.ContainsFunc(d.cuts, func(c cut) bool { return !c.At.Before(since) && containsAll(c.Parts, parts) })
+	return slices.ContainsFunc(d.cuts, func(c cut) bool { return !c.At.Before(since) && kcwblocklist.Covers(parts, c.Parts) })
 }
 
 // Forget drops the cuts of prompts with all of the parts.
@@ -272,7 +274,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.cuts = slices.DeleteFunc(d.cuts, func(c cut) bool {
-		drop := containsAll(c.Parts, parts)
+		drop := kcwblocklist.Covers(parts, c.Parts)
 		if drop {
 			d.forgetCut(c)
 		}
@@ -280,11 +282,6 @@
 	})
 }
 
-// containsAll reports whether all contains each of parts.
-func containsAll(all, parts []string) bool {
-	return !slices.ContainsFunc(parts, func(part string) bool { return !slices.Contains(all, part) })
-}
-
 // HasCuts reports whether any cuts are remembered. Without cuts, Decide returns nothing.
 func (d *Detector) HasCuts() bool {
 	d.mu.Lock()
