kcwcontrol: do not acknowledge a change that other blocks have overtaken

Found by reading. The table refuses blocks that are not based on the current ones, and the leader took that answer for a commit, for instance just after it had taken over and before it had applied the last change. An operator was told that a block was lifted, and a router that had been cut off dropped the blocks that it had decided, though nothing had changed; the prompts would have reached upstreams again. Both get an error now and send the change again.

TestStaleChangeIsNotAcknowledged failed before: "a block that is not in force is acknowledged to its router", "a block that is in force is reported as lifted".

--- a/kcw-fleet/kcwcontrol/blocks.go
+++ b/kcw-fleet/kcwcontrol/blocks.go
@@ -162,17 +162,25 @@
 	return blocks
 }
 
+// errStaleBlocks means that other blocks were committed after those that a change is based
+// on.
+var errStaleBlocks = errors.New("the blocks have changed meanwhile")
+
 // put commits the next blocks, if they differ from the current ones, and logs the changes.
+// The error is that of the proposal, or errStaleBlocks.
 func (k *blockKeeper) put(ctx context.Context, current, next []*kcwpb.PartBlock, base uint64) error {
 	if slices.EqualFunc(current, next, func(a, b *kcwpb.PartBlock) bool { return a == b }) {
 		return nil
 	}
 	result, err := k.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_PutBlocks{PutBlocks: &kcwpb.PutBlocks{Base: base, Blocks: next}}})
+	if err == nil && result.GetCode() != kcwpb.Code_CODE_OK {
+		err = errStaleBlocks
+	}
 	if err != nil {
 		klog.InfoS("Blocks not committed", "Base", base, "Blocks", len(next), "Cause", err.Error())
 		return err
 	}
-	klog.InfoS("Blocks committed", "Base", base, "Code", result.GetCode().String(), "Before", len(current), "Blocks", len(next))
+	klog.InfoS("Blocks committed", "Base", base, "Before", len(current), "Blocks", len(next))
 	for _, block := range next {
 		if !slices.Contains(current, block) {
 			klog.InfoS("Parts blocked", "Parts", block.GetParts(), "DecidedBy", block.GetDecidedBy(), "Moments", block.GetMoments(), "Prompts", block.GetPrompts(),
--- a/kcw-fleet/kcwcontrol/blocks_test.go
+++ b/kcw-fleet/kcwcontrol/blocks_test.go
@@ -23,8 +23,10 @@
 	*blockKeeper
 	t   *testing.T
 	now time.Time
-	// fails is set to refuse proposals.
+	// fails is set to refuse proposals, and onPropose is called before each one if it is
+	// not nil.
 	fails     bool
+	onPropose func()
 	proposals int
 	serial    int
 }
@@ -41,6 +43,9 @@
 	f := &keeperFixture{blockKeeper: keeper, t: t, now: time.Unix(1_700_000_000, 0)}
 	keeper.propose = func(_ context.Context, cmd *kcwpb.FleetCommand) (*kcwpb.FleetResult, error) {
 		f.proposals++
+		if f.onPropose != nil {
+			f.onPropose()
+		}
 		if f.fails {
 			return nil, errors.New("no quorum")
 		}
@@ -172,6 +177,34 @@
 	}
 }
 
+// TestStaleChangeIsNotAcknowledged checks that neither a router nor an operator is told that
+// a change is in force if other blocks were committed after the ones that it is based on.
+func TestStaleChangeIsNotAcknowledged(t *testing.T) {
+	f := newKeeperFixture(t, kcwallowance.New())
+	f.block()
+	f.onPropose = func() {
+		blocks, base := f.table.Blocks()
+		data, err := proto.Marshal(&kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_PutBlocks{PutBlocks: &kcwpb.PutBlocks{Base: base, Blocks: blocks}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.table.Apply(1, data)
+	}
+	if _, err := f.report("r", &kcwpb.FleetSyncRequest{LocalBlocks: []*kcwpb.PartBlock{{Parts: []string{"a"}}}}); err == nil {
+		t.Error("a block that is not in force is acknowledged to its router")
+	}
+	if err := f.lift(context.Background(), []string{"deadly"}); err == nil {
+		t.Error("a block that is in force is reported as lifted")
+	}
+	f.onPropose = nil
+	if err := f.lift(context.Background(), []string{"deadly"}); err != nil {
+		t.Error(err)
+	}
+	if blocks, _ := f.table.Blocks(); len(blocks) > 0 {
+		t.Errorf("got %q", blockKeys(blocks))
+	}
+}
+
 // TestReportOutlastsFailedDecision checks that a router's report is answered although a
 // block could not be committed.
 func TestReportOutlastsFailedDecision(t *testing.T) {
