kcwcontrol: answer reports while blocks are being committed

Found by reading. While any block was in force, each report took the lock that is held during the commit of a change, only to look for due trials: with a slow disk at the leader all routers, and requests that lack tokens, would have waited for it. A report that finds the lock taken gets no permission for a trial, and a later one does.

TestReportsDoNotWaitForCommit failed before ("a report waits for the commit").

--- a/kcw-fleet/kcwcontrol/blocks.go
+++ b/kcw-fleet/kcwcontrol/blocks.go
@@ -228,10 +228,9 @@
 // grantTrials returns the blocks for each of which the router may send one request. At most
 // one router at a time has a block's permission.
 func (k *blockKeeper) grantTrials(router string, blocks []*kcwpb.PartBlock, now time.Time) []*kcwpb.PartBlock {
-	if len(blocks) == 0 {
-		return nil
+	if len(blocks) == 0 || !k.mu.TryLock() {
+		return nil // A later report gets the permission.
 	}
-	k.mu.Lock()
 	defer k.mu.Unlock()
 	var trials []*kcwpb.PartBlock
 	for _, block := range blocks {
--- a/kcw-fleet/kcwcontrol/blocks_test.go
+++ b/kcw-fleet/kcwcontrol/blocks_test.go
@@ -205,6 +205,32 @@
 	}
 }
 
+// TestReportsDoNotWaitForCommit checks that the report of a router is answered while a
+// change of the blocks is being committed.
+func TestReportsDoNotWaitForCommit(t *testing.T) {
+	f := newKeeperFixture(t, kcwallowance.New())
+	f.block()
+	f.onPropose = func() {
+		answered := make(chan error, 1)
+		go func() {
+			_, err := f.report("other", &kcwpb.FleetSyncRequest{})
+			answered <- err
+		}()
+		const longTime = 10 * time.Second
+		select {
+		case err := <-answered:
+			if err != nil {
+				t.Error(err)
+			}
+		case <-time.After(longTime):
+			t.Error("a report waits for the commit")
+		}
+	}
+	if _, err := f.report("r", &kcwpb.FleetSyncRequest{LocalBlocks: []*kcwpb.PartBlock{{Parts: []string{"a"}}}}); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestReportOutlastsFailedDecision checks that a router's report is answered although a
 // block could not be committed.
 func TestReportOutlastsFailedDecision(t *testing.T) {
