kcwcontrol, kcwdetector, kcwblocklist: less state and fewer methods

The leader's decisions hold their settings in place of a duration taken out of them, LastCut serves where HasCuts stood beside it, and Match has no second form.

--- a/kcw-fleet/kcwcontrol/blocks.go
+++ b/kcw-fleet/kcwcontrol/blocks.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwallowance"
 	"kingcupwick.example/kcw/kcwblocklist"
 	"kingcupwick.example/kcw/kcwdetector"
@@ -45,11 +46,11 @@
 // blockKeeper decides, at the leader, which sets of prompt parts are refused. The blocks are
 // in the replicated state, the evidence is not.
 type blockKeeper struct {
-	host       string
-	table      *kcwallowance.Table
-	detector   *kcwdetector.Detector
-	trialAfter time.Duration
-	propose    func(ctx context.Context, cmd *kcwpb.FleetCommand) (*kcwpb.FleetResult, error)
+	host     string
+	settings kcwsetup.Parts
+	table    *kcwallowance.Table
+	detector *kcwdetector.Detector
+	propose  func(ctx context.Context, cmd *kcwpb.FleetCommand) (*kcwpb.FleetResult, error)
 	// collector identifies this process to routers.
 	collector uint64
 
@@ -62,13 +63,13 @@
 	isFull bool
 }
 
-func newBlockKeeper(host string, trialAfter time.Duration, table *kcwallowance.Table, cfg kcwdetector.Config) (*blockKeeper, error) {
-	detector, err := kcwdetector.New(cfg)
+func newBlockKeeper(host string, settings kcwsetup.Parts, table *kcwallowance.Table) (*blockKeeper, error) {
+	detector, err := kcwdetector.New(settings.Detector())
 	if err != nil {
 		return nil, err
 	}
 	return &blockKeeper{
-		host: host, table: table, detector: detector, trialAfter: trialAfter, collector: rand.Uint64(), trials: map[string]time.Time{},
+		host: host, settings: settings, table: table, detector: detector, collector: rand.Uint64(), trials: map[string]time.Time{},
 	}, nil
 }
 
@@ -114,7 +115,7 @@
 // blocks to add.
 func (k *blockKeeper) update(ctx context.Context, local []*kcwpb.PartBlock, now time.Time) error {
 	current, _ := k.table.Blocks()
-	if len(local) == 0 && len(current) == 0 && !k.detector.HasCuts() {
+	if len(local) == 0 && len(current) == 0 && k.detector.LastCut().IsZero() {
 		return nil
 	}
 	if len(local) > 0 {
@@ -218,7 +219,7 @@
 
 // dueAt returns when the next trial of a block is due.
 func (k *blockKeeper) dueAt(block *kcwpb.PartBlock) time.Time {
-	after := k.trialAfter
+	after := k.settings.TrialAfter
 	for range block.GetFailedTrials() {
 		after *= trialFactor
 	}
--- a/kcw-fleet/kcwcontrol/blocks_test.go
+++ b/kcw-fleet/kcwcontrol/blocks_test.go
@@ -35,8 +35,8 @@
 
 func newKeeperFixture(t *testing.T, table *kcwallowance.Table) *keeperFixture {
 	t.Helper()
-	parts := kcwsetup.Parts{MinMoments: 3, MinPrompts: 3, Window: 10 * time.Minute}
-	keeper, err := newBlockKeeper("member", testTrialAfter, table, parts.Detector())
+	settings := kcwsetup.Parts{MinMoments: 3, MinPrompts: 3, Window: 10 * time.Minute, TrialAfter: testTrialAfter}
+	keeper, err := newBlockKeeper("member", settings, table)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	blocks, err := newBlockKeeper(s.Host.Name, s.Parts.TrialAfter, table, s.Parts.Detector())
+	blocks, err := newBlockKeeper(s.Host.Name, s.Parts, table)
 	if err != nil {
 		return err
 	}
--- a/kcw-fleet/kcwguard/guard.go
+++ b/kcw-fleet/kcwguard/guard.go
@@ -234,7 +234,7 @@
 // DecideAlone decides on the evidence that this router has. It is called while the router
 // can't reach the core.
 func (g *Guard) DecideAlone() {
-	if !g.detector.HasCuts() {
+	if g.detector.LastCut().IsZero() {
 		return
 	}
 	now := g.cfg.Now()
@@ -250,7 +250,7 @@
 func (g *Guard) State() *kcwpb.PartState {
 	state := &kcwpb.PartState{LocalBlocks: g.blocks.Local()}
 	state.BlocksVersion, state.Blocks = g.blocks.Core()
-	if g.detector.HasCuts() {
+	if !g.detector.LastCut().IsZero() {
 		state.Evidence = g.detector.Export(g.cfg.Now())
 	}
 	return state
--- a/kcw/kcwblocklist/blocklist.go
+++ b/kcw/kcwblocklist/blocklist.go
@@ -73,10 +73,6 @@
 func (l *Blocklist) Match(parts []string) *kcwpb.PartBlock {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return l.match(parts)
-}
-
-func (l *Blocklist) match(parts []string) *kcwpb.PartBlock {
 	for _, blocks := range [][]*kcwpb.PartBlock{l.core, l.local} {
 		for _, b := range blocks {
 			if Covers(b.GetParts(), parts) {
--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -282,14 +282,8 @@
 	})
 }
 
-// HasCuts reports whether any cuts are remembered. Without cuts, Decide returns nothing.
-func (d *Detector) HasCuts() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.cuts) > 0
-}
-
-// LastCut returns the time of the latest cut, zero if there is none.
+// LastCut returns the time of the latest cut, zero if there is none. Without cuts, Decide
+// returns nothing.
 func (d *Detector) LastCut() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/kcw/kcwdetector/detector_test.go
+++ b/kcw/kcwdetector/detector_test.go
@@ -238,7 +238,7 @@
 		t.Errorf("got suspects %+v", suspects)
 	}
 	d.Forget([]string{"crashing"})
-	if d.HasCuts() || len(d.Decide(start.Add(3*time.Second))) > 0 {
+	if !d.LastCut().IsZero() || len(d.Decide(start.Add(3*time.Second))) > 0 {
 		t.Error("forgotten evidence counts")
 	}
 }
@@ -291,8 +291,8 @@
 		d := newDetector(t)
 		_, err := d.Merge(test.evidence, start)
 		var e *kcwdetector.Error
-		if !errors.As(err, &e) || e.Kind != kcwdetector.Malformed || d.HasCuts() {
-			t.Errorf("%s: got %v, and evidence kept: %v", test.name, err, d.HasCuts())
+		if !errors.As(err, &e) || e.Kind != kcwdetector.Malformed || !d.LastCut().IsZero() {
+			t.Errorf("%s: got %v, and evidence kept: %v", test.name, err, !d.LastCut().IsZero())
 		}
 	}
 }
