--- /dev/null
+++ b/kcw-fleet/kcwcontrol/limits.go
@@ -0,0 +1,147 @@
+package kcwcontrol
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpermit"
+	"kingcupwick.example/kcw/kcwratelimit"
+)
+
+// limitExpiryInterval is the time between two checks of which upstreams are still listed.
+const limitExpiryInterval = time.Second
+
+// limitKeeper holds, at the leader, the rate limits that upstreams name, and issues permits
+// to the routers. None of this is in the replicated state: routers report their limits to
+// each new leader, which starts without permits to issue.
+type limitKeeper struct {
+	table *kcwratelimit.Table
+	// now returns a time that advances while the host is suspended.
+	now func() time.Time
+
+	// mu guards the fields below. Lock order: mu before the lock of the table.
+	mu     sync.Mutex
+	issuer *kcwpermit.Issuer
+	// versions holds the version of each limit. They grow from base, which differs from
+	// process to process, to version.
+	versions      map[string]uint64
+	base, version uint64
+	expiredAt     time.Time
+}
+
+func newLimitKeeper(now func() time.Time) *limitKeeper {
+	// Half of the numbers leaves room to count.
+	base := rand.Uint64()/2 + 1
+	return &limitKeeper{
+		table: kcwratelimit.NewTable(), now: now, issuer: kcwpermit.NewIssuer(), versions: map[string]uint64{}, base: base, version: base,
+	}
+}
+
+// errTooMuchDemand means that a report has more demand for permits than a router may have.
+var errTooMuchDemand = errors.New("the report has too much demand for permits")
+
+// maxServices bounds the services for which a router requests permits.
+const maxServices = 256
+
+// decodeLimits returns the limits of a report that arrived at now. The error is a
+// *kcwratelimit.Error or errTooMuchDemand if the report is damaged.
+func decodeLimits(req *kcwpb.FleetSyncRequest, now time.Time) ([]kcwratelimit.Limit, error) {
+	if len(req.GetPermits()) > maxServices {
+		return nil, errTooMuchDemand
+	}
+	for _, demand := range req.GetPermits() {
+		if len(demand.GetPreferred()) > kcwpermit.MaxPreferred {
+			return nil, errTooMuchDemand
+		}
+	}
+	return kcwratelimit.DecodeAll(req.GetLimits(), now)
+}
+
+// sync takes the limits of a router's report that arrived at now, and adds to the answer the
+// limits that the router does not have, if allow permits their size, and the permits that it
+// needs. List is the newest list of upstreams, nil if there is none.
+func (k *limitKeeper) sync(req *kcwpb.FleetSyncRequest, limits []kcwratelimit.Limit, response *kcwpb.FleetSyncResponse, list *kcwpb.UpstreamList, allow func(bytes int) bool, now time.Time) {
+	router := req.GetAllowances().GetRouter()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, l := range limits {
+		k.apply(l, router, now)
+	}
+	if list != nil && now.Sub(k.expiredAt) > limitExpiryInterval {
+		k.expiredAt = now
+		k.expire(list, now)
+	}
+	k.issuer.Hear(router, now)
+	response.Permits = k.issuer.Issue(req.GetPermits(), now)
+	response.LimitsVersion = req.GetLimitsVersion()
+	if req.GetLimitsVersion() == k.version {
+		return
+	}
+	news := k.since(req.GetLimitsVersion(), now)
+	if allow(proto.Size(&kcwpb.FleetSyncResponse{Limits: news})) {
+		response.Limits, response.LimitsVersion = news, k.version
+	}
+}
+
+// apply puts a limit of a router's report in force unless a newer one is. The caller holds
+// mu.
+func (k *limitKeeper) apply(l kcwratelimit.Limit, router string, now time.Time) {
+	before, changed := k.table.Apply(l)
+	newest, found := k.table.Get(l.Upstream)
+	if !found {
+		return
+	}
+	k.issuer.SetLimit(newest, now)
+	if !changed {
+		return
+	}
+	k.version++
+	k.versions[l.Upstream] = k.version
+	klog.InfoS("Rate limit changed", "Upstream", l.Upstream, "PerSecond", l.PerSecond, "Before", before.PerSecond,
+		"Router", router, "Age", now.Sub(l.AnsweredAt).String(), "LimitsVersion", k.version)
+}
+
+// expire drops the upstreams that are not in the list, and limits that ended long ago. The
+// caller holds mu.
+func (k *limitKeeper) expire(list *kcwpb.UpstreamList, now time.Time) {
+	listed := make(map[string]bool, len(list.GetUpstreams()))
+	for _, u := range list.GetUpstreams() {
+		listed[u.GetId()] = true
+	}
+	for _, l := range k.table.Expire(func(id string) bool { return listed[id] }, now) {
+		k.issuer.Remove(l.Upstream)
+		delete(k.versions, l.Upstream)
+	}
+}
+
+// since returns the limits that are newer than the version that a router has, which may be
+// one of another process. The caller holds mu.
+func (k *limitKeeper) since(version uint64, now time.Time) []*kcwpb.UpstreamLimit {
+	if version < k.base || version > k.version {
+		version = 0
+	}
+	var news []*kcwpb.UpstreamLimit
+	for _, l := range k.table.All() {
+		if k.versions[l.Upstream] > version {
+			news = append(news, l.Encode(now))
+		}
+	}
+	return news
+}
+
+// limited returns the number of upstreams with a limit in force.
+func (k *limitKeeper) limited() int {
+	n := 0
+	for _, l := range k.table.All() {
+		if l.PerSecond > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -25,6 +25,7 @@
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpeer"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwuptime"
 )
 
 const (
@@ -124,8 +125,12 @@
 	if err != nil {
 		return err
 	}
+	uptime, err := kcwuptime.New()
+	if err != nil {
+		return err
+	}
 	m.service = &service{
-		group: group, table: table, stamper: stamper, blocks: blocks,
+		group: group, table: table, stamper: stamper, blocks: blocks, limits: newLimitKeeper(uptime.Time),
 		pacer: &sendPacer{bytesPerSecond: kcwsetup.BytesPerSecond(s.Host.LinkMbps)},
 		list: &listReader{cfg: listConfig{
 			Lister: m.cfg.Lister, Name: s.Host.Name + "/" + time.Now().String(), Interval: s.List.Interval,
@@ -214,6 +219,7 @@
 		blocks, _ := m.service.table.Blocks()
 		return int64(len(blocks))
 	})
+	gauge("kcw_control_limited_upstreams", "Upstreams that name a rate limit.", func() int64 { return int64(m.service.limits.limited()) })
 	gauge("kcw_control_disk_full", "Whether this member waits for room on its disk, 0 or 1.", func() int64 {
 		if group.Full() {
 			return 1
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -41,6 +41,7 @@
 	stamper *stamper
 	pacer   *sendPacer
 	blocks  *blockKeeper
+	limits  *limitKeeper
 
 	// mu guards routers and the planner.
 	mu sync.Mutex
@@ -69,6 +70,10 @@
 	if err := checkEvidence(req.Msg); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	limits, err := decodeLimits(req.Msg, s.limits.now())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	stamp, steps := s.stamper.stamp()
 	report.Stamp = stamp
 	result, err := s.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_SyncAllowances{SyncAllowances: report}})
@@ -99,6 +104,8 @@
 	case s.pacer.allow(proto.Size(list), now):
 		response.List, response.ListAgeNanos = list, max(1, int64(age))
 	}
+	allow := func(bytes int) bool { return s.pacer.allow(bytes, now) }
+	s.limits.sync(req.Msg, limits, response, list, allow, s.limits.now())
 	response.Core = memberAddresses(s.group.Status())
 	if err := s.blocks.sync(ctx, req.Msg, response, now); err != nil {
 		return nil, s.refusal(err)
--- a/kcw-fleet/kcwrouter/reporter.go
+++ b/kcw-fleet/kcwrouter/reporter.go
@@ -14,6 +14,7 @@
 	"kingcupwick.example/kcw-fleet/kcwcore"
 	"kingcupwick.example/kcw-fleet/kcwguard"
 	"kingcupwick.example/kcw-fleet/kcwlending"
+	"kingcupwick.example/kcw-fleet/kcwquota"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw-fleet/kcwsharing"
 	"kingcupwick.example/kcw/kcwbalance"
@@ -34,6 +35,7 @@
 	balance  *kcwbalance.Balance
 	roster   *kcwroster.Roster
 	guard    *kcwguard.Guard
+	quota    *kcwquota.Quota
 	decode   func([]byte) (*kcwroute.Document, error)
 	uptime   *kcwuptime.Clock
 	// record is nil on a host without a disk.
@@ -163,8 +165,11 @@
 		req.DocumentVersion = document.Version
 	}
 	p.guard.Report(req)
+	p.quota.Report(req)
+	sentUptime := p.uptime.Time()
 	response, err := p.call(ctx, req)
 	p.guard.EndReport(req, response)
+	p.quota.EndReport(response, sentUptime)
 	if isLost := p.recordOutcome(sentAt, err); isLost {
 		p.guard.DecideAlone()
 	}
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 	"k8s.io/klog/v2"
 
@@ -145,13 +146,13 @@
 	r.lending = kcwlending.New(kcwlending.Config{Router: s.Host.Name, Balance: r.balance, Timeout: s.Grants.LendTimeout, Now: time.Now})
 	r.shareCaller = kcwsharing.NewCaller(s.Grants.LendTimeout)
 	r.sharing = kcwsharing.New(kcwsharing.Config{
-		Read: r.readList, Call: r.shareCaller.Call, Parts: r.guard, Rand: newRand(), Now: time.Now,
+		Read: r.readList, Call: r.shareCaller.Call, Parts: r.guard, Limits: r.quota, Rand: newRand(), Now: time.Now,
 		Apply: func(list []*kcwpb.UpstreamRecord, readAt time.Time, source kcwsharing.Source) {
 			r.reporter.applyOtherList(list, readAt, source)
 		},
 	})
 	r.reporter = &reporter{
-		settings: s, client: r.client, lending: r.lending, sharing: r.sharing, balance: r.balance, roster: r.roster, guard: r.guard, decode: cfg.Decode,
+		settings: s, client: r.client, lending: r.lending, sharing: r.sharing, balance: r.balance, roster: r.roster, guard: r.guard, quota: r.quota, decode: cfg.Decode,
 		uptime: uptime, record: r.record, incarnation: uint64(time.Now().UnixNano()),
 		round: newRound(), wake: make(chan struct{}, 1), answeredAt: time.Now(),
 	}
@@ -184,9 +185,11 @@
 
 func (r *Router) newQuota(uptime *kcwuptime.Clock) {
 	malformed := r.meter.Counter("kcw_router_limits_malformed", "Upstreams that have named a rate limit that can't be read.")
+	held := r.meter.Counter("kcw_router_limit_held", "Requests whose preferred upstream was at its rate limit, by service.")
 	r.quota = kcwquota.New(kcwquota.Config{
 		OnMalformed: func() { malformed.Add(r.ctx, 1) },
-		Now:         func() time.Time { return time.Unix(0, int64(uptime.Now())) },
+		OnHeld:      func(service string) { held.Add(r.ctx, 1, metric.WithAttributes(attribute.String("service", service))) },
+		Rand:        newRand(), Now: uptime.Time,
 	})
 }
 
@@ -217,7 +220,7 @@
 	s := r.cfg.Settings
 	return kcwforward.New(kcwforward.Config{
 		Dialect: r.cfg.Dialect, Document: r.reporter.document.Load, Roster: r.roster, Balance: r.balance, Link: r.link,
-		RequestTokens: r.reporter.requestReport, BorrowTokens: r.lending.Acquire, Guard: r.guard, TokenTimeout: s.Grants.AskTimeout,
+		RequestTokens: r.reporter.requestReport, BorrowTokens: r.lending.Acquire, Guard: r.guard, Permits: r.quota, TokenTimeout: s.Grants.AskTimeout,
 		RetryRatio: retryFraction * s.Retry.Ratio, RetrySlack: int(retryFraction * s.Retry.Slack), Routers: func() int { return int(r.reporter.routers.Load()) },
 		Memory: r.memory, MaxHeadBytes: int64(s.Limits.MaxHeaderBytes),
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
--- a/kcw-fleet/kcwsharing/sharing.go
+++ b/kcw-fleet/kcwsharing/sharing.go
@@ -52,10 +52,11 @@
 	Apply func(list []*kcwpb.UpstreamRecord, readAt time.Time, source Source)
 	// Call requests the list of another router; Caller.Call does so over the network.
 	Call func(ctx context.Context, router netip.AddrPort, req *kcwpb.ShareListRequest) (*kcwpb.ShareListResponse, error)
-	// Parts is exchanged along with the list.
-	Parts parts
-	Rand  *rand.Rand
-	Now   func() time.Time
+	// Parts and Limits are exchanged along with the list.
+	Parts  parts
+	Limits limits
+	Rand   *rand.Rand
+	Now    func() time.Time
 }
 
 // parts is a router's state on prompt parts that crash upstreams.
@@ -66,6 +67,14 @@
 	MergeState(state *kcwpb.PartState) error
 }
 
+// limits is a router's state on the rate limits of upstreams.
+type limits interface {
+	// Export returns this router's limits.
+	Export() []*kcwpb.UpstreamLimit
+	// Merge merges another router's limits. The error states what is damaged.
+	Merge(limits []*kcwpb.UpstreamLimit) error
+}
+
 // Sharing holds the newest list that a router has received. It is safe for concurrent
 // use, except that only one goroutine may call Refresh.
 type Sharing struct {
@@ -120,8 +129,11 @@
 	if err := s.cfg.Parts.MergeState(req.Msg.GetParts()); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	if err := s.cfg.Limits.Merge(req.Msg.GetLimits()); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	response := s.Respond(req.Msg)
-	response.Parts = s.cfg.Parts.State()
+	response.Parts, response.Limits = s.cfg.Parts.State(), s.cfg.Limits.Export()
 	return connect.NewResponse(response), nil
 }
 
@@ -176,7 +188,7 @@
 	req := &kcwpb.ShareListRequest{Digest: s.digest, AgeNanos: int64(s.cfg.Now().Sub(s.readAt))}
 	current := s.list
 	s.mu.Unlock()
-	req.Parts = s.cfg.Parts.State()
+	req.Parts, req.Limits = s.cfg.Parts.State(), s.cfg.Limits.Export()
 	began := s.cfg.Now()
 	response, err := s.cfg.Call(ctx, router, req)
 	if err != nil {
@@ -186,6 +198,9 @@
 	if err := s.cfg.Parts.MergeState(response.GetParts()); err != nil {
 		klog.InfoS("State of prompt parts refused", "Address", router, "Cause", err.Error())
 	}
+	if err := s.cfg.Limits.Merge(response.GetLimits()); err != nil {
+		klog.InfoS("Rate limits refused", "Address", router, "Cause", err.Error())
+	}
 	if age := response.GetAgeNanos(); age <= 0 || age >= req.GetAgeNanos() {
 		return false
 	}
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -63,8 +63,10 @@
 	mayHaveRun bool
 	// isTrial is set if the request tests whether a blocked part still crashes upstreams.
 	isTrial bool
-	stream  streamProgress
-	event   Event
+	// isAtLimit is set if the request ends because all upstreams are at their rate limits.
+	isAtLimit bool
+	stream    streamProgress
+	event     Event
 }
 
 // refusal is the router's own answer to a request that no upstream has run.
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -25,6 +25,7 @@
 	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpermit"
 	"kingcupwick.example/kcw/kcwplace"
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
@@ -196,8 +197,8 @@
 	f.forwarder, err = kcwforward.New(kcwforward.Config{
 		Dialect: dialect{}, Document: func() *kcwroute.Document { return document }, Roster: roster, Balance: f.balance,
 		BorrowTokens: func(context.Context, string, int64) bool { return false },
-		Guard:        f.guard,
-		Memory:       f.memory, MaxHeadBytes: 1 << 16,
+		Guard:        f.guard, Permits: noPermits{},
+		Memory: f.memory, MaxHeadBytes: 1 << 16,
 		Link:          kcwlink.New(kcwlink.Config{TimeConstant: time.Second}),
 		RequestTokens: func(context.Context) bool { return false }, TokenTimeout: time.Second,
 		RetryRatio: 0.1, RetrySlack: 10, Routers: func() int { return 1 },
@@ -322,3 +323,10 @@
 		Team: "team", Granted: tokens, Available: available, Unspent: unspent, Share: tokens,
 	}})
 }
+
+// noPermits never has a permit.
+type noPermits struct{}
+
+func (noPermits) Await(context.Context, kcwpermit.Claim) bool { return false }
+
+func (noPermits) ReturnAfter(string) time.Duration { return time.Second }
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -20,6 +20,7 @@
 	"kingcupwick.example/kcw/kcwlatency"
 	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwmemory"
+	"kingcupwick.example/kcw/kcwpermit"
 	"kingcupwick.example/kcw/kcwretry"
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
@@ -37,8 +38,9 @@
 	// size of the generated text.
 	PromptTokens, OutputTokens int64
 	// Prefix is the hash of the part of the prompt that is shared with other
-	// requests, zero if there is none.
-	Prefix uint64
+	// requests, zero if there is none. PrefixTokens is the size of that part.
+	Prefix       uint64
+	PrefixTokens int64
 	// Parts identify the parts of the prompt that other requests may share, in order.
 	// Prompt identifies the last part, which belongs to the request or its session; it
 	// is empty if the request has no parts.
@@ -164,6 +166,8 @@
 	// does not answer. It reports whether there may be enough tokens now.
 	BorrowTokens func(ctx context.Context, team string, tokens int64) bool
 	Guard        PartGuard
+	// Permits waits for permits for the upstreams with a rate limit.
+	Permits permits
 	// TokenTimeout bounds one call of RequestTokens or BorrowTokens.
 	TokenTimeout time.Duration
 	// RetryRatio and RetrySlack bound the retries to one service: all routers
@@ -202,6 +206,15 @@
 	Now            func() time.Time
 }
 
+// permits waits for permits for requests to upstreams with a rate limit.
+type permits interface {
+	// Await waits until there may be a permit, and reports whether there is.
+	Await(ctx context.Context, claim kcwpermit.Claim) bool
+	// ReturnAfter returns the time after which a caller should return that is refused
+	// because all upstreams of the service are at their limits.
+	ReturnAfter(service string) time.Duration
+}
+
 // Stop is a planned stop. All requests are admitted until AcceptsUntil, and after
 // that only those that are expected to end before EndsAt.
 type Stop struct {
@@ -243,7 +256,7 @@
 // field is missing or not positive. New does not check TokenTimeout, RetryRatio,
 // RetrySlack and UsedWithin; ServeHTTP panics if RetryRatio is not in (0, 1].
 func New(cfg Config) (*Forwarder, error) {
-	complete := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil && cfg.Link != nil && cfg.Guard != nil && cfg.Memory != nil && cfg.MaxHeadBytes > 0 &&
+	complete := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil && cfg.Link != nil && cfg.Guard != nil && cfg.Permits != nil && cfg.Memory != nil && cfg.MaxHeadBytes > 0 &&
 		cfg.RequestTokens != nil && cfg.BorrowTokens != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.OnEnd != nil && cfg.OnRetry != nil && cfg.OnWithdrawal != nil && cfg.Rand != nil && cfg.Now != nil
 	if !complete || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.SilenceCheckInterval <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -1,10 +1,12 @@
 package kcwforward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
 
+	"kingcupwick.example/kcw/kcwpermit"
 	"kingcupwick.example/kcw/kcwroster"
 )
 
@@ -66,10 +68,12 @@
 			c.finish(notRun, lastFailure, "no retries are left; "+lastCause)
 			return
 		}
-		ticket := c.f.cfg.Roster.Begin(kcwroster.Request{
-			Service: c.service.Name, Prefix: c.request.Prefix, PromptTokens: c.request.PromptTokens, Tried: tried,
-		})
+		ticket, isAtLimit := c.begin(tried)
 		if ticket == nil {
+			if isAtLimit {
+				lastCause = "all upstreams are at their rate limits; " + lastCause
+			}
+			c.isAtLimit = isAtLimit
 			c.finish(notRun, lastFailure, lastCause)
 			return
 		}
@@ -97,6 +101,25 @@
 	}
 }
 
+// begin begins an attempt at an upstream that was not tried. If all of these are at their rate
+// limits, it waits for a permit; without one, it returns no attempt and sets isAtLimit.
+func (c *call) begin(tried []string) (ticket *kcwroster.Attempt, isAtLimit bool) {
+	request := kcwroster.Request{
+		Service: c.service.Name, Prefix: c.request.Prefix, PrefixTokens: c.request.PrefixTokens, PromptTokens: c.request.PromptTokens, Tried: tried,
+	}
+	ticket = c.f.cfg.Roster.Begin(request)
+	if ticket != nil || !c.f.cfg.Roster.IsAtLimit(request) {
+		return ticket, false
+	}
+	claim := kcwpermit.Claim{Service: c.service.Name, Team: c.event.Team, Priority: c.enginePriority()}
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	if c.f.cfg.Permits.Await(ctx, claim) {
+		ticket = c.f.cfg.Roster.Begin(request)
+	}
+	return ticket, ticket == nil
+}
+
 // mayContinue reports whether another attempt may follow one that ended with res.
 // Sends counts the attempts made and possibleRuns those that may have run.
 func (c *call) mayContinue(res result, sends, possibleRuns int) bool {
@@ -167,9 +190,15 @@
 
 // notRunRefusal returns the refusal of a request that no upstream has run. If all
 // upstreams have declined requests for a time, Retry-After is the time until the first
-// of them accepts requests again.
+// of them accepts requests again, and if they are at their rate limits, until there may be
+// a permit.
 func (c *call) notRunRefusal(cause string) *refusal {
 	r := &refusal{status: http.StatusServiceUnavailable, outcome: "Refused", cause: cause, retryAfter: retryAfterBusy}
+	if c.isAtLimit {
+		r.outcome, r.retryAfter = "AtLimit", c.f.cfg.Permits.ReturnAfter(c.service.Name)
+		r.isMinimum = true
+		return r
+	}
 	if freeAt := c.f.cfg.Roster.FreeAt(c.service.Name); !freeAt.IsZero() {
 		r.outcome, r.retryAfter = "Declined", freeAt.Sub(c.f.cfg.Now())
 		r.isMinimum = true
--- /dev/null
+++ b/kcw/kcwpermit/issuer.go
@@ -0,0 +1,193 @@
+package kcwpermit
+
+import (
+	"time"
+
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwratelimit"
+)
+
+// bucket holds the permits of one upstream that have not been issued.
+type bucket struct {
+	limit    kcwratelimit.Limit
+	tokens   float64
+	filledAt time.Time
+	probedAt time.Time
+}
+
+// Issuer issues permits for the requests of all routers. It is not safe for concurrent use.
+type Issuer struct {
+	buckets map[string]*bucket
+	// services holds the buckets of each service.
+	services map[string]map[string]*bucket
+	// routers holds when each router last reported. The fraction of the limits that is
+	// issued was computed from it at countedAt.
+	routers   map[string]time.Time
+	fraction  float64
+	countedAt time.Time
+}
+
+// NewIssuer returns an Issuer without limits.
+func NewIssuer() *Issuer {
+	return &Issuer{buckets: map[string]*bucket{}, services: map[string]map[string]*bucket{}, routers: map[string]time.Time{}, fraction: 1}
+}
+
+// SetLimit puts the newest limit of an upstream in force at now. A limit of zero has ended.
+// The bucket of a new limit is empty: permits that another Issuer has issued may still be
+// valid.
+func (s *Issuer) SetLimit(l kcwratelimit.Limit, now time.Time) {
+	b := s.buckets[l.Upstream]
+	switch {
+	case l.PerSecond == 0:
+		s.Remove(l.Upstream)
+		return
+	case b == nil:
+		b = &bucket{filledAt: now, limit: l}
+		s.buckets[l.Upstream] = b
+		if s.services[l.Service] == nil {
+			s.services[l.Service] = map[string]*bucket{}
+		}
+		s.services[l.Service][l.Upstream] = b
+		return
+	}
+	s.fill(b, now)
+	b.limit.PerSecond, b.limit.AnsweredAt = l.PerSecond, l.AnsweredAt
+	s.fill(b, now)
+}
+
+// Remove removes the upstream.
+func (s *Issuer) Remove(upstream string) {
+	b := s.buckets[upstream]
+	if b == nil {
+		return
+	}
+	delete(s.buckets, upstream)
+	delete(s.services[b.limit.Service], upstream)
+	if len(s.services[b.limit.Service]) == 0 {
+		delete(s.services, b.limit.Service)
+	}
+}
+
+// capacity returns the maximum number of tokens in b.
+func (s *Issuer) capacity(b *bucket) float64 {
+	return 1 + s.fraction*b.limit.PerSecond*burst.Seconds()
+}
+
+// fill adds the tokens of the time since the last call.
+func (s *Issuer) fill(b *bucket, now time.Time) {
+	if elapsed := now.Sub(b.filledAt); elapsed > 0 {
+		b.tokens += s.fraction * b.limit.PerSecond * elapsed.Seconds()
+		b.filledAt = now
+	}
+	b.tokens = min(b.tokens, s.capacity(b))
+}
+
+// Hear records a report of a router.
+func (s *Issuer) Hear(router string, now time.Time) {
+	s.routers[router] = now
+	const countInterval = 100 * time.Millisecond
+	if now.Sub(s.countedAt) < countInterval {
+		return
+	}
+	s.countedAt = now
+	silent := 0
+	for name, at := range s.routers {
+		switch age := now.Sub(at); {
+		case age > rememberFor:
+			delete(s.routers, name)
+		case age > silentAfter:
+			silent++
+		}
+	}
+	s.fraction = 1 - aloneFraction*float64(silent)/float64(len(s.routers))
+}
+
+// Issue returns permits for a router's demand, as many as there are at now: first for the
+// upstreams that it prefers, then for those whose buckets are the fullest.
+func (s *Issuer) Issue(demand []*kcwpb.PermitDemand, now time.Time) []*kcwpb.UpstreamPermits {
+	var issued []*kcwpb.UpstreamPermits
+	for _, d := range demand {
+		service := s.services[d.GetService()]
+		if len(service) == 0 {
+			continue
+		}
+		for _, b := range service {
+			s.fill(b, now)
+		}
+		left := min(d.GetPermits(), MaxPermits)
+		permits := map[string]*kcwpb.UpstreamPermits{}
+		if b := dueProbe(service, now); left > 0 && b != nil {
+			b.probedAt = now
+			b.take(permits, 1).Probe = true
+			left--
+		}
+		for _, preferred := range d.GetPreferred() {
+			if b := service[preferred.GetUpstream()]; b != nil && left > 0 {
+				n := min(left, preferred.GetPermits(), uint32(b.tokens))
+				b.take(permits, n)
+				left -= n
+			}
+		}
+		for ; left > 0; left-- {
+			b := s.fullest(service)
+			if b == nil {
+				break
+			}
+			b.take(permits, 1)
+		}
+		for _, p := range permits {
+			if p.GetPermits() > 0 {
+				issued = append(issued, p)
+			}
+		}
+	}
+	return issued
+}
+
+// take moves n tokens of b into permits.
+func (b *bucket) take(permits map[string]*kcwpb.UpstreamPermits, n uint32) *kcwpb.UpstreamPermits {
+	p := permits[b.limit.Upstream]
+	if p == nil {
+		p = &kcwpb.UpstreamPermits{Upstream: b.limit.Upstream}
+		permits[b.limit.Upstream] = p
+	}
+	p.Permits += n
+	b.tokens -= float64(n)
+	return p
+}
+
+// dueProbe returns a bucket with a token whose upstream has not answered for probeAfter, nil
+// if there is none.
+func dueProbe(service map[string]*bucket, now time.Time) *bucket {
+	for _, b := range service {
+		if b.tokens >= 1 && now.Sub(b.limit.AnsweredAt) > probeAfter && now.Sub(b.probedAt) > probeAfter {
+			return b
+		}
+	}
+	return nil
+}
+
+// fullest returns the fullest bucket with permits for routers without a preference, nil if
+// there is none.
+func (s *Issuer) fullest(service map[string]*bucket) *bucket {
+	var best *bucket
+	most := 0.0
+	for _, b := range service {
+		fill := b.tokens / s.capacity(b)
+		if b.tokens >= 1 && fill >= sharedFill && fill > most {
+			best, most = b, fill
+		}
+	}
+	return best
+}
+
+// Available returns the permits of an upstream that have not been issued at now, zero if it
+// has no limit.
+func (s *Issuer) Available(upstream string, now time.Time) float64 {
+	b := s.buckets[upstream]
+	if b == nil {
+		return 0
+	}
+	s.fill(b, now)
+	return b.tokens
+}
--- /dev/null
+++ b/kcw/kcwpermit/line.go
@@ -0,0 +1,102 @@
+package kcwpermit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxWait is how long a request waits for a permit. It spans two reports; a request that got
+// none by then is refused, so that its caller can go elsewhere.
+const maxWait = 500 * time.Millisecond
+
+// Claim describes a request that waits for a permit.
+type Claim struct {
+	Service, Team string
+	// Priority is the request's priority, zero being the most urgent.
+	Priority int
+}
+
+// Waiter is a request that waits for a permit.
+type Waiter struct {
+	claim Claim
+	since time.Time
+	// done gets one value: whether there is a permit.
+	done chan bool
+}
+
+// Done returns a channel with one value, whether there is a permit now.
+func (w *Waiter) Done() <-chan bool { return w.done }
+
+// line holds the requests that wait for permits of one service. The most urgent are served
+// first, those of equal urgency by the permits that their teams have got lately, then in
+// order of arrival.
+type line struct {
+	waiting []*Waiter
+	// served counts the permits by team, over the last reports.
+	served map[string]float64
+}
+
+func (l *line) compare(a, b *Waiter) int {
+	return cmp.Or(
+		cmp.Compare(a.claim.Priority, b.claim.Priority),
+		cmp.Compare(l.served[a.claim.Team], l.served[b.claim.Team]),
+		a.since.Compare(b.since),
+	)
+}
+
+// join adds a request to the line and refuses those beyond the first limit. It returns nil
+// if that is the request itself.
+func (l *line) join(claim Claim, limit int, now time.Time) *Waiter {
+	w := &Waiter{claim: claim, since: now, done: make(chan bool, 1)}
+	l.waiting = append(l.waiting, w)
+	slices.SortStableFunc(l.waiting, l.compare)
+	for len(l.waiting) > limit {
+		last := l.waiting[len(l.waiting)-1]
+		l.waiting = l.waiting[:len(l.waiting)-1]
+		if last == w {
+			return nil
+		}
+		last.done <- false
+	}
+	return w
+}
+
+// serve gives permits to the first in the line, and refuses those that have waited for
+// maxWait.
+func (l *line) serve(permits int, now time.Time) {
+	const servedDecay = 0.9 // of each report
+	for team, n := range l.served {
+		if l.served[team] = n * servedDecay; l.served[team] < 1-servedDecay {
+			delete(l.served, team)
+		}
+	}
+	for ; permits > 0 && len(l.waiting) > 0; permits-- {
+		slices.SortStableFunc(l.waiting, l.compare)
+		first := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		if l.served == nil {
+			l.served = map[string]float64{}
+		}
+		l.served[first.claim.Team]++
+		first.done <- true
+	}
+	l.waiting = slices.DeleteFunc(l.waiting, func(w *Waiter) bool {
+		isLate := now.Sub(w.since) >= maxWait
+		if isLate {
+			w.done <- false
+		}
+		return isLate
+	})
+}
+
+func (l *line) refuseAll() {
+	for _, w := range l.waiting {
+		w.done <- false
+	}
+	l.waiting = nil
+}
+
+func (l *line) leave(w *Waiter) {
+	l.waiting = slices.DeleteFunc(l.waiting, func(other *Waiter) bool { return other == w })
+}
--- /dev/null
+++ b/kcw/kcwpermit/permit.go
@@ -0,0 +1,52 @@
+// Package kcwpermit decides how many requests each router may send to an upstream with a
+// rate limit, so that all routers together keep to the limit (distributed rate limiting;
+// Raghavan et al., Cloud Control with Distributed Rate Limiting, SIGCOMM 2007).
+//
+// The load that it answers is a few requests per second at each of many upstreams, from up
+// to hundreds of routers whose demand differs and changes. A fixed share of such a limit
+// would be a request in minutes. So one Issuer, at the leader of the core, runs a token
+// bucket for each upstream and issues permits, each for one request, to the routers that
+// need them at the moment. The Stock of a router holds its permits. A permit that is not
+// used in time is void, and one that is lost in transit was issued all the same, so that
+// no fault and no message that is late or lost lets the routers exceed a limit.
+//
+// Routers that get no answer from the core use a part of the limit, aloneFraction, that
+// each divides by the number of routers. The Issuer holds back the parts of the routers
+// that it does not hear.
+//
+// The package does no I/O and reads no clock. Its times must advance while a host is
+// suspended, or permits would outlast a suspension.
+package kcwpermit
+
+import "time"
+
+const (
+	// validity is how long a router may use a permit, from when it sent the report that
+	// the permit answers. It spans several reports. A router that gets no answer for as
+	// long has no permits left.
+	validity = 1500 * time.Millisecond
+	// burst is the time for which the unused permits of an upstream accumulate. It spans a
+	// report.
+	burst = 500 * time.Millisecond
+	// sharedFill is the fill of an upstream's bucket from which its permits are issued to
+	// routers that have no preference. Below, they are kept for those that prefer it.
+	sharedFill = 0.8
+	// probeAfter is the age of an upstream's last answer at which a permit is issued as a
+	// probe.
+	probeAfter = 5 * time.Second
+	// silentAfter is the time without a report or an answer after which a router counts as
+	// cut off from the core. rememberFor is how long the core counts it from its last
+	// report.
+	silentAfter = time.Second
+	rememberFor = time.Minute
+	// aloneFraction is the fraction of a limit that all routers together would use if none
+	// reached the core. They are not coordinated then, and their sum varies by chance.
+	aloneFraction = 0.7
+)
+
+// MaxPreferred bounds the preferred upstreams of a service in one report, and MaxPermits
+// the permits that a router requests for a service.
+const (
+	MaxPreferred = 16
+	MaxPermits   = 256
+)
--- a/kcw/kcwratelimit/ratelimit.go
+++ b/kcw/kcwratelimit/ratelimit.go
@@ -88,13 +88,16 @@
 }
 
 // Expire drops the upstreams for which isListed returns false, and the limits that ended
-// long before now.
-func (t *Table) Expire(isListed func(upstream string) bool, now time.Time) {
+// long before now. It returns what it has dropped.
+func (t *Table) Expire(isListed func(upstream string) bool, now time.Time) []Limit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var dropped []Limit
 	for id, l := range t.limits {
 		if !isListed(id) || l.PerSecond == 0 && now.Sub(l.AnsweredAt) > endedRetention {
+			dropped = append(dropped, l)
 			delete(t.limits, id)
 		}
 	}
+	return dropped
 }
--- a/kcw/kcwroster/roster.go
+++ b/kcw/kcwroster/roster.go
@@ -194,14 +194,15 @@
 	// Prefix is the hash of the prefix that the prompt shares with others, or 0
 	// if there is none.
 	Prefix uint64
-	// PromptTokens is the size of the prompt in tokens.
-	PromptTokens int64
+	// PromptTokens is the size of the prompt in tokens, PrefixTokens that of its prefix.
+	PromptTokens, PrefixTokens int64
 	// Tried holds the IDs of the upstreams that were already tried.
 	Tried []string
 }
 
 // Begin chooses an upstream for a request and counts an attempt at it. It returns
-// nil if the service has no upstream that may receive requests.
+// nil if the service has no upstream that may receive requests, or if all of these are at
+// their rate limits.
 func (r *Roster) Begin(request Request) *Attempt {
 	now := r.cfg.Now()
 	r.mu.Lock()
@@ -210,12 +211,14 @@
 	if len(usable) == 0 {
 		return nil
 	}
-	mean := r.meanLoad(request.Service, now)
-	candidates := make([]kcwplace.Candidate, len(usable))
-	for i, u := range usable {
-		candidates[i] = kcwplace.Candidate{Hash: u.hash, Load: r.estimate(u, mean, now), SameZone: u.Zone == r.cfg.Zone}
+	var u *upstream
+	if r.cfg.Limits != nil && r.cfg.Limits.IsLimiting() {
+		if u = r.chooseWithinLimits(usable, request, now); u == nil {
+			return nil
+		}
+	} else {
+		u = r.choose(usable, request, now)
 	}
-	u := usable[r.cfg.Placer.Choose(candidates, request.Prefix)]
 	ticket, err := u.breaker.Begin(now)
 	a := &Attempt{roster: r, upstream: u, breakerTicket: ticket, admitted: err == nil, began: now, promptTokens: request.PromptTokens}
 	u.inFlight++
@@ -224,6 +227,16 @@
 	return a
 }
 
+// choose chooses one of the given upstreams for the request. It panics if there are none.
+func (r *Roster) choose(upstreams []*upstream, request Request, now time.Time) *upstream {
+	mean := r.meanLoad(request.Service, now)
+	candidates := make([]kcwplace.Candidate, len(upstreams))
+	for i, u := range upstreams {
+		candidates[i] = kcwplace.Candidate{Hash: u.hash, Load: r.estimate(u, mean, now), SameZone: u.Zone == r.cfg.Zone}
+	}
+	return upstreams[r.cfg.Placer.Choose(candidates, request.Prefix)]
+}
+
 // usable returns the upstreams of the service that may receive the request, without the
 // suspected ones. If all are suspected, it returns them all, since the suspicion then
 // doesn't distinguish between them.
--- a/kcw/kcwuptime/clock.go
+++ b/kcw/kcwuptime/clock.go
@@ -76,3 +76,8 @@
 	}
 	return now
 }
+
+// Time returns a time that is the current uptime after the Unix epoch. Unlike the time of
+// day it can't be set, and unlike the monotonic clock it advances in suspension. It panics as
+// Now does.
+func (c *Clock) Time() time.Time { return time.Unix(0, int64(c.Now())) }
