kcwpermit: permits on demand, for the largest requests (trial)

A limit counts requests and not their work, so that the upstreams without a limit get the least work if the largest requests get the permits. Routers ask the core for a permit for the request at hand, the upstream that holds its prefix first; the smaller a request is among those that ask, the fuller the bucket that it needs.

--- a/kcw-fleet/kcwcontrol/limits.go
+++ b/kcw-fleet/kcwcontrol/limits.go
@@ -55,11 +55,6 @@
 	if len(req.GetPermits()) > maxServices {
 		return nil, errTooMuchDemand
 	}
-	for _, demand := range req.GetPermits() {
-		if len(demand.GetPreferred()) > kcwpermit.MaxPreferred {
-			return nil, errTooMuchDemand
-		}
-	}
 	return kcwratelimit.DecodeAll(req.GetLimits(), now)
 }
 
@@ -89,6 +84,14 @@
 	}
 }
 
+// grant issues a permit for one of the upstreams of a router's request, and returns that
+// upstream. It returns an empty string if there is none.
+func (k *limitKeeper) grant(req *kcwpb.FleetPermitRequest) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.issuer.Grant(req.GetUpstreams(), min(max(req.GetSpare(), 0), 1), k.now())
+}
+
 // apply puts a limit of a router's report in force unless a newer one is. The caller holds
 // mu.
 func (k *limitKeeper) apply(l kcwratelimit.Limit, router string, now time.Time) {
--- a/kcw-fleet/kcwcontrol/redirect.go
+++ b/kcw-fleet/kcwcontrol/redirect.go
@@ -92,6 +92,11 @@
 	return nil, r.refusal(ctx)
 }
 
+// Permit refuses the call and names the leader if it is known.
+func (r *redirector) Permit(context.Context, *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error) {
+	return nil, newRefusal(errNotLeader, r.client.Leader(), r.client.View())
+}
+
 // Announce merges another host's view of the core and answers with this host's view. It
 // does not locate the leader, because two redirectors would wait for each other.
 func (r *redirector) Announce(_ context.Context, req *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error) {
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -24,6 +24,7 @@
 	"kingcupwick.example/kcw/kcwmembership"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+	"kingcupwick.example/kcw/kcwpermit"
 )
 
 // routerActiveWindow is how long after its last report a router still counts among
@@ -113,6 +114,18 @@
 	return connect.NewResponse(response), nil
 }
 
+// Permit issues a permit to a router. A member that may have lost the lead refuses, since
+// another may issue the same permits.
+func (s *service) Permit(_ context.Context, req *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error) {
+	if len(req.Msg.GetUpstreams()) > kcwpermit.MaxUpstreams {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errTooMuchDemand)
+	}
+	if status := s.group.Status(); status.GetId() == 0 || status.GetId() != status.GetLeader() || !s.group.Fresh() {
+		return nil, s.refusal(errNotLeader)
+	}
+	return connect.NewResponse(&kcwpb.FleetPermitResponse{Upstream: s.limits.grant(req.Msg)}), nil
+}
+
 // recordContact records the last report of the router. It returns the number of active
 // routers and the addresses at which some of the others lend tokens.
 func (s *service) recordContact(router string, latest contact) (routers uint32, lenders []string) {
--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -177,6 +177,21 @@
 	return err
 }
 
+// Permit asks the leader for a permit and returns the upstream that it is for, empty if there
+// is none. Unlike Sync it tries no other host, since the request would wait. The error is an
+// *Error.
+func (c *Client) Permit(ctx context.Context, req *kcwpb.FleetPermitRequest) (string, error) {
+	leader := c.Leader()
+	if !leader.IsValid() {
+		return "", &Error{Op: "permit", Kind: Unanswered, Err: errors.New("no leader is known")}
+	}
+	response, err := c.fleetClient(leader).Permit(ctx, connect.NewRequest(req))
+	if err != nil {
+		return "", &Error{Op: "permit", Kind: Unanswered, Member: leader, Err: eris.Wrap(err, "call")}
+	}
+	return response.Msg.GetUpstream(), nil
+}
+
 // callLeader calls up to maxTries hosts until one answers as leader, and returns its
 // address. It stops at an error other than Unavailable.
 func (c *Client) callLeader(ctx context.Context, op string, call func(kcwpbconnect.FleetClient) error) (netip.AddrPort, error) {
--- a/kcw-fleet/kcwquota/quota.go
+++ b/kcw-fleet/kcwquota/quota.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpermit"
 	"kingcupwick.example/kcw/kcwratelimit"
@@ -22,9 +23,13 @@
 type Config struct {
 	// OnMalformed is called for the first limit of an upstream that can't be read.
 	OnMalformed func()
-	// OnHeld is called with the service of a request for whose preferred upstream there
-	// was no permit.
+	// OnHeld is called with the service of a request for which there was no permit.
 	OnHeld func(service string)
+	// Ask asks the core for a permit for the first of the upstreams that has one, and
+	// returns that upstream, empty if none has. Spare is the part of the upstream's permits
+	// that is left to others, zero to one. AskTimeout bounds one call.
+	Ask        func(ctx context.Context, upstreams []string, spare float64) (string, error)
+	AskTimeout time.Duration
 	// Rand is the source of random numbers. No other code may use it.
 	Rand *rand.Rand
 	// Now returns a time that advances while the host is suspended.
@@ -162,45 +167,100 @@
 // IsLimiting implements the limiter of kcwroster.
 func (q *Quota) IsLimiting() bool { return q.limited.Load() > 0 }
 
-// Standing implements the limiter of kcwroster.
-func (q *Quota) Standing(upstream string) kcwroster.Standing {
+// HasLimit implements the limiter of kcwroster.
+func (q *Quota) HasLimit(upstream string) bool {
 	l, _ := q.table.Get(upstream)
-	if l.PerSecond == 0 {
-		return kcwroster.Unlimited
+	return l.PerSecond > 0
+}
+
+// Acquire implements the permits of kcwforward. It asks the core for a permit if the request
+// is large enough, or can go nowhere else. Such a request waits if there is none at once,
+// unless more urgent ones wait for all permits that are expected soon.
+func (q *Quota) Acquire(ctx context.Context, claim kcwpermit.Claim) (upstream string) {
+	limits := q.inForce(claim.Upstreams)
+	if len(limits) == 0 {
+		return ""
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	switch q.stock.Standing(l, q.cfg.Now()) {
-	case kcwpermit.Probe:
-		return kcwroster.Probe
-	case kcwpermit.Permitted:
-		return kcwroster.Permitted
+	upstream, spare, mayAsk := q.takeHeld(claim, limits)
+	if upstream == "" && mayAsk {
+		upstream = q.ask(ctx, claim, spare)
 	}
-	return kcwroster.Closed
+	if upstream == "" && !claim.HasOther && q.await(ctx, claim) {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		// A permit from a report may be for an upstream that the claim does not name.
+		return q.stock.Take(q.ofService(claim.Service), q.cfg.Now())
+	}
+	if upstream == "" {
+		q.cfg.OnHeld(claim.Service)
+	}
+	return upstream
 }
 
-// Take implements the limiter of kcwroster.
-func (q *Quota) Take(upstream string) bool {
-	l, _ := q.table.Get(upstream)
-	if l.PerSecond == 0 {
-		return true
+// inForce returns the limits in force of the upstreams.
+func (q *Quota) inForce(upstreams []string) []kcwratelimit.Limit {
+	var limits []kcwratelimit.Limit
+	for _, id := range upstreams {
+		if l, _ := q.table.Get(id); l.PerSecond > 0 {
+			limits = append(limits, l)
+		}
 	}
+	return limits
+}
+
+// ofService returns the limits in force of the service's upstreams.
+func (q *Quota) ofService(service string) []kcwratelimit.Limit {
+	var limits []kcwratelimit.Limit
+	for _, l := range q.table.All() {
+		if l.PerSecond > 0 && l.Service == service {
+			limits = append(limits, l)
+		}
+	}
+	return limits
+}
+
+// takeHeld takes a permit that this router holds. Without one, mayAsk reports whether the
+// core should be asked, and spare is the part of the permits that is left to others.
+func (q *Quota) takeHeld(claim kcwpermit.Claim, limits []kcwratelimit.Limit) (upstream string, spare float64, mayAsk bool) {
+	now := q.cfg.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.stock.Take(l, q.cfg.Now())
+	rank := q.stock.Rank(claim.Service, claim.Size, q.expected(claim.Service), now)
+	if claim.HasOther {
+		if rank < 0 {
+			return "", 0, false
+		}
+		spare = 1 - rank
+	}
+	if upstream = q.stock.Take(limits, now); upstream != "" {
+		return upstream, 0, false
+	}
+	// While requests wait, there are no permits that are not issued.
+	return "", spare, !q.stock.IsAlone(now) && !q.stock.IsWaiting(claim.Service)
 }
 
-// Displace implements the limiter of kcwroster.
-func (q *Quota) Displace(service, upstream string) {
-	q.mu.Lock()
-	q.stock.Displace(service, upstream, q.cfg.Now())
-	q.mu.Unlock()
-	q.cfg.OnHeld(service)
+// ask asks the core for a permit. It returns an empty string if there is none, or no answer
+// in time.
+func (q *Quota) ask(ctx context.Context, claim kcwpermit.Claim, spare float64) string {
+	ctx, cancel := context.WithTimeout(ctx, q.cfg.AskTimeout)
+	defer cancel()
+	upstreams := claim.Upstreams[:min(len(claim.Upstreams), kcwpermit.MaxUpstreams)]
+	upstream, err := q.cfg.Ask(ctx, upstreams, spare)
+	if err != nil {
+		klog.V(kcwlog.DebugVerbosity).InfoS("No answer to the request for a permit", "Service", claim.Service, "Cause", err.Error())
+		return ""
+	}
+	if upstream != "" {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.stock.Granted(claim.Service, q.cfg.Now())
+	}
+	return upstream
 }
 
-// Await waits until there may be a permit for a request, and reports whether there is. It
-// returns at once if more urgent requests wait for all permits that are expected soon.
-func (q *Quota) Await(ctx context.Context, claim kcwpermit.Claim) bool {
+// await waits until a report has brought permits, and reports whether there is one for the
+// request.
+func (q *Quota) await(ctx context.Context, claim kcwpermit.Claim) bool {
 	q.mu.Lock()
 	w := q.stock.Wait(claim, q.cfg.Now())
 	q.mu.Unlock()
@@ -218,17 +278,22 @@
 	}
 }
 
+// expected returns the permits per second that this router gets if all routers get the same.
+// The caller holds mu.
+func (q *Quota) expected(service string) float64 {
+	if sum := q.services[service]; sum != nil {
+		return sum.perSecond / float64(max(1, q.routers))
+	}
+	return 0
+}
+
 // ReturnAfter returns the time after which a caller should return whose request is refused
 // because all upstreams of the service are at their limits.
 func (q *Quota) ReturnAfter(service string) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.cfg.Now()
-	least := 0.0
-	if sum := q.services[service]; sum != nil {
-		least = sum.perSecond / float64(max(1, q.routers))
-	}
-	return q.stock.ReturnAt(service, least, now).Sub(now)
+	return q.stock.ReturnAt(service, q.expected(service), now).Sub(now)
 }
 
 // Report adds to a report to the core the limits that the core does not have and the demand
--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -50,6 +50,7 @@
 	}
 	klog.InfoS("Request ended", "Request", e.RequestID, "Outcome", e.Outcome, "Status", e.Status, "Cause", e.Cause,
 		"Route", e.Route, "Team", e.Team, "Service", e.Service, "Upstream", e.Upstream, "Sends", e.Sends,
+		"Permit", e.Permit, "Displaced", e.Displaced,
 		"Elapsed", e.Elapsed.String(), "FirstByte", e.FirstByte.String(), "RetryAfter", e.RetryAfter.String(),
 		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used, "Cut", e.Cut, "Parts", loggedParts(e))
 }
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -184,12 +184,16 @@
 }
 
 func (r *Router) newQuota(uptime *kcwuptime.Clock) {
+	s := r.cfg.Settings
 	malformed := r.meter.Counter("kcw_router_limits_malformed", "Upstreams that have named a rate limit that can't be read.")
 	held := r.meter.Counter("kcw_router_limit_held", "Requests whose preferred upstream was at its rate limit, by service.")
 	r.quota = kcwquota.New(kcwquota.Config{
 		OnMalformed: func() { malformed.Add(r.ctx, 1) },
 		OnHeld:      func(service string) { held.Add(r.ctx, 1, metric.WithAttributes(attribute.String("service", service))) },
-		Rand:        newRand(), Now: uptime.Time,
+		Ask: func(ctx context.Context, upstreams []string, spare float64) (string, error) {
+			return r.client.Permit(ctx, &kcwpb.FleetPermitRequest{Router: s.Host.Name, Upstreams: upstreams, Spare: spare})
+		},
+		AskTimeout: s.Grants.LendTimeout, Rand: newRand(), Now: uptime.Time,
 	})
 }
 
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -327,6 +327,6 @@
 // noPermits never has a permit.
 type noPermits struct{}
 
-func (noPermits) Await(context.Context, kcwpermit.Claim) bool { return false }
+func (noPermits) Acquire(context.Context, kcwpermit.Claim) string { return "" }
 
 func (noPermits) ReturnAfter(string) time.Duration { return time.Second }
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -38,9 +38,8 @@
 	// size of the generated text.
 	PromptTokens, OutputTokens int64
 	// Prefix is the hash of the part of the prompt that is shared with other
-	// requests, zero if there is none. PrefixTokens is the size of that part.
-	Prefix       uint64
-	PrefixTokens int64
+	// requests, zero if there is none.
+	Prefix uint64
 	// Parts identify the parts of the prompt that other requests may share, in order.
 	// Prompt identifies the last part, which belongs to the request or its session; it
 	// is empty if the request has no parts.
@@ -125,6 +124,10 @@
 	Outcome, Cause string
 	// Sends is the number of attempts.
 	Sends int
+	// Permit is the upstream with a rate limit for which the last attempt had a permit.
+	// Displaced is the upstream that the last attempt would have gone to if there had been
+	// a permit. Both are empty for other attempts.
+	Permit, Displaced string
 	// Cut is set if the upstream closed the connection of the last attempt before its
 	// answer was whole, and Begun if a part of an answer had been passed on by then.
 	Cut, Begun bool
@@ -166,7 +169,7 @@
 	// does not answer. It reports whether there may be enough tokens now.
 	BorrowTokens func(ctx context.Context, team string, tokens int64) bool
 	Guard        PartGuard
-	// Permits waits for permits for the upstreams with a rate limit.
+	// Permits provides the permits for upstreams with a rate limit.
 	Permits permits
 	// TokenTimeout bounds one call of RequestTokens or BorrowTokens.
 	TokenTimeout time.Duration
@@ -206,10 +209,11 @@
 	Now            func() time.Time
 }
 
-// permits waits for permits for requests to upstreams with a rate limit.
+// permits provides permits for requests to upstreams with a rate limit.
 type permits interface {
-	// Await waits until there may be a permit, and reports whether there is.
-	Await(ctx context.Context, claim kcwpermit.Claim) bool
+	// Acquire returns the upstream for which the request has got a permit, empty if there
+	// is none.
+	Acquire(ctx context.Context, claim kcwpermit.Claim) (upstream string)
 	// ReturnAfter returns the time after which a caller should return that is refused
 	// because all upstreams of the service are at their limits.
 	ReturnAfter(service string) time.Duration
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -101,23 +101,27 @@
 	}
 }
 
-// begin begins an attempt at an upstream that was not tried. If all of these are at their rate
-// limits, it waits for a permit; without one, it returns no attempt and sets isAtLimit.
+// begin begins an attempt at an upstream that was not tried, with a permit if that is one
+// with a rate limit. If all of these are at their rate limits, it returns no attempt and
+// sets isAtLimit.
 func (c *call) begin(tried []string) (ticket *kcwroster.Attempt, isAtLimit bool) {
-	request := kcwroster.Request{
-		Service: c.service.Name, Prefix: c.request.Prefix, PrefixTokens: c.request.PrefixTokens, PromptTokens: c.request.PromptTokens, Tried: tried,
+	request := kcwroster.Request{Service: c.service.Name, Prefix: c.request.Prefix, PromptTokens: c.request.PromptTokens, Tried: tried}
+	c.event.Permit, c.event.Displaced = "", ""
+	limited, hasOther := c.f.cfg.Roster.Limited(request)
+	if len(limited) > 0 {
+		ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+		defer cancel()
+		request.Permit = c.f.cfg.Permits.Acquire(ctx, kcwpermit.Claim{
+			Service: c.service.Name, Team: c.event.Team, Priority: c.enginePriority(), Size: float64(c.request.PromptTokens),
+			Upstreams: limited, HasOther: hasOther,
+		})
+		c.event.Permit = request.Permit
+		if request.Permit == "" {
+			c.event.Displaced = limited[0]
+		}
 	}
 	ticket = c.f.cfg.Roster.Begin(request)
-	if ticket != nil || !c.f.cfg.Roster.IsAtLimit(request) {
-		return ticket, false
-	}
-	claim := kcwpermit.Claim{Service: c.service.Name, Team: c.event.Team, Priority: c.enginePriority()}
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
-	defer cancel()
-	if c.f.cfg.Permits.Await(ctx, claim) {
-		ticket = c.f.cfg.Roster.Begin(request)
-	}
-	return ticket, ticket == nil
+	return ticket, ticket == nil && len(limited) > 0
 }
 
 // mayContinue reports whether another attempt may follow one that ended with res.
--- a/kcw/kcwpb/kcwpbconnect/kcw.connect.go
+++ b/kcw/kcwpb/kcwpbconnect/kcw.connect.go
@@ -76,6 +76,8 @@
 	FleetSyncProcedure = "/kcw.v1.Fleet/Sync"
 	// FleetAdmitProcedure is the fully-qualified name of the Fleet's Admit RPC.
 	FleetAdmitProcedure = "/kcw.v1.Fleet/Admit"
+	// FleetPermitProcedure is the fully-qualified name of the Fleet's Permit RPC.
+	FleetPermitProcedure = "/kcw.v1.Fleet/Permit"
 	// FleetAnnounceProcedure is the fully-qualified name of the Fleet's Announce RPC.
 	FleetAnnounceProcedure = "/kcw.v1.Fleet/Announce"
 )
@@ -660,6 +662,8 @@
 type FleetClient interface {
 	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
 	Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error)
+	// Permit is answered by the leader only.
+	Permit(context.Context, *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error)
 	// Announce is answered by every host that serves the core, also one that is
 	// no member: caller and callee exchange what they know of the core.
 	Announce(context.Context, *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error)
@@ -688,6 +692,12 @@
 			connect.WithSchema(fleetMethods.ByName("Admit")),
 			connect.WithClientOptions(opts...),
 		),
+		permit: connect.NewClient[kcwpb.FleetPermitRequest, kcwpb.FleetPermitResponse](
+			httpClient,
+			baseURL+FleetPermitProcedure,
+			connect.WithSchema(fleetMethods.ByName("Permit")),
+			connect.WithClientOptions(opts...),
+		),
 		announce: connect.NewClient[kcwpb.FleetAnnounceRequest, kcwpb.FleetAnnounceResponse](
 			httpClient,
 			baseURL+FleetAnnounceProcedure,
@@ -701,6 +711,7 @@
 type fleetClient struct {
 	sync     *connect.Client[kcwpb.FleetSyncRequest, kcwpb.FleetSyncResponse]
 	admit    *connect.Client[kcwpb.FleetAdmitRequest, kcwpb.FleetAdmitResponse]
+	permit   *connect.Client[kcwpb.FleetPermitRequest, kcwpb.FleetPermitResponse]
 	announce *connect.Client[kcwpb.FleetAnnounceRequest, kcwpb.FleetAnnounceResponse]
 }
 
@@ -714,6 +725,11 @@
 	return c.admit.CallUnary(ctx, req)
 }
 
+// Permit calls kcw.v1.Fleet.Permit.
+func (c *fleetClient) Permit(ctx context.Context, req *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error) {
+	return c.permit.CallUnary(ctx, req)
+}
+
 // Announce calls kcw.v1.Fleet.Announce.
 func (c *fleetClient) Announce(ctx context.Context, req *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error) {
 	return c.announce.CallUnary(ctx, req)
@@ -723,6 +739,8 @@
 type FleetHandler interface {
 	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
 	Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error)
+	// Permit is answered by the leader only.
+	Permit(context.Context, *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error)
 	// Announce is answered by every host that serves the core, also one that is
 	// no member: caller and callee exchange what they know of the core.
 	Announce(context.Context, *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error)
@@ -747,6 +765,12 @@
 		connect.WithSchema(fleetMethods.ByName("Admit")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetPermitHandler := connect.NewUnaryHandler(
+		FleetPermitProcedure,
+		svc.Permit,
+		connect.WithSchema(fleetMethods.ByName("Permit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetAnnounceHandler := connect.NewUnaryHandler(
 		FleetAnnounceProcedure,
 		svc.Announce,
@@ -759,6 +783,8 @@
 			fleetSyncHandler.ServeHTTP(w, r)
 		case FleetAdmitProcedure:
 			fleetAdmitHandler.ServeHTTP(w, r)
+		case FleetPermitProcedure:
+			fleetPermitHandler.ServeHTTP(w, r)
 		case FleetAnnounceProcedure:
 			fleetAnnounceHandler.ServeHTTP(w, r)
 		default:
@@ -778,6 +804,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Admit is not implemented"))
 }
 
+func (UnimplementedFleetHandler) Permit(context.Context, *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Permit is not implemented"))
+}
+
 func (UnimplementedFleetHandler) Announce(context.Context, *connect.Request[kcwpb.FleetAnnounceRequest]) (*connect.Response[kcwpb.FleetAnnounceResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Announce is not implemented"))
 }
--- a/kcw/kcwpermit/issuer.go
+++ b/kcw/kcwpermit/issuer.go
@@ -102,8 +102,28 @@
 	s.fraction = 1 - aloneFraction*float64(silent)/float64(len(s.routers))
 }
 
-// Issue returns permits for a router's demand, as many as there are at now: first for the
-// upstreams that it prefers, then for those whose buckets are the fullest.
+// Grant issues a permit at now for the first of the upstreams that has one left, and returns
+// that upstream. It returns an empty string if none has. Spare is the part of the tokens of a
+// full bucket, beside the one that is taken, that is left to others, zero to one.
+func (s *Issuer) Grant(upstreams []string, spare float64, now time.Time) string {
+	for _, upstream := range upstreams {
+		b := s.buckets[upstream]
+		if b == nil {
+			continue
+		}
+		s.fill(b, now)
+		// A bucket that is nearly full is full to those who leave the most.
+		const nearlyFull = 0.95
+		if b.tokens >= 1+spare*nearlyFull*(s.capacity(b)-1) {
+			b.tokens--
+			return upstream
+		}
+	}
+	return ""
+}
+
+// Issue returns permits for the demand of a router, as many as there are at now, and those
+// for probes that are due.
 func (s *Issuer) Issue(demand []*kcwpb.PermitDemand, now time.Time) []*kcwpb.UpstreamPermits {
 	var issued []*kcwpb.UpstreamPermits
 	for _, d := range demand {
@@ -111,51 +131,34 @@
 		if len(service) == 0 {
 			continue
 		}
+		permits := map[*bucket]*kcwpb.UpstreamPermits{}
+		take := func(b *bucket) *kcwpb.UpstreamPermits {
+			if permits[b] == nil {
+				permits[b] = &kcwpb.UpstreamPermits{Upstream: b.limit.Upstream}
+				issued = append(issued, permits[b])
+			}
+			b.tokens--
+			permits[b].Permits++
+			return permits[b]
+		}
 		for _, b := range service {
 			s.fill(b, now)
 		}
-		left := min(d.GetPermits(), MaxPermits)
-		permits := map[string]*kcwpb.UpstreamPermits{}
-		if b := dueProbe(service, now); left > 0 && b != nil {
+		if b := dueProbe(service, now); b != nil {
 			b.probedAt = now
-			b.take(permits, 1).Probe = true
-			left--
+			take(b).Probe = true
 		}
-		for _, preferred := range d.GetPreferred() {
-			if b := service[preferred.GetUpstream()]; b != nil && left > 0 {
-				n := min(left, preferred.GetPermits(), uint32(b.tokens))
-				b.take(permits, n)
-				left -= n
-			}
-		}
-		for ; left > 0; left-- {
+		for range min(d.GetPermits(), MaxPermits) {
 			b := s.fullest(service)
 			if b == nil {
 				break
 			}
-			b.take(permits, 1)
-		}
-		for _, p := range permits {
-			if p.GetPermits() > 0 {
-				issued = append(issued, p)
-			}
+			take(b)
 		}
 	}
 	return issued
 }
 
-// take moves n tokens of b into permits.
-func (b *bucket) take(permits map[string]*kcwpb.UpstreamPermits, n uint32) *kcwpb.UpstreamPermits {
-	p := permits[b.limit.Upstream]
-	if p == nil {
-		p = &kcwpb.UpstreamPermits{Upstream: b.limit.Upstream}
-		permits[b.limit.Upstream] = p
-	}
-	p.Permits += n
-	b.tokens -= float64(n)
-	return p
-}
-
 // dueProbe returns a bucket with a token whose upstream has not answered for probeAfter, nil
 // if there is none.
 func dueProbe(service map[string]*bucket, now time.Time) *bucket {
@@ -167,14 +170,12 @@
 	return nil
 }
 
-// fullest returns the fullest bucket with permits for routers without a preference, nil if
-// there is none.
+// fullest returns the fullest bucket that has a token, nil if there is none.
 func (s *Issuer) fullest(service map[string]*bucket) *bucket {
 	var best *bucket
 	most := 0.0
 	for _, b := range service {
-		fill := b.tokens / s.capacity(b)
-		if b.tokens >= 1 && fill >= sharedFill && fill > most {
+		if fill := b.tokens / s.capacity(b); b.tokens >= 1 && fill > most {
 			best, most = b, fill
 		}
 	}
--- a/kcw/kcwpermit/line.go
+++ b/kcw/kcwpermit/line.go
@@ -10,11 +10,17 @@
 // none by then is refused, so that its caller can go elsewhere.
 const maxWait = 500 * time.Millisecond
 
-// Claim describes a request that waits for a permit.
+// Claim describes a request that needs a permit.
 type Claim struct {
 	Service, Team string
 	// Priority is the request's priority, zero being the most urgent.
 	Priority int
+	// Size is the work of the request, in any unit.
+	Size float64
+	// Upstreams are the upstreams with a limit to which the request may go, the best first.
+	Upstreams []string
+	// HasOther is set if the request may go to an upstream without a limit.
+	HasOther bool
 }
 
 // Waiter is a request that waits for a permit.
--- a/kcw/kcwpermit/permit.go
+++ b/kcw/kcwpermit/permit.go
@@ -5,10 +5,15 @@
 // The load that it answers is a few requests per second at each of many upstreams, from up
 // to hundreds of routers whose demand differs and changes. A fixed share of such a limit
 // would be a request in minutes. So one Issuer, at the leader of the core, runs a token
-// bucket for each upstream and issues permits, each for one request, to the routers that
-// need them at the moment. The Stock of a router holds its permits. A permit that is not
-// used in time is void, and one that is lost in transit was issued all the same, so that
-// no fault and no message that is late or lost lets the routers exceed a limit.
+// bucket for each upstream and issues permits, each for one request. The Stock of a router
+// decides for which requests it asks for one, holds permits that were issued with a report,
+// and lets requests wait that can go nowhere else. A permit that is not used in time is
+// void, and one that is lost in transit was issued all the same, so that no fault and no
+// message that is late or lost lets the routers exceed a limit.
+//
+// A limit counts requests and not their work. Where other upstreams could serve a request,
+// only the largest get permits, as many as there are, so that the other upstreams get the
+// least work. The smaller of these get only permits that would otherwise be lost soon.
 //
 // Routers that get no answer from the core use a part of the limit, aloneFraction, that
 // each divides by the number of routers. The Issuer holds back the parts of the routers
@@ -25,12 +30,8 @@
 	// the permit answers. It spans several reports. A router that gets no answer for as
 	// long has no permits left.
 	validity = 1500 * time.Millisecond
-	// burst is the time for which the unused permits of an upstream accumulate. It spans a
-	// report.
-	burst = 500 * time.Millisecond
-	// sharedFill is the fill of an upstream's bucket from which its permits are issued to
-	// routers that have no preference. Below, they are kept for those that prefer it.
-	sharedFill = 0.8
+	// burst is the time for which the unused permits of an upstream accumulate.
+	burst = time.Second
 	// probeAfter is the age of an upstream's last answer at which a permit is issued as a
 	// probe.
 	probeAfter = 5 * time.Second
@@ -44,9 +45,9 @@
 	aloneFraction = 0.7
 )
 
-// MaxPreferred bounds the preferred upstreams of a service in one report, and MaxPermits
-// the permits that a router requests for a service.
+// MaxUpstreams bounds the upstreams in one request for a permit, and MaxPermits the permits
+// that a router gets for a service with one report.
 const (
-	MaxPreferred = 16
+	MaxUpstreams = 16
 	MaxPermits   = 256
 )
--- a/kcw/kcwpermit/stock.go
+++ b/kcw/kcwpermit/stock.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"kingcupwick.example/kcw/kcwpb"
@@ -12,24 +10,17 @@
 )
 
 const (
-	// demandTime is the time over which demand is averaged, and horizon the time whose
-	// demand the permits in stock should cover. Both span some reports.
-	demandTime = time.Second
-	horizon    = 500 * time.Millisecond
-)
-
-// Standing is whether a request may go to an upstream.
-type Standing int
-
-// Standings.
-const (
-	// Closed: the upstream has a rate limit, and the router holds no permit.
-	Closed Standing = iota
-	// Permitted: the router holds a permit.
-	Permitted
-	// Probe: the router holds a permit that should be used at once, because the upstream
-	// has not answered for a while and its limit may have ended.
-	Probe
+	// rateTime is the time over which the rates of requests and of permits are averaged.
+	rateTime = 3 * time.Second
+	// idleAfter is the time without requests after which a router asks for no more probes.
+	idleAfter = 10 * time.Second
+	// askFactor is the ratio of the requests that ask for a permit to those that lately
+	// got one. It is above one so that the router notices when there are more permits.
+	askFactor = 1.5
+	// sampleSize is the number of requests whose sizes are compared.
+	sampleSize = 128
+	// maxAhead bounds the time after which a refused caller is told to return.
+	maxAhead = 10 * time.Second
 )
 
 // holding is what a router holds for one upstream.
@@ -45,12 +36,13 @@
 
 // need is a router's need of permits for the upstreams of one service.
 type need struct {
-	// displaced is the rate of requests for which there was no permit, and granted that of
+	// requests is the rate of requests for which a permit could be used, granted that of
 	// permits received.
-	displaced, granted rate
-	// preferred counts the upstreams that requests since the last report would have gone to.
-	preferred map[string]uint32
-	line      line
+	requests, granted rate
+	// sizes holds the sizes of the last requests, the newest at index next-1.
+	sizes []float64
+	next  int
+	line  line
 	// returnAt is when the last caller that was refused may return.
 	returnAt time.Time
 }
@@ -70,28 +62,75 @@
 	return &Stock{rand: random, holdings: map[string]*holding{}, needs: map[string]*need{}}
 }
 
-// isAlone reports whether the router has got no answer from the core for silentAfter.
-func (s *Stock) isAlone(now time.Time) bool {
+// IsAlone reports whether the router has got no answer from the core for a while, so that it
+// sends requests without permits.
+func (s *Stock) IsAlone(now time.Time) bool {
 	return !s.answeredAt.IsZero() && now.Sub(s.answeredAt) > silentAfter
 }
 
-// Standing returns whether a request may go to the upstream of the limit at now. The limit
-// must not have ended.
-func (s *Stock) Standing(l kcwratelimit.Limit, now time.Time) Standing {
-	h := s.holdings[l.Upstream]
-	switch {
-	case h != nil && h.valid(now) > 0 && h.isProbe:
-		return Probe
-	case h != nil && h.valid(now) > 0:
-		return Permitted
-	case !s.isAlone(now):
-		return Closed
-	case now.Before(s.aloneAt(l, now)):
-		return Closed
-	case now.Sub(l.AnsweredAt) > probeAfter:
-		return Probe
+// Rank records a request of the given size, in any unit, and returns its rank among the
+// largest, as many as get permits: one for the largest, zero for the smallest of these, and
+// less for all others. Least is the number of permits per second that the router should get
+// at least.
+func (s *Stock) Rank(service string, size, least float64, now time.Time) float64 {
+	n := s.need(service)
+	n.requests.add(1, now)
+	// A random fraction orders requests of equal size.
+	size += s.rand.Float64()
+	if len(n.sizes) < sampleSize {
+		n.sizes = append(n.sizes, size)
+	} else {
+		n.sizes[n.next] = size
+		n.next = (n.next + 1) % sampleSize
+	}
+	smaller := 0
+	for _, other := range n.sizes {
+		if other < size {
+			smaller++
+		}
+	}
+	share := min(1, max(least, askFactor*n.granted.at(now))/n.requests.at(now))
+	larger := float64(len(n.sizes)-1-smaller) / float64(len(n.sizes))
+	return 1 - larger/share
+}
+
+// Granted records a permit that the router has got for a request.
+func (s *Stock) Granted(service string, now time.Time) { s.need(service).granted.add(1, now) }
+
+// Take takes a permit for one of the upstreams of the limits, which are in force, in their
+// order. It returns an empty string if there is none.
+func (s *Stock) Take(limits []kcwratelimit.Limit, now time.Time) string {
+	for _, l := range limits {
+		if h := s.holdings[l.Upstream]; h != nil && h.valid(now) > 0 && h.isProbe {
+			return s.take(l, now)
+		}
+	}
+	for _, l := range limits {
+		if h := s.holdings[l.Upstream]; h != nil && h.valid(now) > 0 {
+			return s.take(l, now)
+		}
+	}
+	if !s.IsAlone(now) {
+		return ""
+	}
+	for _, l := range limits {
+		if !now.Before(s.aloneAt(l, now)) {
+			return s.take(l, now)
+		}
+	}
+	return ""
+}
+
+// take uses up a permit for l, or the next request without one.
+func (s *Stock) take(l kcwratelimit.Limit, now time.Time) string {
+	h := s.hold(l.Upstream, l.Service)
+	h.isProbe = false
+	if len(h.expires) > 0 {
+		h.expires = h.expires[1:]
+	} else {
+		h.aloneAt = now.Add(s.aloneInterval(l))
 	}
-	return Permitted
+	return l.Upstream
 }
 
 // valid returns the number of permits that are valid at now, and drops the others.
@@ -138,73 +177,23 @@
 	return time.Duration(min(s, time.Hour.Seconds()) * float64(time.Second))
 }
 
-// Take uses up a permit for a request to the upstream of the limit, and reports whether
-// there was one.
-func (s *Stock) Take(l kcwratelimit.Limit, now time.Time) bool {
-	if s.Standing(l, now) == Closed {
-		return false
-	}
-	h := s.hold(l.Upstream, l.Service)
-	h.isProbe = false
-	if len(h.expires) > 0 {
-		h.expires = h.expires[1:]
-		return true
-	}
-	h.aloneAt = now.Add(s.aloneInterval(l))
-	return true
-}
-
-// Displace records that a request would have gone to an upstream for which there was no
-// permit.
-func (s *Stock) Displace(service, upstream string, now time.Time) {
-	n := s.need(service)
-	n.displaced.add(1, now)
-	if _, found := n.preferred[upstream]; found || len(n.preferred) < MaxPreferred {
-		n.preferred[upstream]++
-	}
-}
-
 func (s *Stock) need(service string) *need {
 	n := s.needs[service]
 	if n == nil {
-		n = &need{preferred: map[string]uint32{}}
+		n = &need{}
 		s.needs[service] = n
 	}
 	return n
 }
 
-// inStock returns the valid permits for the service's upstreams at now.
-func (s *Stock) inStock(service string, now time.Time) int {
-	sum := 0
-	for _, h := range s.holdings {
-		if h.service == service {
-			sum += h.valid(now)
-		}
-	}
-	return sum
-}
-
-// Demand returns the demand for the report that is sent at now.
+// Demand returns the demand for the report that is sent at now: permits for the requests that
+// wait, and none for services that only get probes.
 func (s *Stock) Demand(now time.Time) []*kcwpb.PermitDemand {
 	var demand []*kcwpb.PermitDemand
 	for service, n := range s.needs {
-		wanted := int(math.Ceil(n.displaced.at(now)*horizon.Seconds())) + len(n.line.waiting) - s.inStock(service, now)
-		if wanted <= 0 {
-			continue
-		}
-		d := &kcwpb.PermitDemand{Service: service, Permits: uint32(min(wanted, MaxPermits))}
-		for upstream, count := range n.preferred {
-			d.Preferred = append(d.Preferred, &kcwpb.UpstreamPermits{Upstream: upstream, Permits: count})
+		if len(n.line.waiting) > 0 || now.Sub(n.requests.addedAt) < idleAfter {
+			demand = append(demand, &kcwpb.PermitDemand{Service: service, Permits: uint32(min(len(n.line.waiting), MaxPermits))})
 		}
-		// The most wanted come first; the name makes the order certain.
-		slices.SortFunc(d.Preferred, func(a, b *kcwpb.UpstreamPermits) int {
-			if a.GetPermits() != b.GetPermits() {
-				return int(b.GetPermits()) - int(a.GetPermits())
-			}
-			return strings.Compare(a.GetUpstream(), b.GetUpstream())
-		})
-		clear(n.preferred)
-		demand = append(demand, d)
 	}
 	return demand
 }
@@ -231,8 +220,12 @@
 		h.isProbe = h.isProbe || p.GetProbe()
 		s.need(service).granted.add(float64(count), now)
 	}
+	held := map[string]int{}
+	for _, h := range s.holdings {
+		held[h.service] += h.valid(now)
+	}
 	for service, n := range s.needs {
-		n.line.serve(s.inStock(service, now), now)
+		n.line.serve(held[service], now)
 	}
 }
 
@@ -243,7 +236,7 @@
 	}
 }
 
-// Void drops the permits of an upstream, whose limit has become stricter or has ended.
+// Void drops the permits of an upstream whose limit has become stricter or has ended.
 func (s *Stock) Void(upstream string) { delete(s.holdings, upstream) }
 
 // Wait adds a request to those that wait for a permit. The result is nil if too many are
@@ -253,6 +246,9 @@
 	return n.line.join(claim, int(math.Ceil(n.granted.at(now)*maxWait.Seconds()))+1, now)
 }
 
+// IsWaiting reports whether requests for the service wait for permits.
+func (s *Stock) IsWaiting(service string) bool { return len(s.need(service).line.waiting) > 0 }
+
 // Leave removes a request that no longer waits.
 func (s *Stock) Leave(w *Waiter) { s.need(w.claim.Service).line.leave(w) }
 
@@ -260,7 +256,6 @@
 // return: as far apart from the callers refused before as permits arrive, of which least per
 // second are expected.
 func (s *Stock) ReturnAt(service string, least float64, now time.Time) time.Time {
-	const maxAhead = 10 * time.Second
 	n := s.need(service)
 	apart := seconds(1 / max(n.granted.at(now), least, math.SmallestNonzeroFloat32))
 	if n.returnAt.Before(now) {
@@ -281,16 +276,16 @@
 	return 0
 }
 
-// rate is an exponentially weighted rate of events per second over demandTime.
+// rate is an exponentially weighted rate of events per second over rateTime.
 type rate struct {
 	value   float64
 	addedAt time.Time
 }
 
 func (r *rate) at(now time.Time) float64 {
-	return r.value * math.Exp(-max(0, now.Sub(r.addedAt).Seconds())/demandTime.Seconds())
+	return r.value * math.Exp(-max(0, now.Sub(r.addedAt).Seconds())/rateTime.Seconds())
 }
 
 func (r *rate) add(n float64, now time.Time) {
-	r.value, r.addedAt = r.at(now)+n/demandTime.Seconds(), now
+	r.value, r.addedAt = r.at(now)+n/rateTime.Seconds(), now
 }
--- a/kcw/kcwplace/placer.go
+++ b/kcw/kcwplace/placer.go
@@ -80,7 +80,7 @@
 		if c.Load < candidates[least].Load {
 			least = i
 		}
-		if r := mix(prefix ^ c.Hash); c.Load <= bound && (best < 0 || r > rank) {
+		if r := Rank(prefix, c.Hash); c.Load <= bound && (best < 0 || r > rank) {
 			best, rank = i, r
 		}
 	}
@@ -110,6 +110,10 @@
 	return c.Load
 }
 
+// Rank returns the rank of an upstream for requests whose prompt prefix has the hash prefix.
+// The upstream of the highest rank is the home of the prefix.
+func Rank(prefix, upstream uint64) uint64 { return mix(prefix ^ upstream) }
+
 // mix is the finalizer of SplitMix64 (Steele, Lea and Flood, Fast Splittable
 // Pseudorandom Number Generators, 2014).
 func mix(x uint64) uint64 {
--- a/kcw/kcwroster/limit.go
+++ b/kcw/kcwroster/limit.go
@@ -1,6 +1,12 @@
 package kcwroster
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"kingcupwick.example/kcw/kcwplace"
+)
 
 // LimitNotice is what an answer of an upstream states about the upstream's rate limit.
 type LimitNotice struct {
@@ -18,22 +24,6 @@
 	Elapsed time.Duration
 }
 
-// Standing is whether an upstream's rate limit lets a request through.
-type Standing int
-
-// Standings.
-const (
-	// Unlimited: the upstream has no limit.
-	Unlimited Standing = iota
-	// Permitted: this router has a permit for a request to the upstream.
-	Permitted
-	// Probe: this router has a permit that it should use now, to learn whether the limit
-	// has ended.
-	Probe
-	// Closed: this router has no permit.
-	Closed
-)
-
 // limiter keeps the rate limits of upstreams.
 type limiter interface {
 	// Observe takes note of an answer.
@@ -42,70 +32,63 @@
 	Retain(isListed func(upstream string) bool)
 	// IsLimiting reports whether any upstream has a limit.
 	IsLimiting() bool
-	// Standing returns whether a request may go to the upstream.
-	Standing(upstream string) Standing
-	// Take uses up a permit and reports whether there was one, or whether the upstream has
-	// no limit.
-	Take(upstream string) bool
-	// Displace records that a request would have gone to an upstream that is Closed.
-	Displace(service, upstream string)
+	// HasLimit reports whether the upstream has a limit.
+	HasLimit(upstream string) bool
 }
 
-// sharedPromptFraction is the fraction of a prompt that other requests share, above which a
-// request goes where its prefix is cached rather than where there is a permit left.
-const sharedPromptFraction = 0.5
-
-// chooseWithinLimits chooses among usable upstreams for the request and takes a permit if the
-// upstream has a rate limit. It returns nil if all are at their limits. A request that can't
-// go to the upstream that it would have gone to without limits uses a permit for another
-// one, unless it shares much of its prompt with others: what the permits leave to be served
-// is what loads the upstreams without a limit.
-func (r *Roster) chooseWithinLimits(usable []*upstream, request Request, now time.Time) *upstream {
+// withoutLimit returns those of the upstreams that have no rate limit, and the one for which
+// the request has a permit.
+func (r *Roster) withoutLimit(upstreams []*upstream, permit string) []*upstream {
 	limits := r.cfg.Limits
-	var unlimited, permitted []*upstream
-	closed := map[*upstream]bool{}
-	for _, u := range usable {
-		switch limits.Standing(u.ID) {
-		case Unlimited:
-			unlimited = append(unlimited, u)
-		case Permitted:
-			permitted = append(permitted, u)
-		case Probe:
-			if limits.Take(u.ID) {
-				return u
-			}
-		case Closed:
-			closed[u] = true
-		}
-	}
-	preferred := r.choose(usable, request, now)
-	if !closed[preferred] && limits.Take(preferred.ID) {
-		return preferred
+	if limits == nil || !limits.IsLimiting() {
+		return upstreams
 	}
-	limits.Displace(request.Service, preferred.ID)
-	first, second := permitted, unlimited
-	if float64(request.PrefixTokens) > sharedPromptFraction*float64(request.PromptTokens) {
-		first, second = unlimited, permitted
-	}
-	for _, candidates := range [][]*upstream{first, second} {
-		if len(candidates) == 0 {
-			continue
+	var open []*upstream
+	for _, u := range upstreams {
+		if u.ID == permit {
+			return []*upstream{u}
 		}
-		if u := r.choose(candidates, request, now); limits.Take(u.ID) {
-			return u
+		if !limits.HasLimit(u.ID) {
+			open = append(open, u)
 		}
 	}
-	return nil
+	return open
 }
 
-// IsAtLimit reports whether upstreams could receive the request but for their rate limits.
-func (r *Roster) IsAtLimit(request Request) bool {
-	if r.cfg.Limits == nil || !r.cfg.Limits.IsLimiting() {
-		return false
+// Limited returns the upstreams with a rate limit that the request may go to with a permit,
+// the best first, if it would go to one of them but for the limits. HasOther is set if it
+// may also go to an upstream without a limit.
+func (r *Roster) Limited(request Request) (ids []string, hasOther bool) {
+	limits := r.cfg.Limits
+	if limits == nil || !limits.IsLimiting() {
+		return nil, true
 	}
+	now := r.cfg.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.usable(request, r.cfg.Now())) > 0
+	usable := r.usable(request, now)
+	if len(usable) == 0 {
+		return nil, false
+	}
+	best := r.choose(usable, request, now)
+	if !limits.HasLimit(best.ID) {
+		return nil, true
+	}
+	var limited []*upstream
+	for _, u := range usable {
+		if u != best && limits.HasLimit(u.ID) {
+			limited = append(limited, u)
+		}
+	}
+	hasOther = len(limited)+1 < len(usable)
+	slices.SortStableFunc(limited, func(a, b *upstream) int {
+		return cmp.Compare(kcwplace.Rank(request.Prefix, b.hash), kcwplace.Rank(request.Prefix, a.hash))
+	})
+	ids = append(ids, best.ID)
+	for _, u := range limited {
+		ids = append(ids, u.ID)
+	}
+	return ids, hasOther
 }
 
 // ReportLimit passes on what an answer states about the upstream's rate limit. It sets the
--- a/kcw/kcwroster/roster.go
+++ b/kcw/kcwroster/roster.go
@@ -194,31 +194,26 @@
 	// Prefix is the hash of the prefix that the prompt shares with others, or 0
 	// if there is none.
 	Prefix uint64
-	// PromptTokens is the size of the prompt in tokens, PrefixTokens that of its prefix.
-	PromptTokens, PrefixTokens int64
+	// PromptTokens is the size of the prompt in tokens.
+	PromptTokens int64
+	// Permit is the upstream with a rate limit for which the request has a permit, empty if
+	// there is none.
+	Permit string
 	// Tried holds the IDs of the upstreams that were already tried.
 	Tried []string
 }
 
 // Begin chooses an upstream for a request and counts an attempt at it. It returns
-// nil if the service has no upstream that may receive requests, or if all of these are at
-// their rate limits.
+// nil if the service has no upstream that may receive requests without a permit.
 func (r *Roster) Begin(request Request) *Attempt {
 	now := r.cfg.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	usable := r.usable(request, now)
+	usable := r.withoutLimit(r.usable(request, now), request.Permit)
 	if len(usable) == 0 {
 		return nil
 	}
-	var u *upstream
-	if r.cfg.Limits != nil && r.cfg.Limits.IsLimiting() {
-		if u = r.chooseWithinLimits(usable, request, now); u == nil {
-			return nil
-		}
-	} else {
-		u = r.choose(usable, request, now)
-	}
+	u := r.choose(usable, request, now)
 	ticket, err := u.breaker.Begin(now)
 	a := &Attempt{roster: r, upstream: u, breakerTicket: ticket, admitted: err == nil, began: now, promptTokens: request.PromptTokens}
 	u.inFlight++
