--- a/kcw/kcwpermit/issuer.go
+++ b/kcw/kcwpermit/issuer.go
@@ -70,7 +70,7 @@
 
 // capacity returns the maximum number of tokens in b.
 func (s *Issuer) capacity(b *bucket) float64 {
-	return 1 + s.fraction*b.limit.PerSecond*burst.Seconds()
+	return max(minCapacity, 1+s.fraction*b.limit.PerSecond*burst.Seconds())
 }
 
 // fill adds the tokens of the time since the last call.
@@ -112,9 +112,7 @@
 			continue
 		}
 		s.fill(b, now)
-		// A bucket that is nearly full is full to those who leave the most.
-		const nearlyFull = 0.95
-		if b.tokens >= 1+spare*nearlyFull*(s.capacity(b)-1) {
+		if b.tokens >= 1+spare*maxSpare*(s.capacity(b)-1) {
 			b.tokens--
 			return upstream
 		}
@@ -159,15 +157,19 @@
 	return issued
 }
 
-// dueProbe returns a bucket with a token whose upstream has not answered for probeAfter, nil
-// if there is none.
+// dueProbe returns the bucket with a token whose upstream has not answered for the longest
+// time, probeAfter at least, nil if there is none.
 func dueProbe(service map[string]*bucket, now time.Time) *bucket {
+	var due *bucket
 	for _, b := range service {
-		if b.tokens >= 1 && now.Sub(b.limit.AnsweredAt) > probeAfter && now.Sub(b.probedAt) > probeAfter {
-			return b
+		if b.tokens < 1 || now.Sub(b.limit.AnsweredAt) <= probeAfter || now.Sub(b.probedAt) <= probeAfter {
+			continue
+		}
+		if due == nil || b.limit.AnsweredAt.Before(due.limit.AnsweredAt) || b.limit.AnsweredAt.Equal(due.limit.AnsweredAt) && b.limit.Upstream < due.limit.Upstream {
+			due = b
 		}
 	}
-	return nil
+	return due
 }
 
 // fullest returns the fullest bucket that has a token, nil if there is none.
@@ -175,9 +177,11 @@
 	var best *bucket
 	most := 0.0
 	for _, b := range service {
-		if fill := b.tokens / s.capacity(b); b.tokens >= 1 && fill > most {
-			best, most = b, fill
+		fill := b.tokens / s.capacity(b)
+		if b.tokens < 1 || fill < most || fill == most && b.limit.Upstream > best.limit.Upstream {
+			continue
 		}
+		best, most = b, fill
 	}
 	return best
 }
--- a/kcw/kcwpermit/permit.go
+++ b/kcw/kcwpermit/permit.go
@@ -30,8 +30,14 @@
 	// the permit answers. It spans several reports. A router that gets no answer for as
 	// long has no permits left.
 	validity = 1500 * time.Millisecond
-	// burst is the time for which the unused permits of an upstream accumulate.
-	burst = time.Second
+	// burst is the time for which the unused permits of an upstream accumulate, beside one
+	// and up to minCapacity at least: limits far below one per second would hardly be used
+	// if their permits had to be asked for at the moment at which they become available.
+	burst       = time.Second
+	minCapacity = 2
+	// maxSpare is the largest part of a bucket that a request leaves to others. Tokens above
+	// it may be taken by any, before the bucket is full and further tokens are lost.
+	maxSpare = 0.7
 	// probeAfter is the age of an upstream's last answer at which a permit is issued as a
 	// probe.
 	probeAfter = 5 * time.Second
--- a/kcw/kcwpermit/stock.go
+++ b/kcw/kcwpermit/stock.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"kingcupwick.example/kcw/kcwpb"
@@ -14,9 +16,9 @@
 	rateTime = 3 * time.Second
 	// idleAfter is the time without requests after which a router asks for no more probes.
 	idleAfter = 10 * time.Second
-	// askFactor is the ratio of the requests that ask for a permit to those that lately
-	// got one. It is above one so that the router notices when there are more permits.
-	askFactor = 1.5
+	// askFactor is the ratio of the requests that ask for a permit to the permits that the
+	// router expects. Fewer requests would often leave a permit unused.
+	askFactor = 2
 	// sampleSize is the number of requests whose sizes are compared.
 	sampleSize = 128
 	// maxAhead bounds the time after which a refused caller is told to return.
@@ -74,6 +76,8 @@
 // at least.
 func (s *Stock) Rank(service string, size, least float64, now time.Time) float64 {
 	n := s.need(service)
+	// The rate without this request: seen at a request, the rate with it is too high.
+	requests := n.requests.at(now)
 	n.requests.add(1, now)
 	// A random fraction orders requests of equal size.
 	size += s.rand.Float64()
@@ -89,7 +93,7 @@
 			smaller++
 		}
 	}
-	share := min(1, max(least, askFactor*n.granted.at(now))/n.requests.at(now))
+	share := min(1, askFactor*max(least, n.granted.at(now))/requests)
 	larger := float64(len(n.sizes)-1-smaller) / float64(len(n.sizes))
 	return 1 - larger/share
 }
@@ -195,6 +199,7 @@
 			demand = append(demand, &kcwpb.PermitDemand{Service: service, Permits: uint32(min(len(n.line.waiting), MaxPermits))})
 		}
 	}
+	slices.SortFunc(demand, func(a, b *kcwpb.PermitDemand) int { return strings.Compare(a.GetService(), b.GetService()) })
 	return demand
 }
 
