kcwquota, kcwpermit: keep the rate limits that upstreams name, over all routers

No router read the limit, and one that had kept to it by itself would have taken the whole of it, as would the nine others.

The leader of the core runs a token bucket for each limited upstream and grants permits, one a request.

--- a/kcw-fleet/kcwsharing/sharing_test.go
+++ b/kcw-fleet/kcwsharing/sharing_test.go
@@ -42,7 +42,7 @@
 					f.listedAt[i] = readAt
 				}
 			},
-			Call: f.call, Parts: noParts{}, Rand: rand.New(rand.NewPCG(uint64(i), 7)), Now: func() time.Time { return f.now },
+			Call: f.call, Parts: noParts{}, Limits: noLimits{}, Rand: rand.New(rand.NewPCG(uint64(i), 7)), Now: func() time.Time { return f.now },
 		}))
 		f.routers[i].Store([]*kcwpb.UpstreamRecord{{Id: "0"}}, start)
 		f.listedAt[i] = start
@@ -56,6 +56,12 @@
 func (noParts) State() *kcwpb.PartState             { return nil }
 func (noParts) MergeState(_ *kcwpb.PartState) error { return nil }
 
+// noLimits is the state of a router that knows no rate limits.
+type noLimits struct{}
+
+func (noLimits) Export() []*kcwpb.UpstreamLimit       { return nil }
+func (noLimits) Merge(_ []*kcwpb.UpstreamLimit) error { return nil }
+
 func (f *fleet) read(context.Context) ([]*kcwpb.UpstreamRecord, error) {
 	f.readings++
 	if f.broken {
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -71,6 +71,12 @@
 	if ms, err := strconv.Atoi(h.Get("Decline")); err == nil {
 		info.DeclinedUntil = now.Add(time.Duration(ms) * time.Millisecond)
 	}
+	if text := h.Get("Limit"); text != "" {
+		var err error
+		if info.RateLimit, err = strconv.ParseFloat(text, 64); err != nil {
+			info.RateLimit, info.MalformedLimit = 0, text
+		}
+	}
 	return info
 }
 
@@ -120,6 +126,7 @@
 	// retries counts the calls of OnRetry.
 	retries int
 	guard   *guard
+	limits  *limits
 }
 
 // guard is a PartGuard that refuses prompts with given parts and keeps what it is told.
@@ -173,8 +180,8 @@
 // connection stays open unless script closes it.
 func newFixture(t *testing.T, upstreams int, route kcwroute.Route, script func(e *exchange)) *fixture {
 	t.Helper()
-	f := &fixture{memory: kcwmemory.New(4 * maxBodyBytes), guard: &guard{}}
-	roster := newRoster()
+	f := &fixture{memory: kcwmemory.New(4 * maxBodyBytes), guard: &guard{}, limits: &limits{limited: map[string]bool{}, permits: map[string]int{}}}
+	roster := newRoster(f.limits)
 	var entries []kcwroster.Entry
 	for i := range upstreams {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -197,7 +204,7 @@
 	f.forwarder, err = kcwforward.New(kcwforward.Config{
 		Dialect: dialect{}, Document: func() *kcwroute.Document { return document }, Roster: roster, Balance: f.balance,
 		BorrowTokens: func(context.Context, string, int64) bool { return false },
-		Guard:        f.guard, Permits: noPermits{},
+		Guard:        f.guard, Permits: f.limits,
 		Memory: f.memory, MaxHeadBytes: 1 << 16,
 		Link:          kcwlink.New(kcwlink.Config{TimeConstant: time.Second}),
 		RequestTokens: func(context.Context) bool { return false }, TokenTimeout: time.Second,
@@ -226,7 +233,7 @@
 	return f
 }
 
-func newRoster() *kcwroster.Roster {
+func newRoster(limits *limits) *kcwroster.Roster {
 	return kcwroster.New(kcwroster.Config{
 		Placer: kcwplace.New(kcwplace.Config{LoadFactor: 1.25, LoadMargin: 0.1, Rand: rand.New(rand.NewPCG(1, 1))}),
 		Breaker: kcwbreaker.Config{
@@ -235,7 +242,7 @@
 		},
 		Conn:           kcwconn.Config{DialTimeout: longTime, SilenceTimeout: longTime, IdleTimeout: longTime, MaxIdle: 4},
 		SilenceTimeout: 100 * time.Millisecond, DialPause: time.Millisecond, HalfLife: time.Second,
-		Rand: rand.New(rand.NewPCG(2, 2)), Now: time.Now,
+		Limits: limits, Rand: rand.New(rand.NewPCG(2, 2)), Now: time.Now,
 	})
 }
 
@@ -324,9 +331,48 @@
 	}})
 }
 
-// noPermits never has a permit.
-type noPermits struct{}
+// limits keeps the rate limits of upstreams in a test.
+type limits struct {
+	mu sync.Mutex
+	// limited holds the upstreams with a limit, permits the permits that are left.
+	limited map[string]bool
+	permits map[string]int
+	notices []kcwroster.LimitNotice
+	claims  []kcwpermit.Claim
+}
+
+func (l *limits) Observe(notice kcwroster.LimitNotice) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	notice.Elapsed = 0
+	l.notices = append(l.notices, notice)
+}
+
+func (l *limits) Retain(func(string) bool) {}
 
-func (noPermits) Acquire(context.Context, kcwpermit.Claim) string { return "" }
+func (l *limits) IsLimiting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.limited) > 0
+}
+
+func (l *limits) HasLimit(upstream string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limited[upstream]
+}
+
+func (l *limits) Acquire(_ context.Context, claim kcwpermit.Claim) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.claims = append(l.claims, claim)
+	for _, upstream := range claim.Upstreams {
+		if l.permits[upstream] > 0 {
+			l.permits[upstream]--
+			return upstream
+		}
+	}
+	return ""
+}
 
-func (noPermits) ReturnAfter(string) time.Duration { return time.Second }
+func (l *limits) ReturnAfter(string) time.Duration { return 2 * time.Second }
--- a/kcw/kcwroster/roster_test.go
+++ b/kcw/kcwroster/roster_test.go
@@ -18,9 +18,13 @@
 
 func (c *clock) read() time.Time { return c.now }
 
-func newRoster(c *clock) *kcwroster.Roster {
+func newTestRand() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
+func newRoster(c *clock) *kcwroster.Roster { return newRosterWith(c, &limitSet{}) }
+
+func newRosterWith(c *clock, limits *limitSet) *kcwroster.Roster {
 	return kcwroster.New(kcwroster.Config{
-		Zone:   "z1",
+		Zone: "z1", Limits: limits,
 		Placer: kcwplace.New(kcwplace.Config{LoadFactor: 1.25, LoadMargin: 0.1, Rand: rand.New(rand.NewPCG(1, 1))}),
 		Breaker: kcwbreaker.Config{
 			Window: 5 * time.Second, MinCalls: 6, FailureRate: 0.5, SlowRate: 1, ConsecutiveFailures: 3, SlowAfter: time.Minute,
