--- a/kcw-fleet/kcwquota/quota.go
+++ b/kcw-fleet/kcwquota/quota.go
@@ -225,13 +225,11 @@
 	now := q.cfg.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	rank := q.stock.Rank(claim.Service, claim.Size, q.expected(claim.Service), now)
-	if claim.HasOther {
-		if rank < 0 {
-			return "", 0, false
-		}
-		spare = 1 - rank
+	rank := q.stock.Rank(&claim, q.expected(claim.Service), now)
+	if rank < 0 {
+		return "", 0, false
 	}
+	spare = 1 - rank
 	if upstream = q.stock.Take(limits, now); upstream != "" {
 		return upstream, 0, false
 	}
--- a/kcw/kcwpermit/permit_bench_test.go
+++ b/kcw/kcwpermit/permit_bench_test.go
@@ -21,7 +21,7 @@
 	now := start
 	for b.Loop() {
 		now = now.Add(time.Millisecond)
-		s.Rank("s", 1, 0.5, now)
+		s.Rank(&kcwpermit.Claim{Service: "s", Size: 1, HasOther: true}, 0.5, now)
 		s.Take(limits, now)
 	}
 }
--- a/kcw/kcwpermit/simulation_test.go
+++ b/kcw/kcwpermit/simulation_test.go
@@ -208,8 +208,9 @@
 func (s *simulation) request(r *simulatedRouter) {
 	s.after(s.untilNext(r), func() { s.request(r) })
 	least := s.perSecond * float64(s.upstreams) / float64(len(s.routers))
-	rank := r.stock.Rank("s", s.rand.ExpFloat64(), least, s.now)
-	if s.hasOther && rank < 0 {
+	rank := r.stock.Rank(&kcwpermit.Claim{Service: "s", Size: s.rand.ExpFloat64(), HasOther: s.hasOther}, least, s.now)
+	if rank < 0 {
+		s.endAsk(r, r.stock, "")
 		return
 	}
 	home := s.rand.IntN(len(s.limits))
@@ -231,12 +232,8 @@
 	for _, l := range ordered[:min(len(ordered), kcwpermit.MaxUpstreams)] {
 		upstreams = append(upstreams, l.Upstream)
 	}
-	spare := 0.0
-	if s.hasOther {
-		spare = 1 - rank
-	}
 	s.after(s.delay(), func() {
-		upstream := s.issuer.Grant(upstreams, spare, s.now)
+		upstream := s.issuer.Grant(upstreams, 1-rank, s.now)
 		if s.isLost(r) {
 			s.after(askTimeout, func() { s.endAsk(r, stock, "") })
 			return
--- a/kcw/kcwpermit/stock.go
+++ b/kcw/kcwpermit/stock.go
@@ -1,6 +1,7 @@
 package kcwpermit
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -41,10 +42,10 @@
 	// requests is the rate of requests for which a permit could be used, granted that of
 	// permits received.
 	requests, granted rate
-	// sizes holds the sizes of the last requests, the newest at index next-1.
-	sizes []float64
-	next  int
-	line  line
+	// optional holds the last requests that could go elsewhere, and bound those that could
+	// not.
+	optional, bound sample
+	line            line
 	// returnAt is when the last caller that was refused may return.
 	returnAt time.Time
 }
@@ -70,32 +71,55 @@
 	return !s.answeredAt.IsZero() && now.Sub(s.answeredAt) > silentAfter
 }
 
-// Rank records a request of the given size, in any unit, and returns its rank among the
-// largest, as many as get permits: one for the largest, zero for the smallest of these, and
-// less for all others. Least is the number of permits per second that the router should get
-// at least.
-func (s *Stock) Rank(service string, size, least float64, now time.Time) float64 {
-	n := s.need(service)
+// Rank records a request and returns its rank among the first, as many as get permits: one
+// for the first, zero for the last of these, and less for all others. The largest come first,
+// or the most urgent ones among those that can't go elsewhere. Least is the number of permits
+// per second that the router should get at least.
+func (s *Stock) Rank(claim *Claim, least float64, now time.Time) float64 {
+	n := s.need(claim.Service)
 	// The rate without this request: seen at a request, the rate with it is too high.
 	requests := n.requests.at(now)
 	n.requests.add(1, now)
-	// A random fraction orders requests of equal size.
-	size += s.rand.Float64()
-	if len(n.sizes) < sampleSize {
-		n.sizes = append(n.sizes, size)
+	share := min(1, askFactor*max(least, n.granted.at(now))/requests)
+	// A random number orders equal requests.
+	if claim.HasOther {
+		return 1 - n.optional.add(entry{0, claim.Size, s.rand.Float64()})/share
+	}
+	return 1 - n.bound.add(entry{claim.Priority, claim.Size, s.rand.Float64()})/share
+}
+
+// entry is one request of a sample.
+type entry struct {
+	priority     int
+	size, random float64
+}
+
+// compare orders the most urgent entries first, then the largest.
+func (e entry) compare(other entry) int {
+	return cmp.Or(cmp.Compare(e.priority, other.priority), cmp.Compare(other.size, e.size), cmp.Compare(other.random, e.random))
+}
+
+// sample holds the last sampleSize requests.
+type sample struct {
+	entries []entry
+	next    int
+}
+
+// add adds an entry and returns the share of the entries that come before it.
+func (s *sample) add(e entry) float64 {
+	if len(s.entries) < sampleSize {
+		s.entries = append(s.entries, e)
 	} else {
-		n.sizes[n.next] = size
-		n.next = (n.next + 1) % sampleSize
+		s.entries[s.next] = e
+		s.next = (s.next + 1) % sampleSize
 	}
-	smaller := 0
-	for _, other := range n.sizes {
-		if other < size {
-			smaller++
+	before := 0
+	for _, other := range s.entries {
+		if other.compare(e) < 0 {
+			before++
 		}
 	}
-	share := min(1, askFactor*max(least, n.granted.at(now))/requests)
-	larger := float64(len(n.sizes)-1-smaller) / float64(len(n.sizes))
-	return 1 - larger/share
+	return float64(before) / float64(len(s.entries))
 }
 
 // Granted records a permit that the router has got for a request.
--- a/kcw/kcwpermit/stock_test.go
+++ b/kcw/kcwpermit/stock_test.go
@@ -84,7 +84,7 @@
 	for range requests {
 		now = now.Add(100 * time.Millisecond) // Ten requests per second.
 		size := random.IntN(10)
-		if s.Rank("s", float64(size), 1, now) >= 0 {
+		if s.Rank(&kcwpermit.Claim{Service: "s", Size: float64(size), HasOther: true}, 1, now) >= 0 {
 			qualified[size]++
 		}
 	}
@@ -105,7 +105,7 @@
 	qualified := 0
 	for range 2000 {
 		now = now.Add(100 * time.Millisecond)
-		if s.Rank("s", 0, 1, now) >= 0 {
+		if s.Rank(&kcwpermit.Claim{Service: "s", HasOther: true}, 1, now) >= 0 {
 			qualified++
 		}
 	}
