--- a/kcw-fleet/kcwquota/quota.go
+++ b/kcw-fleet/kcwquota/quota.go
@@ -181,22 +181,32 @@
 	if len(limits) == 0 {
 		return ""
 	}
-	upstream, spare, mayAsk := q.takeHeld(claim, limits)
-	if upstream == "" && mayAsk {
+	upstream, spare, next := q.takeHeld(claim, limits)
+	if next == askNext {
 		upstream = q.ask(ctx, claim, spare)
 	}
-	if upstream == "" && !claim.HasOther && q.await(ctx, claim) {
-		q.mu.Lock()
-		defer q.mu.Unlock()
-		// A permit from a report may be for an upstream that the claim does not name.
-		return q.stock.Take(q.ofService(claim.Service), q.cfg.Now())
+	if upstream == "" && next != refuseNext && !claim.HasOther {
+		upstream = q.await(ctx, claim)
 	}
 	if upstream == "" {
 		q.cfg.OnHeld(claim.Service)
+		if !claim.HasOther {
+			q.logRefusal(claim)
+		}
 	}
 	return upstream
 }
 
+// logRefusal logs why a request gets no permit that can go nowhere else.
+func (q *Quota) logRefusal(claim kcwpermit.Claim) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.cfg.Now()
+	klog.InfoS("No permit", "Request", claim.RequestID, "Service", claim.Service, "Upstreams", len(claim.Upstreams), "Priority", claim.Priority,
+		"GrantedPerSecond", q.stock.GrantRate(claim.Service, now), "ExpectedPerSecond", q.expected(claim.Service),
+		"WithoutCore", q.stock.IsAlone(now), "LimitsVersion", q.version)
+}
+
 // inForce returns the limits in force of the upstreams.
 func (q *Quota) inForce(upstreams []string) []kcwratelimit.Limit {
 	var limits []kcwratelimit.Limit
@@ -219,22 +229,37 @@
 	return limits
 }
 
-// takeHeld takes a permit that this router holds. Without one, mayAsk reports whether the
-// core should be asked, and spare is the part of the permits that is left to others.
-func (q *Quota) takeHeld(claim kcwpermit.Claim, limits []kcwratelimit.Limit) (upstream string, spare float64, mayAsk bool) {
+// step is how a request goes on for which this router holds no permit.
+type step int
+
+// The steps of a request without a permit.
+const (
+	// refuseNext: there is no permit to wait for.
+	refuseNext step = iota
+	// waitNext: others may have a permit sooner than the core has one left.
+	waitNext
+	// askNext: the core may have a permit.
+	askNext
+)
+
+// takeHeld takes a permit that this router holds. Without one, next is how the request goes on,
+// and spare the part of the core's permits that it leaves to others.
+func (q *Quota) takeHeld(claim kcwpermit.Claim, limits []kcwratelimit.Limit) (upstream string, spare float64, next step) {
 	now := q.cfg.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	rank := q.stock.Rank(&claim, q.expected(claim.Service), now)
 	if rank < 0 {
-		return "", 0, false
+		return "", 0, waitNext
 	}
-	spare = 1 - rank
-	if upstream = q.stock.Take(limits, now); upstream != "" {
-		return upstream, 0, false
+	upstream = q.stock.Take(limits, now)
+	switch {
+	case upstream != "" || q.stock.IsAlone(now):
+		return upstream, 0, refuseNext
+	case q.stock.IsWaiting(claim.Service):
+		return "", 0, waitNext
 	}
-	// While requests wait, there are no permits that are not issued.
-	return "", spare, !q.stock.IsAlone(now) && !q.stock.IsWaiting(claim.Service)
+	return "", 1 - rank, askNext
 }
 
 // ask asks the core for a permit. It returns an empty string if there is none, or no answer
@@ -256,24 +281,28 @@
 	return upstream
 }
 
-// await waits until a report has brought permits, and reports whether there is one for the
-// request.
-func (q *Quota) await(ctx context.Context, claim kcwpermit.Claim) bool {
+// await waits until a report has brought permits, and takes one for the request. It returns an
+// empty string if there is none.
+func (q *Quota) await(ctx context.Context, claim kcwpermit.Claim) string {
 	q.mu.Lock()
 	w := q.stock.Wait(claim, q.cfg.Now())
 	q.mu.Unlock()
 	if w == nil {
-		return false
+		return ""
 	}
+	isPermitted := false
 	select {
-	case isPermitted := <-w.Done():
-		return isPermitted
+	case isPermitted = <-w.Done():
 	case <-ctx.Done():
-		q.mu.Lock()
-		defer q.mu.Unlock()
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !isPermitted {
 		q.stock.Leave(w)
-		return false
+		return ""
 	}
+	// The permit may be for an upstream that the claim does not name.
+	return q.stock.Take(q.ofService(claim.Service), q.cfg.Now())
 }
 
 // expected returns the permits per second that this router gets if all routers get the same.
--- a/kcw-fleet/kcwquota/quota_test.go
+++ b/kcw-fleet/kcwquota/quota_test.go
@@ -181,6 +181,7 @@
 		{"no answer", func(r *router) { r.err = errors.New("unreachable") }, claim, "", 1, 1},
 		{"a permit in stock", func(r *router) { r.report(1) }, claim, "u", 0, 0},
 		{"without the core", func(r *router) { r.now = r.now.Add(2 * time.Second) }, claim, "", 0, 1},
+		{"without the core, with no other upstream", func(r *router) { r.now = r.now.Add(2 * time.Second) }, kcwpermit.Claim{Service: "s", Upstreams: []string{"u"}}, "", 0, 1},
 		{"no limit any more", func(r *router) { r.observe(kcwroster.LimitNotice{MayLoosen: true}) }, claim, "", 0, 0},
 	} {
 		r := newRouter()
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -112,7 +112,7 @@
 		ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 		defer cancel()
 		request.Permit = c.f.cfg.Permits.Acquire(ctx, kcwpermit.Claim{
-			Service: c.service.Name, Team: c.event.Team, Priority: c.enginePriority(), Size: float64(c.request.PromptTokens),
+			RequestID: c.request.RequestID, Service: c.service.Name, Team: c.event.Team, Priority: c.enginePriority(), Size: float64(c.request.PromptTokens),
 			Upstreams: limited, HasOther: hasOther,
 		})
 		c.event.Permit = request.Permit
--- a/kcw/kcwpermit/line.go
+++ b/kcw/kcwpermit/line.go
@@ -12,6 +12,8 @@
 
 // Claim describes a request that needs a permit.
 type Claim struct {
+	// RequestID identifies the request, for the log.
+	RequestID     string
 	Service, Team string
 	// Priority is the request's priority, zero being the most urgent.
 	Priority int
--- a/kcw/kcwpermit/stock.go
+++ b/kcw/kcwpermit/stock.go
@@ -122,6 +122,11 @@
 	return float64(before) / float64(len(s.entries))
 }
 
+// GrantRate returns the permits per second that the router has got lately.
+func (s *Stock) GrantRate(service string, now time.Time) float64 {
+	return s.need(service).granted.at(now)
+}
+
 // Granted records a permit that the router has got for a request.
 func (s *Stock) Granted(service string, now time.Time) { s.need(service).granted.add(1, now) }
 
