--- a/kcw-fleet/kcwcontrol/limits.go
+++ b/kcw-fleet/kcwcontrol/limits.go
@@ -138,6 +138,30 @@
 	return news
 }
 
+// limitState is the rate limit of one upstream as shown in dumps.
+type limitState struct {
+	Upstream, Service string
+	PerSecond         float64
+	// Age is the time since the last answer that named the limit.
+	Age string
+	// Permits is the number of permits that have not been issued.
+	Permits float64
+}
+
+// dump returns the limits in force, sorted by upstream.
+func (k *limitKeeper) dump() []limitState {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	var states []limitState
+	for _, l := range k.table.All() {
+		if l.PerSecond > 0 {
+			states = append(states, limitState{l.Upstream, l.Service, l.PerSecond, now.Sub(l.AnsweredAt).String(), k.issuer.Available(l.Upstream, now)})
+		}
+	}
+	return states
+}
+
 // limited returns the number of upstreams with a limit in force.
 func (k *limitKeeper) limited() int {
 	n := 0
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -191,10 +191,33 @@
 	}
 	m.admin, err = kcwadmin.New(kcwadmin.Config{
 		Address: s.Host.AdminAddress, Ready: ready, Metrics: m.meter.Handler(),
+		Dump: func(context.Context) any { return m.dump() },
 	})
 	return err
 }
 
+// dump is the state of a member as operators read it at the admin address.
+type dump struct {
+	Member string
+	// Leader is the address of the leader, empty if none is known or on a host without a
+	// disk. Term and Commit are those of the replicated log.
+	Leader       string
+	Term, Commit uint64
+	// RateLimits are the limits of upstreams for which this member issues permits if it
+	// leads.
+	RateLimits []limitState
+}
+
+// dump returns the state of the member.
+func (m *Member) dump() dump {
+	d := dump{Member: m.cfg.Settings.Host.Name}
+	if m.service != nil {
+		status := m.service.group.Status()
+		d.Leader, d.Term, d.Commit, d.RateLimits = status.GetLeaderAddress(), status.GetTerm(), status.GetCommit(), m.service.limits.dump()
+	}
+	return d
+}
+
 // ready returns nil if the member is in contact with a leader and its disk is not full.
 func (m *Member) ready() error {
 	switch {
