--- a/kcw/kcwpermit/line.go
+++ b/kcw/kcwpermit/queue.go
@@ -36,32 +36,32 @@
 // Done returns a channel with one value, whether there is a permit now.
 func (w *Waiter) Done() <-chan bool { return w.done }
 
-// line holds the requests that wait for permits of one service. The most urgent are served
+// queue holds the requests that wait for permits of one service. The most urgent are served
 // first, those of equal urgency by the permits that their teams have got lately, then in
 // order of arrival.
-type line struct {
+type queue struct {
 	waiting []*Waiter
 	// served counts the permits by team, over the last reports.
 	served map[string]float64
 }
 
-func (l *line) compare(a, b *Waiter) int {
+func (q *queue) compare(a, b *Waiter) int {
 	return cmp.Or(
 		cmp.Compare(a.claim.Priority, b.claim.Priority),
-		cmp.Compare(l.served[a.claim.Team], l.served[b.claim.Team]),
+		cmp.Compare(q.served[a.claim.Team], q.served[b.claim.Team]),
 		a.since.Compare(b.since),
 	)
 }
 
-// join adds a request to the line and refuses those beyond the first limit. It returns nil
+// join adds a request to the queue and refuses those beyond the first limit. It returns nil
 // if that is the request itself.
-func (l *line) join(claim Claim, limit int, now time.Time) *Waiter {
+func (q *queue) join(claim Claim, limit int, now time.Time) *Waiter {
 	w := &Waiter{claim: claim, since: now, done: make(chan bool, 1)}
-	l.waiting = append(l.waiting, w)
-	slices.SortStableFunc(l.waiting, l.compare)
-	for len(l.waiting) > limit {
-		last := l.waiting[len(l.waiting)-1]
-		l.waiting = l.waiting[:len(l.waiting)-1]
+	q.waiting = append(q.waiting, w)
+	slices.SortStableFunc(q.waiting, q.compare)
+	for len(q.waiting) > limit {
+		last := q.waiting[len(q.waiting)-1]
+		q.waiting = q.waiting[:len(q.waiting)-1]
 		if last == w {
 			return nil
 		}
@@ -70,26 +70,26 @@
 	return w
 }
 
-// serve gives permits to the first in the line, and refuses those that have waited for
+// serve gives permits to the first in the queue, and refuses those that have waited for
 // maxWait.
-func (l *line) serve(permits int, now time.Time) {
+func (q *queue) serve(permits int, now time.Time) {
 	const servedDecay = 0.9 // of each report
-	for team, n := range l.served {
-		if l.served[team] = n * servedDecay; l.served[team] < 1-servedDecay {
-			delete(l.served, team)
+	for team, n := range q.served {
+		if q.served[team] = n * servedDecay; q.served[team] < 1-servedDecay {
+			delete(q.served, team)
 		}
 	}
-	for ; permits > 0 && len(l.waiting) > 0; permits-- {
-		slices.SortStableFunc(l.waiting, l.compare)
-		first := l.waiting[0]
-		l.waiting = l.waiting[1:]
-		if l.served == nil {
-			l.served = map[string]float64{}
+	for ; permits > 0 && len(q.waiting) > 0; permits-- {
+		slices.SortStableFunc(q.waiting, q.compare)
+		first := q.waiting[0]
+		q.waiting = q.waiting[1:]
+		if q.served == nil {
+			q.served = map[string]float64{}
 		}
-		l.served[first.claim.Team]++
+		q.served[first.claim.Team]++
 		first.done <- true
 	}
-	l.waiting = slices.DeleteFunc(l.waiting, func(w *Waiter) bool {
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *Waiter) bool {
 		isLate := now.Sub(w.since) >= maxWait
 		if isLate {
 			w.done <- false
@@ -98,13 +98,13 @@
 	})
 }
 
-func (l *line) refuseAll() {
-	for _, w := range l.waiting {
+func (q *queue) refuseAll() {
+	for _, w := range q.waiting {
 		w.done <- false
 	}
-	l.waiting = nil
+	q.waiting = nil
 }
 
-func (l *line) leave(w *Waiter) {
-	l.waiting = slices.DeleteFunc(l.waiting, func(other *Waiter) bool { return other == w })
+func (q *queue) leave(w *Waiter) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(other *Waiter) bool { return other == w })
 }
--- a/kcw/kcwpermit/stock.go
+++ b/kcw/kcwpermit/stock.go
@@ -37,15 +37,15 @@
 	aloneAt time.Time
 }
 
-// need is a router's need of permits for the upstreams of one service.
-type need struct {
+// serviceState is what a router keeps of the permits for the upstreams of one service.
+type serviceState struct {
 	// requests is the rate of requests for which a permit could be used, granted that of
 	// permits received.
 	requests, granted rate
 	// optional holds the last requests that could go elsewhere, and bound those that could
 	// not.
 	optional, bound sample
-	line            line
+	queue           queue
 	// returnAt is when the last caller that was refused may return.
 	returnAt time.Time
 }
@@ -55,14 +55,14 @@
 	rand     *rand.Rand
 	routers  int
 	holdings map[string]*holding
-	needs    map[string]*need
+	services map[string]*serviceState
 	// answeredAt is when the last report that the core has answered was sent.
 	answeredAt time.Time
 }
 
 // NewStock returns an empty Stock that takes random numbers from random.
 func NewStock(random *rand.Rand) *Stock {
-	return &Stock{rand: random, holdings: map[string]*holding{}, needs: map[string]*need{}}
+	return &Stock{rand: random, holdings: map[string]*holding{}, services: map[string]*serviceState{}}
 }
 
 // IsAlone reports whether the router has got no answer from the core for a while, so that it
@@ -76,16 +76,16 @@
 // or the most urgent ones among those that can't go elsewhere. Least is the number of permits
 // per second that the router should get at least.
 func (s *Stock) Rank(claim *Claim, least float64, now time.Time) float64 {
-	n := s.need(claim.Service)
+	state := s.service(claim.Service)
 	// The rate without this request: seen at a request, the rate with it is too high.
-	requests := n.requests.at(now)
-	n.requests.add(1, now)
-	share := min(1, askFactor*max(least, n.granted.at(now))/requests)
+	requests := state.requests.at(now)
+	state.requests.add(1, now)
+	share := min(1, askFactor*max(least, state.granted.at(now))/requests)
 	// A random number orders equal requests.
 	if claim.HasOther {
-		return 1 - n.optional.add(entry{0, claim.Size, s.rand.Float64()})/share
+		return 1 - state.optional.add(entry{0, claim.Size, s.rand.Float64()})/share
 	}
-	return 1 - n.bound.add(entry{claim.Priority, claim.Size, s.rand.Float64()})/share
+	return 1 - state.bound.add(entry{claim.Priority, claim.Size, s.rand.Float64()})/share
 }
 
 // entry is one request of a sample.
@@ -124,11 +124,11 @@
 
 // GrantRate returns the permits per second that the router has got lately.
 func (s *Stock) GrantRate(service string, now time.Time) float64 {
-	return s.need(service).granted.at(now)
+	return s.service(service).granted.at(now)
 }
 
 // Granted records a permit that the router has got for a request.
-func (s *Stock) Granted(service string, now time.Time) { s.need(service).granted.add(1, now) }
+func (s *Stock) Granted(service string, now time.Time) { s.service(service).granted.add(1, now) }
 
 // Take takes a permit for one of the upstreams of the limits, which are in force, in their
 // order. It returns an empty string if there is none.
@@ -210,31 +210,31 @@
 	return time.Duration(min(s, time.Hour.Seconds()) * float64(time.Second))
 }
 
-func (s *Stock) need(service string) *need {
-	n := s.needs[service]
-	if n == nil {
-		n = &need{}
-		s.needs[service] = n
+func (s *Stock) service(name string) *serviceState {
+	state := s.services[name]
+	if state == nil {
+		state = &serviceState{}
+		s.services[name] = state
 	}
-	return n
+	return state
 }
 
 // Demand returns the demand for the report that is sent at now: permits for the requests that
 // wait, and none for services that only get probes.
 func (s *Stock) Demand(now time.Time) []*kcwpb.PermitDemand {
 	var demand []*kcwpb.PermitDemand
-	for service, n := range s.needs {
-		if len(n.line.waiting) > 0 || now.Sub(n.requests.addedAt) < idleAfter {
-			demand = append(demand, &kcwpb.PermitDemand{Service: service, Permits: uint32(min(len(n.line.waiting), MaxPermits))})
+	for service, state := range s.services {
+		if len(state.queue.waiting) > 0 || now.Sub(state.requests.addedAt) < idleAfter {
+			demand = append(demand, &kcwpb.PermitDemand{Service: service, Permits: uint32(min(len(state.queue.waiting), MaxPermits))})
 		}
 	}
 	slices.SortFunc(demand, func(a, b *kcwpb.PermitDemand) int { return strings.Compare(a.GetService(), b.GetService()) })
 	return demand
 }
 
-// Receive adds the permits with which the core has answered the report of sentAt, and serves
-// those who wait. Routers is the number of routers in the fleet, serviceOf returns the
-// service of an upstream that has a limit, empty for another.
+// Receive adds the permits with which the core has answered the report of sentAt, and grants
+// them to the requests that wait. Routers is the number of routers in the fleet. ServiceOf
+// returns the service of an upstream that has a limit, empty for another.
 func (s *Stock) Receive(permits []*kcwpb.UpstreamPermits, routers int, serviceOf func(upstream string) string, sentAt, now time.Time) {
 	s.routers, s.answeredAt = routers, sentAt
 	for _, h := range s.holdings {
@@ -252,21 +252,21 @@
 			h.expires = append(h.expires, sentAt.Add(validity))
 		}
 		h.isProbe = h.isProbe || p.GetProbe()
-		s.need(service).granted.add(float64(count), now)
+		s.service(service).granted.add(float64(count), now)
 	}
 	held := map[string]int{}
 	for _, h := range s.holdings {
 		held[h.service] += h.valid(now)
 	}
-	for service, n := range s.needs {
-		n.line.serve(held[service], now)
+	for service, state := range s.services {
+		state.queue.serve(held[service], now)
 	}
 }
 
-// Fail refuses all who wait, because the core has not answered a report.
+// Fail refuses all requests that wait, because the core has not answered a report.
 func (s *Stock) Fail() {
-	for _, n := range s.needs {
-		n.line.refuseAll()
+	for _, state := range s.services {
+		state.queue.refuseAll()
 	}
 }
 
@@ -276,30 +276,30 @@
 // Wait adds a request to those that wait for a permit. The result is nil if too many are
 // more urgent.
 func (s *Stock) Wait(claim Claim, now time.Time) *Waiter {
-	n := s.need(claim.Service)
-	return n.line.join(claim, int(math.Ceil(n.granted.at(now)*maxWait.Seconds()))+1, now)
+	state := s.service(claim.Service)
+	return state.queue.join(claim, int(math.Ceil(state.granted.at(now)*maxWait.Seconds()))+1, now)
 }
 
 // IsWaiting reports whether requests for the service wait for permits.
-func (s *Stock) IsWaiting(service string) bool { return len(s.need(service).line.waiting) > 0 }
+func (s *Stock) IsWaiting(service string) bool { return len(s.service(service).queue.waiting) > 0 }
 
 // Leave removes a request that no longer waits.
-func (s *Stock) Leave(w *Waiter) { s.need(w.claim.Service).line.leave(w) }
+func (s *Stock) Leave(w *Waiter) { s.service(w.claim.Service).queue.leave(w) }
 
 // ReturnAt returns when the next caller that is refused at now for want of permits should
 // return: as far apart from the callers refused before as permits arrive, of which least per
 // second are expected.
 func (s *Stock) ReturnAt(service string, least float64, now time.Time) time.Time {
-	n := s.need(service)
-	apart := seconds(1 / max(n.granted.at(now), least, math.SmallestNonzeroFloat32))
-	if n.returnAt.Before(now) {
-		n.returnAt = now
+	state := s.service(service)
+	apart := seconds(1 / max(state.granted.at(now), least, math.SmallestNonzeroFloat32))
+	if state.returnAt.Before(now) {
+		state.returnAt = now
 	}
-	n.returnAt = n.returnAt.Add(apart)
-	if latest := now.Add(maxAhead); n.returnAt.After(latest) {
-		n.returnAt = latest
+	state.returnAt = state.returnAt.Add(apart)
+	if latest := now.Add(maxAhead); state.returnAt.After(latest) {
+		state.returnAt = latest
 	}
-	return n.returnAt
+	return state.returnAt
 }
 
 // Held returns the permits held for the upstream at now.
