--- a/kcw-fleet/kcwcontrol/limits_test.go
+++ b/kcw-fleet/kcwcontrol/limits_test.go
@@ -249,3 +249,19 @@
 		t.Errorf("%d permits in about 9.5 s, want 30 to %d", granted, most)
 	}
 }
+
+// TestDump checks that the dump has the limits in force and the permits that are left.
+func TestDump(t *testing.T) {
+	f := newLimitFleet(t, "a")
+	f.answer("a", "u", 4)
+	f.answer("a", "ended", 4)
+	f.report("a")
+	f.answer("a", "ended", 0)
+	f.report("a")
+	f.now = f.now.Add(time.Minute)
+	f.leader.grant(&kcwpb.FleetPermitRequest{Upstreams: []string{"u"}})
+	states := f.leader.dump()
+	if len(states) != 1 || states[0].Upstream != "u" || states[0].PerSecond != 4 || states[0].Permits != 4 {
+		t.Errorf("the dump has %+v, want the limit of u and 4 permits", states)
+	}
+}
