--- a/kcw/kcwpermit/simulation_test.go
+++ b/kcw/kcwpermit/simulation_test.go
@@ -19,10 +19,8 @@
 	overage = 1.5
 	slack   = 5
 	// leastUsed is the least share of the limits that is used while all routers reach the
-	// core and demand exceeds the limits. Of a limit far below one request per second it is
-	// leastUsedLow, since few requests come in the time for which a permit is kept.
-	leastUsed    = 0.75
-	leastUsedLow = 0.5
+	// core and demand exceeds the limits.
+	leastUsed = 0.75
 
 	reportInterval = 250 * time.Millisecond
 	askTimeout     = 60 * time.Millisecond
@@ -294,7 +292,6 @@
 	for _, s := range []scenario{
 		{seeds: 3, name: "ten routers", routers: 10, upstreams: 13, perSecond: 3.5, demand: 90, hasOther: true},
 		{seeds: 3, name: "ten routers, low limits", routers: 10, upstreams: 9, perSecond: 1, demand: 90, hasOther: true, restarts: true},
-		{seeds: 3, name: "ten routers, one upstream", routers: 10, upstreams: 1, perSecond: 0.3, demand: 20, hasOther: true},
 		{seeds: 3, name: "ten routers, all limited", routers: 10, upstreams: 18, perSecond: 4, demand: 120, restarts: true},
 		{name: "three hundred routers", routers: 300, upstreams: 112, perSecond: 1.7, demand: 700, hasOther: true, restarts: true},
 		{name: "three hundred routers, all limited", routers: 300, upstreams: 160, perSecond: 1.7, demand: 600, cutShare: 0.3},
@@ -306,7 +303,7 @@
 			sim := newSimulation(s, seed+1)
 			// The buckets of a leader are empty at first.
 			sim.run(5 * time.Second)
-			calm := max(10*time.Second, time.Duration(10/s.perSecond*float64(time.Second)))
+			const calm = 10 * time.Second
 			sent := -sim.arrived()
 			sim.run(calm)
 			sent += sim.arrived()
@@ -333,13 +330,25 @@
 			}
 			used := float64(sent) / (s.perSecond * float64(s.upstreams) * calm.Seconds())
 			t.Logf("%s, seed %d: most %d of %d, used %.2f, refused %d", s.name, seed+1, sim.most(), allowed, used, sim.refused)
-			least := leastUsed
-			if s.perSecond < 0.5 {
-				least = leastUsedLow
-			}
-			if used < least && !s.isIdle {
-				t.Errorf("%s, seed %d: %.2f of the limits is used, %.2f is the least", s.name, seed+1, used, least)
+			if used < leastUsed && !s.isIdle {
+				t.Errorf("%s, seed %d: %.2f of the limits is used, %.2f is the least", s.name, seed+1, used, leastUsed)
 			}
 		}
 	}
 }
+
+// TestLowLimitIsUsed checks, in a simulation, that routers use a limit of one request in
+// three seconds, over the time of a hundred requests.
+func TestLowLimitIsUsed(t *testing.T) {
+	s := scenario{routers: 10, upstreams: 1, perSecond: 0.3, demand: 20, hasOther: true}
+	for seed := range uint64(3) {
+		sim := newSimulation(s, seed+1)
+		calm := time.Duration(100 / s.perSecond * float64(time.Second))
+		sim.run(calm)
+		used := float64(sim.arrived()) / (s.perSecond * calm.Seconds())
+		t.Logf("seed %d: used %.2f", seed+1, used)
+		if used < leastUsed {
+			t.Errorf("seed %d: %.2f of the limit is used, %.2f is the least", seed+1, used, leastUsed)
+		}
+	}
+}
