kcwratelimit, kcwquota: one function for the limits in force

Four places filtered them by themselves; the gauge of limited upstreams sorted all limits to count them. TestRankIsHome moves to the package of Rank. Clearer comments. No change in behavior.

--- a/kcw-fleet/kcwcontrol/limits.go
+++ b/kcw-fleet/kcwcontrol/limits.go
@@ -154,21 +154,11 @@
 	defer k.mu.Unlock()
 	now := k.now()
 	var states []limitState
-	for _, l := range k.table.All() {
-		if l.PerSecond > 0 {
-			states = append(states, limitState{l.Upstream, l.Service, l.PerSecond, now.Sub(l.AnsweredAt).String(), k.issuer.Available(l.Upstream, now)})
-		}
+	for _, l := range k.table.InForce() {
+		states = append(states, limitState{l.Upstream, l.Service, l.PerSecond, now.Sub(l.AnsweredAt).String(), k.issuer.Available(l.Upstream, now)})
 	}
 	return states
 }
 
 // limited returns the number of upstreams with a limit in force.
-func (k *limitKeeper) limited() int {
-	n := 0
-	for _, l := range k.table.All() {
-		if l.PerSecond > 0 {
-			n++
-		}
-	}
-	return n
-}
+func (k *limitKeeper) limited() int { return len(k.table.InForce()) }
--- a/kcw-fleet/kcwquota/quota.go
+++ b/kcw-fleet/kcwquota/quota.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -220,13 +221,7 @@
 
 // ofService returns the limits in force of the service's upstreams.
 func (q *Quota) ofService(service string) []kcwratelimit.Limit {
-	var limits []kcwratelimit.Limit
-	for _, l := range q.table.All() {
-		if l.PerSecond > 0 && l.Service == service {
-			limits = append(limits, l)
-		}
-	}
-	return limits
+	return slices.DeleteFunc(q.table.InForce(), func(l kcwratelimit.Limit) bool { return l.Service != service })
 }
 
 // step is how a request goes on for which this router holds no permit.
@@ -421,16 +416,17 @@
 	Permits int
 }
 
+// Limited returns the number of upstreams with a limit in force.
+func (q *Quota) Limited() int64 { return q.limited.Load() }
+
 // Limits returns the limits in force, sorted by upstream.
 func (q *Quota) Limits() []Limit {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.cfg.Now()
 	var limits []Limit
-	for _, l := range q.table.All() {
-		if l.PerSecond > 0 {
-			limits = append(limits, Limit{l.Upstream, l.PerSecond, now.Sub(l.AnsweredAt).String(), q.stock.Held(l.Upstream, now)})
-		}
+	for _, l := range q.table.InForce() {
+		limits = append(limits, Limit{l.Upstream, l.PerSecond, now.Sub(l.AnsweredAt).String(), q.stock.Held(l.Upstream, now)})
 	}
 	return limits
 }
--- a/kcw-fleet/kcwrouter/dump.go
+++ b/kcw-fleet/kcwrouter/dump.go
@@ -58,7 +58,7 @@
 	r.meter.Gauge("kcw_router_suspects", "Prompt parts that this router suspects of crashing upstreams.",
 		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(len(r.guard.Suspects()))) })
 	r.meter.Gauge("kcw_router_limited_upstreams", "Upstreams that name a rate limit.",
-		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(len(r.quota.Limits()))) })
+		func(observe func(int64, ...attribute.KeyValue)) { observe(r.quota.Limited()) })
 	r.meter.Gauge("kcw_router_document", "Version of the configuration in force.",
 		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(r.dump().Document)) })
 }
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -186,7 +186,7 @@
 func (r *Router) newQuota(uptime *kcwuptime.Clock) {
 	s := r.cfg.Settings
 	malformed := r.meter.Counter("kcw_router_limits_malformed", "Upstreams that have named a rate limit that can't be read.")
-	held := r.meter.Counter("kcw_router_limit_held", "Requests whose preferred upstream was at its rate limit, by service.")
+	held := r.meter.Counter("kcw_router_limit_held", "Requests for whose upstreams with a rate limit there was no permit, by service.")
 	r.quota = kcwquota.New(kcwquota.Config{
 		OnMalformed: func() { malformed.Add(r.ctx, 1) },
 		OnHeld:      func(service string) { held.Add(r.ctx, 1, metric.WithAttributes(attribute.String("service", service))) },
--- a/kcw/kcwpermit/permit.go
+++ b/kcw/kcwpermit/permit.go
@@ -17,7 +17,7 @@
 //
 // Routers that get no answer from the core use a part of the limit, aloneFraction, that
 // each divides by the number of routers. The Issuer holds back the parts of the routers
-// that it does not hear.
+// that have stopped reporting.
 //
 // The package does no I/O and reads no clock. Its times must advance while a host is
 // suspended, or permits would outlast a suspension.
--- a/kcw/kcwplace/placer_test.go
+++ b/kcw/kcwplace/placer_test.go
@@ -94,3 +94,17 @@
 		t.Errorf("choices %v, want most at the upstream in the router's zone and fewest at the loaded one", counts)
 	}
 }
+
+// TestRankIsHome checks that the upstream of the highest rank is the one that is chosen while
+// none is overloaded.
+func TestRankIsHome(t *testing.T) {
+	list := candidates(5)
+	for prefix := range uint64(100) {
+		home := list[placer(1).Choose(list, prefix+1)]
+		for _, candidate := range list {
+			if kcwplace.Rank(prefix+1, candidate.Hash) > kcwplace.Rank(prefix+1, home.Hash) {
+				t.Fatalf("prefix %d: the home is not the upstream of the highest rank", prefix+1)
+			}
+		}
+	}
+}
--- a/kcw/kcwratelimit/ratelimit.go
+++ b/kcw/kcwratelimit/ratelimit.go
@@ -18,8 +18,8 @@
 // MaxUpstreams bounds the upstreams in a Table. It is several times the largest fleet.
 const MaxUpstreams = 4096
 
-// endedRetention is how long a Table knows that a limit has ended. It is longer than the
-// news of an earlier answer takes to arrive.
+// endedRetention is how long a Table keeps a limit that has ended. It is longer than reports
+// of earlier answers take to arrive.
 const endedRetention = time.Minute
 
 // Limit is what an answer of an upstream states about the upstream's rate limit.
@@ -87,6 +87,11 @@
 	return all
 }
 
+// InForce returns the limits in force, sorted by upstream.
+func (t *Table) InForce() []Limit {
+	return slices.DeleteFunc(t.All(), func(l Limit) bool { return l.PerSecond == 0 })
+}
+
 // Expire drops the upstreams for which isListed returns false, and the limits that ended
 // long before now. It returns what it has dropped.
 func (t *Table) Expire(isListed func(upstream string) bool, now time.Time) []Limit {
--- a/kcw/kcwroster/limit_test.go
+++ b/kcw/kcwroster/limit_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"kingcupwick.example/kcw/kcwplace"
 	"kingcupwick.example/kcw/kcwroster"
 )
 
@@ -137,18 +136,3 @@
 		t.Errorf("%v count as listed, want a and c", set.listed)
 	}
 }
-
-// TestRankIsHome checks that the upstream of the highest rank is the one that is chosen while
-// none is overloaded.
-func TestRankIsHome(t *testing.T) {
-	list := []kcwplace.Candidate{{Hash: 11}, {Hash: 22}, {Hash: 33}}
-	placer := kcwplace.New(kcwplace.Config{LoadFactor: 1.25, LoadMargin: 0.1, Rand: newTestRand()})
-	for prefix := range uint64(100) {
-		home := list[placer.Choose(list, prefix+1)]
-		for _, candidate := range list {
-			if kcwplace.Rank(prefix+1, candidate.Hash) > kcwplace.Rank(prefix+1, home.Hash) {
-				t.Fatalf("prefix %d: the home is not the upstream of the highest rank", prefix+1)
-			}
-		}
-	}
-}
--- a/kcw/kcwroster/roster_test.go
+++ b/kcw/kcwroster/roster_test.go
@@ -18,8 +18,6 @@
 
 func (c *clock) read() time.Time { return c.now }
 
-func newTestRand() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
-
 func newRoster(c *clock) *kcwroster.Roster { return newRosterWith(c, &limitSet{}) }
 
 func newRosterWith(c *clock, limits *limitSet) *kcwroster.Roster {
