kcwreplica: the test of changes before an own commit covers its case

TestNoChangeBeforeOwnCommit passed although the rule was removed (change refused only while a membership is uncommitted): the forced leader did not know yet that the founding membership was committed and refused for that reason. The test now runs until it does, and checks it. Without the rule it then prints 'change gave <nil>, want busy'.

--- a/kcw/kcwreplica/rules_test.go
+++ b/kcw/kcwreplica/rules_test.go
@@ -167,7 +167,11 @@
 func TestNoChangeBeforeOwnCommit(t *testing.T) {
 	s := newSim(5, 3)
 	elect(t, s)
+	s.run(second)
 	candidate := s.nodes[1]
+	if newest := candidate.replica.configs[0]; newest.index > candidate.replica.Commit() {
+		t.Fatalf("commit %d, want at least that of the membership, %d", candidate.replica.Commit(), newest.index)
+	}
 	candidate.replica.campaign(0, s.now)
 	s.drive(candidate, false)
 	candidate.replica.becomeLeader(s.now)
