kcwreplica: a learner replaces a voter in one change, by joint consensus

A removal first has the same fault in between: two voters of which both are needed.

KIND_REPLACE appends a membership with the learner as a voter, the replaced voter as a learner, and the voters before in Outgoing. While Outgoing is set, elections, pre-votes, commits, leases and reads need a majority of both. Once it is committed the leader, or the next one after the first commit of its term, appends the membership without Outgoing. KIND_DEMOTE makes a voter a learner. ChangeMembers returns when the first of the two memberships is committed: every later leader has it and completes the replacement, so that no outcome needs to be carried over a change of leader; until then other changes are Busy.

--- a/kcw/kcwgroup/error.go
+++ b/kcw/kcwgroup/error.go
@@ -20,7 +20,7 @@
 	NotLeader
 	// OutcomeUnknown means that the proposal may or may not be executed.
 	OutcomeUnknown
-	// NotCaughtUp means that the learner to promote lacks committed entries.
+	// NotCaughtUp means that the learner to be made a voter lacks committed entries.
 	NotCaughtUp
 	// Busy means that another membership change or a leadership transfer is in
 	// progress; nothing was executed.
--- a/kcw/kcwgroup/failure_test.go
+++ b/kcw/kcwgroup/failure_test.go
@@ -296,8 +296,14 @@
 
 func (c *cluster) change(kind kcwpb.ChangeMembersRequest_Kind, member *kcwpb.Member) {
 	c.t.Helper()
-	c.eventually(kind.String(), func() bool {
-		_, err := c.leader().group.ChangeMembers(c.t.Context(), &kcwpb.ChangeMembersRequest{Kind: kind, Member: member})
+	c.request(&kcwpb.ChangeMembersRequest{Kind: kind, Member: member})
+}
+
+// request makes a membership change through whichever host leads.
+func (c *cluster) request(req *kcwpb.ChangeMembersRequest) {
+	c.t.Helper()
+	c.eventually(req.Kind.String(), func() bool {
+		_, err := c.leader().group.ChangeMembers(c.t.Context(), req)
 		return err == nil
 	})
 }
--- a/kcw/kcwgroup/group.go
+++ b/kcw/kcwgroup/group.go
@@ -139,10 +139,13 @@
 	return err
 }
 
-// ChangeMembers adds a learner, promotes a learner or removes a member, and returns the
-// membership once the change is committed. Only the leader accepts changes, one at a
-// time. The error is an *Error as for Propose; its Kind is NotCaughtUp if the learner
-// to promote lacks committed entries.
+// ChangeMembers adds a learner, promotes a learner, demotes a voter, replaces a voter by
+// a learner or removes a member, and returns the membership once the change is
+// committed. For a replacement, that is the membership of which Outgoing still holds the
+// voters before it: from then on it is certain, and whichever replica leads completes it
+// with a second membership, until whose commit other changes are rejected as Busy. Only
+// the leader accepts changes, one at a time. The error is an *Error as for Propose; its
+// Kind is NotCaughtUp if the learner to be made a voter lacks committed entries.
 func (g *Group) ChangeMembers(ctx context.Context, req *kcwpb.ChangeMembersRequest) (*kcwpb.Membership, error) {
 	c := newCall()
 	c.change = proto.Clone(req).(*kcwpb.ChangeMembersRequest)
--- a/kcw/kcwreplica/check_test.go
+++ b/kcw/kcwreplica/check_test.go
@@ -16,10 +16,36 @@
 	if earlier := s.committed[e.Index]; earlier != nil && !proto.Equal(earlier, e) {
 		s.fail("%d applied %v where another replica applied %v", n.id, e, earlier)
 	}
+	if s.committed[e.Index] == nil && e.Kind == kcwpb.EntryKind_ENTRY_KIND_MEMBERSHIP {
+		s.countChange(e)
+	}
 	s.committed[e.Index] = e
 	s.highest = max(s.highest, e.Index)
 }
 
+// countChange counts the committed membership in e by its kind.
+func (s *sim) countChange(e *kcwpb.Entry) {
+	earlier := &kcwpb.Entry{}
+	for index := e.Index - 1; index > 0 && earlier.Kind != kcwpb.EntryKind_ENTRY_KIND_MEMBERSHIP; index-- {
+		earlier = s.committed[index]
+	}
+	if earlier.Kind != kcwpb.EntryKind_ENTRY_KIND_MEMBERSHIP {
+		return
+	}
+	before, after := parseMembership(earlier), parseMembership(e)
+	switch {
+	case len(after.Outgoing) > 0:
+		s.started++
+	case len(before.Outgoing) > 0 && earlier.Term != e.Term:
+		s.completed++
+		s.inherited++
+	case len(before.Outgoing) > 0:
+		s.completed++
+	case len(after.Members) == len(before.Members) && len(incomingVoters(after)) < len(incomingVoters(before)):
+		s.demoted++
+	}
+}
+
 // checkLeader checks election safety and leader completeness.
 func (s *sim) checkLeader(n *node) {
 	if !n.replica.IsLeader() {
--- a/kcw/kcwreplica/election.go
+++ b/kcw/kcwreplica/election.go
@@ -48,7 +48,7 @@
 // (Ongaro 2014, section 4.2.2).
 func (r *Replica) mayCampaign() bool {
 	for i := len(r.configs) - 1; i >= 0; i-- {
-		if hasVoter(r.configs[i].membership, r.cfg.ID) {
+		if IsVoter(r.configs[i].membership, r.cfg.ID) {
 			return true
 		}
 		if r.configs[i].index <= r.log.commit {
@@ -80,7 +80,7 @@
 
 func (r *Replica) requestVotes(kind kcwpb.MessageKind, term, hint uint64) {
 	for _, m := range r.Membership().Members {
-		if m.Learner || m.Id == r.cfg.ID {
+		if m.Id == r.cfg.ID || !r.isVoter(m.Id) {
 			continue
 		}
 		r.sendAfterSave(&kcwpb.Message{
@@ -90,7 +90,7 @@
 	}
 }
 
-// countVote records one vote. Once a majority has granted theirs, a pre-candidate
+// countVote records one vote. Once a quorum has granted theirs, a pre-candidate
 // starts its election and a candidate becomes leader.
 func (r *Replica) countVote(from uint64, granted bool, now time.Time) {
 	if !r.isVoter(from) {
--- a/kcw/kcwreplica/error.go
+++ b/kcw/kcwreplica/error.go
@@ -17,7 +17,8 @@
 	// Busy means that a membership change or a leadership transfer is in
 	// progress, or that the leader has not yet committed an entry of its term.
 	Busy
-	// NotCaughtUp means that the learner to promote lacks committed entries.
+	// NotCaughtUp means that the learner to be made a voter lacks committed
+	// entries.
 	NotCaughtUp
 	// Invalid means that an argument is invalid.
 	Invalid
--- a/kcw/kcwreplica/lead.go
+++ b/kcw/kcwreplica/lead.go
@@ -160,7 +160,7 @@
 	}
 }
 
-// advanceCommit commits the entries that a majority of the voters have on disk.
+// advanceCommit commits the entries that a quorum of the voters has on disk.
 // Only an entry of the current term is committed by counting replicas; it commits
 // all entries before it (Ongaro and Ousterhout 2014, section 5.4.2).
 func (r *Replica) advanceCommit(now time.Time) {
@@ -175,10 +175,12 @@
 	}
 	r.log.commit = index
 	r.startReads(now)
+	r.completeReplacement(now)
 	r.stepDownIfRemoved(now)
 }
 
-// stepDownIfRemoved makes a leader step down once its removal is committed.
+// stepDownIfRemoved makes a leader step down once the loss of its own vote is
+// committed.
 func (r *Replica) stepDownIfRemoved(now time.Time) {
 	newest := r.configs[len(r.configs)-1]
 	if newest.index > r.log.commit || r.isVoter(r.cfg.ID) {
--- a/kcw/kcwreplica/members.go
+++ b/kcw/kcwreplica/members.go
@@ -1,6 +1,7 @@
 package kcwreplica
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -13,18 +14,46 @@
 	addLearner = kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER
 	promote    = kcwpb.ChangeMembersRequest_KIND_PROMOTE
 	remove     = kcwpb.ChangeMembersRequest_KIND_REMOVE
+	demote     = kcwpb.ChangeMembersRequest_KIND_DEMOTE
+	replace    = kcwpb.ChangeMembersRequest_KIND_REPLACE
 )
 
+// IsVoter reports whether the replica id votes under membership. During a replacement
+// both the outgoing and the incoming voters do.
+func IsVoter(membership *kcwpb.Membership, id uint64) bool {
+	for _, m := range membership.GetMembers() {
+		if m.Id == id && !m.Learner {
+			return true
+		}
+	}
+	return slices.Contains(membership.GetOutgoing(), id)
+}
+
+// incomingVoters returns the identities of the members that have a vote once a
+// replacement in progress is complete.
+func incomingVoters(membership *kcwpb.Membership) []uint64 {
+	var ids []uint64
+	for _, m := range membership.Members {
+		if !m.Learner {
+			ids = append(ids, m.Id)
+		}
+	}
+	return ids
+}
+
 // Change appends one membership change and returns its index. The new membership
-// is in force at once; the change is final when the index is committed. Only one
-// change may be in progress at a time, and none before an entry of the leader's
-// term is committed. If Change returns an error, nothing is appended; the error's
-// Kind is NotLeader, Busy, NotCaughtUp or Invalid.
+// is in force at once; the change is final when the index is committed. A replacement
+// is then still to be completed by a second entry, which this leader or a later one
+// appends without another call. Only one change may be in progress at a time, and none
+// before an entry of the leader's term is committed. If Change returns an error,
+// nothing is appended; the error's Kind is NotLeader, Busy, NotCaughtUp or Invalid.
 func (r *Replica) Change(req *kcwpb.ChangeMembersRequest, now time.Time) (uint64, error) {
 	const op = "change"
 	if err := r.checkLeading(op, now); err != nil {
 		return 0, err
 	}
+	// The membership that completes a replacement is appended when the one that started it
+	// is committed, so that the newest one is not committed while a replacement goes on.
 	newest := r.configs[len(r.configs)-1]
 	if !r.hasCommitted() || newest.index > r.log.commit {
 		return 0, fail(op, Busy, "an earlier change or the term's first entry is not committed")
@@ -33,6 +62,11 @@
 	if err != nil {
 		return 0, err
 	}
+	return r.appendMembership(op, membership, now)
+}
+
+// appendMembership appends membership, which is in force at once, and returns its index.
+func (r *Replica) appendMembership(op string, membership *kcwpb.Membership, now time.Time) (uint64, error) {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(membership)
 	if err != nil {
 		return 0, fail(op, Invalid, err.Error())
@@ -47,6 +81,21 @@
 	return index, nil
 }
 
+// completeReplacement ends the vote of the outgoing voters once the membership that
+// started the replacement is committed. A new leader calls it after the first commit of
+// its term.
+func (r *Replica) completeReplacement(now time.Time) {
+	newest := r.configs[len(r.configs)-1]
+	if newest.index > r.log.commit || len(newest.membership.Outgoing) == 0 {
+		return
+	}
+	membership := proto.Clone(newest.membership).(*kcwpb.Membership)
+	membership.Outgoing = nil
+	if _, err := r.appendMembership("complete the replacement", membership, now); err != nil {
+		panic("kcwreplica: a stored membership can't be encoded: " + err.Error())
+	}
+}
+
 func (r *Replica) membershipAfter(op string, req *kcwpb.ChangeMembersRequest) (*kcwpb.Membership, error) {
 	id := req.GetMember().GetId()
 	current := r.member(id)
@@ -69,6 +118,10 @@
 		return r.promoteLearner(op, membership, id)
 	case remove:
 		return removeMember(op, membership, id)
+	case demote:
+		return r.demoteVoter(op, membership, id)
+	case replace:
+		return r.replaceVoter(op, membership, id, req.Replaced)
 	}
 	return nil, fail(op, Invalid, "unknown kind of change")
 }
@@ -80,12 +133,43 @@
 	if p := r.leading.peers[id]; !r.isCaughtUp(p) {
 		return nil, fail(op, NotCaughtUp, "the learner lacks committed entries")
 	}
+	setLearner(membership, id, false)
+	return membership, nil
+}
+
+func (r *Replica) demoteVoter(op string, membership *kcwpb.Membership, id uint64) (*kcwpb.Membership, error) {
+	if !r.isVoter(id) {
+		return nil, fail(op, Invalid, "not a voter")
+	}
+	setLearner(membership, id, true)
+	if len(incomingVoters(membership)) == 0 {
+		return nil, fail(op, Invalid, "no voter would remain")
+	}
+	return membership, nil
+}
+
+// replaceVoter returns the membership with which the learner id starts to replace the
+// voter replaced.
+func (r *Replica) replaceVoter(op string, membership *kcwpb.Membership, id, replaced uint64) (*kcwpb.Membership, error) {
+	if !r.isVoter(replaced) {
+		return nil, fail(op, Invalid, "the replica to replace is not a voter")
+	}
+	outgoing := incomingVoters(membership)
+	membership, err := r.promoteLearner(op, membership, id)
+	if err != nil {
+		return nil, err
+	}
+	setLearner(membership, replaced, true)
+	membership.Outgoing = outgoing
+	return membership, nil
+}
+
+func setLearner(membership *kcwpb.Membership, id uint64, learner bool) {
 	for _, m := range membership.Members {
 		if m.Id == id {
-			m.Learner = false
+			m.Learner = learner
 		}
 	}
-	return membership, nil
 }
 
 // isCaughtUp reports whether a replica has the first entry of the leader's term
@@ -98,48 +182,46 @@
 }
 
 func removeMember(op string, membership *kcwpb.Membership, id uint64) (*kcwpb.Membership, error) {
-	var members []*kcwpb.Member
-	voters := 0
-	for _, m := range membership.Members {
-		if m.Id == id {
-			continue
-		}
-		members = append(members, m)
-		if !m.Learner {
-			voters++
-		}
-	}
-	if voters == 0 {
+	membership.Members = slices.DeleteFunc(membership.Members, func(m *kcwpb.Member) bool { return m.Id == id })
+	if len(incomingVoters(membership)) == 0 {
 		return nil, fail(op, Invalid, "no voter would remain")
 	}
-	return &kcwpb.Membership{Members: members}, nil
+	return membership, nil
 }
 
 // Transfer starts the transfer of leadership to the voter that has acknowledged
-// the most entries. Proposals are rejected until that voter leads or the election
+// the most entries, but not to a voter that is being replaced. Proposals are rejected until that voter leads or the election
 // timeout has passed. Transfer reports whether it started a transfer.
 func (r *Replica) Transfer(now time.Time) bool {
 	r.checkQuorum(now)
 	if r.role != leader {
 		return false
 	}
+	id := r.successor()
+	if id == 0 {
+		return false
+	}
+	r.leading.transferTo = id
+	r.leading.transferUntil = now.Add(r.cfg.Election)
+	r.tryTransfer()
+	return true
+}
+
+// successor returns the other voter that has acknowledged the most entries and, among
+// equals, has answered last. It returns zero if none receives entries.
+func (r *Replica) successor() uint64 {
 	var best uint64
-	for _, id := range r.peerIDs() {
+	var newest progress
+	for _, id := range incomingVoters(r.Membership()) {
 		p := r.leading.peers[id]
-		if !r.isVoter(id) || !p.streaming {
+		if p == nil || !p.streaming {
 			continue
 		}
-		if best == 0 || p.match > r.leading.peers[best].match {
-			best = id
+		if best == 0 || p.match > newest.match || (p.match == newest.match && p.round > newest.round) {
+			best, newest = id, *p
 		}
 	}
-	if best == 0 {
-		return false
-	}
-	r.leading.transferTo = best
-	r.leading.transferUntil = now.Add(r.cfg.Election)
-	r.tryTransfer()
-	return true
+	return best
 }
 
 // tryTransfer makes the transfer's target start an election once it has the whole
--- a/kcw/kcwreplica/replica.go
+++ b/kcw/kcwreplica/replica.go
@@ -5,8 +5,18 @@
 //
 // The algorithm is Raft: Ongaro and Ousterhout, "In Search of an Understandable
 // Consensus Algorithm", 2014. Pre-vote, check-quorum, read index, learners,
-// single-server membership changes and leadership transfer are from Ongaro,
-// "Consensus: Bridging Theory and Practice", 2014.
+// membership changes and leadership transfer are from Ongaro, "Consensus: Bridging
+// Theory and Practice", 2014.
+//
+// A member is added, promoted, demoted or removed by a single-server change (Ongaro
+// 2014, section 4.1). No change starts before the leader has committed an entry of its
+// own term, since otherwise two leaders could make different changes to the same
+// membership whose majorities do not overlap. A learner replaces a voter by joint
+// consensus (Ongaro and Ousterhout 2014, section 6; Ongaro 2014, section 4.3), so that
+// the number of voters, and of failures that the group survives, stays the same
+// throughout. Until the replacement is complete, elections, commits and rounds of
+// heartbeats need a majority of the voters before it and a majority of those after it.
+// Whichever replica leads completes it.
 package kcwreplica
 
 import (
@@ -234,7 +244,7 @@
 	if m := r.member(r.leader); m != nil {
 		status.LeaderAddress = m.Address
 	}
-	if m := r.member(r.cfg.ID); m == nil || m.Learner {
+	if !r.isVoter(r.cfg.ID) {
 		status.Role = "learner"
 	}
 	if r.role == leader {
@@ -270,29 +280,30 @@
 }
 
 func (r *Replica) isVoter(id uint64) bool {
-	return hasVoter(r.Membership(), id)
+	return IsVoter(r.Membership(), id)
 }
 
-func hasVoter(membership *kcwpb.Membership, id uint64) bool {
-	for _, m := range membership.Members {
-		if m.Id == id {
-			return !m.Learner
-		}
+// quorumOf returns the largest value that a quorum has or exceeds: a majority of the
+// voters and, during a replacement, also a majority of the outgoing voters.
+func (r *Replica) quorumOf(value func(id uint64) uint64) uint64 {
+	membership := r.Membership()
+	quorum := majorityOf(incomingVoters(membership), value)
+	if len(membership.Outgoing) > 0 {
+		quorum = min(quorum, majorityOf(membership.Outgoing, value))
 	}
-	return false
+	return quorum
 }
 
-// quorumOf returns the largest value that a majority of the voters have or exceed.
-func (r *Replica) quorumOf(value func(id uint64) uint64) uint64 {
-	var values []uint64
-	for _, m := range r.Membership().Members {
-		if !m.Learner {
-			values = append(values, value(m.Id))
-		}
-	}
-	if len(values) == 0 {
+// majorityOf returns the largest value that a majority of ids have or exceed, and zero
+// if there are none.
+func majorityOf(ids []uint64, value func(id uint64) uint64) uint64 {
+	if len(ids) == 0 {
 		return 0
 	}
+	var values []uint64
+	for _, id := range ids {
+		values = append(values, value(id))
+	}
 	sort.Slice(values, func(i, j int) bool { return values[i] > values[j] })
 	return values[len(values)/2]
 }
--- a/kcw/kcwreplica/rules_test.go
+++ b/kcw/kcwreplica/rules_test.go
@@ -150,9 +150,7 @@
 	if err := change(leader, s, promote, 9); kindOf(err) != NotCaughtUp {
 		t.Errorf("promoting an absent learner gave %v, want not caught up", err)
 	}
-	s.nodes[9] = &node{id: 9}
-	s.ids = append(s.ids, 9)
-	s.restart(s.nodes[9])
+	s.addNode(9)
 	s.run(second)
 	if err := change(leader, s, promote, 9); err != nil {
 		t.Errorf("promoting a learner that has caught up gave %v", err)
--- a/kcw/kcwreplica/sim_test.go
+++ b/kcw/kcwreplica/sim_test.go
@@ -46,6 +46,10 @@
 	highest   uint64
 	counter   int
 	violation string
+	// started and completed count the first and the second memberships of replacements
+	// that were committed, and inherited those of completed whose leader is not the one
+	// that started the replacement. demoted counts committed demotions.
+	started, completed, inherited, demoted int
 }
 
 func newSim(seed int64, n int) *sim {
@@ -68,6 +72,15 @@
 	return s
 }
 
+// addNode starts a replica with an empty disk that is not a member.
+func (s *sim) addNode(id uint64) *node {
+	n := &node{id: id}
+	s.nodes[id] = n
+	s.ids = append(s.ids, id)
+	s.restart(n)
+	return n
+}
+
 func (s *sim) fail(format string, args ...any) {
 	if s.violation == "" {
 		s.violation = fmt.Sprintf(format, args...)
@@ -187,13 +200,57 @@
 	case p < 985:
 		s.compact(n)
 	default:
-		kind := kcwpb.ChangeMembersRequest_Kind(1 + s.rnd.Intn(3))
-		member := &kcwpb.Member{Id: s.ids[s.rnd.Intn(len(s.ids))]}
-		_, _ = n.replica.Change(&kcwpb.ChangeMembersRequest{Kind: kind, Member: member}, s.now)
+		n = s.changeMembers(n)
 	}
 	s.drive(n, false)
 }
 
+// changeKinds holds the kinds of random membership changes, the more frequent ones more
+// than once.
+var changeKinds = []kcwpb.ChangeMembersRequest_Kind{addLearner, addLearner, promote, promote, remove, demote, replace, replace, replace}
+
+// choose returns a random member of n's membership that matches, or zero if there is
+// none.
+func (s *sim) choose(n *node, matches func(*kcwpb.Member) bool) uint64 {
+	members := n.replica.Membership().Members
+	for _, i := range s.rnd.Perm(len(members)) {
+		if matches(members[i]) {
+			return members[i].Id
+		}
+	}
+	return 0
+}
+
+// changeMembers requests a random change at the leader or, if there is none or at random,
+// at n. It returns the replica with the request. That replica may fail before it has saved
+// or right after it has sent the change.
+func (s *sim) changeMembers(n *node) *node {
+	if leader := s.leader(); leader != nil && s.rnd.Intn(4) > 0 {
+		n = leader
+	}
+	req := &kcwpb.ChangeMembersRequest{
+		Kind:     changeKinds[s.rnd.Intn(len(changeKinds))],
+		Member:   &kcwpb.Member{Id: s.ids[s.rnd.Intn(len(s.ids))]},
+		Replaced: s.ids[s.rnd.Intn(len(s.ids))],
+	}
+	if req.Kind == replace || req.Kind == promote {
+		req.Member.Id = s.choose(n, func(m *kcwpb.Member) bool { return m.Learner })
+		req.Replaced = s.choose(n, func(m *kcwpb.Member) bool { return !m.Learner })
+	}
+	_, _ = n.replica.Change(req, s.now)
+	switch s.rnd.Intn(8) {
+	case 0:
+		s.drive(n, true)
+	case 1:
+		s.drive(n, false)
+		s.restart(n)
+	case 2:
+		s.drive(n, false)
+		s.isolate(n.id)
+	}
+	return n
+}
+
 // deliver chooses a random message in transit and delivers it, delivers it but keeps
 // it in transit for a repeated delivery, or loses it.
 func (s *sim) deliver() {
@@ -233,7 +290,7 @@
 }
 
 // recovers repairs all links and reports whether all members then apply a new
-// command.
+// command and a replacement in progress is completed.
 func (s *sim) recovers() bool {
 	s.cuts = map[[2]uint64]bool{}
 	target, term := uint64(0), uint64(0)
@@ -249,7 +306,7 @@
 			}
 			term, target = leader.replica.Term(), index
 		}
-		done := target > 0
+		done := target > 0 && len(leader.replica.Membership().Outgoing) == 0
 		for id, n := range s.nodes {
 			done = done && (n.applied >= target || leader.replica.member(id) == nil)
 		}
