kcwreplica: a leader that gives up its vote hands over at once

Callers saw no leader for an election timeout, and unknown outcomes of what they had proposed since, when the leader was removed; the same would hold for one that is replaced or demoted. It now requests an election at the voter with the most entries, of equals the one that answered last, when it steps down, and rejects proposals as Busy (nothing appended) between appending the loss of its vote and its commit.

The tests failed before: TestLeaderWithoutVoteHandsOver 'leader <nil> half an election timeout later, want one of term 3' in all three cases, and 'propose at a leader that gives up its vote gave <nil>, want busy'.

--- a/kcw/kcwgroup/replace_test.go
+++ b/kcw/kcwgroup/replace_test.go
@@ -73,3 +73,39 @@
 		})
 	}
 }
+
+// A leader that is replaced reports the outcome to the caller, and the group goes on with
+// another leader in the next term.
+func TestReplacedLeaderReportsOutcome(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	commands := c.proposeMany("c", 20)
+	old := c.leader()
+	term, id := old.group.Status().Term, old.group.Status().Id
+	h := c.addHost("h4")
+	c.start(h.name, false)
+	member := &kcwpb.Member{Id: h.group.Status().Id, Name: h.name, Address: h.address}
+	c.change(kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER, member)
+	c.awaitCommands(h, commands)
+	req := &kcwpb.ChangeMembersRequest{Kind: kcwpb.ChangeMembersRequest_KIND_REPLACE, Member: member, Replaced: id}
+	c.eventually("a replacement", func() bool {
+		membership, err := old.group.ChangeMembers(t.Context(), req)
+		if kindOf(err) == NotCaughtUp {
+			return false
+		}
+		if err != nil || !slices.Contains(membership.Outgoing, id) || !kcwreplica.IsVoter(membership, member.Id) {
+			t.Fatalf("replace gave %v and %v, want a membership with %d outgoing", membership, err, id)
+		}
+		return true
+	})
+	next := c.leader(old.name)
+	if got := next.group.Status().Term; got != term+1 {
+		t.Errorf("term %d after the replacement of the leader, want %d by a transfer", got, term+1)
+	}
+	commands = append(commands, c.proposeMany("d", 3)...)
+	c.awaitCommands(h, commands)
+	c.awaitCommands(old, commands)
+	if role := old.group.Status().Role; role != "learner" {
+		t.Errorf("role %s of the replaced leader, want learner", role)
+	}
+}
--- a/kcw/kcwreplica/lead.go
+++ b/kcw/kcwreplica/lead.go
@@ -130,11 +130,15 @@
 
 // Propose appends commands with the current term and returns the index of the
 // first one. If it returns an error, nothing is appended; the error's Kind is
-// NotLeader, or Busy during a leadership transfer.
+// NotLeader, or Busy during a leadership transfer or when this replica leads only until
+// the loss of its own vote is committed.
 func (r *Replica) Propose(commands [][]byte, now time.Time) (uint64, error) {
 	if err := r.checkLeading("propose", now); err != nil {
 		return 0, err
 	}
+	if !r.isVoter(r.cfg.ID) {
+		return 0, fail("propose", Busy, "the leader is about to step down")
+	}
 	first := r.log.last() + 1
 	for _, data := range commands {
 		r.append(&kcwpb.Entry{Index: r.log.last() + 1, Term: r.term, Data: data})
@@ -180,12 +184,16 @@
 }
 
 // stepDownIfRemoved makes a leader step down once the loss of its own vote is
-// committed.
+// committed. It first requests an election at the voter most likely to win it, so that
+// the group need not wait for an election timeout.
 func (r *Replica) stepDownIfRemoved(now time.Time) {
 	newest := r.configs[len(r.configs)-1]
 	if newest.index > r.log.commit || r.isVoter(r.cfg.ID) {
 		return
 	}
 	r.startRound(now)
+	if id := r.successor(); id != 0 {
+		r.send(&kcwpb.Message{Kind: timeoutNow, To: id, Term: r.term})
+	}
 	r.becomeFollower(r.term, 0, now)
 }
--- a/kcw/kcwreplica/replace_test.go
+++ b/kcw/kcwreplica/replace_test.go
@@ -334,6 +334,51 @@
 	}
 }
 
+// A leader that is replaced or demoted leads until that is committed and then hands over
+// to a voter without an election timeout.
+func TestLeaderWithoutVoteHandsOver(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		kind kcwpb.ChangeMembersRequest_Kind
+	}{
+		{"replaced", replace},
+		{"demoted", demote},
+		{"removed", remove},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSim(6, 3)
+			old := elect(t, s)
+			s.addLearner(t, old, 9)
+			term := old.replica.Term()
+			req := &kcwpb.ChangeMembersRequest{Kind: test.kind, Member: &kcwpb.Member{Id: old.id}}
+			if test.kind == replace {
+				req.Member.Id, req.Replaced = 9, old.id
+			}
+			if _, err := old.replica.Change(req, s.now); err != nil {
+				t.Fatal(err)
+			}
+			s.drive(old, false)
+			if test.kind != replace {
+				if _, err := old.replica.Propose([][]byte{nil}, s.now); kindOf(err) != Busy {
+					t.Errorf("propose at a leader that gives up its vote gave %v, want busy", err)
+				}
+			}
+			s.run(simElection / 2)
+			next := s.leader()
+			if next == nil || next == old || next.replica.Term() != term+1 || !next.replica.hasCommitted() {
+				t.Fatalf("leader %v half an election timeout later, want one of term %d", next, term+1)
+			}
+			if next.replica.isVoter(old.id) {
+				t.Errorf("%d still votes", old.id)
+			}
+			s.run(5 * second)
+			if s.leader() != next || next.replica.Term() != term+1 {
+				t.Errorf("%d leads in term %d, want %d in %d", s.leader().id, s.leader().replica.Term(), next.id, term+1)
+			}
+		})
+	}
+}
+
 // A voter that was replaced, demoted or removed while it was away comes back with its
 // log, by which it is a voter. It does not disrupt the group and can be added again.
 func TestReturningVoterDoesNotDisrupt(t *testing.T) {
