kcwctl: replace gives a lost replica's vote to the new one in one change

Callers saw: between the removal of the lost replica and the promotion of the new one, the ledger had two voters and needed both. The command also ended with an error if the new replica had not caught up to the leader's heartbeat, or if an earlier change was not committed.

The next change is now a function of the members alone, repeated until none is left: add the learner, replace, remove the lost one. A refusal for the time being or a lost answer is followed by another look at the members, until the command's timeout, which gives 'not confirmed'. What members shows as voters includes a voter that is being replaced.

TestReplace demanded the order add, remove, promote; it now demands add, replace, remove, and covers interrupted and refused changes. The old command fails it: 'got [KIND_ADD_LEARNER KIND_REMOVE KIND_PROMOTE]', as the old test demanded.

--- a/kcwctl/kcwtool/exit.go
+++ b/kcwctl/kcwtool/exit.go
@@ -25,8 +25,8 @@
 	// change was based on; nothing was changed.
 	Stale
 	// Unconfirmed means that the change is in force at the ledger but not every
-	// router has confirmed it in time, or that a new replica has not caught up in
-	// time.
+	// router has confirmed it in time, or that the replacement of a replica is not
+	// complete in time.
 	Unconfirmed
 	// Unavailable means that no leader of the ledger answered in time; nothing
 	// was changed.
--- a/kcwctl/kcwtool/fleet.go
+++ b/kcwctl/kcwtool/fleet.go
@@ -13,6 +13,7 @@
 
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwreplica"
 )
 
 // replicaRow is the row printed for a replica of the ledger.
@@ -57,12 +58,12 @@
 func replicaRows(group *kcwpb.GroupStatus) []replicaRow {
 	var rows []replicaRow
 	for _, m := range group.GetMembership().GetMembers() {
-		role := "voter"
+		role := "learner"
 		switch {
 		case m.Id == group.Leader:
 			role = "leader"
-		case m.Learner:
-			role = "learner"
+		case kcwreplica.IsVoter(group.Membership, m.Id):
+			role = "voter"
 		}
 		match := group.Matches[m.Id]
 		if m.Id == group.Id {
@@ -128,73 +129,73 @@
 	return &kcwpb.Member{Id: dump.Group.ID, Name: dump.Name, Zone: dump.Zone, Address: address}, nil
 }
 
-// replacement replaces a lost replica by a new one, one membership change at a
-// time: it adds the new replica as a learner, removes the lost one, and promotes
-// the new one to a voter. It skips steps that an earlier run has completed.
+// replacement puts a new replica in the place of a lost one, one membership change at a
+// time.
 type replacement struct {
 	client *kcwledger.Client
 	lost   uint64
 	added  *kcwpb.Member
 }
 
+// run makes changes until none is left. It repeats the one that the leader refuses, for
+// instance because the new replica has not caught up or an earlier change is not complete.
 func (r *replacement) run(ctx context.Context) error {
-	fleet, err := r.client.Fleet(ctx)
-	if err != nil {
-		return ledgerError("replace", err)
+	const pollInterval = 200 * time.Millisecond
+	incomplete := func(err error) error {
+		return &Error{Op: "replace", Kind: Unconfirmed, Err: fmt.Errorf("the replacement is not complete; run the command again: %w", errors.Join(ctx.Err(), err))}
 	}
-	if findMember(fleet, r.added.Id) == nil {
-		learner := &kcwpb.Member{Id: r.added.Id, Name: r.added.Name, Zone: r.added.Zone, Address: r.added.Address, Learner: true}
-		if err := r.change(ctx, kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER, learner); err != nil {
-			return err
+	for first := true; ; first = false {
+		fleet, err := r.client.Fleet(ctx)
+		switch {
+		case err != nil && ctx.Err() != nil && !first:
+			return incomplete(err)
+		case err != nil:
+			return ledgerError("replace", err)
 		}
-	}
-	if err := r.awaitCaughtUp(ctx, fleet.Group.GetLast()); err != nil {
-		return err
-	}
-	if lost := findMember(fleet, r.lost); lost != nil {
-		if err := r.change(ctx, kcwpb.ChangeMembersRequest_KIND_REMOVE, lost); err != nil {
-			return err
+		change := r.next(fleet.GetGroup().GetMembership())
+		if change == nil {
+			return nil
 		}
-	}
-	if member := findMember(fleet, r.added.Id); member != nil && !member.Learner {
-		return nil
-	}
-	return r.change(ctx, kcwpb.ChangeMembersRequest_KIND_PROMOTE, r.added)
-}
-
-func findMember(fleet *kcwpb.FleetResponse, id uint64) *kcwpb.Member {
-	for _, m := range fleet.GetGroup().GetMembership().GetMembers() {
-		if m.Id == id {
-			return m
+		_, err = r.client.ChangeMembers(ctx, change)
+		if err != nil {
+			err = ledgerError("replace: "+change.Kind.String(), err)
+			if kind := kindOf(err); kind != Refused && kind != Unknown && ctx.Err() == nil {
+				return err
+			}
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return incomplete(err)
 		}
 	}
-	return nil
 }
 
-func (r *replacement) change(ctx context.Context, kind kcwpb.ChangeMembersRequest_Kind, member *kcwpb.Member) error {
-	if _, err := r.client.ChangeMembers(ctx, &kcwpb.ChangeMembersRequest{Kind: kind, Member: member}); err != nil {
-		return ledgerError("replace: "+kind.String(), err)
+// next returns the next change, nil if there is none: the new replica is added as a
+// learner and takes the place of the lost one, which is then removed.
+func (r *replacement) next(membership *kcwpb.Membership) *kcwpb.ChangeMembersRequest {
+	added := findMember(membership, r.added.Id)
+	switch {
+	case added == nil:
+		return &kcwpb.ChangeMembersRequest{Kind: kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER, Member: r.added}
+	case added.Learner && kcwreplica.IsVoter(membership, r.lost):
+		return &kcwpb.ChangeMembersRequest{Kind: kcwpb.ChangeMembersRequest_KIND_REPLACE, Member: added, Replaced: r.lost}
+	case added.Learner:
+		return &kcwpb.ChangeMembersRequest{Kind: kcwpb.ChangeMembersRequest_KIND_PROMOTE, Member: added}
+	}
+	if lost := findMember(membership, r.lost); lost != nil {
+		return &kcwpb.ChangeMembersRequest{Kind: kcwpb.ChangeMembersRequest_KIND_REMOVE, Member: lost}
 	}
 	return nil
 }
 
-// awaitCaughtUp waits until the new replica has the log up to index.
-func (r *replacement) awaitCaughtUp(ctx context.Context, index uint64) error {
-	const pollInterval = 200 * time.Millisecond
-	for {
-		fleet, err := r.client.Fleet(ctx)
-		if err != nil {
-			return ledgerError("replace", err)
-		}
-		if fleet.Group.GetMatches()[r.added.Id] >= index {
-			return nil
-		}
-		select {
-		case <-time.After(pollInterval):
-		case <-ctx.Done():
-			return &Error{Op: "replace", Kind: Unconfirmed, Err: errors.New("the new replica has not caught up yet; run the command again")}
+func findMember(membership *kcwpb.Membership, id uint64) *kcwpb.Member {
+	for _, m := range membership.GetMembers() {
+		if m.Id == id {
+			return m
 		}
 	}
+	return nil
 }
 
 // fetchDump returns the state dump of the process at an operator address.
--- a/kcwctl/kcwtool/tool_test.go
+++ b/kcwctl/kcwtool/tool_test.go
@@ -3,17 +3,20 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
@@ -22,7 +25,8 @@
 
 // operator is a fake leader. Submit returns the results of its answers in order,
 // and repeats the last one. Commands and changes hold the commands and the kinds of
-// membership change that it received.
+// membership change that it received; it applies a change to the membership of fleet
+// unless refusals, by kind, of them are left.
 type operator struct {
 	kcwpbconnect.UnimplementedOperatorHandler
 	mu       sync.Mutex
@@ -31,6 +35,7 @@
 	fleet    *kcwpb.FleetResponse
 	list     *kcwpb.ListResponse
 	changes  []kcwpb.ChangeMembersRequest_Kind
+	refusals map[kcwpb.ChangeMembersRequest_Kind]int
 }
 
 func (o *operator) Submit(_ context.Context, req *connect.Request[kcwpb.SubmitRequest]) (*connect.Response[kcwpb.SubmitResponse], error) {
@@ -52,7 +57,9 @@
 }
 
 func (o *operator) Fleet(context.Context, *connect.Request[kcwpb.FleetRequest]) (*connect.Response[kcwpb.FleetResponse], error) {
-	return connect.NewResponse(o.fleet), nil
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return connect.NewResponse(proto.Clone(o.fleet).(*kcwpb.FleetResponse)), nil
 }
 
 func (o *operator) List(context.Context, *connect.Request[kcwpb.ListRequest]) (*connect.Response[kcwpb.ListResponse], error) {
@@ -60,8 +67,34 @@
 }
 
 func (o *operator) ChangeMembers(_ context.Context, req *connect.Request[kcwpb.ChangeMembersRequest]) (*connect.Response[kcwpb.ChangeMembersResponse], error) {
-	o.changes = append(o.changes, req.Msg.Kind)
-	return connect.NewResponse(&kcwpb.ChangeMembersResponse{}), nil
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	kind := req.Msg.Kind
+	o.changes = append(o.changes, kind)
+	if o.refusals[kind] > 0 {
+		o.refusals[kind]--
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("refused"))
+	}
+	membership := o.fleet.Group.Membership
+	setLearner := func(id uint64, learner bool) {
+		for _, m := range membership.Members {
+			if m.Id == id {
+				m.Learner = learner
+			}
+		}
+	}
+	switch kind {
+	case kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER:
+		membership.Members = append(membership.Members, &kcwpb.Member{Id: req.Msg.Member.Id, Learner: true})
+	case kcwpb.ChangeMembersRequest_KIND_REPLACE:
+		setLearner(req.Msg.Replaced, true)
+		setLearner(req.Msg.Member.Id, false)
+	case kcwpb.ChangeMembersRequest_KIND_PROMOTE:
+		setLearner(req.Msg.Member.Id, false)
+	case kcwpb.ChangeMembersRequest_KIND_REMOVE:
+		membership.Members = slices.DeleteFunc(membership.Members, func(m *kcwpb.Member) bool { return m.Id == req.Msg.Member.Id })
+	}
+	return connect.NewResponse(&kcwpb.ChangeMembersResponse{Membership: membership}), nil
 }
 
 func returnsCode(code kcwpb.Code) func() (*kcwpb.Result, error) {
@@ -203,25 +236,75 @@
 	}
 }
 
+// A lost replica is replaced in one change, never removed before its successor is a
+// voter, and an interrupted replacement is resumed.
 func TestReplace(t *testing.T) {
+	const (
+		add     = kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER
+		replace = kcwpb.ChangeMembersRequest_KIND_REPLACE
+		promote = kcwpb.ChangeMembersRequest_KIND_PROMOTE
+		remove  = kcwpb.ChangeMembersRequest_KIND_REMOVE
+	)
+	for _, test := range []struct {
+		name     string
+		members  []*kcwpb.Member
+		refusals map[kcwpb.ChangeMembersRequest_Kind]int
+		want     []kcwpb.ChangeMembersRequest_Kind
+	}{
+		{"from the start", []*kcwpb.Member{{Id: 1}, {Id: 2}, {Id: 3}}, nil, []kcwpb.ChangeMembersRequest_Kind{add, replace, remove}},
+		{
+			"behind, and then not complete",
+			[]*kcwpb.Member{{Id: 1}, {Id: 2}, {Id: 3}},
+			map[kcwpb.ChangeMembersRequest_Kind]int{replace: 2, remove: 1},
+			[]kcwpb.ChangeMembersRequest_Kind{add, replace, replace, replace, remove, remove},
+		},
+		{"added before", []*kcwpb.Member{{Id: 1}, {Id: 2}, {Id: 3}, {Id: 44, Learner: true}}, nil, []kcwpb.ChangeMembersRequest_Kind{replace, remove}},
+		{"replaced before", []*kcwpb.Member{{Id: 1}, {Id: 2}, {Id: 3, Learner: true}, {Id: 44}}, nil, []kcwpb.ChangeMembersRequest_Kind{remove}},
+		{"removed before", []*kcwpb.Member{{Id: 1}, {Id: 2}, {Id: 44, Learner: true}}, nil, []kcwpb.ChangeMembersRequest_Kind{promote}},
+		{"complete", []*kcwpb.Member{{Id: 1}, {Id: 2}, {Id: 44}}, nil, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.operator.fleet.Group = &kcwpb.GroupStatus{Membership: &kcwpb.Membership{Members: test.members}}
+			f.operator.refusals = test.refusals
+			if got := f.run("replace", "-lost", "3", "-admin", f.address, "-address", "127.0.0.1:9"); got != OK {
+				t.Fatal(got, f.err.String())
+			}
+			if !slices.Equal(f.operator.changes, test.want) {
+				t.Errorf("got %v, want %v", f.operator.changes, test.want)
+			}
+		})
+	}
+}
+
+func TestReplaceNotComplete(t *testing.T) {
 	f := newFixture(t)
-	f.operator.fleet.Group = &kcwpb.GroupStatus{
-		Last:       12,
-		Matches:    map[uint64]uint64{44: 12},
-		Membership: &kcwpb.Membership{Members: []*kcwpb.Member{{Id: 1}, {Id: 2}, {Id: 3}}},
+	f.operator.fleet.Group = &kcwpb.GroupStatus{Membership: &kcwpb.Membership{Members: []*kcwpb.Member{{Id: 3}}}}
+	f.operator.refusals = map[kcwpb.ChangeMembersRequest_Kind]int{kcwpb.ChangeMembersRequest_KIND_REPLACE: 1 << 20}
+	if got := f.run("replace", "-timeout", "500ms", "-lost", "3", "-admin", f.address, "-address", "127.0.0.1:9"); got != Unconfirmed {
+		t.Errorf("got %v, want %v: %s", got, Unconfirmed, f.err.String())
 	}
-	if got := f.run("replace", "-lost", "3", "-admin", f.address, "-address", "127.0.0.1:9"); got != OK {
-		t.Fatal(got, f.err.String())
+	if !strings.Contains(f.err.String(), "run the command again") {
+		t.Errorf("got %s", f.err.String())
 	}
-	want := []kcwpb.ChangeMembersRequest_Kind{
-		kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER, kcwpb.ChangeMembersRequest_KIND_REMOVE, kcwpb.ChangeMembersRequest_KIND_PROMOTE,
+}
+
+func TestMembersShowsWhoVotes(t *testing.T) {
+	f := newFixture(t)
+	f.operator.fleet.Group = &kcwpb.GroupStatus{Leader: 1, Membership: &kcwpb.Membership{
+		Members:  []*kcwpb.Member{{Id: 1}, {Id: 2}, {Id: 3, Learner: true}, {Id: 4, Learner: true}},
+		Outgoing: []uint64{1, 2, 3},
+	}}
+	if got := f.run("-output", "json", "members"); got != OK {
+		t.Fatal(got, f.err.String())
 	}
-	if len(f.operator.changes) != len(want) {
-		t.Fatalf("got %v, want %v", f.operator.changes, want)
+	var rows []struct{ ID, Role string }
+	if err := json.Unmarshal(f.out.Bytes(), &rows); err != nil {
+		t.Fatal(err)
 	}
-	for i := range want {
-		if f.operator.changes[i] != want[i] {
-			t.Errorf("got %v, want %v", f.operator.changes, want)
+	for i, want := range []string{"leader", "voter", "voter", "learner"} {
+		if rows[i].Role != want {
+			t.Errorf("replica %s: %s, want %s", rows[i].ID, rows[i].Role, want)
 		}
 	}
 }
