kcwservice, kcw-ledger: one function for who votes

kcwreplica.IsVoter also counts the voters that are being replaced; the service and the ledger's dump had their own loops over Learner, which leaves these out. The dump states Votes for each member. TestFresh gets the case of a voter being replaced; with the old function it fails: 'fresh false, want true'.

--- a/kcw-ledger/config_test.go
+++ b/kcw-ledger/config_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+	"kingcupwick.example/kcw/kcwreplica"
 )
 
 // withBearer returns a request that carries key as its bearer token.
@@ -193,27 +195,32 @@
 
 // changeMembers makes one membership change. It retries after an unknown outcome
 // and, for a promotion, until the learner has caught up.
-func changeMembers(t *testing.T, c *kcwledger.Client, kind kcwpb.ChangeMembersRequest_Kind, m *kcwpb.Member) {
+func changeMembers(t *testing.T, c *kcwledger.Client, req *kcwpb.ChangeMembersRequest) {
 	t.Helper()
-	isDone := func(members []*kcwpb.Member) bool {
-		for _, have := range members {
-			if have.Id == m.Id {
-				return kind == kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER || kind == kcwpb.ChangeMembersRequest_KIND_PROMOTE && !have.Learner
-			}
+	isDone := func(membership *kcwpb.Membership) bool {
+		isMember := slices.ContainsFunc(membership.GetMembers(), func(m *kcwpb.Member) bool { return m.Id == req.Member.Id })
+		votes := kcwreplica.IsVoter(membership, req.Member.Id)
+		switch req.Kind {
+		case kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER:
+			return isMember
+		case kcwpb.ChangeMembersRequest_KIND_REMOVE:
+			return !isMember
+		case kcwpb.ChangeMembersRequest_KIND_REPLACE:
+			return votes && !kcwreplica.IsVoter(membership, req.Replaced)
 		}
-		return kind == kcwpb.ChangeMembersRequest_KIND_REMOVE
+		return votes
 	}
-	await(t, fmt.Sprint("members changed: ", kind), func() bool {
+	await(t, fmt.Sprint("members changed: ", req.Kind), func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
-		membership, err := c.ChangeMembers(ctx, &kcwpb.ChangeMembersRequest{Kind: kind, Member: m})
-		if err == nil {
-			return isDone(membership.Members)
+		membership, err := c.ChangeMembers(ctx, req)
+		if err == nil && isDone(membership) {
+			return true
 		}
 		read, cancelRead := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancelRead()
 		fleet, err := c.Fleet(read)
-		return err == nil && isDone(fleet.GetGroup().GetMembership().GetMembers())
+		return err == nil && isDone(fleet.GetGroup().GetMembership())
 	})
 }
 
@@ -221,6 +228,25 @@
 // new identity, then stops the leader right after the repair. No acknowledged
 // change or bill may be lost.
 func TestLostDiskThenLostHost(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		repair func(*testing.T, *kcwledger.Client, *kcwpb.Member, uint64)
+	}{
+		{"promoted and removed", func(t *testing.T, operator *kcwledger.Client, member *kcwpb.Member, old uint64) {
+			changeMembers(t, operator, &kcwpb.ChangeMembersRequest{Kind: kcwpb.ChangeMembersRequest_KIND_PROMOTE, Member: member})
+			changeMembers(t, operator, &kcwpb.ChangeMembersRequest{Kind: kcwpb.ChangeMembersRequest_KIND_REMOVE, Member: &kcwpb.Member{Id: old}})
+		}},
+		{"replaced in one change", func(t *testing.T, operator *kcwledger.Client, member *kcwpb.Member, old uint64) {
+			changeMembers(t, operator, &kcwpb.ChangeMembersRequest{Kind: kcwpb.ChangeMembersRequest_KIND_REPLACE, Member: member, Replaced: old})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) { loseDiskThenHost(t, test.repair) })
+	}
+}
+
+// loseDiskThenHost runs TestLostDiskThenLostHost with a function that makes the learner
+// member a voter in place of the identity old.
+func loseDiskThenHost(t *testing.T, repair func(t *testing.T, operator *kcwledger.Client, member *kcwpb.Member, old uint64)) {
 	const n, tokens = 40, 3
 	f := newLinkedFleet(t, 3, func(s *kcwsetup.Settings) { s.Group.SnapshotEntries, s.Group.KeepEntries = 50, 10 })
 	operator, router := f.client(t, testKeys.Operator), f.client(t, testKeys.Router)
@@ -249,9 +275,8 @@
 		t.Fatal("the blank disk has the identity of the lost disk")
 	}
 	member := &kcwpb.Member{Id: newID, Name: host.Name, Zone: host.Zone, Address: host.Address.String()}
-	changeMembers(t, operator, kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER, member)
-	changeMembers(t, operator, kcwpb.ChangeMembersRequest_KIND_PROMOTE, member)
-	changeMembers(t, operator, kcwpb.ChangeMembersRequest_KIND_REMOVE, &kcwpb.Member{Id: oldID})
+	changeMembers(t, operator, &kcwpb.ChangeMembersRequest{Kind: kcwpb.ChangeMembersRequest_KIND_ADD_LEARNER, Member: member})
+	repair(t, operator, member, oldID)
 
 	stoppedLeader := f.leader(t)
 	f.members[stoppedLeader].stop()
--- a/kcw-ledger/dump.go
+++ b/kcw-ledger/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwreplica"
 )
 
 // dump is the state of a replica, as served at the operator address.
@@ -38,7 +39,10 @@
 	Zone    string
 	Address string
 	Learner bool
-	Match   uint64
+	// Votes is set for the voters, among them one that is being replaced, which is a
+	// learner once the replacement is complete.
+	Votes bool
+	Match uint64
 }
 
 type budgetDump struct {
@@ -101,7 +105,8 @@
 		HeardAt:  time.Unix(0, s.HeardAt).UTC(),
 	}
 	for _, m := range s.GetMembership().GetMembers() {
-		d.Members = append(d.Members, memberDump{m.Id, m.Name, m.Zone, m.Address, m.Learner, s.Matches[m.Id]})
+		votes := kcwreplica.IsVoter(s.GetMembership(), m.Id)
+		d.Members = append(d.Members, memberDump{m.Id, m.Name, m.Zone, m.Address, m.Learner, votes, s.Matches[m.Id]})
 	}
 	return d
 }
--- a/kcw/kcwledger/read.go
+++ b/kcw/kcwledger/read.go
@@ -71,10 +71,10 @@
 	return response, err
 }
 
-// ChangeMembers adds, promotes or removes one replica. It tries one replica after
-// another, but only until one may have received the change: if that one gives no
-// answer, the error is of kind OutcomeUnknown, and Fleet returns the current
-// members. The next call starts with another replica. The error is of kind
+// ChangeMembers makes one change of the members, as (*kcwgroup.Group).ChangeMembers.
+// It tries one replica after another, but only until one may have received the change: if
+// that one gives no answer, the error is of kind OutcomeUnknown, and Fleet returns the
+// current members. The next call starts with another replica. The error is of kind
 // NotSent if ctx ends or the client is closed before any replica can have received
 // the change.
 func (c *Client) ChangeMembers(ctx context.Context, req *kcwpb.ChangeMembersRequest) (*kcwpb.Membership, error) {
--- a/kcw/kcwservice/fresh_test.go
+++ b/kcw/kcwservice/fresh_test.go
@@ -17,6 +17,7 @@
 func TestFresh(t *testing.T) {
 	voter := &kcwpb.Membership{Members: []*kcwpb.Member{{Id: 2}, {Id: 1}}}
 	learner := &kcwpb.Membership{Members: []*kcwpb.Member{{Id: 2}, {Id: 1, Learner: true}}}
+	outgoing := &kcwpb.Membership{Members: learner.Members, Outgoing: []uint64{1, 2}}
 	for _, test := range []struct {
 		name        string
 		start, then *kcwpb.GroupStatus
@@ -30,6 +31,7 @@
 		{name: "its promotion is in the log and not applied", start: &kcwpb.GroupStatus{}, then: &kcwpb.GroupStatus{Last: 12, Applied: 8, Membership: voter}},
 		{name: "empty disk", start: &kcwpb.GroupStatus{}, then: &kcwpb.GroupStatus{}},
 		{name: "learner", start: &kcwpb.GroupStatus{}, then: &kcwpb.GroupStatus{Last: 5, Applied: 5, Membership: learner}},
+		{name: "being replaced", start: &kcwpb.GroupStatus{}, then: &kcwpb.GroupStatus{Last: 5, Applied: 5, Membership: outgoing}, want: true},
 		{name: "no contact with a leader", start: &kcwpb.GroupStatus{}, then: &kcwpb.GroupStatus{Membership: voter}, stale: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/kcw/kcwservice/operator.go
+++ b/kcw/kcwservice/operator.go
@@ -105,7 +105,7 @@
 	}), nil
 }
 
-// ChangeMembers adds, promotes or removes one replica.
+// ChangeMembers makes one change of the members, as (*kcwgroup.Group).ChangeMembers.
 func (s *operatorService) ChangeMembers(ctx context.Context, req *connect.Request[kcwpb.ChangeMembersRequest]) (*connect.Response[kcwpb.ChangeMembersResponse], error) {
 	membership, err := s.cfg.Group.ChangeMembers(ctx, req.Msg)
 	if err != nil {
--- a/kcw/kcwservice/service.go
+++ b/kcw/kcwservice/service.go
@@ -14,6 +14,7 @@
 
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+	"kingcupwick.example/kcw/kcwreplica"
 )
 
 // Config configures a Service. Every field is required.
@@ -85,7 +86,7 @@
 		return nil, &Error{Op: "new", Kind: Invalid, Err: err}
 	}
 	s := &Service{cfg: cfg, roster: newRoster(), recalls: newRecalls(), stopped: make(chan struct{})}
-	if status := cfg.Group.Status(); isVoter(status) {
+	if status := cfg.Group.Status(); kcwreplica.IsVoter(status.GetMembership(), status.GetId()) {
 		s.lastAsVoter.Store(status.GetLast())
 	}
 	return s, nil
--- a/kcw/kcwsnapshot/store_test.go
+++ b/kcw/kcwsnapshot/store_test.go
@@ -13,7 +13,10 @@
 	"kingcupwick.example/kcw/kcwpb"
 )
 
-var members = &kcwpb.Membership{Members: []*kcwpb.Member{{Id: 5, Name: "h1"}}}
+var members = &kcwpb.Membership{
+	Members:  []*kcwpb.Member{{Id: 5, Name: "h1"}, {Id: 6, Name: "h2", Learner: true}},
+	Outgoing: []uint64{6},
+}
 
 func open(t testing.TB, path string) *Store {
 	t.Helper()
