--- a/kcw/kcwreplica/lead.go
+++ b/kcw/kcwreplica/lead.go
@@ -130,11 +130,15 @@
 
 // Propose appends commands with the current term and returns the index of the
 // first one. If it returns an error, nothing is appended; the error's Kind is
-// NotLeader, or Busy during a leadership transfer.
+// NotLeader, or Busy during a leadership transfer or when this replica leads only until
+// the loss of its own vote is committed.
 func (r *Replica) Propose(commands [][]byte, now time.Time) (uint64, error) {
 	if err := r.checkLeading("propose", now); err != nil {
 		return 0, err
 	}
+	if !r.isVoter(r.cfg.ID) {
+		return 0, fail("propose", Busy, "the leader is about to step down")
+	}
 	first := r.log.last() + 1
 	for _, data := range commands {
 		r.append(&kcwpb.Entry{Index: r.log.last() + 1, Term: r.term, Data: data})
@@ -160,7 +164,7 @@
 	}
 }
 
-// advanceCommit commits the entries that a majority of the voters have on disk.
+// advanceCommit commits the entries that a quorum of the voters has on disk.
 // Only an entry of the current term is committed by counting replicas; it commits
 // all entries before it (Ongaro and Ousterhout 2014, section 5.4.2).
 func (r *Replica) advanceCommit(now time.Time) {
@@ -175,15 +179,21 @@
 	}
 	r.log.commit = index
 	r.startReads(now)
+	r.completeReplacement(now)
 	r.stepDownIfRemoved(now)
 }
 
-// stepDownIfRemoved makes a leader step down once its removal is committed.
+// stepDownIfRemoved makes a leader step down once the loss of its own vote is
+// committed. It first requests an election at the voter most likely to win it, so that
+// the group need not wait for an election timeout.
 func (r *Replica) stepDownIfRemoved(now time.Time) {
 	newest := r.configs[len(r.configs)-1]
 	if newest.index > r.log.commit || r.isVoter(r.cfg.ID) {
 		return
 	}
 	r.startRound(now)
+	if id := r.successor(); id != 0 {
+		r.send(&kcwpb.Message{Kind: timeoutNow, To: id, Term: r.term})
+	}
 	r.becomeFollower(r.term, 0, now)
 }
