kcwforward: an answer without identity on a reused connection is to another request

Callers saw requests that ran twice: an upstream wrote an earlier refusal once more on a reused connection, without the identity of a request, and then ran the next request. The router took the refusal as the answer and sent the request to a second upstream, or told the caller that it had not run.

Cause: an answer with a status of 400 or above and no identity was taken as the answer to the current request on every connection.

Such an answer is now skipped like one to another request, and the router waits for the answer that carries the identity. Only on a connection that has carried no other request, and before any answer was skipped, an answer without an identity is taken, since nothing else can have caused it.

--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// maxStaleAnswers bounds the answers to earlier requests that are skipped on a
-	// reused connection.
-	maxStaleAnswers = 2
+	// maxSurplusAnswers bounds the answers to other requests that are skipped before
+	// the answer to this one.
+	maxSurplusAnswers = 2
 	// callerGoneTimeout bounds the wait for the end of a request whose caller has
 	// disconnected. It covers several round trips, and is short because the upstream's
 	// further work is wasted.
@@ -338,14 +338,14 @@
 }
 
 // readResponse reads the header of the answer to this request and parses it. It skips
-// interim answers and answers to earlier requests.
+// interim answers and surplus answers, which are to other requests.
 func (a *attempt) readResponse() (*http.Response, ResponseInfo, error) {
 	request := &http.Request{Method: a.r.Method}
 	// One limit covers the heads of the final answer and of the interim answers before
 	// it.
 	a.conn.LimitHead(a.f.cfg.MaxHeadBytes)
 	defer a.conn.LiftHeadLimit()
-	for stale, interim := 0, 0; ; {
+	for surplus, interim := 0, 0; ; {
 		if err := a.awaitBytes(); err != nil {
 			return nil, ResponseInfo{}, err
 		}
@@ -365,10 +365,13 @@
 			}
 			continue
 		}
-		if info.RequestID == a.request.RequestID || info.RequestID == "" && response.StatusCode >= http.StatusBadRequest {
+		// On a connection that has carried no other request, an answer without an
+		// identity can only be to this one.
+		isOnly := !a.conn.Reused && surplus == 0
+		if info.RequestID == a.request.RequestID || isOnly && info.RequestID == "" && response.StatusCode >= http.StatusBadRequest {
 			return response, info, nil
 		}
-		if stale++; stale > maxStaleAnswers || response.ContentLength < 0 || response.ContentLength > maxDiscardBytes {
+		if surplus++; surplus > maxSurplusAnswers || response.ContentLength < 0 || response.ContentLength > maxDiscardBytes {
 			return nil, ResponseInfo{}, errors.New("the answer is to another request")
 		}
 		a.conn.LiftHeadLimit()
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -71,6 +71,10 @@
 	if ms, err := strconv.Atoi(h.Get("Decline")); err == nil {
 		info.DeclinedUntil = now.Add(time.Duration(ms) * time.Millisecond)
 	}
+	var load kcwroster.Load
+	if n, _ := fmt.Sscanf(h.Get("Load"), "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots); n == 3 {
+		info.Load = &load
+	}
 	if text := h.Get("Limit"); text != "" {
 		var err error
 		if info.RateLimit, err = strconv.ParseFloat(text, 64); err != nil {
@@ -86,8 +90,9 @@
 type exchange struct {
 	*http.Request
 	conn net.Conn
-	// number is the position of the request among those of all upstreams, from one.
-	number int
+	// number is the position of the request among those of all upstreams, from one, and
+	// position that among those of the connection.
+	number, position int
 }
 
 // answer writes an answer that carries the request's ID.
@@ -113,6 +118,7 @@
 // fixture is a forwarder with scripted upstreams.
 type fixture struct {
 	forwarder *kcwforward.Forwarder
+	roster    *kcwroster.Roster
 	balance   *kcwbalance.Balance
 	memory    *kcwmemory.Account
 	url       string
@@ -182,6 +188,7 @@
 	t.Helper()
 	f := &fixture{memory: kcwmemory.New(4 * maxBodyBytes), guard: &guard{}, limits: &limits{limited: map[string]bool{}, permits: map[string]int{}}}
 	roster := newRoster(f.limits)
+	f.roster = roster
 	var entries []kcwroster.Entry
 	for i := range upstreams {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -270,12 +277,12 @@
 		}
 		go func() {
 			reader := bufio.NewReader(conn)
-			for {
+			for position := 1; ; position++ {
 				r, err := http.ReadRequest(reader)
 				if err != nil {
 					return
 				}
-				e := &exchange{Request: r, conn: conn}
+				e := &exchange{Request: r, conn: conn, position: position}
 				f.mu.Lock()
 				f.requests = append(f.requests, e)
 				e.number = len(f.requests)
--- /dev/null
+++ b/kcw/kcwforward/surplus_test.go
@@ -0,0 +1,104 @@
+package kcwforward_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"kingcupwick.example/kcw/kcwroute"
+)
+
+// surplus is an answer that belongs to no request.
+type surplus struct {
+	status int
+	// id is the identity that the answer carries, empty for none.
+	id     string
+	header string
+	// framing is "length", "chunked" or, for an interim answer, "none".
+	framing string
+	times   int
+}
+
+// write writes the answer s.times times.
+func (s surplus) write(e *exchange) {
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\n%s", s.status, s.header)
+	if s.id != "" {
+		head += "Attempt: " + s.id + "\r\n"
+	}
+	text := head + "Content-Length: 6\r\n\r\nsecret"
+	switch s.framing {
+	case "chunked":
+		text = head + "Transfer-Encoding: chunked\r\n\r\n6\r\nsecret\r\n0\r\n\r\n"
+	case "none":
+		text = head + "\r\n"
+	}
+	_, _ = e.conn.Write([]byte(strings.Repeat(text, s.times)))
+}
+
+const refused = "Not-Run: 1\r\n"
+
+// newKept returns a fixture whose upstreams each have a connection that has carried a
+// request. On that, script answers.
+func newKept(t *testing.T, upstreams int, route kcwroute.Route, script func(e *exchange)) *fixture {
+	t.Helper()
+	f := newFixture(t, upstreams, route, func(e *exchange) {
+		if strings.HasPrefix(e.Header.Get("Attempt"), "warm") {
+			// The next request goes to another upstream.
+			e.answer(503, refused, "")
+			return
+		}
+		script(e)
+	})
+	if _, _, err := f.call(t, http.MethodPost, "", "Attempt", "warm"); err != nil {
+		t.Fatal(err)
+	}
+	if f.arrivals() != upstreams {
+		t.Fatalf("%d of %d upstreams have a kept connection", f.arrivals(), upstreams)
+	}
+	f.limits.mu.Lock()
+	f.limits.notices = nil
+	f.limits.mu.Unlock()
+	return f
+}
+
+// runs returns how often the request with the given identity was sent.
+func (f *fixture) runs(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.requests {
+		if e.Header.Get("Attempt") == id {
+			n++
+		}
+	}
+	return n
+}
+
+// checkOnce checks that a request is sent once and that its caller gets the answer to it,
+// if its upstream writes s before that on a kept connection.
+func checkOnce(t *testing.T, route kcwroute.Route, s surplus) *fixture {
+	t.Helper()
+	f := newKept(t, 3, route, func(e *exchange) {
+		if e.position > 1 {
+			s.write(e)
+		}
+		good(e)
+	})
+	response, body, err := f.call(t, http.MethodPost, "body")
+	if err != nil || response.StatusCode != 200 || body != "whole" || f.runs("id-1") != 1 {
+		t.Errorf("after %+v: status %d, body %q, %v, and the request ran %d times; want its answer and one run", s, response.StatusCode, body, err, f.runs("id-1"))
+	}
+	return f
+}
+
+// TestRefusalWithoutIdentityRunsNoRequestTwice guards against requests that are sent again
+// after an earlier refusal was written once more.
+func TestRefusalWithoutIdentityRunsNoRequestTwice(t *testing.T) {
+	for _, status := range []int{503, 429, 421, 408, 400, 500, 504} {
+		for _, route := range []kcwroute.Route{once, repeatable} {
+			checkOnce(t, route, surplus{status: status, header: refused, framing: "length", times: 1})
+			checkOnce(t, route, surplus{status: status, framing: "length", times: 1})
+		}
+	}
+}
