kcwforward: surplus answers are skipped in chunks and in a row

Callers saw a request fail with 502 though it had run: an upstream wrote an answer to an earlier request in chunks, or three of them, before its own.

Cause: only two answers to other requests were skipped, and only those with a length.

Up to 16 are skipped now, as many as interim answers, with a length or in chunks, of at most 1 MiB together, and within the time of the request. After a surplus answer that ends with the connection no other can follow, so that the attempt ends at once as one that may have run. Before, a request waited for its deadline after an answer to another that closes the connection.

TestChunkedSurplusAnswerFailsNoRequest and TestSurplusAnswersInARowFailNoRequest failed before: "status 502, body "upstream u2: no answer: the answer is to another request"", and TestSurplusAnswersAreBounded: "closing: status 504, <nil> after 1 sends, want 502 after 1" after 30 s.

--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -20,8 +20,8 @@
 
 const (
 	// maxSurplusAnswers bounds the answers to other requests that are skipped before
-	// the answer to this one.
-	maxSurplusAnswers = 2
+	// the answer to this one, and maxDiscardBytes the size of their bodies together.
+	maxSurplusAnswers = 16
 	// callerGoneTimeout bounds the wait for the end of a request whose caller has
 	// disconnected. It covers several round trips, and is short because the upstream's
 	// further work is wasted.
@@ -345,6 +345,7 @@
 	// it.
 	a.conn.LimitHead(a.f.cfg.MaxHeadBytes)
 	defer a.conn.LiftHeadLimit()
+	remaining := int64(maxDiscardBytes)
 	for surplus, interim := 0, 0; ; {
 		if err := a.awaitBytes(); err != nil {
 			return nil, ResponseInfo{}, err
@@ -371,13 +372,29 @@
 		if info.RequestID == a.request.RequestID || isOnly && info.RequestID == "" && response.StatusCode >= http.StatusBadRequest {
 			return response, info, nil
 		}
-		if surplus++; surplus > maxSurplusAnswers || response.ContentLength < 0 || response.ContentLength > maxDiscardBytes {
-			return nil, ResponseInfo{}, errors.New("the answer is to another request")
+		if surplus++; surplus > maxSurplusAnswers {
+			return nil, ResponseInfo{}, errors.New("answers to other requests do not end")
 		}
 		a.conn.LiftHeadLimit()
-		if _, err := io.CopyN(io.Discard, response.Body, response.ContentLength); err != nil {
+		if remaining, err = skipBody(response, remaining); err != nil {
 			return nil, ResponseInfo{}, err
 		}
 		a.conn.LimitHead(a.f.cfg.MaxHeadBytes)
 	}
 }
+
+// skipBody reads the body of a surplus answer, of at most limit bytes, and returns how much
+// of the limit is left. The error is not nil if no other answer can follow.
+func skipBody(response *http.Response, limit int64) (int64, error) {
+	if response.Close {
+		return 0, errors.New("the connection ends with an answer to another request")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return 0, err
+	}
+	if n > limit {
+		return 0, errors.New("an answer to another request is too large")
+	}
+	return limit - n, nil
+}
--- a/kcw/kcwforward/surplus_test.go
+++ b/kcw/kcwforward/surplus_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -102,3 +103,59 @@
 		}
 	}
 }
+
+// TestChunkedSurplusAnswerFailsNoRequest guards against requests that fail since an answer to
+// an earlier one has no length.
+func TestChunkedSurplusAnswerFailsNoRequest(t *testing.T) {
+	for _, id := range []string{"warm", ""} {
+		for _, status := range []int{200, 503} {
+			checkOnce(t, once, surplus{status: status, id: id, header: refused, framing: "chunked", times: 1})
+		}
+	}
+}
+
+// TestSurplusAnswersInARowFailNoRequest guards against requests that fail since several
+// answers to earlier ones come before theirs.
+func TestSurplusAnswersInARowFailNoRequest(t *testing.T) {
+	for _, times := range []int{2, 3, 9} {
+		for _, framing := range []string{"length", "chunked"} {
+			checkOnce(t, once, surplus{status: 503, id: "warm", header: refused, framing: framing, times: times})
+		}
+	}
+}
+
+// TestSurplusAnswersAreBounded checks that the number and the size of the answers that are
+// skipped are bounded, that the request then fails as one that may have run, and that one
+// which may run twice is sent to another upstream.
+func TestSurplusAnswersAreBounded(t *testing.T) {
+	const tooMany, tooLarge = 1000, 2 << 20
+	for _, test := range []struct {
+		name   string
+		header string
+		times  int
+	}{
+		{"many", "Attempt: warm\r\nContent-Length: 0\r\n\r\n", tooMany},
+		{"large", "Attempt: warm\r\nContent-Length: " + strconv.Itoa(tooLarge) + "\r\n\r\n" + strings.Repeat("x", tooLarge), 1},
+		{"large together", "Content-Length: 200000\r\n\r\n" + strings.Repeat("x", 200000), 8},
+		{"up to the end of the connection", "\r\nsecret", 1},
+		{"closing", "Connection: close\r\nContent-Length: 0\r\n\r\n", 1},
+	} {
+		for _, route := range []kcwroute.Route{once, repeatable} {
+			f := newKept(t, 2, route, func(e *exchange) {
+				if e.number == 3 {
+					_, _ = e.conn.Write([]byte(strings.Repeat("HTTP/1.1 503 X\r\n"+refused+test.header, test.times)))
+					return
+				}
+				good(e)
+			})
+			response, _, err := f.call(t, http.MethodPost, "")
+			status, runs := 502, 1
+			if route.MayRepeat() {
+				status, runs = 200, 2
+			}
+			if err != nil || response.StatusCode != status || f.runs("id-1") != runs {
+				t.Errorf("%s: status %d, %v after %d sends, want %d after %d", test.name, response.StatusCode, err, f.runs("id-1"), status, runs)
+			}
+		}
+	}
+}
