kcwforward: surplus answers state nothing about their upstream

An upstream that wrote an earlier answer once more was taken as leaving, declining, limited or loaded if that answer said so, and got no further requests. A request that may run twice waited for its deadline if only an answer to another request had come, since that ended the watch for silence.

Cause: the header of each answer was reported before its identity was checked.

Only the answer to the request itself, and interim answers with its identity or on a connection that has carried no other request, are reported and count as an answer now.

Failed before: TestSurplusAnswersStateNothing, "after status 200 with "Leaving: 1": the state of u2 is Leaving", "the limits are ["warm 3" "id-1 0"], want ["id-1 0"]", and TestSurplusAnswerIsNoSignOfLife, status 504 after one send, 200 after two is required.

--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -319,9 +319,9 @@
 	}
 }
 
-// reportWithdrawal updates the roster with what an answer, to this request or another,
-// states about the requests that the upstream accepts, and calls Config.OnWithdrawal if it
-// accepts none. Status is the answer's.
+// reportWithdrawal updates the roster with what an answer to this request states about the
+// requests that the upstream accepts, and calls Config.OnWithdrawal if it accepts none.
+// Status is the answer's.
 func (a *attempt) reportWithdrawal(status int, info ResponseInfo) {
 	if !info.DeclinedUntil.IsZero() {
 		a.ticket.MarkDeclined(info.DeclinedUntil)
@@ -357,19 +357,23 @@
 		if err != nil {
 			return nil, ResponseInfo{}, err
 		}
-		a.ticket.Answered()
 		info := a.f.cfg.Dialect.ParseResponse(response.StatusCode, response.Header, a.f.cfg.Now())
-		a.reportWithdrawal(response.StatusCode, info)
-		if response.StatusCode < http.StatusOK {
+		// On a connection that has carried no other request, an answer without an
+		// identity can only be to this one.
+		isOnly := !a.conn.Reused && surplus == 0
+		isInterim := response.StatusCode < http.StatusOK
+		isOwn := info.RequestID == a.request.RequestID || isOnly && info.RequestID == "" && (isInterim || response.StatusCode >= http.StatusBadRequest)
+		if isOwn {
+			a.ticket.Answered()
+			a.reportWithdrawal(response.StatusCode, info)
+		}
+		if isInterim {
 			if interim++; interim > maxInterimAnswers {
 				return nil, ResponseInfo{}, errors.New("interim answers do not end")
 			}
 			continue
 		}
-		// On a connection that has carried no other request, an answer without an
-		// identity can only be to this one.
-		isOnly := !a.conn.Reused && surplus == 0
-		if info.RequestID == a.request.RequestID || isOnly && info.RequestID == "" && response.StatusCode >= http.StatusBadRequest {
+		if isOwn {
 			return response, info, nil
 		}
 		if surplus++; surplus > maxSurplusAnswers {
--- a/kcw/kcwforward/surplus_test.go
+++ b/kcw/kcwforward/surplus_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
+	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
 )
 
@@ -159,3 +161,50 @@
 		}
 	}
 }
+
+// TestSurplusAnswersStateNothing guards against load, leaving, declining and limits that are
+// taken from an answer to no request.
+func TestSurplusAnswersStateNothing(t *testing.T) {
+	for _, id := range []string{"", "warm"} {
+		for _, status := range []int{103, 200, 503} {
+			for _, header := range []string{"Leaving: 1\r\n", "Decline: 20000\r\n", "Limit: 3\r\n", "Load: 4,4,4\r\n"} {
+				framing := "length"
+				if status < http.StatusOK {
+					framing = "none"
+				}
+				f := checkOnce(t, once, surplus{status: status, id: id, header: refused + header, framing: framing, times: 1})
+				for _, u := range f.roster.Upstreams() {
+					if u.State != "Closed" || u.Load != (kcwroster.Load{}) {
+						t.Errorf("after status %d with %q: the state of %s is %s, its load %+v", status, header, u.ID, u.State, u.Load)
+					}
+				}
+				want := []string{"id-1 0"}
+				var got []string
+				for _, n := range f.limits.notices {
+					got = append(got, fmt.Sprint(n.RequestID, " ", n.PerSecond))
+				}
+				if !slices.Equal(got, want) {
+					t.Errorf("after status %d with %q: the limits are %q, want %q", status, header, got, want)
+				}
+			}
+		}
+	}
+}
+
+// TestSurplusAnswerIsNoSignOfLife guards against requests that wait for an upstream which has
+// sent only an answer to another request.
+func TestSurplusAnswerIsNoSignOfLife(t *testing.T) {
+	for _, id := range []string{"", "warm"} {
+		f := newKept(t, 2, repeatable, func(e *exchange) {
+			if e.number == 3 {
+				surplus{status: 503, id: id, header: refused, framing: "length", times: 1}.write(e)
+				return
+			}
+			good(e)
+		})
+		response, body, err := f.call(t, http.MethodPost, "", "Wait", "3000")
+		if err != nil || response.StatusCode != 200 || body != "whole" || f.runs("id-1") != 2 {
+			t.Errorf("identity %q: status %d, body %q, %v after %d sends", id, response.StatusCode, body, err, f.runs("id-1"))
+		}
+	}
+}
