kcwconn: a connection carries one identity once

A caller that came back with the same identity was told once more that its request had not run, although the upstream ran it: the upstream had written the refusal of the first request twice. A request without an identity got the answer to an earlier one.

Cause: an answer is told from others by the identity alone, and a connection could carry several requests with one identity, or with none.

A connection remembers the hashes of the identities that it has carried. A request takes only a connection that has not carried its identity, and a request without an identity takes a new one. A connection is closed after 256 requests, which bounds its memory. The router's own attempts of one request never go to the same upstream twice (kcwroster.Request.Tried), so that only a caller can repeat an identity on a connection.

Failed before: TestReturningCallerIsNotToldOfEarlierRefusal, "the first answer is 503, the second 503", and TestRequestWithoutIdentityGetsNoEarlierAnswer, "status 200, body "secret"" and "the request ran 2 times".

--- a/kcw/kcwconn/pool.go
+++ b/kcw/kcwconn/pool.go
@@ -12,10 +12,12 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
@@ -24,6 +26,10 @@
 // events or the header of an answer.
 const readBufferBytes = 4 << 10
 
+// maxRequests bounds the requests that one connection carries, and so the memory for their
+// identities.
+const maxRequests = 256
+
 // Config configures a Pool.
 type Config struct {
 	// Address is the upstream's IP and port.
@@ -75,6 +81,9 @@
 	// Reused is set if the connection has carried a request before.
 	Reused bool
 	head   *headReader
+	// carried holds the hashes of the identities of the requests that the connection
+	// has carried.
+	carried []uint64
 	// idleSince is when the connection was last put into the pool, expiresAt the time
 	// from which it may no longer be reused.
 	idleSince time.Time
@@ -149,10 +158,14 @@
 	return optErr
 }
 
-// Take returns an idle connection that was last used at usedAfter or later, or opens a
-// new one. The error is an *Error of kind Dial.
-func (p *Pool) Take(ctx context.Context, usedAfter time.Time) (*Conn, error) {
-	if c := p.takeIdle(usedAfter); c != nil {
+// Take returns an idle connection that was last used at usedAfter or later and has carried
+// no request with the given identity, or opens a new one. It opens a new one if identity is
+// empty, since an answer to an earlier request can't be told from one to a request without
+// an identity. The error is an *Error of kind Dial.
+func (p *Pool) Take(ctx context.Context, usedAfter time.Time, identity string) (*Conn, error) {
+	hash := xxhash.Sum64String(identity)
+	if c := p.takeIdle(usedAfter, identity, hash); c != nil {
+		c.carried = append(c.carried, hash)
 		return c, nil
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.cfg.Address.String())
@@ -163,13 +176,13 @@
 	p.opened++
 	p.mu.Unlock()
 	reader := &headReader{conn: raw}
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(reader, readBufferBytes), head: reader}, nil
+	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(reader, readBufferBytes), head: reader, carried: []uint64{hash}}, nil
 }
 
-// takeIdle takes the most recently used idle connection, since that is the least likely
-// to be stale. It returns nil if none was used at usedAfter or later. It closes the
+// takeIdle takes the most recently used of the idle connections that may carry the request,
+// since that is the least likely to be stale. It returns nil if there is none. It closes the
 // connections that have expired.
-func (p *Pool) takeIdle(usedAfter time.Time) *Conn {
+func (p *Pool) takeIdle(usedAfter time.Time, identity string, hash uint64) *Conn {
 	now := p.cfg.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -182,18 +195,24 @@
 		_ = c.Close()
 	}
 	p.idle = live
-	last := len(live) - 1
-	if last < 0 || live[last].idleSince.Before(usedAfter) {
+	if identity == "" {
 		return nil
 	}
-	c := live[last]
-	p.idle = live[:last]
-	c.Reused = true
-	return c
+	for i := len(live) - 1; i >= 0 && !live[i].idleSince.Before(usedAfter); i-- {
+		c := live[i]
+		if slices.Contains(c.carried, hash) {
+			continue
+		}
+		p.idle = slices.Delete(live, i, i+1)
+		c.Reused = true
+		return c
+	}
+	return nil
 }
 
 // Put returns c to the pool for later requests, at most until the given time if that is
-// not zero. It closes c if its read buffer holds bytes, since those belong to no request.
+// not zero. It closes c if its read buffer holds bytes, since those belong to no request, and
+// if c has carried maxRequests requests.
 func (p *Pool) Put(c *Conn, until time.Time) {
 	now := p.cfg.Now()
 	c.idleSince = now
@@ -203,7 +222,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || c.Reader.Buffered() > 0 || len(p.idle) >= p.cfg.MaxIdle || !now.Before(c.expiresAt) {
+	if p.closed || c.Reader.Buffered() > 0 || len(c.carried) >= maxRequests || len(p.idle) >= p.cfg.MaxIdle || !now.Before(c.expiresAt) {
 		_ = c.Close()
 		return
 	}
--- a/kcw/kcwconn/pool_test.go
+++ b/kcw/kcwconn/pool_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,9 +36,17 @@
 	return pool
 }
 
+// taken counts the connections taken in all tests, which gives each request an identity.
+var taken atomic.Int64
+
 func take(t *testing.T, pool *kcwconn.Pool, usedAfter time.Time) *kcwconn.Conn {
 	t.Helper()
-	c, err := pool.Take(t.Context(), usedAfter)
+	return takeFor(t, pool, usedAfter, strconv.FormatInt(taken.Add(1), 10))
+}
+
+func takeFor(t *testing.T, pool *kcwconn.Pool, usedAfter time.Time, identity string) *kcwconn.Conn {
+	t.Helper()
+	c, err := pool.Take(t.Context(), usedAfter, identity)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -91,6 +101,45 @@
 	}
 }
 
+// TestSameIdentityTakesOtherConnection guards against an answer to an earlier request that
+// can't be told from the answer to a later one on the same connection.
+func TestSameIdentityTakesOtherConnection(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// requests are the identities of requests that follow each other.
+		requests []string
+		opened   int64
+	}{
+		{"different", []string{"a", "b", "c"}, 1},
+		{"the same", []string{"a", "a"}, 2},
+		{"the same after another", []string{"a", "b", "a"}, 2},
+		{"another idle connection carries it", []string{"a", "a", "b", "c"}, 2},
+		{"none", []string{"", ""}, 2},
+		{"none after another", []string{"a", ""}, 2},
+	} {
+		pool := newPool(t, time.Now, "")
+		for _, identity := range test.requests {
+			pool.Put(takeFor(t, pool, time.Time{}, identity), time.Time{})
+		}
+		if pool.Opened() != test.opened {
+			t.Errorf("%s: %d connections were opened, want %d", test.name, pool.Opened(), test.opened)
+		}
+	}
+}
+
+// TestConnectionCarriesBoundedRequests checks that the number of requests of a connection is
+// bounded, and with it the memory for their identities.
+func TestConnectionCarriesBoundedRequests(t *testing.T) {
+	pool := newPool(t, time.Now, "")
+	const requests = 2 * 256
+	for range requests {
+		pool.Put(take(t, pool, time.Time{}), time.Time{})
+	}
+	if pool.Opened() != 2 {
+		t.Errorf("%d requests opened %d connections, want 2", requests, pool.Opened())
+	}
+}
+
 func TestDialError(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -99,7 +148,7 @@
 	address := listener.Addr().(*net.TCPAddr).AddrPort()
 	_ = listener.Close()
 	pool := kcwconn.New(kcwconn.Config{Address: address, DialTimeout: time.Second, SilenceTimeout: time.Second, Now: time.Now})
-	_, err = pool.Take(t.Context(), time.Time{})
+	_, err = pool.Take(t.Context(), time.Time{}, "a")
 	var e *kcwconn.Error
 	if !errors.As(err, &e) || e.Kind != kcwconn.Dial {
 		t.Errorf("got error %v, want one of kind Dial", err)
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -70,7 +70,7 @@
 
 // do makes the attempt and returns how it ended.
 func (a *attempt) do() result {
-	conn, err := a.ticket.Pool().Take(a.r.Context(), a.usedAfter())
+	conn, err := a.ticket.Pool().Take(a.r.Context(), a.usedAfter(), a.request.RequestID)
 	if err != nil {
 		return a.endUnreachable(err)
 	}
--- a/kcw/kcwforward/surplus_test.go
+++ b/kcw/kcwforward/surplus_test.go
@@ -246,3 +246,45 @@
 		}
 	}
 }
+
+// TestReturningCallerIsNotToldOfEarlierRefusal guards against a refusal that is written once
+// more and taken as the answer to a later request with the same identity.
+func TestReturningCallerIsNotToldOfEarlierRefusal(t *testing.T) {
+	for _, route := range []kcwroute.Route{once, repeatable} {
+		f := newFixture(t, 1, route, func(e *exchange) {
+			if e.number == 1 {
+				e.answer(503, refused, "")
+				return
+			}
+			if e.position > 1 {
+				e.answer(503, refused, "")
+			}
+			good(e)
+		})
+		first, _, _ := f.call(t, http.MethodPost, "")
+		second, body, err := f.call(t, http.MethodPost, "")
+		if first.StatusCode != 503 || err != nil || second.StatusCode != 200 || body != "whole" {
+			t.Errorf("the first answer is %d, the second %d with %q and %v", first.StatusCode, second.StatusCode, body, err)
+		}
+	}
+}
+
+// TestRequestWithoutIdentityGetsNoEarlierAnswer guards against an answer that can't be told
+// from that to a request which has no identity.
+func TestRequestWithoutIdentityGetsNoEarlierAnswer(t *testing.T) {
+	for _, s := range []surplus{
+		{status: 200, framing: "length", times: 1},
+		{status: 503, header: refused, framing: "length", times: 1},
+	} {
+		f := newKept(t, 2, once, func(e *exchange) {
+			if e.position > 1 {
+				s.write(e)
+			}
+			good(e)
+		})
+		response, body, err := f.call(t, http.MethodPost, "", "Attempt", "")
+		if err != nil || response.StatusCode != 200 || body != "whole" || f.runs("") != 1 {
+			t.Errorf("after %+v: status %d, body %q, %v, and the request ran %d times", s, response.StatusCode, body, err, f.runs(""))
+		}
+	}
+}
