kcwforward: HEAD uses a connection of its own

A request failed with 502 though it had run: its connection had carried a HEAD request, whose answer the upstream wrote once more. That answer states a length and has no body, so that the bytes of the next answer were skipped as its body. The other way round, the body of a surplus answer would be read as the next answer to a HEAD request.

HEAD takes a new connection now, which is closed afterwards.

TestHeadAnswerIsNotReadAsBody failed before with status 502.

--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -70,7 +70,14 @@
 
 // do makes the attempt and returns how it ended.
 func (a *attempt) do() result {
-	conn, err := a.ticket.Pool().Take(a.r.Context(), a.usedAfter(), a.request.RequestID)
+	// An answer to HEAD states a length and has no body, so that a second one on a reused
+	// connection would be misread.
+	isHead := a.r.Method == http.MethodHead
+	identity := a.request.RequestID
+	if isHead {
+		identity = ""
+	}
+	conn, err := a.ticket.Pool().Take(a.r.Context(), a.usedAfter(), identity)
 	if err != nil {
 		return a.endUnreachable(err)
 	}
@@ -78,7 +85,7 @@
 	before := a.mayHaveRun
 	stop := context.AfterFunc(a.r.Context(), a.onCallerGone)
 	res, outcome := a.exchange()
-	if stop() && a.reusable && a.isWritten() {
+	if stop() && a.reusable && !isHead && a.isWritten() {
 		a.ticket.Pool().Put(conn, a.keepAliveUntil)
 	} else {
 		_ = conn.Close()
--- a/kcw/kcwforward/surplus_test.go
+++ b/kcw/kcwforward/surplus_test.go
@@ -288,3 +288,29 @@
 		}
 	}
 }
+
+// TestHeadAnswerIsNotReadAsBody guards against an answer to HEAD, which has a length and no
+// body, that is skipped together with the answer after it.
+func TestHeadAnswerIsNotReadAsBody(t *testing.T) {
+	head := func(e *exchange) {
+		fmt.Fprintf(e.conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: 40\r\n\r\n", e.Header.Get("Attempt"))
+	}
+	f := newFixture(t, 1, once, func(e *exchange) {
+		if e.Method == http.MethodHead {
+			head(e)
+			return
+		}
+		if e.position > 1 {
+			fmt.Fprintf(e.conn, "HTTP/1.1 200 OK\r\nAttempt: id-0\r\nContent-Length: 40\r\n\r\n")
+		}
+		good(e)
+	})
+	response, _, err := f.call(t, http.MethodHead, "", "Attempt", "id-0")
+	if err != nil || response.StatusCode != 200 || response.ContentLength != 40 {
+		t.Errorf("the answer to HEAD is %v, %v", response, err)
+	}
+	response, body, err := f.call(t, http.MethodPost, "")
+	if err != nil || response.StatusCode != 200 || body != "whole" {
+		t.Errorf("the answer after that to HEAD: %v, %q, %v", response, body, err)
+	}
+}
