kcwconn: idle connections with bytes or closed by the upstream are not reused

Bytes that an upstream sends while a connection is idle belong to no request, but were read as the first answer to the next one; only those in the read buffer at the end of the last request were noticed. A request that must not run twice failed with 502 if the upstream had closed the idle connection before.

Before an idle connection is reused the kernel's buffer is looked at without blocking, and a connection that holds bytes or its end is closed.

TestIdleConnectionWithBytesIsNotReused failed before: "surplus bytes: reused is true, want false", "closed: reused is true, want false".

--- a/kcw/kcwconn/pool.go
+++ b/kcw/kcwconn/pool.go
@@ -121,6 +121,27 @@
 // LiftHeadLimit removes the limit that LimitHead has set.
 func (c *Conn) LiftHeadLimit() { c.head.limited = false }
 
+// isQuiet reports whether the upstream has neither closed the connection nor sent bytes, which
+// belong to no request while the connection is idle. It does not block.
+func (c *Conn) isQuiet() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isQuiet := false
+	// Control ignores the deadlines of the last request.
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		isQuiet = errors.Is(err, unix.EAGAIN)
+	})
+	return err == nil && isQuiet
+}
+
 // Pool is a pool of connections to one upstream. It is safe for concurrent use.
 type Pool struct {
 	cfg    Config
@@ -181,7 +202,7 @@
 
 // takeIdle takes the most recently used of the idle connections that may carry the request,
 // since that is the least likely to be stale. It returns nil if there is none. It closes the
-// connections that have expired.
+// connections that have expired, and those that it comes upon that are not quiet.
 func (p *Pool) takeIdle(usedAfter time.Time, identity string, hash uint64) *Conn {
 	now := p.cfg.Now()
 	p.mu.Lock()
@@ -198,12 +219,16 @@
 	if identity == "" {
 		return nil
 	}
-	for i := len(live) - 1; i >= 0 && !live[i].idleSince.Before(usedAfter); i-- {
-		c := live[i]
+	for i := len(p.idle) - 1; i >= 0 && !p.idle[i].idleSince.Before(usedAfter); i-- {
+		c := p.idle[i]
 		if slices.Contains(c.carried, hash) {
 			continue
 		}
-		p.idle = slices.Delete(live, i, i+1)
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if !c.isQuiet() {
+			_ = c.Close()
+			continue
+		}
 		c.Reused = true
 		return c
 	}
--- a/kcw/kcwconn/pool_test.go
+++ b/kcw/kcwconn/pool_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"kingcupwick.example/kcw/kcwconn"
 )
 
@@ -154,3 +156,64 @@
 		t.Errorf("got error %v, want one of kind Dial", err)
 	}
 }
+
+// TestIdleConnectionWithBytesIsNotReused guards against bytes that arrive while a connection
+// is idle and are read as the answer to the next request.
+func TestIdleConnectionWithBytesIsNotReused(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		act    func(upstream net.Conn) error
+		reused bool
+	}{
+		{"quiet", func(net.Conn) error { return nil }, true},
+		{"surplus bytes", func(upstream net.Conn) error {
+			_, err := upstream.Write([]byte("HTTP/1.1 503 X\r\n\r\n"))
+			return err
+		}, false},
+		{"closed", net.Conn.Close, false},
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool := kcwconn.New(kcwconn.Config{
+			Address: listener.Addr().(*net.TCPAddr).AddrPort(), DialTimeout: 5 * time.Second, SilenceTimeout: time.Second,
+			IdleTimeout: time.Minute, MaxIdle: 2, Now: time.Now,
+		})
+		c := take(t, pool, time.Time{})
+		upstream, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The deadline of the last request has passed.
+		if err := c.SetDeadline(time.Now().Add(-time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		pool.Put(c, time.Time{})
+		if err := test.act(upstream); err != nil {
+			t.Fatal(err)
+		}
+		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Wait until the bytes or the end have arrived.
+		for arrived := test.reused; !arrived; {
+			err := raw.Control(func(fd uintptr) {
+				_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+				arrived = err == nil
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		next := take(t, pool, time.Time{})
+		if next.Reused != test.reused {
+			t.Errorf("%s: reused is %v, want %v", test.name, next.Reused, test.reused)
+		}
+		_ = next.Close()
+		_ = upstream.Close()
+		_ = listener.Close()
+		pool.Close()
+	}
+}
