kcwforward: only a stream goes on with a caller's stream

Callers of resumable streams found JSON, HTML or partial content in the middle of their stream, which then ended as complete, or waited for their deadline after a 204 or an answer of length 0 of the upstream at which the stream was resumed. Callers of any stream route waited for their deadline after a first answer without a body and after HEAD, and got 502 in place of a first answer of 2xx that is no stream.

Cause: each answer of 2xx on a stream route was relayed as events, and the relay awaits bytes before it reads the body.

A stream goes on only with an answer of status 200 and type text/event-stream that has a body. After any other answer another upstream is tried where the route allows that, and otherwise the caller's connection is closed at once without the end of the stream. A first answer that has another type or no body is passed on as its upstream sent it; one without a type is still relayed as events.

Failed before: TestNoOtherAnswerInStream, "JSON: status 200, body "id: 1 ... id: 2 ... {"error": 1}" and error <nil>", and so for HTML, 206, 201 and JSON in chunks; TestAnswerWithoutBodyIsNotAwaited, "no content: the caller waited for its deadline" (30 s), also on a first answer and with HEAD; TestOtherFirstAnswerIsUnchanged, 502 for JSON without an empty line. TestResumptionKeepsHeader passed before. The scripted upstreams of the tests now send the type that the platform's pages require of streams.

--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -52,12 +52,15 @@
 		// Callers request unencoded bodies, so an encoding is a sign of damage.
 		return a.endBroken("the answer is damaged", errors.New("it has an encoding"))
 	}
-	isSuccess := response.StatusCode < http.StatusMultipleChoices
-	if isSuccess && a.route.Kind == kcwroute.Stream {
+	if a.stream.started {
+		if err := checkResumption(response); err != nil {
+			return a.endBroken("the stream can't be resumed", err)
+		}
 		return a.relay(response)
 	}
-	if a.stream.started {
-		return a.endBroken("the stream can't be resumed", errors.New("status "+strconv.Itoa(response.StatusCode)))
+	isSuccess := response.StatusCode < http.StatusMultipleChoices
+	if isSuccess && a.route.Kind == kcwroute.Stream && isStream(response) {
+		return a.relay(response)
 	}
 	answer, err := a.bufferAnswer(response)
 	if err != nil {
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -100,10 +100,13 @@
 	fmt.Fprintf(e.conn, "HTTP/1.1 %d X\r\nAttempt: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, e.Header.Get("Attempt"), header, len(body), body)
 }
 
+// eventStream is the header of a stream.
+const eventStream = "Content-Type: text/event-stream\r\n"
+
 // events writes the chunks of a chunked answer, and the end of the answer if complete
 // is set.
 func (e *exchange) events(complete bool, chunks ...string) {
-	fmt.Fprintf(e.conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nTransfer-Encoding: chunked\r\n\r\n", e.Header.Get("Attempt"))
+	fmt.Fprintf(e.conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n", e.Header.Get("Attempt"), eventStream)
 	for _, c := range chunks {
 		fmt.Fprintf(e.conn, "%x\r\n%s\r\n", len(c), c)
 	}
