kcwforward: a resumed stream without events is not the end

A stream that broke off ended as complete if the upstream at which it was resumed sent an empty stream.

Cause: the end of any stream was taken as the end of the caller's. The events of a stream have no mark for the last one, so that an empty stream does not show that the caller has all of them.

An upstream at which a stream is resumed has to send the next event; otherwise another one is tried, or the stream is broken off.

TestEmptyResumptionIsNotTheEnd failed before: "no chunks: status 200, body "id: 1 ... id: 2 ..." and error <nil>", and so for an answer that ends with its connection.

--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -139,6 +139,7 @@
 		return a.endBrokenStream(errMemoryFull)
 	}
 	a.memoryHeld += initialBufferBytes
+	isResumed, eventsBefore := a.stream.started, a.stream.events
 	buffer := make([]byte, 0, initialBufferBytes)
 	for {
 		if err := a.r.Context().Err(); err != nil && a.bodyStarted {
@@ -179,6 +180,9 @@
 			// An empty stream that ends with its connection can't be told from one that
 			// broke off before its first event.
 			return a.endBrokenStream(io.ErrUnexpectedEOF)
+		case isResumed && a.stream.events == eventsBefore:
+			// It isn't known that the stream is whole.
+			return a.endBrokenStream(errNothingResumed)
 		default:
 			a.reusable = !response.Close
 			a.startStream(response)
--- a/kcw/kcwforward/resume_test.go
+++ b/kcw/kcwforward/resume_test.go
@@ -173,3 +173,13 @@
 		}
 	}
 }
+
+// TestEmptyResumptionIsNotTheEnd guards against a stream that ends as complete since the next
+// upstream sends no events.
+func TestEmptyResumptionIsNotTheEnd(t *testing.T) {
+	checkResumptions(t, []resumption{
+		{"no chunks", chunked(), begun, false},
+		{"up to the end of the connection", func(e *exchange) { raw(200, eventStream, "")(e); e.closeConn() }, begun, false},
+		{"within an event", chunked(event3[:5]), begun, false},
+	})
+}
--- a/kcw/kcwforward/stream.go
+++ b/kcw/kcwforward/stream.go
@@ -10,6 +10,8 @@
 // eventStreamType is the media type of a stream of events.
 const eventStreamType = "text/event-stream"
 
+var errNothingResumed = errors.New("it ends before the next event")
+
 // isStream reports whether an answer is a stream of events. One without a type may be.
 func isStream(response *http.Response) bool {
 	return response.Body != http.NoBody && (response.Header.Get("Content-Type") == "" || hasStreamType(response))
