kcwforward: a resumed stream goes on right after the last event

Callers got events a second time where the next upstream started over, missed events where it went on after a gap, and got events whose place in the stream isn't known.

Cause: the events of the upstream at which a stream was resumed were passed on as they came. Streams whose events have no numeric IDs were resumed too.

After a resumption only the event after the last one is passed on. Any other event, and one without an ID or with several, ends the attempt; another upstream is tried where the route allows that, and otherwise the stream is broken off. A stream is not resumed once an event of it has no ID or not the next one.

--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -19,14 +19,6 @@
 	body   []byte
 }
 
-// streamProgress is how much of a stream has been passed on to the caller, over all
-// attempts.
-type streamProgress struct {
-	started     bool
-	events      int64
-	lastEventID string
-}
-
 // hopHeaders are the hop-by-hop headers, which are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
@@ -56,11 +48,11 @@
 		if err := checkResumption(response); err != nil {
 			return a.endBroken("the stream can't be resumed", err)
 		}
-		return a.relay(response)
+		return a.relay(response, &resumption{progress: &a.stream})
 	}
 	isSuccess := response.StatusCode < http.StatusMultipleChoices
 	if isSuccess && a.route.Kind == kcwroute.Stream && isStream(response) {
-		return a.relay(response)
+		return a.relay(response, nil)
 	}
 	answer, err := a.bufferAnswer(response)
 	if err != nil {
@@ -134,12 +126,12 @@
 }
 
 // relay passes on the events of a stream as they arrive. It passes on only whole events.
-func (a *attempt) relay(response *http.Response) (result, kcwroster.Outcome) {
+// Resumed is nil unless the stream goes on with what an earlier attempt has passed on.
+func (a *attempt) relay(response *http.Response, resumed *resumption) (result, kcwroster.Outcome) {
 	if !a.f.cfg.Memory.TryAcquire(initialBufferBytes) {
 		return a.endBrokenStream(errMemoryFull)
 	}
 	a.memoryHeld += initialBufferBytes
-	isResumed, eventsBefore := a.stream.started, a.stream.events
 	buffer := make([]byte, 0, initialBufferBytes)
 	for {
 		if err := a.r.Context().Err(); err != nil && a.bodyStarted {
@@ -166,10 +158,14 @@
 			if n > 0 {
 				a.ticket.DataReceived()
 			}
-			if writeErr := a.forwardEvents(response, buffer[:size]); writeErr != nil {
+			events, orderErr := a.takeEvents(buffer[:size], resumed)
+			if writeErr := a.forwardEvents(response, events); writeErr != nil {
 				a.cause = "can't write to the caller: " + writeErr.Error()
 				return callerGone, kcwroster.Neutral
 			}
+			if orderErr != nil {
+				return a.endBrokenStream(orderErr)
+			}
 			buffer = append(buffer[:0], buffer[size:]...)
 		}
 		switch {
@@ -180,9 +176,8 @@
 			// An empty stream that ends with its connection can't be told from one that
 			// broke off before its first event.
 			return a.endBrokenStream(io.ErrUnexpectedEOF)
-		case isResumed && a.stream.events == eventsBefore:
-			// It isn't known that the stream is whole.
-			return a.endBrokenStream(errNothingResumed)
+		case resumed != nil && resumed.end() != nil:
+			return a.endBrokenStream(resumed.end())
 		default:
 			a.reusable = !response.Close
 			a.startStream(response)
@@ -221,17 +216,35 @@
 	a.w.WriteHeader(response.StatusCode)
 }
 
-// forwardEvents writes whole events to the caller, in one write.
-func (a *attempt) forwardEvents(response *http.Response, events []byte) error {
-	a.startStream(response)
+// takeEvents records the events to pass on and returns them, in the memory of events. All
+// are passed on unless the stream is resumed. If the error is not nil, the stream can't go on
+// after the events returned.
+func (a *attempt) takeEvents(events []byte, resumed *resumption) ([]byte, error) {
+	taken := events[:0]
 	for rest := events; len(rest) > 0; {
-		end := eventSize(rest)
-		if id := eventID(rest[:end]); id != "" {
-			a.stream.lastEventID = id
+		event := rest[:eventSize(rest)]
+		rest = rest[len(event):]
+		if resumed != nil {
+			isNext, err := resumed.admit(event)
+			if err != nil {
+				return taken, err
+			}
+			if !isNext {
+				continue
+			}
 		}
-		a.stream.events++
-		rest = rest[end:]
+		a.stream.record(event, a.route.Resumable)
+		taken = append(taken, event...)
 	}
+	return taken, nil
+}
+
+// forwardEvents writes whole events to the caller, in one write.
+func (a *attempt) forwardEvents(response *http.Response, events []byte) error {
+	if len(events) == 0 {
+		return nil
+	}
+	a.startStream(response)
 	if _, err := a.w.Write(events); err != nil {
 		return err
 	}
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -300,13 +300,13 @@
 // connections.
 var errSilent = errors.New("the upstream is silent")
 
-// awaitBytes waits until bytes of an answer are buffered. Unless the attempt is final, it
-// returns errSilent once the upstream is silent on all connections.
+// awaitBytes waits until bytes of an answer are buffered. Unless no other attempt may follow,
+// it returns errSilent once the upstream is silent on all connections.
 func (a *attempt) awaitBytes() error {
 	if a.conn.Reader.Buffered() > 0 {
 		return nil
 	}
-	if a.final {
+	if a.final || a.stream.isUnordered {
 		_, err := a.conn.Reader.Peek(1)
 		return err
 	}
--- a/kcw/kcwforward/resume_test.go
+++ b/kcw/kcwforward/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,6 +138,95 @@
 	}
 }
 
+// TestEmptyResumptionIsNotTheEnd guards against a stream that ends as complete since the next
+// upstream sends no events.
+func TestEmptyResumptionIsNotTheEnd(t *testing.T) {
+	checkResumptions(t, []resumption{
+		{"no chunks", chunked(), begun, false},
+		{"up to the end of the connection", func(e *exchange) { raw(200, eventStream, "")(e); e.closeConn() }, begun, false},
+		{"within an event", chunked(event3[:5]), begun, false},
+	})
+}
+
+// TestNoEventComesTwice guards against events that the caller has and that are passed on again,
+// where the next upstream starts over.
+func TestNoEventComesTwice(t *testing.T) {
+	other := strings.Replace(event2, "b", "x", 1)
+	checkResumptions(t, []resumption{
+		{"from the first event", chunked(whole), whole, true},
+		{"from the first event, in pieces", chunked(whole[:3], whole[3:20], whole[20:]), whole, true},
+		{"from the last event that was passed on", chunked(event2, event3, event4), whole, true},
+		{"whole at the last event that was passed on", chunked(event1, event2), begun, false},
+		{"with another event", chunked(event1, other, event3, event4), begun, false},
+		{"another event before the end", chunked(event1, other), begun, false},
+		{"fewer events", chunked(event1), begun, false},
+		{"again after the next event", chunked(event3, event3, event4), begun + event3, false},
+		{"over again after the next event", chunked(event3, event1, event2), begun + event3, false},
+	})
+}
+
+// TestNoEventIsMissing guards against a stream whose next upstream goes on after a gap.
+func TestNoEventIsMissing(t *testing.T) {
+	checkResumptions(t, []resumption{
+		{"at once", chunked(event4), begun, false},
+		{"after the first", chunked(event3, "id: 5\ndata: e\n\n"), begun + event3, false},
+		{"after the events that were passed on", chunked(event1, event2, event4), begun, false},
+	})
+}
+
+// TestResumedEventNeedsItsID guards against events of the next upstream whose place in the
+// stream isn't known.
+func TestResumedEventNeedsItsID(t *testing.T) {
+	checkResumptions(t, []resumption{
+		{"none", chunked("data: c\n\n", event4), begun, false},
+		{"empty", chunked("id:\ndata: c\n\n", event4), begun, false},
+		{"no number", chunked("id: c\ndata: c\n\n", event4), begun, false},
+		{"negative", chunked("id: -3\ndata: c\n\n", event4), begun, false},
+		{"too large", chunked("id: 99999999999999999999\ndata: c\n\n", event4), begun, false},
+		{"two", chunked("id: 3\nid: 4\ndata: c\n\n", event4), begun, false},
+		{"missing after the next event", chunked(event3, "data: d\n\n"), begun + event3, false},
+	})
+}
+
+// TestStreamWithoutOrderIsNotResumed guards against a stream that is resumed although the place
+// of the last event is not known.
+func TestStreamWithoutOrderIsNotResumed(t *testing.T) {
+	for _, events := range []string{
+		"data: a\n\n",
+		"id: a\ndata: a\n\n",
+		"id: 2\ndata: a\n\nid: 1\ndata: b\n\n",
+		"id: 1\ndata: a\n\nid: 3\ndata: b\n\n",
+		"id: 1\ndata: a\n\ndata: b\n\n",
+	} {
+		f := newFixture(t, 2, resumable, first(func(e *exchange) { e.events(false, events); e.closeConn() }, chunked(event1, event2)))
+		_, body, err := f.call(t, http.MethodPost, "")
+		if body != events || err == nil || f.arrivals() != 1 {
+			t.Errorf("%q: body %q, error %v after %d sends, want a broken stream after one", events, body, err, f.arrivals())
+		}
+	}
+}
+
+// TestCallerResumes checks a stream that the caller itself has resumed, if its upstream breaks
+// off and the next one starts over.
+func TestCallerResumes(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		next   func(e *exchange)
+		body   string
+		broken bool
+	}{
+		{"goes on", goOn, event3 + event4, false},
+		{"starts over", chunked(whole), event3 + event4, false},
+		{"starts over with another event", chunked(event1, event2, strings.Replace(event3, "c", "x", 1), event4), event3, true},
+	} {
+		f := newFixture(t, 2, resumable, first(func(e *exchange) { e.events(false, event3); e.closeConn() }, test.next))
+		_, body, err := f.call(t, http.MethodPost, "", "Last", "2")
+		if body != test.body || (err != nil) != test.broken {
+			t.Errorf("%s: body %q and error %v, want %q", test.name, body, err, test.body)
+		}
+	}
+}
+
 // TestResumptionKeepsHeader checks that headers and trailers of the upstream at which a stream
 // is resumed are not passed on.
 func TestResumptionKeepsHeader(t *testing.T) {
@@ -173,13 +263,3 @@
 		}
 	}
 }
-
-// TestEmptyResumptionIsNotTheEnd guards against a stream that ends as complete since the next
-// upstream sends no events.
-func TestEmptyResumptionIsNotTheEnd(t *testing.T) {
-	checkResumptions(t, []resumption{
-		{"no chunks", chunked(), begun, false},
-		{"up to the end of the connection", func(e *exchange) { raw(200, eventStream, "")(e); e.closeConn() }, begun, false},
-		{"within an event", chunked(event3[:5]), begun, false},
-	})
-}
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -137,9 +137,9 @@
 }
 
 // mayRepeat reports whether the request may be sent once more after it may have run
-// possibleRuns times.
+// possibleRuns times. A stream may only if another upstream can go on with it.
 func (c *call) mayRepeat(possibleRuns int) bool {
-	return c.route.MayRepeat() && possibleRuns < c.route.MaxAttempts
+	return c.route.MayRepeat() && possibleRuns < c.route.MaxAttempts && !c.stream.isUnordered
 }
 
 // finish ends the request after its last attempt ended with res: it sets the outcome of
