kcwcore, kcwdirectory: call hosts that answer before hosts that are silent

A router that has lost the leader could keep an older configuration for longer than the platform's config_apply_ms (2 s) although a new leader acknowledged a newer one.

Cause: a search for the leader called hosts in the order of their last call. Hosts that are gone, or have no power, and were never called came first; each takes 300 ms (the dial time-out), so that two of them use up a report (600 ms), and the next report goes on with the next two. A router remembers hosts for 24 h, members that were replaced among them.

Evidence: TestLeaderFoundWithinBound (fake clock, simulated hosts, elections 0.5 to 4 s after the loss) on the code before, time from the election to the first answer of the new leader, in s, 2 is the most allowed: three hosts without a disk and without power 2.975, six former members 5, the same with hosts without a disk 5, twelve former members 8.75.

Now the first tries of a search go to members of the newest membership and to other hosts that answered their last call; hosts that were silent come after them. The last try goes, as before, to the host whose last call is the longest ago, so that none is forgotten. The model of TestFound searches the same way.

--- /dev/null
+++ b/kcw-fleet/kcwcore/bound_test.go
@@ -0,0 +1,251 @@
+package kcwcore
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"kingcupwick.example/kcw-fleet/kcwdirectory"
+	"kingcupwick.example/kcw/kcwledger"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+)
+
+const (
+	// applyBound is config_apply_ms of the platform.
+	applyBound = 2 * time.Second
+	// reportTimeout is the default of [Core] Timeout, reportPause the longest pause between two
+	// reports by the default of [Core] Interval.
+	reportTimeout = 600 * time.Millisecond
+	reportPause   = 375 * time.Millisecond
+)
+
+// state is what a simulated host does with calls.
+type state int
+
+const (
+	// answering hosts answer as leader, or refuse and name whom they believe to lead.
+	answering state = iota
+	// unpowered hosts accept no connection and do not refuse it. Frozen hosts accept
+	// connections and calls and never answer.
+	unpowered
+	frozen
+)
+
+// simHost is a simulated host that serves the core.
+type simHost struct {
+	kcwpbconnect.UnimplementedFleetHandler
+	sim     *simNet
+	address netip.AddrPort
+	// state and believed are used under the lock of sim. believed is the host that this
+	// one believes to lead, itself if it leads.
+	state    state
+	believed netip.AddrPort
+	// locates is set for a host that looks for the leader until the call ends if it knows
+	// none, as hosts without a disk do.
+	locates bool
+	server  *http.Server
+	conns   chan net.Conn
+}
+
+// simNet connects a Client to simulated hosts.
+type simNet struct {
+	mu    sync.Mutex
+	hosts map[string]*simHost
+	// core holds the addresses of the members.
+	core  []string
+	ended chan struct{}
+}
+
+func newSimNet() *simNet { return &simNet{hosts: map[string]*simHost{}, ended: make(chan struct{})} }
+
+// add adds the host with the given number.
+func (s *simNet) add(n int) *simHost {
+	h := &simHost{sim: s, address: simAddress(n), conns: make(chan net.Conn)}
+	_, handler := kcwpbconnect.NewFleetHandler(h)
+	h.server = &http.Server{Handler: handler}
+	go func() { _ = h.server.Serve(h) }()
+	s.hosts[h.address.String()] = h
+	return h
+}
+
+func simAddress(n int) netip.AddrPort {
+	return netip.MustParseAddrPort("10.0.0." + strconv.Itoa(n) + ":7000")
+}
+
+// Accept implements net.Listener.
+func (h *simHost) Accept() (net.Conn, error) {
+	select {
+	case conn := <-h.conns:
+		return conn, nil
+	case <-h.sim.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (h *simHost) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (h *simHost) Addr() net.Addr { return net.TCPAddrFromAddrPort(h.address) }
+
+// Sync implements kcwpbconnect.FleetHandler.
+func (h *simHost) Sync(_ context.Context, _ *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+	h.sim.mu.Lock()
+	state, believed, core := h.state, h.believed, h.sim.core
+	h.sim.mu.Unlock()
+	if state != answering || h.locates && !believed.IsValid() {
+		<-h.sim.ended
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("no answer"))
+	}
+	if believed == h.address {
+		return connect.NewResponse(&kcwpb.FleetSyncResponse{Core: core}), nil
+	}
+	e := connect.NewError(connect.CodeUnavailable, errors.New("not the leader"))
+	if believed.IsValid() {
+		e.Meta().Set(kcwledger.LeaderHeader, believed.String())
+	}
+	return nil, e
+}
+
+// dial connects to a simulated host.
+func (s *simNet) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	s.mu.Lock()
+	h := s.hosts[address]
+	down := h == nil || h.state == unpowered
+	s.mu.Unlock()
+	if down {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	select {
+	case h.conns <- far:
+		return near, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// lead makes the host at address the leader of the core, which consists of members, and
+// tells all hosts.
+func (s *simNet) lead(address netip.AddrPort, members []netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core = nil
+	for _, m := range members {
+		s.core = append(s.core, m.String())
+	}
+	for _, h := range s.hosts {
+		h.believed = address
+	}
+}
+
+// lose changes the state of the leader to lost. Members still believe it to lead if isNamed
+// is set. Hosts without a disk do not, and have no power if isUnpowered is set.
+func (s *simNet) lose(leader *simHost, lost state, isNamed, isUnpowered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leader.state = lost
+	for _, h := range s.hosts {
+		if h.locates || !isNamed {
+			h.believed = netip.AddrPort{}
+		}
+		if h.locates && isUnpowered {
+			h.state = unpowered
+		}
+	}
+}
+
+// reportUntilAnswered reports as a router does until the leader answers, for at most a
+// minute.
+func (s *simNet) reportUntilAnswered(t *testing.T, c *Client) {
+	for range 60 {
+		ctx, cancel := context.WithTimeout(t.Context(), reportTimeout)
+		_, err := c.Sync(ctx, &kcwpb.FleetSyncRequest{})
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(reportPause)
+	}
+	t.Error("no leader was found")
+}
+
+// close ends all hosts and the client.
+func (s *simNet) close(c *Client) {
+	c.Close()
+	close(s.ended)
+	for _, h := range s.hosts {
+		_ = h.server.Close()
+	}
+}
+
+// TestLeaderFoundWithinBound guards against a router that keeps an older configuration
+// because it does not find the leader that has acknowledged a newer one.
+func TestLeaderFoundWithinBound(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// locators are hosts without a disk and gone former members, all known to the router.
+		locators, gone int
+		lost           state
+		// isNamed is set if the members name the lost leader until the election.
+		isNamed bool
+		// isUnpowered is set if the hosts without a disk have no power.
+		isUnpowered bool
+	}{
+		{name: "frozen leader", lost: frozen},
+		{name: "frozen leader that members name", lost: frozen, isNamed: true},
+		{name: "leader without power that members name", lost: unpowered, isNamed: true},
+		{name: "hosts without a disk that search", lost: frozen, isNamed: true, locators: 3},
+		{name: "hosts without a disk and without power", lost: frozen, isNamed: true, locators: 3, isUnpowered: true},
+		{name: "former members", lost: frozen, isNamed: true, gone: 6},
+		{name: "former members, no leader named", lost: unpowered, gone: 6, locators: 3},
+		{name: "former members and hosts without a disk", lost: unpowered, isNamed: true, gone: 6, locators: 3},
+		{name: "many former members", lost: unpowered, isNamed: true, gone: 12},
+	} {
+		worst := time.Duration(0)
+		for election := 500 * time.Millisecond; election <= 4*time.Second; election += 150 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimNet()
+				members := []*simHost{s.add(1), s.add(2), s.add(3)}
+				view := kcwdirectory.View{}
+				for n := range test.gone {
+					view.Hosts = append(view.Hosts, kcwdirectory.Host{Address: simAddress(20 + n), Member: true, Age: time.Minute})
+				}
+				for n := range test.locators {
+					h := s.add(10 + n)
+					h.locates = true
+					view.Hosts = append(view.Hosts, kcwdirectory.Host{Address: h.address})
+				}
+				seeds := []netip.AddrPort{members[0].address, members[1].address, members[2].address}
+				s.lead(members[0].address, seeds)
+				c := New(Config{Seeds: seeds})
+				c.transport.DialContext = s.dial
+				defer s.close(c)
+				c.Merge(view)
+				s.reportUntilAnswered(t, c)
+				lostAt := time.Now()
+				s.lose(members[0], test.lost, test.isNamed, test.isUnpowered)
+				time.AfterFunc(election, func() { s.lead(members[2].address, seeds) })
+				time.Sleep(reportPause)
+				s.reportUntilAnswered(t, c)
+				worst = max(worst, time.Since(lostAt)-election)
+			})
+		}
+		if worst > applyBound {
+			t.Errorf("%s: the router found the new leader %v after its election, want %v at most", test.name, worst, applyBound)
+		}
+	}
+}
--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -196,16 +196,19 @@
 // address. It stops at an error other than Unavailable.
 func (c *Client) callLeader(ctx context.Context, op string, call func(kcwpbconnect.FleetClient) error) (netip.AddrPort, error) {
 	err := &Error{Op: op, Kind: Unanswered, Err: errors.New("no host is known")}
+	var tried []netip.AddrPort
 	for range maxTries {
-		host := c.nextHost()
+		host := c.nextHost(tried)
 		if !host.IsValid() {
 			break
 		}
+		tried = append(tried, host)
+		startedAt := time.Now()
 		cause := call(c.fleetClient(host))
 		if cause == nil {
 			return host, nil
 		}
-		err = c.recordFailure(op, host, cause)
+		err = c.recordFailure(op, host, startedAt, cause)
 		if ctx.Err() != nil || connect.CodeOf(cause) != connect.CodeUnavailable {
 			break
 		}
@@ -213,16 +216,23 @@
 	return netip.AddrPort{}, err
 }
 
-// nextHost returns the next host to call.
-func (c *Client) nextHost() netip.AddrPort {
+// nextHost returns the next host to call in a search that has called the hosts in tried. The
+// last try goes to the host whose last call is the longest ago.
+func (c *Client) nextHost(tried []netip.AddrPort) netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(tried) < maxTries-1 {
+		if host := c.directory.NextAfter(tried, time.Now()); host.IsValid() {
+			return host
+		}
+	}
 	return c.directory.Next(time.Now())
 }
 
-// recordFailure records that host did not answer as leader, and merges the leader and
-// the hosts that its refusal names.
-func (c *Client) recordFailure(op string, host netip.AddrPort, err error) *Error {
+// recordFailure records that host did not answer a call, begun at startedAt, as leader, and
+// merges the leader and the hosts that its refusal names. A host without an answer counts as
+// silent if it had as much time as a connection needs.
+func (c *Client) recordFailure(op string, host netip.AddrPort, startedAt time.Time, err error) *Error {
 	if errors.Is(err, context.DeadlineExceeded) {
 		// The connection may be dead, so it must not be reused.
 		c.transport.CloseIdleConnections()
@@ -230,9 +240,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	c.directory.RecordFailure(host, now)
 	var refused *connect.Error
-	if errors.As(err, &refused) {
+	isRefused := errors.As(err, &refused) && connect.IsWireError(err)
+	switch {
+	case isRefused:
+		c.directory.RecordFailure(host, now)
+		c.directory.RecordContact(host, now)
+	case now.Sub(startedAt) >= dialTimeout:
+		c.directory.RecordSilence(host, now)
+	default:
+		c.directory.RecordFailure(host, now)
+	}
+	if isRefused {
 		view := kcwdirectory.View{}
 		if leader, err := netip.ParseAddrPort(refused.Meta().Get(kcwledger.LeaderHeader)); err == nil && leader != host {
 			view.Leader = leader
@@ -268,7 +287,7 @@
 // AnnounceNext exchanges views with the next host to call. A host without a disk uses it
 // to locate the leader. The error is an *Error.
 func (c *Client) AnnounceNext(ctx context.Context, self netip.AddrPort) error {
-	host := c.nextHost()
+	host := c.nextHost(nil)
 	if !host.IsValid() {
 		return &Error{Op: "ask", Kind: Unanswered, Err: errors.New("no host is known")}
 	}
--- a/kcw-fleet/kcwdirectory/directory.go
+++ b/kcw-fleet/kcwdirectory/directory.go
@@ -61,6 +61,10 @@
 	// was last chosen for a call, announcedAt when it was last chosen for an
 	// announcement, and failedAt when it last failed to answer as leader.
 	seenAt, triedAt, announcedAt, failedAt time.Time
+	// listedAt is when the host was last listed as a member, zero if never.
+	listedAt time.Time
+	// isSilent is set if the last call to the host got no answer.
+	isSilent bool
 }
 
 // Directory holds the hosts that serve the core and the leader.
@@ -72,6 +76,8 @@
 	leaderAt time.Time
 	// memberAt is when this host itself was last listed as a member, zero if never.
 	memberAt time.Time
+	// listedAt is when any host was last listed as a member.
+	listedAt time.Time
 }
 
 // New returns an empty Directory.
@@ -103,7 +109,11 @@
 // last failure to answer as leader.
 func (d *Directory) Merge(view View, now time.Time) {
 	for _, h := range view.Hosts {
-		d.record(h.Address, h.Member, now.Add(-max(0, h.Age)))
+		at := now.Add(-max(0, h.Age))
+		d.record(h.Address, h.Member, at)
+		if h.Member && at.After(d.listedAt) {
+			d.listedAt = at
+		}
 	}
 	at := now.Add(-max(0, view.LeaderAge))
 	if !view.Leader.IsValid() || !at.After(d.leaderAt) {
@@ -118,6 +128,9 @@
 // RecordContact records that the host at address answered or called at now.
 func (d *Directory) RecordContact(address netip.AddrPort, now time.Time) {
 	d.record(address, false, now)
+	if h := d.hosts[address]; h != nil {
+		h.isSilent = false
+	}
 }
 
 // record adds the host at address, or updates it if at is later than it was last seen. A
@@ -141,6 +154,9 @@
 	if at.After(h.seenAt) {
 		h.seenAt = at
 	}
+	if member && at.After(h.listedAt) {
+		h.listedAt = at
+	}
 }
 
 // Leader returns the leader if a member has confirmed it within Config.LeaderTTL before
@@ -167,6 +183,53 @@
 	return next
 }
 
+// NextAfter returns the host to call at now in a search that has called the hosts in tried:
+// the leader if there is one, unless it was silent in this search, and otherwise a host that
+// was not tried. Hosts whose last call got an answer, or that were not called yet, come
+// before silent ones, and among them the members of the newest membership before others. A
+// search must end with a call of Next, so that it tries all hosts in the long run. The
+// address is not valid if there is no host to call.
+func (d *Directory) NextAfter(tried []netip.AddrPort, now time.Time) netip.AddrPort {
+	d.evict(now)
+	if leader := d.Leader(now); d.hosts[leader] != nil && !(d.hosts[leader].isSilent && slices.Contains(tried, leader)) {
+		return leader
+	}
+	var next netip.AddrPort
+	for address, h := range d.hosts {
+		if slices.Contains(tried, address) {
+			continue
+		}
+		best := d.hosts[next]
+		if best == nil || cmp.Or(d.rank(h)-d.rank(best), h.triedAt.Compare(best.triedAt), best.seenAt.Compare(h.seenAt), address.Compare(next)) < 0 {
+			next = address
+		}
+	}
+	if next.IsValid() {
+		d.hosts[next].triedAt = now
+	}
+	return next
+}
+
+// rank returns the place of a host in the order of NextAfter. The members of one membership
+// are listed at about the same time.
+func (d *Directory) rank(h *host) int {
+	switch {
+	case h.isSilent:
+		return 2
+	case h.listedAt.IsZero() || d.listedAt.Sub(h.listedAt) > d.cfg.LeaderTTL:
+		return 1
+	}
+	return 0
+}
+
+// RecordSilence records that the host at address did not answer a call at now.
+func (d *Directory) RecordSilence(address netip.AddrPort, now time.Time) {
+	d.RecordFailure(address, now)
+	if h := d.hosts[address]; h != nil {
+		h.isSilent = true
+	}
+}
+
 // oldest returns the host with the earliest time. It breaks ties in favour of members,
 // and then of the host that was seen last.
 func (d *Directory) oldest(at func(*host) time.Time) netip.AddrPort {
--- a/kcw-fleet/kcwdirectory/directory_test.go
+++ b/kcw-fleet/kcwdirectory/directory_test.go
@@ -65,6 +65,47 @@
 	}
 }
 
+// TestNextAfter checks the order of the hosts within one search: members of the newest
+// membership, other hosts, hosts that were silent.
+func TestNextAfter(t *testing.T) {
+	d := newDirectory(at(9))
+	d.SetSeeds([]netip.AddrPort{at(6)})
+	d.Merge(kcwdirectory.View{Hosts: []kcwdirectory.Host{
+		{Address: at(1), Member: true},
+		{Address: at(2), Member: true},
+		{Address: at(3), Member: true},
+		{Address: at(4)},
+		{Address: at(5), Member: true, Age: time.Minute},
+	}}, start)
+	d.RecordSilence(at(1), start)
+	var tried []netip.AddrPort
+	for range 6 {
+		tried = append(tried, d.NextAfter(tried, start))
+	}
+	if want := []netip.AddrPort{at(2), at(3), at(4), at(5), at(6), at(1)}; !slices.Equal(tried, want) {
+		t.Errorf("got %v, want %v", tried, want)
+	}
+	if next := d.NextAfter(tried, start); next.IsValid() {
+		t.Errorf("got %v after all hosts", next)
+	}
+	d.Merge(kcwdirectory.View{Leader: at(1)}, start.Add(time.Second))
+	for _, test := range []struct {
+		tried []netip.AddrPort
+		want  netip.AddrPort
+	}{
+		{nil, at(1)},
+		{[]netip.AddrPort{at(1)}, at(2)},
+	} {
+		if next := d.NextAfter(test.tried, start.Add(time.Second)); next != test.want {
+			t.Errorf("a leader that was silent, after %v: got %v, want %v", test.tried, next, test.want)
+		}
+	}
+	d.RecordContact(at(1), start.Add(time.Second))
+	if next := d.NextAfter([]netip.AddrPort{at(1)}, start.Add(time.Second)); next != at(1) {
+		t.Errorf("a leader that answered: got %v", next)
+	}
+}
+
 // TestAgesAddUp checks that a fact that hosts pass back and forth does not become fresh
 // again.
 func TestAgesAddUp(t *testing.T) {
@@ -247,8 +288,16 @@
 	}
 	x.busyUntil = m.now.Add(searchPause)
 	x.found = false
+	var tried []netip.AddrPort
 	for range maxTries {
-		address := x.directory.Next(m.now)
+		var address netip.AddrPort
+		if len(tried) < maxTries-1 {
+			address = x.directory.NextAfter(tried, m.now)
+		}
+		if !address.IsValid() {
+			address = x.directory.Next(m.now)
+		}
+		tried = append(tried, address)
 		if !address.IsValid() {
 			return
 		}
@@ -260,11 +309,12 @@
 			x.directory.Merge(y.directory.View(m.now), m.now)
 			return
 		case !m.reaches(x, y):
-			x.directory.RecordFailure(address, m.now)
+			x.directory.RecordSilence(address, m.now)
 			x.busyUntil = m.now.Add(searchPause + failedCall)
 			return
 		}
 		x.directory.RecordFailure(address, m.now)
+		x.directory.RecordContact(address, m.now)
 		m.refresh(y)
 		if leader := y.directory.Leader(m.now); leader.IsValid() && leader != address {
 			x.directory.Merge(kcwdirectory.View{Leader: leader}, m.now)
