kcwdirectory: make room for hosts that are seen later

Callers saw: nothing yet; found by reading. It called a new leader never, as Next and Announce look the leader up among the recorded hosts, and so would keep its configuration until it is restarted.

Evidence: TestLeaderKeptWhenFull on the code before: "the host to call is 10.1.0.62:7000, want the leader 10.0.0.3:7000".

Now the host that was seen the longest ago makes way, except for seeds and the leader.

--- a/kcw-fleet/kcwdirectory/directory.go
+++ b/kcw-fleet/kcwdirectory/directory.go
@@ -134,7 +134,8 @@
 }
 
 // record adds the host at address, or updates it if at is later than it was last seen. A
-// member stays one until it is evicted.
+// member stays one until it is evicted. If there is no room, the host that was seen the
+// longest ago makes way for one that was seen later.
 func (d *Directory) record(address netip.AddrPort, member bool, at time.Time) {
 	if address == d.cfg.Self && member && at.After(d.memberAt) {
 		d.memberAt = at
@@ -144,7 +145,7 @@
 	}
 	h := d.hosts[address]
 	if h == nil {
-		if len(d.hosts) >= maxHosts {
+		if len(d.hosts) >= maxHosts && !d.dropBefore(at) {
 			return
 		}
 		h = &host{}
@@ -159,6 +160,22 @@
 	}
 }
 
+// dropBefore drops the host that was seen the longest ago, if that was before at. It keeps
+// the seeds and the leader. It reports whether it dropped one.
+func (d *Directory) dropBefore(at time.Time) bool {
+	var oldest netip.AddrPort
+	for address, h := range d.hosts {
+		if h.seed || address == d.leader || !h.seenAt.Before(at) {
+			continue
+		}
+		if before := d.hosts[oldest]; before == nil || cmp.Or(h.seenAt.Compare(before.seenAt), address.Compare(oldest)) < 0 {
+			oldest = address
+		}
+	}
+	delete(d.hosts, oldest)
+	return oldest.IsValid()
+}
+
 // Leader returns the leader if a member has confirmed it within Config.LeaderTTL before
 // now. Otherwise the address is not valid.
 func (d *Directory) Leader(now time.Time) netip.AddrPort {
--- a/kcw-fleet/kcwdirectory/directory_test.go
+++ b/kcw-fleet/kcwdirectory/directory_test.go
@@ -134,6 +134,33 @@
 	}
 }
 
+// TestLeaderKeptWhenFull guards against a process that never calls a new leader, because the
+// hosts that it remembers are as many as it may remember.
+func TestLeaderKeptWhenFull(t *testing.T) {
+	d := newDirectory(at(1))
+	d.SetSeeds([]netip.AddrPort{at(2)})
+	for n := range 100 {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(n)}), 7000)
+		d.Merge(kcwdirectory.View{Hosts: []kcwdirectory.Host{{Address: address, Member: true}}}, start.Add(time.Duration(n)*time.Second))
+	}
+	now := start.Add(2 * time.Minute)
+	d.Merge(kcwdirectory.View{Leader: at(3), Hosts: []kcwdirectory.Host{{Address: at(3), Member: true}}}, now)
+	if next := d.NextAfter(nil, now); next != at(3) {
+		t.Errorf("the host to call is %v, want the leader %v", next, at(3))
+	}
+	if n := len(d.View(now).Hosts); n > 64 {
+		t.Errorf("%d hosts are kept", n)
+	}
+	d.RecordFailure(at(3), now)
+	var tried []netip.AddrPort
+	for i := range 64 {
+		tried = append(tried, d.Next(now.Add(time.Duration(i)*time.Second)))
+	}
+	if !slices.Contains(tried, at(2)) {
+		t.Error("the seed is not called")
+	}
+}
+
 // Times and sizes of the model.
 const (
 	step            = 50 * time.Millisecond
