kcwrouter, kcwcore: log and show the version in force, its source and its age

Document in force, Core lost and Core regained name the version and the host, Leader of the core changed the host that answers now and why the one before does not. A refusal for want of a route or key logs the version that decided, its age and that of the last contact; the dump and two gauges show them.

A leader that answers again after a silence no longer counts as silent.

--- a/kcw-fleet/kcwcore/bound_test.go
+++ b/kcw-fleet/kcwcore/bound_test.go
@@ -173,7 +173,7 @@
 func (s *simNet) reportUntilAnswered(t *testing.T, c *Client) {
 	for range 60 {
 		ctx, cancel := context.WithTimeout(t.Context(), reportTimeout)
-		_, err := c.Sync(ctx, &kcwpb.FleetSyncRequest{})
+		_, _, err := c.Sync(ctx, &kcwpb.FleetSyncRequest{})
 		cancel()
 		if err == nil {
 			return
--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -82,6 +82,9 @@
 
 	mu        sync.Mutex
 	directory *kcwdirectory.Directory
+	// answered is the host that last answered as leader, failure why a host has not since.
+	answered netip.AddrPort
+	failure  string
 }
 
 // New returns a Client.
@@ -148,24 +151,25 @@
 	return kcwpbconnect.NewFleetClient(c.http, "http://"+host.String(), connect.WithReadMaxBytes(maxAnswerBytes))
 }
 
-// Sync calls Fleet.Sync at the leader and merges the membership in the answer. It tries
-// other hosts if one refuses the call or can't be reached. The error is an *Error.
-func (c *Client) Sync(ctx context.Context, req *kcwpb.FleetSyncRequest) (*kcwpb.FleetSyncResponse, error) {
-	var response *connect.Response[kcwpb.FleetSyncResponse]
-	host, err := c.callLeader(ctx, "sync", func(fleet kcwpbconnect.FleetClient) error {
+// Sync calls Fleet.Sync at the leader, merges the membership in the answer, and returns the
+// host that answered. It tries other hosts if one refuses the call or can't be reached. The
+// error is an *Error.
+func (c *Client) Sync(ctx context.Context, req *kcwpb.FleetSyncRequest) (response *kcwpb.FleetSyncResponse, host netip.AddrPort, err error) {
+	var answer *connect.Response[kcwpb.FleetSyncResponse]
+	host, err = c.callLeader(ctx, "sync", func(fleet kcwpbconnect.FleetClient) error {
 		var err error
-		response, err = fleet.Sync(ctx, connect.NewRequest(req))
+		answer, err = fleet.Sync(ctx, connect.NewRequest(req))
 		return err
 	})
 	if err != nil {
-		return nil, err
+		return nil, netip.AddrPort{}, err
 	}
 	view := kcwdirectory.View{Leader: host}
-	for _, member := range ParseAddresses(response.Msg.GetCore()) {
+	for _, member := range ParseAddresses(answer.Msg.GetCore()) {
 		view.Hosts = append(view.Hosts, kcwdirectory.Host{Address: member, Member: true})
 	}
 	c.Merge(view)
-	return response.Msg, nil
+	return answer.Msg, host, nil
 }
 
 // Admit asks the leader to admit a replica. The error is an *Error.
@@ -206,6 +210,7 @@
 		startedAt := time.Now()
 		cause := call(c.fleetClient(host))
 		if cause == nil {
+			c.recordAnswer(op, host)
 			return host, nil
 		}
 		err = c.recordFailure(op, host, startedAt, cause)
@@ -229,6 +234,17 @@
 	return c.directory.Next(time.Now())
 }
 
+// recordAnswer records that host answered as leader, and logs if another one did before.
+func (c *Client) recordAnswer(op string, host netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.directory.RecordContact(host, time.Now())
+	if host != c.answered {
+		klog.InfoS("Leader of the core changed", "Operation", op, "Member", host, "Before", c.answered, "Cause", c.failure)
+	}
+	c.answered, c.failure = host, ""
+}
+
 // recordFailure records that host did not answer a call, begun at startedAt, as leader, and
 // merges the leader and the hosts that its refusal names. A host without an answer counts as
 // silent if it had as much time as a connection needs.
@@ -263,7 +279,9 @@
 		}
 		c.directory.Merge(view, now)
 	}
-	return &Error{Op: op, Kind: Unanswered, Member: host, Err: eris.Wrap(err, "call")}
+	failure := &Error{Op: op, Kind: Unanswered, Member: host, Err: eris.Wrap(err, "call")}
+	c.failure = failure.Error()
+	return failure
 }
 
 // Announce exchanges views with the host at address. It sends self as this host's own
--- a/kcw-fleet/kcwcore/client_test.go
+++ b/kcw-fleet/kcwcore/client_test.go
@@ -72,7 +72,7 @@
 		c := kcwcore.New(kcwcore.Config{Seeds: test.seeds})
 		tries := 0
 		for found := false; !found && tries < 10; tries++ {
-			_, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{})
+			_, _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{})
 			found = err == nil
 			var e *kcwcore.Error
 			if err != nil && (!errors.As(err, &e) || e.Kind != kcwcore.Unanswered) {
@@ -83,7 +83,7 @@
 			t.Errorf("%s: found after %d calls, want %d at most", test.name, tries, test.tries)
 		}
 		before := follower.calls
-		if _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err != nil || follower.calls != before {
+		if _, _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err != nil || follower.calls != before {
 			t.Errorf("%s: the next call did not go straight to the leader, error %v", test.name, err)
 		}
 		c.Close()
@@ -98,7 +98,7 @@
 	defer c.Close()
 	c.Merge(kcwdirectory.View{Hosts: []kcwdirectory.Host{{Address: serve(t, leader), Member: true}}})
 	for range 3 {
-		if _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err == nil {
+		if _, _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err == nil {
 			return
 		}
 	}
@@ -119,7 +119,7 @@
 	defer c.Close()
 	for range 1000 {
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-		_, err := c.Sync(ctx, &kcwpb.FleetSyncRequest{})
+		_, _, err := c.Sync(ctx, &kcwpb.FleetSyncRequest{})
 		cancel()
 		if err == nil {
 			return
--- a/kcw-fleet/kcwrouter/dump.go
+++ b/kcw-fleet/kcwrouter/dump.go
@@ -17,13 +17,23 @@
 type dump struct {
 	Router, Zone string
 	Incarnation  uint64
+	// Document is the version of the configuration in force, zero if there is none.
+	// DocumentFrom is the host of the core that sent it, and DocumentAge the time since.
 	Document     uint64
-	ListedAt     time.Time
-	InFlight     int64
-	Draining     bool
-	Core         netip.AddrPort
-	Teams        []kcwbalance.Team
-	Upstreams    []kcwroster.Upstream
+	DocumentFrom netip.AddrPort
+	DocumentAge  string
+	// CoreHost is the host of the core that answered last, and ContactAge the time since the
+	// report that it answered was sent.
+	CoreHost   netip.AddrPort
+	ContactAge string
+	CoreLost   bool
+	ListedAt   time.Time
+	InFlight   int64
+	Draining   bool
+	// Core is the leader, not valid if none is known.
+	Core      netip.AddrPort
+	Teams     []kcwbalance.Team
+	Upstreams []kcwroster.Upstream
 	// RateLimits are the limits in force.
 	RateLimits []kcwquota.Limit
 	// Blocks are the sets of prompt parts that are refused, and Suspects the parts that
@@ -33,14 +43,16 @@
 }
 
 func (r *Router) dump() dump {
+	b := r.reporter.belief()
 	d := dump{
 		Router: r.cfg.Settings.Host.Name, Zone: r.cfg.Settings.Host.Zone, Incarnation: r.reporter.currentIncarnation(),
+		Document: b.Version, DocumentFrom: b.From, CoreHost: b.Host, ContactAge: time.Since(b.ContactAt).String(), CoreLost: b.IsLost,
 		ListedAt: r.roster.ListedAt(), InFlight: r.forwarder.InFlight(), Draining: r.stop.Load() != nil,
 		Core: r.client.Leader(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(), Blocks: kcwblocklist.Summarize(r.guard.Blocks()), Suspects: r.guard.Suspects(),
 		RateLimits: r.quota.Limits(),
 	}
-	if document := r.reporter.document.Load(); document != nil {
-		d.Document = document.Version
+	if b.Version != 0 {
+		d.DocumentAge = time.Since(b.ReceivedAt).String()
 	}
 	return d
 }
@@ -60,5 +72,15 @@
 	r.meter.Gauge("kcw_router_limited_upstreams", "Upstreams that name a rate limit.",
 		func(observe func(int64, ...attribute.KeyValue)) { observe(r.quota.Limited()) })
 	r.meter.Gauge("kcw_router_document", "Version of the configuration in force.",
-		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(r.dump().Document)) })
+		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(r.reporter.version())) })
+	r.meter.Gauge("kcw_router_document_age", "Time since the configuration in force came, in milliseconds; none before the first.",
+		func(observe func(int64, ...attribute.KeyValue)) {
+			if b := r.reporter.belief(); b.Version != 0 {
+				observe(time.Since(b.ReceivedAt).Milliseconds())
+			}
+		})
+	r.meter.Gauge("kcw_router_contact_age", "Time since the last report that the core has answered was sent, in milliseconds.",
+		func(observe func(int64, ...attribute.KeyValue)) {
+			observe(time.Since(r.reporter.belief().ContactAt).Milliseconds())
+		})
 }
--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -14,8 +16,9 @@
 // timeBounds are the upper bounds of the histogram buckets, in seconds.
 var timeBounds = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.6, 0.8, 1, 2, 4, 6, 15}
 
-// newObserver returns a callback that logs and counts each request when it ends.
-func newObserver(m *kcwmeter.Meter) func(kcwforward.Event) {
+// newObserver returns a callback that logs and counts each request when it ends. Believe
+// returns what the router knows of the configuration.
+func newObserver(m *kcwmeter.Meter, believe func() belief) func(kcwforward.Event) {
 	requests := m.Counter("kcw_router_requests", "Requests that ended, by service, outcome and status.")
 	sends := m.Counter("kcw_router_sends", "Attempts at upstreams, by service.")
 	cut := m.Counter("kcw_router_attempts_cut", "Last attempts of requests whose upstream closed the connection, by service and whether an answer had begun.")
@@ -38,9 +41,26 @@
 			used.Add(ctx, e.Used, metric.WithAttributes(attribute.String("team", e.Team)))
 		}
 		logRequest(e)
+		if isNotAllowed(e) {
+			logNotAllowed(e, believe())
+		}
 	}
 }
 
+// isNotAllowed reports whether the router refused a request for want of a route or key. The
+// answer of an upstream may have the same status.
+func isNotAllowed(e kcwforward.Event) bool {
+	return e.Sends == 0 && (e.Status == http.StatusUnauthorized || e.Status == http.StatusForbidden || e.Status == http.StatusNotFound)
+}
+
+// logNotAllowed logs the version that does not allow a request, and the age of the last
+// contact with the core.
+func logNotAllowed(e kcwforward.Event, b belief) {
+	klog.InfoS("Configuration does not allow the request", "Request", e.RequestID, "Outcome", e.Outcome, "Status", e.Status,
+		"Version", e.Document, "Newest", b.Version, "From", b.From, "VersionAge", time.Since(b.ReceivedAt).String(),
+		"Member", b.Host, "ContactAge", time.Since(b.ContactAt).String(), "CoreLost", b.IsLost)
+}
+
 // logRequest logs the end of a request, and the state of the team's budget if that
 // made the router refuse it.
 func logRequest(e kcwforward.Event) {
--- a/kcw-fleet/kcwrouter/reporter.go
+++ b/kcw-fleet/kcwrouter/reporter.go
@@ -60,10 +60,15 @@
 	// listVersion and listReader identify the core's list in force.
 	listVersion uint64
 	listReader  string
-	// answeredAt is when the last report that the core answered was sent. coreLost is
-	// set while the core counts as lost.
+	// answeredAt is when the last report that the core answered was sent, the start of the
+	// router if there is none. host is the host that answered it. coreLost is set while the
+	// core counts as lost.
 	answeredAt time.Time
+	host       netip.AddrPort
 	coreLost   bool
+	// documentFrom is the host that sent the document in force, and documentAt when it came.
+	documentFrom netip.AddrPort
+	documentAt   time.Time
 	// round is the next report. A value on wake starts it at once.
 	round *round
 	wake  chan struct{}
@@ -167,44 +172,80 @@
 	p.guard.Report(req)
 	p.quota.Report(req)
 	sentUptime := p.uptime.Time()
-	response, err := p.call(ctx, req)
+	response, host, err := p.call(ctx, req)
 	p.guard.EndReport(req, response)
 	p.quota.EndReport(response, sentUptime)
-	if isLost := p.recordOutcome(sentAt, err); isLost {
+	gap, isLost := p.recordOutcome(sentAt, host, err)
+	if isLost {
 		p.guard.DecideAlone()
 	}
 	if err == nil {
 		p.applyResponse(response, report)
+		p.applyDocument(response.GetDocument(), host, gap)
 	}
 	current.answered = err == nil
 	close(current.done)
 }
 
-// call sends one report to the core.
-func (p *reporter) call(ctx context.Context, req *kcwpb.FleetSyncRequest) (*kcwpb.FleetSyncResponse, error) {
+// call sends one report to the core. It returns the answer and the host that gave it.
+func (p *reporter) call(ctx context.Context, req *kcwpb.FleetSyncRequest) (*kcwpb.FleetSyncResponse, netip.AddrPort, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.settings.Core.Timeout)
 	defer cancel()
 	return p.client.Sync(ctx, req)
 }
 
-// recordOutcome records the outcome of the report sent at sentAt, and returns whether the
-// core counts as lost. It logs when the core is lost or answers again.
-func (p *reporter) recordOutcome(sentAt time.Time, err error) (isLost bool) {
+// recordOutcome records the outcome of the report sent at sentAt, and the host that answered
+// it. It returns the time since the report before that was answered, and whether the core
+// counts as lost. It logs when the core is lost or answers again.
+func (p *reporter) recordOutcome(sentAt time.Time, host netip.AddrPort, err error) (gap time.Duration, isLost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	gap = sentAt.Sub(p.answeredAt)
 	if err == nil {
 		if p.coreLost {
-			klog.InfoS("Core regained", "Silent", sentAt.Sub(p.answeredAt).String(), "Member", p.client.Leader())
+			klog.InfoS("Core regained", "Silent", gap.String(), "Member", host, "Version", p.version(), "Before", p.host)
 		}
 		p.coreLost = false
-		p.answeredAt = sentAt
-		return false
+		p.answeredAt, p.host = sentAt, host
+		return gap, false
 	}
-	if !p.coreLost && sentAt.Sub(p.answeredAt) > coreLostAfter {
+	if !p.coreLost && gap > coreLostAfter {
 		p.coreLost = true
-		klog.InfoS("Core lost", "Cause", err.Error(), "LastHeardAt", p.answeredAt)
+		klog.InfoS("Core lost", "Cause", err.Error(), "LastHeardAt", p.answeredAt, "Member", p.host, "Version", p.version(), "From", p.documentFrom)
+	}
+	return gap, p.coreLost
+}
+
+// version returns the version of the document in force, zero if there is none.
+func (p *reporter) version() uint64 {
+	if document := p.document.Load(); document != nil {
+		return document.Version
+	}
+	return 0
+}
+
+// belief is what a router knows of the configuration, and how old that is.
+type belief struct {
+	// Version is that of the document in force, zero if there is none. From is the host of
+	// the core that sent it, at ReceivedAt.
+	Version    uint64
+	From       netip.AddrPort
+	ReceivedAt time.Time
+	// Host is the host of the core that answered the last report, sent at ContactAt. It is
+	// not valid before the first answer; ContactAt is then the start of the router.
+	Host      netip.AddrPort
+	ContactAt time.Time
+	// IsLost is set while the core counts as lost.
+	IsLost bool
+}
+
+// belief returns what the router knows of the configuration.
+func (p *reporter) belief() belief {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return belief{
+		Version: p.version(), From: p.documentFrom, ReceivedAt: p.documentAt, Host: p.host, ContactAt: p.answeredAt, IsLost: p.coreLost,
 	}
-	return p.coreLost
 }
 
 // coreLostAfter is the time without an answer from any member after which the core
@@ -226,7 +267,6 @@
 		p.peers.Store(&peers)
 		p.lending.SetLenders(peers)
 	}
-	p.applyDocument(response.GetDocument())
 	if response.GetListAgeNanos() > 0 {
 		p.applyCoreList(response, report.At)
 	}
@@ -249,10 +289,11 @@
 	p.incarnation = newest + 1
 }
 
-// applyDocument puts a document in force if it is newer than the current one.
-func (p *reporter) applyDocument(put *kcwpb.PutDocument) {
-	current := p.document.Load()
-	if put.GetVersion() == 0 || current != nil && put.GetVersion() <= current.Version {
+// applyDocument puts a document that host sent in force if it is newer than the current one.
+// Gap is the time between its report and the report before that was answered.
+func (p *reporter) applyDocument(put *kcwpb.PutDocument, host netip.AddrPort, gap time.Duration) {
+	before := p.version()
+	if put.GetVersion() <= before {
 		return
 	}
 	body, err := kcwcontrol.Unpack(put)
@@ -265,12 +306,11 @@
 		klog.ErrorS(err, "Document is invalid", "Version", put.GetVersion())
 		return
 	}
+	p.mu.Lock()
 	p.document.Store(document)
-	var before uint64
-	if current != nil {
-		before = current.Version
-	}
-	klog.InfoS("Document in force", "Version", document.Version, "Before", before, "Routes", len(document.Routes), "Teams", len(document.Teams))
+	p.documentFrom, p.documentAt = host, time.Now()
+	p.mu.Unlock()
+	klog.InfoS("Document in force", "Version", document.Version, "Before", before, "From", host, "ContactGap", gap.String(), "Routes", len(document.Routes), "Teams", len(document.Teams))
 }
 
 // applyCoreList applies the core's list, or, if the answer has none, confirms the
