--- a/kcw-fleet/kcwcore/bound_test.go
+++ b/kcw-fleet/kcwcore/bound_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,11 +37,17 @@
 	// answering hosts answer as leader, or refuse and name whom they believe to lead.
 	answering state = iota
 	// unpowered hosts accept no connection and do not refuse it. Frozen hosts accept
-	// connections and calls and never answer.
+	// connections and calls and never answer. Killed hosts refuse connections. Silent hosts
+	// answer on new connections only.
 	unpowered
 	frozen
+	killed
+	silent
 )
 
+// connAge is the key of the number of changes before a connection was opened.
+type connAge struct{}
+
 // simHost is a simulated host that serves the core.
 type simHost struct {
 	kcwpbconnect.UnimplementedFleetHandler
@@ -62,8 +69,10 @@
 	mu    sync.Mutex
 	hosts map[string]*simHost
 	// core holds the addresses of the members.
-	core  []string
-	ended chan struct{}
+	core []string
+	// changes counts the changes of state.
+	changes int
+	ended   chan struct{}
 }
 
 func newSimNet() *simNet { return &simNet{hosts: map[string]*simHost{}, ended: make(chan struct{})} }
@@ -72,7 +81,11 @@
 func (s *simNet) add(n int) *simHost {
 	h := &simHost{sim: s, address: simAddress(n), conns: make(chan net.Conn)}
 	_, handler := kcwpbconnect.NewFleetHandler(h)
-	h.server = &http.Server{Handler: handler}
+	h.server = &http.Server{Handler: handler, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return context.WithValue(ctx, connAge{}, s.changes)
+	}}
 	go func() { _ = h.server.Serve(h) }()
 	s.hosts[h.address.String()] = h
 	return h
@@ -99,9 +112,12 @@
 func (h *simHost) Addr() net.Addr { return net.TCPAddrFromAddrPort(h.address) }
 
 // Sync implements kcwpbconnect.FleetHandler.
-func (h *simHost) Sync(_ context.Context, _ *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+func (h *simHost) Sync(ctx context.Context, _ *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
 	h.sim.mu.Lock()
 	state, believed, core := h.state, h.believed, h.sim.core
+	if state == silent && ctx.Value(connAge{}) == h.sim.changes {
+		state = answering
+	}
 	h.sim.mu.Unlock()
 	if state != answering || h.locates && !believed.IsValid() {
 		<-h.sim.ended
@@ -122,7 +138,11 @@
 	s.mu.Lock()
 	h := s.hosts[address]
 	down := h == nil || h.state == unpowered
+	refuses := h != nil && h.state == killed
 	s.mu.Unlock()
+	if refuses {
+		return nil, syscall.ECONNREFUSED
+	}
 	if down {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
@@ -152,20 +172,12 @@
 	}
 }
 
-// lose changes the state of the leader to lost. Members still believe it to lead if isNamed
-// is set. Hosts without a disk do not, and have no power if isUnpowered is set.
-func (s *simNet) lose(leader *simHost, lost state, isNamed, isUnpowered bool) {
+// change changes states and beliefs.
+func (s *simNet) change(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	leader.state = lost
-	for _, h := range s.hosts {
-		if h.locates || !isNamed {
-			h.believed = netip.AddrPort{}
-		}
-		if h.locates && isUnpowered {
-			h.state = unpowered
-		}
-	}
+	s.changes++
+	f()
 }
 
 // reportUntilAnswered reports as a router does until the leader answers, for at most a
@@ -199,24 +211,54 @@
 		name string
 		// locators are hosts without a disk and gone former members, all known to the router.
 		locators, gone int
-		lost           state
-		// isNamed is set if the members name the lost leader until the election.
-		isNamed bool
-		// isUnpowered is set if the hosts without a disk have no power.
-		isUnpowered bool
+		// lose changes the states and the beliefs of members, the first of which leads, and
+		// of hosts without a disk.
+		lose func(members, locators []*simHost)
 	}{
-		{name: "frozen leader", lost: frozen},
-		{name: "frozen leader that members name", lost: frozen, isNamed: true},
-		{name: "leader without power that members name", lost: unpowered, isNamed: true},
-		{name: "hosts without a disk that search", lost: frozen, isNamed: true, locators: 3},
-		{name: "hosts without a disk and without power", lost: frozen, isNamed: true, locators: 3, isUnpowered: true},
-		{name: "former members", lost: frozen, isNamed: true, gone: 6},
-		{name: "former members, no leader named", lost: unpowered, gone: 6, locators: 3},
-		{name: "former members and hosts without a disk", lost: unpowered, isNamed: true, gone: 6, locators: 3},
-		{name: "many former members", lost: unpowered, isNamed: true, gone: 12},
+		{name: "killed leader", lose: func(m, _ []*simHost) { m[0].state = killed }},
+		{name: "frozen leader that members name", lose: func(m, _ []*simHost) { m[0].state = frozen }},
+		{name: "frozen leader", lose: func(m, _ []*simHost) {
+			m[0].state = frozen
+			forget(m)
+		}},
+		{name: "leader without power that members name", lose: func(m, _ []*simHost) { m[0].state = unpowered }},
+		{name: "deposed leader that names none", lose: func(m, _ []*simHost) { forget(m) }},
+		{name: "deposed leaders that name each other", lose: func(m, _ []*simHost) {
+			m[0].believed, m[1].believed = m[1].address, m[0].address
+		}},
+		{name: "silent connections", lose: func(m, l []*simHost) {
+			for _, h := range append(m, l...) {
+				h.state = silent
+			}
+		}, locators: 3},
+		{name: "silent connections to members without a leader", lose: func(m, _ []*simHost) {
+			m[1].state, m[2].state = silent, silent
+			m[0].state = frozen
+			forget(m)
+		}},
+		{name: "hosts without a disk that search", locators: 3, lose: func(m, l []*simHost) {
+			m[0].state = frozen
+			forget(l)
+		}},
+		{name: "hosts without a disk and without power", locators: 3, lose: func(m, l []*simHost) {
+			m[0].state = frozen
+			for _, h := range l {
+				h.state = unpowered
+			}
+		}},
+		{name: "former members", gone: 6, lose: func(m, _ []*simHost) { m[0].state = frozen }},
+		{name: "former members, no leader named", gone: 6, locators: 3, lose: func(m, l []*simHost) {
+			m[0].state = unpowered
+			forget(append(m, l...))
+		}},
+		{name: "former members and hosts without a disk", gone: 6, locators: 3, lose: func(m, l []*simHost) {
+			m[0].state = unpowered
+			forget(l)
+		}},
+		{name: "many former members", gone: 12, lose: func(m, _ []*simHost) { m[0].state = unpowered }},
 	} {
 		worst := time.Duration(0)
-		for election := 500 * time.Millisecond; election <= 4*time.Second; election += 150 * time.Millisecond {
+		for election := time.Duration(0); election <= 4*time.Second; election += 150 * time.Millisecond {
 			synctest.Test(t, func(t *testing.T) {
 				s := newSimNet()
 				members := []*simHost{s.add(1), s.add(2), s.add(3)}
@@ -224,9 +266,11 @@
 				for n := range test.gone {
 					view.Hosts = append(view.Hosts, kcwdirectory.Host{Address: simAddress(20 + n), Member: true, Age: time.Minute})
 				}
+				var locators []*simHost
 				for n := range test.locators {
 					h := s.add(10 + n)
 					h.locates = true
+					locators = append(locators, h)
 					view.Hosts = append(view.Hosts, kcwdirectory.Host{Address: h.address})
 				}
 				seeds := []netip.AddrPort{members[0].address, members[1].address, members[2].address}
@@ -237,7 +281,7 @@
 				c.Merge(view)
 				s.reportUntilAnswered(t, c)
 				lostAt := time.Now()
-				s.lose(members[0], test.lost, test.isNamed, test.isUnpowered)
+				s.change(func() { test.lose(members, locators) })
 				time.AfterFunc(election, func() { s.lead(members[2].address, seeds) })
 				time.Sleep(reportPause)
 				s.reportUntilAnswered(t, c)
@@ -245,7 +289,14 @@
 			})
 		}
 		if worst > applyBound {
-			t.Errorf("%s: the router found the new leader %v after its election, want %v at most", test.name, worst, applyBound)
+			t.Errorf("%s: the router found the leader %v after it led, want %v at most", test.name, worst, applyBound)
 		}
 	}
 }
+
+// forget makes hosts believe that none leads.
+func forget(hosts []*simHost) {
+	for _, h := range hosts {
+		h.believed = netip.AddrPort{}
+	}
+}
