kcw-fleet, kcwkeyring: read the state dump with a key that the daemon creates

On call, the dumps of a fleet's routers and members answered 401 to everybody: kcwadmin requires an operator key, and the settings of kcw-fleet had none.

[Host] OperatorKeyFile names the file with the key, as at kcw-router and kcw-ledger. The platform hands no secret to daemons, so a daemon that finds no file creates one with a random key that only its user can read; a file that other users may read or replace is refused. Callers on the same host get no exception: a router that follows a forged entry of the list could be made to call its own host. Without the setting the dump stays closed, since a router's operator address is also its readiness address.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -191,7 +191,8 @@
 	}
 	m.admin, err = kcwadmin.New(kcwadmin.Config{
 		Address: s.Host.AdminAddress, Ready: ready, Metrics: m.meter.Handler(),
-		Dump: func(context.Context) any { return m.dump() },
+		OperatorKey: kcwsetup.LoadOperatorKey(s.Host.OperatorKeyFile),
+		Dump:        func(context.Context) any { return m.dump() },
 	})
 	return err
 }
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -253,7 +253,8 @@
 	r.registerMetrics()
 	r.admin, err = kcwadmin.New(kcwadmin.Config{
 		Address: s.Host.AdminAddress, Ready: r.ready, Metrics: r.meter.Handler(),
-		Dump: func(context.Context) any { return r.dump() },
+		OperatorKey: kcwsetup.LoadOperatorKey(s.Host.OperatorKeyFile),
+		Dump:        func(context.Context) any { return r.dump() },
 	})
 	return err
 }
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -7,7 +7,10 @@
 	"runtime/debug"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"kingcupwick.example/kcw/kcwdetector"
+	"kingcupwick.example/kcw/kcwkeyring"
 	"kingcupwick.example/kcw/kcwsettings"
 )
 
@@ -46,6 +49,9 @@
 	// LendPort is the port at which the router serves other routers, on the host of
 	// Address. Zero selects the port after Core.Port.
 	LendPort uint16
+	// OperatorKeyFile holds the key for the state dump. If there is no such file, the process
+	// creates it with a random key. If the setting is empty, the dump is refused.
+	OperatorKeyFile string
 }
 
 // Core configures how a router finds the core and how often it reports.
@@ -218,7 +224,7 @@
 	Zone string `setting:"required"`
 	// Address is where operators reach the member; its port must be the same at all
 	// members. PeerAddress is for other members and for routers. AdminAddress serves
-	// health, readiness and metrics.
+	// health, readiness, metrics and the state dump.
 	Address      netip.AddrPort `setting:"required"`
 	PeerAddress  netip.AddrPort `setting:"required"`
 	AdminAddress netip.AddrPort `setting:"required"`
@@ -230,6 +236,9 @@
 	// LinkMbps is the rate of the host's network link in Mbit/s, zero if it is
 	// unlimited. Documents are sent to routers at a fraction of it.
 	LinkMbps float64 `default:"0" setting:"min=0,max=10000000"`
+	// OperatorKeyFile holds the key for the state dump. If there is no such file, the process
+	// creates it with a random key. If the setting is empty, the dump is refused.
+	OperatorKeyFile string
 }
 
 // Group configures the replicated log.
@@ -281,6 +290,19 @@
 	return s, nil
 }
 
+// LoadOperatorKey returns the key for the state dump from the file at path, empty if the dump
+// is refused. A key that can't be used is logged, since it is no reason not to serve.
+func LoadOperatorKey(path string) string {
+	if path == "" {
+		return ""
+	}
+	key, err := kcwkeyring.ReadOrCreateKey(path)
+	if err != nil {
+		klog.ErrorS(err, "State dump refused for want of a key", "Path", path)
+	}
+	return key
+}
+
 // Addresses returns the addresses at which the seeds of the core serve routers.
 func (c *Core) Addresses() []netip.AddrPort { return withPort(c.Seeds, c.Port) }
 
--- a/kcw/kcwkeyring/keyring.go
+++ b/kcw/kcwkeyring/keyring.go
@@ -3,12 +3,18 @@
 package kcwkeyring
 
 import (
+	"cmp"
+	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"errors"
+	"io"
+	"io/fs"
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -26,7 +32,7 @@
 const (
 	// KindInvalid means that a key is too short or a hash is malformed.
 	KindInvalid Kind = iota + 1
-	// KindRead means that a key file cannot be read.
+	// KindRead means that a key file cannot be read or created.
 	KindRead
 )
 
@@ -145,6 +151,11 @@
 	if err != nil {
 		return "", &Error{Op: "read", Kind: KindRead, Err: eris.Wrap(err, "key file")}
 	}
+	return parseKey(raw, path)
+}
+
+// parseKey returns the key in the text of the key file at path.
+func parseKey(raw []byte, path string) (string, error) {
 	line, _, _ := strings.Cut(string(raw), "\n")
 	key := strings.TrimSpace(line)
 	if len(key) < minKeyBytes {
@@ -152,3 +163,52 @@
 	}
 	return key, nil
 }
+
+// keyFileMode is the mode of a created key file, and sharedModes are the permissions that a
+// private key file must not give: write to the group, and any to others.
+const (
+	keyFileMode = 0o600
+	sharedModes = 0o027
+)
+
+// ReadOrCreateKey returns the key in the file at path, as ReadKey does. If there is no file,
+// it creates one with a random key that only this process's user can read. Otherwise the
+// file must belong to that user or to the superuser, who alone may write it, and others must
+// not be able to read it, so that no other user chooses or knows the key. The error is an
+// *Error.
+func ReadOrCreateKey(path string) (string, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, keyFileMode)
+	if err == nil {
+		return writeKey(file)
+	}
+	if !errors.Is(err, fs.ErrExist) {
+		return "", &Error{Op: "create", Kind: KindRead, Name: path, Err: eris.Wrap(err, "key file")}
+	}
+	if file, err = os.Open(path); err != nil {
+		return "", &Error{Op: "read", Kind: KindRead, Name: path, Err: eris.Wrap(err, "key file")}
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		return "", &Error{Op: "read", Kind: KindRead, Name: path, Err: eris.Wrap(err, "key file")}
+	}
+	owner, isKnown := info.Sys().(*syscall.Stat_t)
+	if !isKnown || owner.Uid != 0 && int(owner.Uid) != os.Geteuid() || info.Mode().Perm()&sharedModes != 0 {
+		return "", &Error{Op: "read", Kind: KindInvalid, Name: path, Err: eris.New("other users may read or replace the key")}
+	}
+	raw, err := io.ReadAll(file)
+	if err != nil {
+		return "", &Error{Op: "read", Kind: KindRead, Name: path, Err: eris.Wrap(err, "key file")}
+	}
+	return parseKey(raw, path)
+}
+
+// writeKey writes a random key to file, closes the file and returns the key.
+func writeKey(file *os.File) (string, error) {
+	key := rand.Text()
+	_, err := file.WriteString(key + "\n")
+	if err = cmp.Or(err, file.Close()); err != nil {
+		return "", &Error{Op: "create", Kind: KindRead, Name: file.Name(), Err: eris.Wrap(err, "key file")}
+	}
+	return key, nil
+}
--- a/kcw/kcwkeyring/keyring_test.go
+++ b/kcw/kcwkeyring/keyring_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -77,3 +78,57 @@
 		t.Error("ReadKey of a missing file gave no error")
 	}
 }
+
+// TestReadOrCreateKey checks that a key file is created once, and that a file which other
+// users may read or replace is refused.
+func TestReadOrCreateKey(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "created")
+	created, err := ReadOrCreateKey(path)
+	if err != nil || len(created) < minKeyBytes {
+		t.Fatalf("ReadOrCreateKey = %q, %v", created, err)
+	}
+	info, err := os.Stat(path)
+	if err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("the file has mode %v, %v", info.Mode(), err)
+	}
+	if again, err := ReadOrCreateKey(path); err != nil || again != created {
+		t.Errorf("the second call gave %q, %v", again, err)
+	}
+	if other, err := ReadOrCreateKey(path + "2"); err != nil || other == created {
+		t.Errorf("another file got the key %q, %v", other, err)
+	}
+	for _, test := range []struct {
+		mode os.FileMode
+		text string
+		kind Kind
+	}{
+		{0o600, keyA, 0},
+		{0o440, keyA, 0},
+		{0o660, keyA, KindInvalid},
+		{0o644, keyA, KindInvalid},
+		{0o602, keyA, KindInvalid},
+		{0o600, "short", KindInvalid},
+	} {
+		path := filepath.Join(folder, "given")
+		_ = os.Remove(path)
+		if err := os.WriteFile(path, []byte(test.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chmod(path, test.mode); err != nil {
+			t.Fatal(err)
+		}
+		key, err := ReadOrCreateKey(path)
+		var typed *Error
+		switch {
+		case test.kind == 0 && (err != nil || key != test.text):
+			t.Errorf("mode %v: got %q, %v", test.mode, key, err)
+		case test.kind != 0 && (!errors.As(err, &typed) || typed.Kind != test.kind):
+			t.Errorf("mode %v, %q: got %v", test.mode, test.text, err)
+		}
+	}
+	var typed *Error
+	if _, err := ReadOrCreateKey(filepath.Join(folder, "missing", "key")); !errors.As(err, &typed) || typed.Kind != KindRead {
+		t.Errorf("a missing folder gave %v", err)
+	}
+}
