--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -82,6 +82,9 @@
 
 	mu        sync.Mutex
 	directory *kcwdirectory.Directory
+	// answered is the host that last answered as leader, failure why a host has not since.
+	answered netip.AddrPort
+	failure  string
 }
 
 // New returns a Client.
@@ -148,24 +151,25 @@
 	return kcwpbconnect.NewFleetClient(c.http, "http://"+host.String(), connect.WithReadMaxBytes(maxAnswerBytes))
 }
 
-// Sync calls Fleet.Sync at the leader and merges the membership in the answer. It tries
-// other hosts if one refuses the call or can't be reached. The error is an *Error.
-func (c *Client) Sync(ctx context.Context, req *kcwpb.FleetSyncRequest) (*kcwpb.FleetSyncResponse, error) {
-	var response *connect.Response[kcwpb.FleetSyncResponse]
-	host, err := c.callLeader(ctx, "sync", func(fleet kcwpbconnect.FleetClient) error {
+// Sync calls Fleet.Sync at the leader, merges the membership in the answer, and returns the
+// host that answered. It tries other hosts if one refuses the call or can't be reached. The
+// error is an *Error.
+func (c *Client) Sync(ctx context.Context, req *kcwpb.FleetSyncRequest) (response *kcwpb.FleetSyncResponse, host netip.AddrPort, err error) {
+	var answer *connect.Response[kcwpb.FleetSyncResponse]
+	host, err = c.callLeader(ctx, "sync", func(fleet kcwpbconnect.FleetClient) error {
 		var err error
-		response, err = fleet.Sync(ctx, connect.NewRequest(req))
+		answer, err = fleet.Sync(ctx, connect.NewRequest(req))
 		return err
 	})
 	if err != nil {
-		return nil, err
+		return nil, netip.AddrPort{}, err
 	}
 	view := kcwdirectory.View{Leader: host}
-	for _, member := range ParseAddresses(response.Msg.GetCore()) {
+	for _, member := range ParseAddresses(answer.Msg.GetCore()) {
 		view.Hosts = append(view.Hosts, kcwdirectory.Host{Address: member, Member: true})
 	}
 	c.Merge(view)
-	return response.Msg, nil
+	return answer.Msg, host, nil
 }
 
 // Admit asks the leader to admit a replica. The error is an *Error.
@@ -196,16 +200,20 @@
 // address. It stops at an error other than Unavailable.
 func (c *Client) callLeader(ctx context.Context, op string, call func(kcwpbconnect.FleetClient) error) (netip.AddrPort, error) {
 	err := &Error{Op: op, Kind: Unanswered, Err: errors.New("no host is known")}
+	var tried []netip.AddrPort
 	for range maxTries {
-		host := c.nextHost()
+		host := c.nextHost(tried)
 		if !host.IsValid() {
 			break
 		}
+		tried = append(tried, host)
+		startedAt := time.Now()
 		cause := call(c.fleetClient(host))
 		if cause == nil {
+			c.recordAnswer(op, host)
 			return host, nil
 		}
-		err = c.recordFailure(op, host, cause)
+		err = c.recordFailure(op, host, startedAt, cause)
 		if ctx.Err() != nil || connect.CodeOf(cause) != connect.CodeUnavailable {
 			break
 		}
@@ -213,16 +221,34 @@
 	return netip.AddrPort{}, err
 }
 
-// nextHost returns the next host to call.
-func (c *Client) nextHost() netip.AddrPort {
+// nextHost returns the next host to call in a search that has called the hosts in tried. The
+// last try goes to the host whose last call is the longest ago.
+func (c *Client) nextHost(tried []netip.AddrPort) netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(tried) < maxTries-1 {
+		if host := c.directory.NextAfter(tried, time.Now()); host.IsValid() {
+			return host
+		}
+	}
 	return c.directory.Next(time.Now())
 }
 
-// recordFailure records that host did not answer as leader, and merges the leader and
-// the hosts that its refusal names.
-func (c *Client) recordFailure(op string, host netip.AddrPort, err error) *Error {
+// recordAnswer records that host answered as leader, and logs if another one did before.
+func (c *Client) recordAnswer(op string, host netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.directory.RecordContact(host, time.Now())
+	if host != c.answered {
+		klog.InfoS("Leader of the core changed", "Operation", op, "Member", host, "Before", c.answered, "Cause", c.failure)
+	}
+	c.answered, c.failure = host, ""
+}
+
+// recordFailure records that host did not answer a call, begun at startedAt, as leader, and
+// merges the leader and the hosts that its refusal names. A host without an answer counts as
+// silent if it had as much time as a connection needs.
+func (c *Client) recordFailure(op string, host netip.AddrPort, startedAt time.Time, err error) *Error {
 	if errors.Is(err, context.DeadlineExceeded) {
 		// The connection may be dead, so it must not be reused.
 		c.transport.CloseIdleConnections()
@@ -230,9 +256,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	c.directory.RecordFailure(host, now)
 	var refused *connect.Error
-	if errors.As(err, &refused) {
+	isRefused := errors.As(err, &refused) && connect.IsWireError(err)
+	switch {
+	case isRefused:
+		c.directory.RecordFailure(host, now)
+		c.directory.RecordContact(host, now)
+	case now.Sub(startedAt) >= dialTimeout:
+		c.directory.RecordSilence(host, now)
+	default:
+		c.directory.RecordFailure(host, now)
+	}
+	if isRefused {
 		view := kcwdirectory.View{}
 		if leader, err := netip.ParseAddrPort(refused.Meta().Get(kcwledger.LeaderHeader)); err == nil && leader != host {
 			view.Leader = leader
@@ -244,7 +279,9 @@
 		}
 		c.directory.Merge(view, now)
 	}
-	return &Error{Op: op, Kind: Unanswered, Member: host, Err: eris.Wrap(err, "call")}
+	failure := &Error{Op: op, Kind: Unanswered, Member: host, Err: eris.Wrap(err, "call")}
+	c.failure = failure.Error()
+	return failure
 }
 
 // Announce exchanges views with the host at address. It sends self as this host's own
@@ -268,7 +305,7 @@
 // AnnounceNext exchanges views with the next host to call. A host without a disk uses it
 // to locate the leader. The error is an *Error.
 func (c *Client) AnnounceNext(ctx context.Context, self netip.AddrPort) error {
-	host := c.nextHost()
+	host := c.nextHost(nil)
 	if !host.IsValid() {
 		return &Error{Op: "ask", Kind: Unanswered, Err: errors.New("no host is known")}
 	}
