kcwforward: an answer on a stream route that is no stream is billed

Since answers of another type are passed on unchanged on stream routes, their events are not counted, and a team was billed the prompt alone. The largest number of tokens that the request allows is billed for such an answer with a body, so that a team's use is never more than what is billed.

TestAnswerThatIsNoStreamIsBilled failed before: "text: spent 500 and reserved 0, want 600 and 0".

--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -66,7 +66,10 @@
 	// isAtLimit is set if the request ends because all upstreams are at their rate limits.
 	isAtLimit bool
 	stream    streamProgress
-	event     Event
+	// isUnmeasured is set if an answer on a stream route had a body without events, so that
+	// the number of its tokens isn't known.
+	isUnmeasured bool
+	event        Event
 }
 
 // refusal is the router's own answer to a request that no upstream has run.
@@ -279,6 +282,9 @@
 	used := int64(0)
 	if c.mayHaveRun {
 		out := min(c.stream.events*max(c.service.EventTokens, 1), c.request.OutputTokens)
+		if c.isUnmeasured {
+			out = c.request.OutputTokens
+		}
 		used = c.request.PromptTokens + out
 	}
 	c.event.Used = used
--- a/kcw/kcwforward/resume_test.go
+++ b/kcw/kcwforward/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -241,6 +242,36 @@
 	}
 }
 
+// TestAnswerThatIsNoStreamIsBilled guards against tokens that are not billed since an answer on a
+// stream route has no events.
+func TestAnswerThatIsNoStreamIsBilled(t *testing.T) {
+	const prompt, output = 500, 100
+	for _, test := range []struct {
+		name   string
+		script func(e *exchange)
+		used   int64
+	}{
+		{"text", framed(200, "Content-Type: text/plain\r\n", whole), prompt + output},
+		{"nothing", raw(204, "", ""), prompt},
+		{"failure", framed(500, "Content-Type: text/plain\r\n", "failed"), prompt},
+		{"stream", goOn, prompt + 4*3},
+	} {
+		route := stream
+		route.Generates = true
+		f := newFixture(t, 1, route, test.script)
+		f.grant(1000, 0, 1000)
+		if _, _, err := f.call(t, http.MethodPost, "", "Prompt", strconv.Itoa(prompt), "Output", strconv.Itoa(output)); err != nil {
+			t.Errorf("%s: %v", test.name, err)
+		}
+		for f.forwarder.InFlight() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
+			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
+		}
+	}
+}
+
 // TestOtherFirstAnswerIsUnchanged guards against a first answer that is no stream and does not
 // reach the caller as its upstream sent it.
 func TestOtherFirstAnswerIsUnchanged(t *testing.T) {
