kcwforward, kcwrouter: surplus answers are counted in the log

The lines "Request ended" and "Attempt failed" state how many answers to other requests came before those to the request, which shows a faulty upstream. The comments of the tests for surplus answers and resumed streams are shortened.

--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -52,7 +52,7 @@
 		"Route", e.Route, "Team", e.Team, "Service", e.Service, "Upstream", e.Upstream, "Sends", e.Sends,
 		"Permit", e.Permit, "Displaced", e.Displaced,
 		"Elapsed", e.Elapsed.String(), "FirstByte", e.FirstByte.String(), "RetryAfter", e.RetryAfter.String(),
-		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used, "Cut", e.Cut, "Parts", loggedParts(e))
+		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used, "Cut", e.Cut, "Surplus", e.Surplus, "Parts", loggedParts(e))
 }
 
 // loggedParts returns the parts of the prompt of a request whose upstream closed the
@@ -67,7 +67,7 @@
 // logRetry logs a failed attempt that is followed by another.
 func logRetry(e kcwforward.Event) {
 	klog.InfoS("Attempt failed", "Request", e.RequestID, "Cause", e.Cause, "Service", e.Service, "Upstream", e.Upstream,
-		"Sends", e.Sends, "ListAge", e.ListAge.String(), "Cut", e.Cut, "Begun", e.Begun, "Parts", loggedParts(e))
+		"Sends", e.Sends, "ListAge", e.ListAge.String(), "Cut", e.Cut, "Surplus", e.Surplus, "Begun", e.Begun, "Parts", loggedParts(e))
 }
 
 // logWithdrawal logs an answer whose upstream declines further requests.
--- a/kcw/kcwconn/pool_test.go
+++ b/kcw/kcwconn/pool_test.go
@@ -103,8 +103,7 @@
 	}
 }
 
-// TestSameIdentityTakesOtherConnection guards against an answer to an earlier request that
-// can't be told from the answer to a later one on the same connection.
+// An earlier answer can't be told from one with the same identity.
 func TestSameIdentityTakesOtherConnection(t *testing.T) {
 	for _, test := range []struct {
 		name string
@@ -129,8 +128,7 @@
 	}
 }
 
-// TestConnectionCarriesBoundedRequests checks that the number of requests of a connection is
-// bounded, and with it the memory for their identities.
+// The memory for the identities of a connection is bounded.
 func TestConnectionCarriesBoundedRequests(t *testing.T) {
 	pool := newPool(t, time.Now, "")
 	const requests = 2 * 256
@@ -157,8 +155,7 @@
 	}
 }
 
-// TestIdleConnectionWithBytesIsNotReused guards against bytes that arrive while a connection
-// is idle and are read as the answer to the next request.
+// Bytes arrive, or the upstream closes, while a connection is idle.
 func TestIdleConnectionWithBytesIsNotReused(t *testing.T) {
 	for _, test := range []struct {
 		name   string
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -396,6 +396,7 @@
 		if isOwn {
 			return response, info, nil
 		}
+		a.event.Surplus++
 		if surplus++; surplus > maxSurplusAnswers {
 			return nil, ResponseInfo{}, errors.New("answers to other requests do not end")
 		}
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -131,6 +131,9 @@
 	// Cut is set if the upstream closed the connection of the last attempt before its
 	// answer was whole, and Begun if a part of an answer had been passed on by then.
 	Cut, Begun bool
+	// Surplus is the number of answers to other requests that came before those to this
+	// one, in all attempts.
+	Surplus int
 	// Parts are those of RequestInfo.
 	Parts []string
 	// Elapsed is the time from the arrival of the request to its end, zero for a
--- a/kcw/kcwforward/resume_property_test.go
+++ b/kcw/kcwforward/resume_property_test.go
@@ -86,9 +86,7 @@
 	}
 }
 
-// TestResumedStreamIsPrefix checks, for random upstreams, that the caller of a stream gets a
-// beginning of the right stream, the whole one if it looks complete, and no later than its
-// deadline.
+// Random upstreams: the caller gets a beginning of the right stream, all of it if it looks complete.
 func TestResumedStreamIsPrefix(t *testing.T) {
 	var events []string
 	for i := range 6 {
--- a/kcw/kcwforward/resume_test.go
+++ b/kcw/kcwforward/resume_test.go
@@ -82,8 +82,7 @@
 	}
 }
 
-// TestNoOtherAnswerInStream guards against an answer that is no stream and is written into the
-// stream that the caller has.
+// The next upstream of a stream answers with something else.
 func TestNoOtherAnswerInStream(t *testing.T) {
 	checkResumptions(t, []resumption{
 		{"JSON", framed(200, "Content-Type: application/json\r\n", "{\"error\": 1}\n\n"), begun, false},
@@ -104,8 +103,7 @@
 	})
 }
 
-// TestAnswerWithoutBodyIsNotAwaited guards against callers that wait for their deadline since
-// bytes are awaited after an answer without a body.
+// An answer without a body has no bytes to wait for.
 func TestAnswerWithoutBodyIsNotAwaited(t *testing.T) {
 	checkResumptions(t, []resumption{
 		{"no content", raw(204, "", ""), begun, false},
@@ -139,8 +137,7 @@
 	}
 }
 
-// TestEmptyResumptionIsNotTheEnd guards against a stream that ends as complete since the next
-// upstream sends no events.
+// The next upstream of a stream sends no events.
 func TestEmptyResumptionIsNotTheEnd(t *testing.T) {
 	checkResumptions(t, []resumption{
 		{"no chunks", chunked(), begun, false},
@@ -149,8 +146,7 @@
 	})
 }
 
-// TestNoEventComesTwice guards against events that the caller has and that are passed on again,
-// where the next upstream starts over.
+// The next upstream of a stream starts over.
 func TestNoEventComesTwice(t *testing.T) {
 	other := strings.Replace(event2, "b", "x", 1)
 	checkResumptions(t, []resumption{
@@ -166,7 +162,7 @@
 	})
 }
 
-// TestNoEventIsMissing guards against a stream whose next upstream goes on after a gap.
+// The next upstream of a stream goes on after a gap.
 func TestNoEventIsMissing(t *testing.T) {
 	checkResumptions(t, []resumption{
 		{"at once", chunked(event4), begun, false},
@@ -175,8 +171,7 @@
 	})
 }
 
-// TestResumedEventNeedsItsID guards against events of the next upstream whose place in the
-// stream isn't known.
+// The place of the next event in the stream is not known.
 func TestResumedEventNeedsItsID(t *testing.T) {
 	checkResumptions(t, []resumption{
 		{"none", chunked("data: c\n\n", event4), begun, false},
@@ -189,8 +184,7 @@
 	})
 }
 
-// TestStreamWithoutOrderIsNotResumed guards against a stream that is resumed although the place
-// of the last event is not known.
+// The place of the last event in the stream is not known.
 func TestStreamWithoutOrderIsNotResumed(t *testing.T) {
 	for _, events := range []string{
 		"data: a\n\n",
@@ -207,8 +201,7 @@
 	}
 }
 
-// TestCallerResumes checks a stream that the caller itself has resumed, if its upstream breaks
-// off and the next one starts over.
+// The caller itself has resumed the stream, and its upstream breaks off.
 func TestCallerResumes(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -228,8 +221,7 @@
 	}
 }
 
-// TestResumptionKeepsHeader checks that headers and trailers of the upstream at which a stream
-// is resumed are not passed on.
+// Headers and trailers of the next upstream of a stream are not passed on.
 func TestResumptionKeepsHeader(t *testing.T) {
 	f := newFixture(t, 2, resumable, first(func(e *exchange) {
 		raw(200, "Seal: first\r\n"+eventStream+"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(begun), begun))(e)
@@ -242,8 +234,7 @@
 	}
 }
 
-// TestAnswerThatIsNoStreamIsBilled guards against tokens that are not billed since an answer on a
-// stream route has no events.
+// An answer on a stream route has no events whose tokens are counted.
 func TestAnswerThatIsNoStreamIsBilled(t *testing.T) {
 	const prompt, output = 500, 100
 	for _, test := range []struct {
@@ -272,8 +263,7 @@
 	}
 }
 
-// TestOtherFirstAnswerIsUnchanged guards against a first answer that is no stream and does not
-// reach the caller as its upstream sent it.
+// The first answer on a stream route is no stream.
 func TestOtherFirstAnswerIsUnchanged(t *testing.T) {
 	for _, test := range []struct {
 		name         string
--- a/kcw/kcwforward/surplus_test.go
+++ b/kcw/kcwforward/surplus_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
@@ -92,11 +93,22 @@
 	if err != nil || response.StatusCode != 200 || body != "whole" || f.runs("id-1") != 1 {
 		t.Errorf("after %+v: status %d, body %q, %v, and the request ran %d times; want its answer and one run", s, response.StatusCode, body, err, f.runs("id-1"))
 	}
+	for f.forwarder.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	surplusAnswers := s.times
+	if s.status < http.StatusOK {
+		surplusAnswers = 0
+	}
+	if got := f.events[len(f.events)-1].Surplus; got != surplusAnswers {
+		t.Errorf("after %+v: the event counts %d surplus answers, want %d", s, got, surplusAnswers)
+	}
 	return f
 }
 
-// TestRefusalWithoutIdentityRunsNoRequestTwice guards against requests that are sent again
-// after an earlier refusal was written once more.
+// An earlier refusal is written once more, without an identity.
 func TestRefusalWithoutIdentityRunsNoRequestTwice(t *testing.T) {
 	for _, status := range []int{503, 429, 421, 408, 400, 500, 504} {
 		for _, route := range []kcwroute.Route{once, repeatable} {
@@ -106,8 +118,7 @@
 	}
 }
 
-// TestChunkedSurplusAnswerFailsNoRequest guards against requests that fail since an answer to
-// an earlier one has no length.
+// An answer to an earlier request has no length.
 func TestChunkedSurplusAnswerFailsNoRequest(t *testing.T) {
 	for _, id := range []string{"warm", ""} {
 		for _, status := range []int{200, 503} {
@@ -116,8 +127,7 @@
 	}
 }
 
-// TestSurplusAnswersInARowFailNoRequest guards against requests that fail since several
-// answers to earlier ones come before theirs.
+// Several answers to earlier requests come first.
 func TestSurplusAnswersInARowFailNoRequest(t *testing.T) {
 	for _, times := range []int{2, 3, 9} {
 		for _, framing := range []string{"length", "chunked"} {
@@ -126,9 +136,7 @@
 	}
 }
 
-// TestSurplusAnswersAreBounded checks that the number and the size of the answers that are
-// skipped are bounded, that the request then fails as one that may have run, and that one
-// which may run twice is sent to another upstream.
+// Skipped answers are bounded in number and size; the request then may have run.
 func TestSurplusAnswersAreBounded(t *testing.T) {
 	const tooMany, tooLarge = 1000, 2 << 20
 	for _, test := range []struct {
@@ -162,8 +170,7 @@
 	}
 }
 
-// TestSurplusAnswersStateNothing guards against load, leaving, declining and limits that are
-// taken from an answer to no request.
+// Load, leaving, declining and limits of an answer to no request are not believed.
 func TestSurplusAnswersStateNothing(t *testing.T) {
 	for _, id := range []string{"", "warm"} {
 		for _, status := range []int{103, 200, 503} {
@@ -191,8 +198,7 @@
 	}
 }
 
-// TestSurplusAnswerIsNoSignOfLife guards against requests that wait for an upstream which has
-// sent only an answer to another request.
+// An upstream that sends only an answer to another request is silent.
 func TestSurplusAnswerIsNoSignOfLife(t *testing.T) {
 	for _, id := range []string{"", "warm"} {
 		f := newKept(t, 2, repeatable, func(e *exchange) {
@@ -209,8 +215,7 @@
 	}
 }
 
-// TestRefusalWithoutIdentityPromisesNothing guards against an answer without identity on a new
-// connection that makes a request run twice, or that tells its caller that it didn't run.
+// A new connection carries a refusal without an identity.
 func TestRefusalWithoutIdentityPromisesNothing(t *testing.T) {
 	for _, test := range []struct {
 		route  kcwroute.Route
@@ -247,8 +252,7 @@
 	}
 }
 
-// TestReturningCallerIsNotToldOfEarlierRefusal guards against a refusal that is written once
-// more and taken as the answer to a later request with the same identity.
+// A caller comes back with its identity, and the first refusal is written once more.
 func TestReturningCallerIsNotToldOfEarlierRefusal(t *testing.T) {
 	for _, route := range []kcwroute.Route{once, repeatable} {
 		f := newFixture(t, 1, route, func(e *exchange) {
@@ -269,8 +273,7 @@
 	}
 }
 
-// TestRequestWithoutIdentityGetsNoEarlierAnswer guards against an answer that can't be told
-// from that to a request which has no identity.
+// An earlier answer can't be told from that to a request without an identity.
 func TestRequestWithoutIdentityGetsNoEarlierAnswer(t *testing.T) {
 	for _, s := range []surplus{
 		{status: 200, framing: "length", times: 1},
@@ -289,8 +292,7 @@
 	}
 }
 
-// TestHeadAnswerIsNotReadAsBody guards against an answer to HEAD, which has a length and no
-// body, that is skipped together with the answer after it.
+// An answer to HEAD has a length and no body, and is written once more.
 func TestHeadAnswerIsNotReadAsBody(t *testing.T) {
 	head := func(e *exchange) {
 		fmt.Fprintf(e.conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: 40\r\n\r\n", e.Header.Get("Attempt"))
