--- a/kcw/kcwforward/resume_test.go
+++ b/kcw/kcwforward/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -81,8 +82,7 @@
 	}
 }
 
-// TestNoOtherAnswerInStream guards against an answer that is no stream and is written into the
-// stream that the caller has.
+// The next upstream of a stream answers with something else.
 func TestNoOtherAnswerInStream(t *testing.T) {
 	checkResumptions(t, []resumption{
 		{"JSON", framed(200, "Content-Type: application/json\r\n", "{\"error\": 1}\n\n"), begun, false},
@@ -103,8 +103,7 @@
 	})
 }
 
-// TestAnswerWithoutBodyIsNotAwaited guards against callers that wait for their deadline since
-// bytes are awaited after an answer without a body.
+// An answer without a body has no bytes to wait for.
 func TestAnswerWithoutBodyIsNotAwaited(t *testing.T) {
 	checkResumptions(t, []resumption{
 		{"no content", raw(204, "", ""), begun, false},
@@ -138,8 +137,7 @@
 	}
 }
 
-// TestEmptyResumptionIsNotTheEnd guards against a stream that ends as complete since the next
-// upstream sends no events.
+// The next upstream of a stream sends no events.
 func TestEmptyResumptionIsNotTheEnd(t *testing.T) {
 	checkResumptions(t, []resumption{
 		{"no chunks", chunked(), begun, false},
@@ -148,8 +146,7 @@
 	})
 }
 
-// TestNoEventComesTwice guards against events that the caller has and that are passed on again,
-// where the next upstream starts over.
+// The next upstream of a stream starts over.
 func TestNoEventComesTwice(t *testing.T) {
 	other := strings.Replace(event2, "b", "x", 1)
 	checkResumptions(t, []resumption{
@@ -165,7 +162,7 @@
 	})
 }
 
-// TestNoEventIsMissing guards against a stream whose next upstream goes on after a gap.
+// The next upstream of a stream goes on after a gap.
 func TestNoEventIsMissing(t *testing.T) {
 	checkResumptions(t, []resumption{
 		{"at once", chunked(event4), begun, false},
@@ -174,8 +171,7 @@
 	})
 }
 
-// TestResumedEventNeedsItsID guards against events of the next upstream whose place in the
-// stream isn't known.
+// The place of the next event in the stream is not known.
 func TestResumedEventNeedsItsID(t *testing.T) {
 	checkResumptions(t, []resumption{
 		{"none", chunked("data: c\n\n", event4), begun, false},
@@ -188,8 +184,7 @@
 	})
 }
 
-// TestStreamWithoutOrderIsNotResumed guards against a stream that is resumed although the place
-// of the last event is not known.
+// The place of the last event in the stream is not known.
 func TestStreamWithoutOrderIsNotResumed(t *testing.T) {
 	for _, events := range []string{
 		"data: a\n\n",
@@ -206,8 +201,7 @@
 	}
 }
 
-// TestCallerResumes checks a stream that the caller itself has resumed, if its upstream breaks
-// off and the next one starts over.
+// The caller itself has resumed the stream, and its upstream breaks off.
 func TestCallerResumes(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -227,8 +221,7 @@
 	}
 }
 
-// TestResumptionKeepsHeader checks that headers and trailers of the upstream at which a stream
-// is resumed are not passed on.
+// Headers and trailers of the next upstream of a stream are not passed on.
 func TestResumptionKeepsHeader(t *testing.T) {
 	f := newFixture(t, 2, resumable, first(func(e *exchange) {
 		raw(200, "Seal: first\r\n"+eventStream+"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(begun), begun))(e)
@@ -241,8 +234,36 @@
 	}
 }
 
-// TestOtherFirstAnswerIsUnchanged guards against a first answer that is no stream and does not
-// reach the caller as its upstream sent it.
+// An answer on a stream route has no events whose tokens are counted.
+func TestAnswerThatIsNoStreamIsBilled(t *testing.T) {
+	const prompt, output = 500, 100
+	for _, test := range []struct {
+		name   string
+		script func(e *exchange)
+		used   int64
+	}{
+		{"text", framed(200, "Content-Type: text/plain\r\n", whole), prompt + output},
+		{"nothing", raw(204, "", ""), prompt},
+		{"failure", framed(500, "Content-Type: text/plain\r\n", "failed"), prompt},
+		{"stream", goOn, prompt + 4*3},
+	} {
+		route := stream
+		route.Generates = true
+		f := newFixture(t, 1, route, test.script)
+		f.grant(1000, 0, 1000)
+		if _, _, err := f.call(t, http.MethodPost, "", "Prompt", strconv.Itoa(prompt), "Output", strconv.Itoa(output)); err != nil {
+			t.Errorf("%s: %v", test.name, err)
+		}
+		for f.forwarder.InFlight() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
+			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
+		}
+	}
+}
+
+// The first answer on a stream route is no stream.
 func TestOtherFirstAnswerIsUnchanged(t *testing.T) {
 	for _, test := range []struct {
 		name         string
