kcw-proof: check that a change was applied once, not that its first answer came

All go through fleet.change, which required CODE_OK.

Cause: the client sends a change again when its outcome is unknown, with the same identity. If the first one was applied and only its answer was lost, the ledger answers CODE_REPEATED, which is right and what the identity is for. The test took it for a failure.

fleet.change accepts either answer and then reads the ledger: the history must hold the change exactly once, with CODE_OK and the revision of the result, this must be the newest revision, and each revision must be a change of the history. That is as strict: a change that was applied before the call, twice or not at all fails it, also with CODE_OK.

Evidence: TestAnswerToChangeLost holds the answers to a top-up back until it is applied and then closes the connections.

--- a/kcw-proof/failure_test.go
+++ b/kcw-proof/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -9,6 +10,7 @@
 	"time"
 
 	"kingcupwick.example/kcw-demo/kcwaudit"
+	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
 )
 
@@ -157,7 +159,7 @@
 				c.send(t, 0, fmt.Sprintf("cut-%d", i), completion(3), nil)
 				c.retryUntilWhole(t, 1, fmt.Sprintf("other-%d", i), completion(3))
 			}
-			f.change(t, &kcwpb.Command{Op: &kcwpb.Command_TopUp{TopUp: &kcwpb.TopUp{Change: "top-up", Customer: customer, Tokens: 500}}})
+			f.change(t, "top-up", &kcwpb.Command{Op: &kcwpb.Command_TopUp{TopUp: &kcwpb.TopUp{Change: "top-up", Customer: customer, Tokens: 500}}})
 			for _, l := range f.ledgerLinks {
 				l.unblock()
 			}
@@ -170,6 +172,41 @@
 	}
 }
 
+// TestAnswerToChangeLost guards against a change that is taken for failed, or applied twice,
+// because the answer to it was lost and it was sent again.
+func TestAnswerToChangeLost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	var links []*link
+	var addresses []netip.AddrPort
+	for i := range ledgers {
+		addresses = append(addresses, f.address(70+i, 0))
+		links = append(links, newLink(t, addresses[i], f.address(10+i, 0)))
+		// All connections of these links are the operator's.
+		links[i].block(0, fromTarget)
+	}
+	direct := f.operator
+	var err error
+	if f.operator, err = kcwledger.New(kcwledger.Config{Addresses: addresses, Key: "operator" + keySuffix}); err != nil {
+		t.Fatal(err)
+	}
+	defer f.operator.Close()
+	var work sync.WaitGroup
+	work.Go(func() {
+		for end := time.Now().Add(waitTimeout / 2); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if response, err := direct.Fleet(t.Context()); err == nil && response.Revision == 2 {
+				break
+			}
+		}
+		for _, l := range links {
+			l.cut()
+			l.unblock()
+		}
+	})
+	defer work.Wait()
+	f.change(t, "top-up", &kcwpb.Command{Op: &kcwpb.Command_TopUp{TopUp: &kcwpb.TopUp{Change: "top-up", Customer: customer, Tokens: 500}}})
+}
+
 func TestFrozenRouterResumes(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/kcw-proof/fleet_test.go
+++ b/kcw-proof/fleet_test.go
@@ -231,18 +231,34 @@
 		t.Fatal(err)
 	}
 	put := &kcwpb.PutContract{Change: "contract", Contract: contract.Message()}
-	f.change(t, &kcwpb.Command{Op: &kcwpb.Command_PutContract{PutContract: put}})
+	f.change(t, put.Change, &kcwpb.Command{Op: &kcwpb.Command_PutContract{PutContract: put}})
 	f.awaitRevision(t, 1)
 }
 
-func (f *fleet) change(t *testing.T, cmd *kcwpb.Command) {
+// change executes cmd, with a change of the given identity, and requires that it was applied
+// once and is the newest change in force. If the answer to it was lost, the client has sent
+// it again, and the result says so.
+func (f *fleet) change(t *testing.T, identity string, cmd *kcwpb.Command) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 	defer cancel()
 	result, err := f.operator.Change(ctx, cmd)
-	if err != nil || result.Code != kcwpb.Code_CODE_OK {
+	if err != nil || result.Code != kcwpb.Code_CODE_OK && result.Code != kcwpb.Code_CODE_REPEATED {
 		t.Fatalf("change: %v %v", result, err)
 	}
+	list, err := f.operator.List(ctx, &kcwpb.ListRequest{Customer: customer, WithHistory: true})
+	if err != nil {
+		t.Fatalf("list: %v", err)
+	}
+	applied := 0
+	for _, c := range list.Changes {
+		if c.Change == identity && c.Result.GetCode() == kcwpb.Code_CODE_OK && c.Revision == result.Revision {
+			applied++
+		}
+	}
+	if applied != 1 || list.Revision != result.Revision || len(list.Changes) != int(list.Revision) {
+		t.Fatalf("change %s with result %v: applied %d times; revision %d in force after %v", identity, result, applied, list.Revision, list.Changes)
+	}
 }
 
 // awaitRevision waits until every router reports at least the given revision.
--- a/kcw-proof/link_test.go
+++ b/kcw-proof/link_test.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// cut closes the open connections, so that bytes held back on them are lost.
+func (l *link) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.pipes {
+		p.blocked = true
+		p.dialled.Close()
+		if p.target != nil {
+			p.target.Close()
+		}
+	}
+}
+
 func (l *link) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
