--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,6 +117,8 @@
 	balance   *kcwbalance.Balance
 	memory    *kcwmemory.Account
 	url       string
+	// document is the configuration in force.
+	document atomic.Pointer[kcwroute.Document]
 	// stop is the planned stop, zero for none. It is set between requests.
 	stop kcwforward.Stop
 
@@ -199,10 +202,10 @@
 		Grant:         kcwgrant.Config{Endurance: time.Second, IdleAfter: time.Minute, Memory: time.Second},
 		ActivateAfter: longTime, Fresh: longTime, Uptime: func() time.Duration { return 0 },
 	})
-	document := newDocument(t, route)
+	f.document.Store(newDocument(t, route))
 	var err error
 	f.forwarder, err = kcwforward.New(kcwforward.Config{
-		Dialect: dialect{}, Document: func() *kcwroute.Document { return document }, Roster: roster, Balance: f.balance,
+		Dialect: dialect{}, Document: f.document.Load, Roster: roster, Balance: f.balance,
 		BorrowTokens: func(context.Context, string, int64) bool { return false },
 		Guard:        f.guard, Permits: f.limits,
 		Memory: f.memory, MaxHeadBytes: 1 << 16,
