kcwcore, kcwcontrol: a host without a disk searches as a router does

Callers would have seen: 503 from hosts without a disk, and routers without an answer from them, although another host knows the leader.

Now it hands the hosts that it has asked to the next probe, whose fourth goes to the host that was asked the longest ago, and records silence as a router does.

--- a/kcw-fleet/kcwcontrol/redirect.go
+++ b/kcw-fleet/kcwcontrol/redirect.go
@@ -46,24 +46,27 @@
 	defer cancel()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for try := 0; ; try++ {
+	var tried []netip.AddrPort
+	for {
 		if view := r.client.View(); view.Leader.IsValid() && view.LeaderAge < leaderMaxAge {
 			return view.Leader
 		}
-		if try == maxLocateTries || ctx.Err() != nil {
+		if len(tried) == maxLocateTries || ctx.Err() != nil {
 			return netip.AddrPort{}
 		}
-		if err := r.probe(ctx); err != nil {
-			klog.V(kcwlog.DebugVerbosity).InfoS("Leader not located yet", "Try", try, "Cause", err.Error())
+		host, err := r.probe(ctx, tried)
+		if err != nil {
+			klog.V(kcwlog.DebugVerbosity).InfoS("Leader not located yet", "Tries", len(tried), "Cause", err.Error())
 		}
+		tried = append(tried, host)
 	}
 }
 
-// probe exchanges views with the next host.
-func (r *redirector) probe(ctx context.Context) error {
+// probe exchanges views with the next host after those in tried, and returns it.
+func (r *redirector) probe(ctx context.Context, tried []netip.AddrPort) (netip.AddrPort, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Group.Election)
 	defer cancel()
-	return r.client.AnnounceNext(ctx, r.settings.Host.PeerAddress)
+	return r.client.AnnounceNext(ctx, r.settings.Host.PeerAddress, tried)
 }
 
 // ServeHTTP redirects an operator to the leader. It reads the body first, since closing
--- a/kcw-fleet/kcwcontrol/redirect_test.go
+++ b/kcw-fleet/kcwcontrol/redirect_test.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwdirectory"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwpb"
@@ -102,3 +103,17 @@
 		t.Errorf("got leader %v, whose confirmation is too old", leader)
 	}
 }
+
+// TestLeaderLocatedBehindMembers guards against a host without a disk that asks only members
+// which know no leader, although another host knows one.
+func TestLeaderLocatedBehindMembers(t *testing.T) {
+	var members kcwdirectory.View
+	for range 3 {
+		members.Hosts = append(members.Hosts, kcwdirectory.Host{Address: serveMember(t, &follower{}), Member: true})
+	}
+	r := newRedirector(serveMember(t, &follower{leader: "10.0.0.7:7000"}))
+	r.client.Merge(members)
+	if leader := r.locate(t.Context()); !leader.IsValid() {
+		t.Error("no leader was located")
+	}
+}
--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -246,8 +246,7 @@
 }
 
 // recordFailure records that host did not answer a call, begun at startedAt, as leader, and
-// merges the leader and the hosts that its refusal names. A host without an answer counts as
-// silent if it had as much time as a connection needs.
+// merges the leader and the hosts that its refusal names.
 func (c *Client) recordFailure(op string, host netip.AddrPort, startedAt time.Time, err error) *Error {
 	if errors.Is(err, context.DeadlineExceeded) {
 		// The connection may be dead, so it must not be reused.
@@ -258,16 +257,11 @@
 	now := time.Now()
 	var refused *connect.Error
 	isRefused := errors.As(err, &refused) && connect.IsWireError(err)
-	switch {
-	case isRefused:
+	if !isRefused {
+		c.recordNoAnswer(host, startedAt, now)
+	} else {
 		c.directory.RecordFailure(host, now)
 		c.directory.RecordContact(host, now)
-	case now.Sub(startedAt) >= dialTimeout:
-		c.directory.RecordSilence(host, now)
-	default:
-		c.directory.RecordFailure(host, now)
-	}
-	if isRefused {
 		view := kcwdirectory.View{}
 		if leader, err := netip.ParseAddrPort(refused.Meta().Get(kcwledger.LeaderHeader)); err == nil && leader != host {
 			view.Leader = leader
@@ -284,6 +278,16 @@
 	return failure
 }
 
+// recordNoAnswer records that host had not answered a call, begun at startedAt, by now. It
+// counts as silent if it had as much time as a connection needs. The caller holds mu.
+func (c *Client) recordNoAnswer(host netip.AddrPort, startedAt, now time.Time) {
+	if now.Sub(startedAt) >= dialTimeout {
+		c.directory.RecordSilence(host, now)
+		return
+	}
+	c.directory.RecordFailure(host, now)
+}
+
 // Announce exchanges views with the host at address. It sends self as this host's own
 // address if that is valid. The error is an *Error.
 func (c *Client) Announce(ctx context.Context, address, self netip.AddrPort) error {
@@ -302,20 +306,22 @@
 	return nil
 }
 
-// AnnounceNext exchanges views with the next host to call. A host without a disk uses it
-// to locate the leader. The error is an *Error.
-func (c *Client) AnnounceNext(ctx context.Context, self netip.AddrPort) error {
-	host := c.nextHost(nil)
+// AnnounceNext exchanges views with the next host to call in a search that has called the
+// hosts in tried, and returns that host. A host without a disk uses it to locate the leader.
+// The error is an *Error; the host is not valid if none is known.
+func (c *Client) AnnounceNext(ctx context.Context, self netip.AddrPort, tried []netip.AddrPort) (netip.AddrPort, error) {
+	host := c.nextHost(tried)
 	if !host.IsValid() {
-		return &Error{Op: "ask", Kind: Unanswered, Err: errors.New("no host is known")}
+		return host, &Error{Op: "ask", Kind: Unanswered, Err: errors.New("no host is known")}
 	}
-	if err := c.Announce(ctx, host, self); err != nil {
+	startedAt := time.Now()
+	err := c.Announce(ctx, host, self)
+	if err != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.directory.RecordFailure(host, time.Now())
-		return err
+		c.recordNoAnswer(host, startedAt, time.Now())
 	}
-	return nil
+	return host, err
 }
 
 // Encode returns the wire form of view.
