kcw-ledger: check that a registration is in force, not that its first answer came

register now requires that the incarnation is not registered at any replica before, accepts either answer, and requires that it is registered afterwards. That is as strict: an incarnation that was registered before, or is not after, fails it, also with CODE_OK.

Evidence: TestAnswerToRegistrationLost holds the answer back until a replica has registered the router, and then closes the connections.

--- a/kcw-ledger/config_test.go
+++ b/kcw-ledger/config_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -225,7 +226,7 @@
 	f := newLinkedFleet(t, 3, func(s *kcwsetup.Settings) { s.Group.SnapshotEntries, s.Group.KeepEntries = 50, 10 })
 	operator, router := f.client(t, testKeys.Operator), f.client(t, testKeys.Router)
 	revision := mustChange(t, operator, putOf(t, "create", "pew", 0, 1))
-	register(t, router, "r1", 1)
+	register(t, f.fleet, router, "r1", 1)
 	serveRequests := func(from int) {
 		for i := from; i < from+n; i++ {
 			revision = mustChange(t, operator, putOf(t, fmt.Sprint("change-", i), "pew", revision, int64(i+1)))
@@ -292,7 +293,7 @@
 	f := newLinkedFleet(t, 3, nil)
 	operator, router := f.client(t, testKeys.Operator), f.client(t, testKeys.Router)
 	revision := mustChange(t, operator, putOf(t, "create", "pew", 0, 1))
-	register(t, router, "r1", 1)
+	register(t, f.fleet, router, "r1", 1)
 	watchers := []*watcher{newWatcher(t, f.fleet, "w0", "pew"), newWatcher(t, f.fleet, "w1", "pew")}
 	stallAll := func() {
 		for i, client := range f.clientForwarders {
@@ -341,3 +342,26 @@
 	revision = mustChange(t, operator, putOf(t, "third", "pew", revision, 3))
 	awaitInForce(t, watchers, revision, "pew", 3)
 }
+
+// TestAnswerToRegistrationLost guards against a registration that is taken for failed because
+// the answer to it was lost and it was sent again.
+func TestAnswerToRegistrationLost(t *testing.T) {
+	f := newLinkedFleet(t, 3, nil)
+	router := f.client(t, testKeys.Router)
+	f.leader(t)
+	for _, client := range f.clientForwarders {
+		client.block(false, true)
+	}
+	var work sync.WaitGroup
+	work.Go(func() {
+		for end := time.Now().Add(20 * time.Second); len(f.registered("r1")) == 0 && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, client := range f.clientForwarders {
+			client.closeAll(false)
+			client.heal()
+		}
+	})
+	defer work.Wait()
+	register(t, f.fleet, router, "r1", 1)
+}
--- a/kcw-ledger/control_bench_test.go
+++ b/kcw-ledger/control_bench_test.go
@@ -83,7 +83,7 @@
 		b.Fatal(err)
 	}
 	defer c.Close()
-	register(b, c, "r1", 1)
+	register(b, f, c, "r1", 1)
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
 	var revision atomic.Uint64
@@ -126,7 +126,7 @@
 		b.Fatal(err)
 	}
 	defer c.Close()
-	register(b, c, "r1", 1)
+	register(b, f, c, "r1", 1)
 	bytes.Store(0)
 	b.ResetTimer()
 	for n := range b.N {
--- a/kcw-ledger/fleet_test.go
+++ b/kcw-ledger/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -174,14 +175,35 @@
 	}
 }
 
-// register registers a router incarnation.
-func register(tb testing.TB, c *kcwledger.Client, router string, incarnation uint64) {
+// register registers a router incarnation, which must be new, and requires that it is then
+// registered. If the answer was lost, the client has sent the command again, and the result
+// says so.
+func register(tb testing.TB, f *fleet, c *kcwledger.Client, router string, incarnation uint64) {
 	tb.Helper()
+	if slices.Contains(f.registered(router), incarnation) {
+		tb.Fatalf("incarnation %d of %s is registered already", incarnation, router)
+	}
 	cmd := &kcwpb.RegisterRouter{Router: router, Zone: "zone", Incarnation: incarnation, Address: "127.0.0.1:1"}
 	result := submit(tb, c, &kcwpb.Command{Op: &kcwpb.Command_RegisterRouter{RegisterRouter: cmd}})
-	if result.Code != kcwpb.Code_CODE_OK {
+	if result.Code != kcwpb.Code_CODE_OK && result.Code != kcwpb.Code_CODE_REPEATED {
 		tb.Fatalf("registration refused: %v", result)
 	}
+	if registered := f.registered(router); !slices.Contains(registered, incarnation) {
+		tb.Fatalf("incarnation %d of %s is not registered, but %v", incarnation, router, registered)
+	}
+}
+
+// registered returns the incarnations of a router that replicas hold as registered.
+func (f *fleet) registered(router string) []uint64 {
+	var incarnations []uint64
+	for _, m := range f.members {
+		for _, r := range m.book.Routers() {
+			if r.Name == router {
+				incarnations = append(incarnations, r.Incarnation)
+			}
+		}
+	}
+	return incarnations
 }
 
 // openCommand returns the command with which router r1 opens a claim for a
--- a/kcw-ledger/replica_bench_test.go
+++ b/kcw-ledger/replica_bench_test.go
@@ -34,7 +34,7 @@
 	for range routers {
 		clients = append(clients, f.client(b, testKeys.Router))
 	}
-	register(b, clients[0], "r1", 1)
+	register(b, f, clients[0], "r1", 1)
 	var next atomic.Int64
 	var group sync.WaitGroup
 	b.ResetTimer()
--- a/kcw-ledger/replica_test.go
+++ b/kcw-ledger/replica_test.go
@@ -21,7 +21,7 @@
 	f := newFleet(t, 3)
 	operator, router := f.client(t, testKeys.Operator), f.client(t, testKeys.Router)
 	putContract(t, operator, "pew", 1_000_000)
-	register(t, router, "r1", 1)
+	register(t, f, router, "r1", 1)
 	var group sync.WaitGroup
 	for w := range workers {
 		group.Go(func() {
