kcwlatency, kcwforward: streams under way count when a stopping router admits requests

Callers saw a stream end in the middle (LOST): a router that had got SIGTERM accepted it and cut it when its grace period was over.

Cause: (1) the estimate of a route's longest request, mean and four deviations, was made of ended requests only, so that soon after the start of traffic the longest streams were not in it; (2) for 2.5 s after SIGTERM every request was accepted, however long it might take.

Now a stopping router accepts a request only if its deadline is before the end of the grace period, or if the requests of its route have shown that it ends in time: by the product-limit estimate of Kaplan and Meier over the last 256 requests and those under way, given-up ones censored. Others are refused at once: 503, not run, Connection: close, Retry-After of 50 ms.

Failed before, on the code of: TestStoppingRouterRefusesStreamsItCannotEnd: soon after the signal: status 200, connection closed: true, error <nil>; want status 503 (and the same for "later") TestStopping stated that every request is accepted before AcceptsUntil and that one ended request is enough to estimate from, which is the fault: it now requires 503 in both cases, and tests the deadline.

--- a/kcw-fleet/kcwrouter/run.go
+++ b/kcw-fleet/kcwrouter/run.go
@@ -52,7 +52,7 @@
 func (r *Router) drain(context.Context) error {
 	s := r.cfg.Settings.Stop
 	now := time.Now()
-	stop := &kcwforward.Stop{AcceptsUntil: now.Add(s.Notice), EndsAt: now.Add(s.Grace - stopMargin)}
+	stop := &kcwforward.Stop{EndsAt: now.Add(s.Grace - stopMargin)}
 	r.stop.Store(stop)
 	klog.InfoS("Router drains", "Grace", s.Grace.String(), "InFlight", r.forwarder.InFlight())
 	time.Sleep(s.Notice)
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -65,8 +65,8 @@
 type Stop struct {
 	// Grace is the time from the signal to the end of the process.
 	Grace time.Duration `default:"8s" setting:"min=1s,max=24h"`
-	// Notice is the minimum time for which a router that stops accepts requests while it
-	// is not ready. The balancer checks readiness every second and acts on the second
+	// Notice is the minimum time for which a router that stops listens while it is not
+	// ready. The balancer checks readiness every second and acts on the second
 	// failure.
 	Notice time.Duration `default:"2500ms" setting:"min=0s,max=1h"`
 }
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -65,8 +65,10 @@
 	isTrial bool
 	// isAtLimit is set if the request ends because all upstreams are at their rate limits.
 	isAtLimit bool
-	stream    streamProgress
-	event     Event
+	// isComplete is set if the caller has got a whole answer of an upstream.
+	isComplete bool
+	stream     streamProgress
+	event      Event
 }
 
 // refusal is the router's own answer to a request that no upstream has run.
@@ -135,14 +137,13 @@
 	return nil
 }
 
-// endsBeforeStop reports whether the request is expected to end before the router
-// stops. Before AcceptsUntil it returns true for every request.
+// endsBeforeStop reports whether the request ends before the router stops, by its own
+// deadline or by what the requests of its route have shown.
 func (c *call) endsBeforeStop() bool {
-	if !c.stopping || c.start.Before(c.stop.AcceptsUntil) {
+	if !c.stopping || !c.deadline.After(c.stop.EndsAt) {
 		return true
 	}
-	longest, known := c.f.latency.UpperBound(c.route.Name)
-	return known && c.start.Add(longest).Before(c.stop.EndsAt)
+	return c.f.latency.EndsWithin(c.route.Name, c.stop.EndsAt.Sub(c.start), c.start)
 }
 
 // authenticate looks up the team by the caller's key.
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -219,10 +219,9 @@
 	ReturnAfter(service string) time.Duration
 }
 
-// Stop is a planned stop. All requests are admitted until AcceptsUntil, and after
-// that only those that are expected to end before EndsAt.
+// Stop is a planned stop. Only requests that are known to end before EndsAt are admitted.
 type Stop struct {
-	AcceptsUntil, EndsAt time.Time
+	EndsAt time.Time
 }
 
 // Forwarder is the handler of callers' requests.
@@ -288,6 +287,8 @@
 		return
 	}
 	defer c.settleTokens()
+	number := f.latency.Begin(c.route.Name, c.start)
+	defer func() { f.latency.End(c.route.Name, number, f.cfg.Now(), c.isComplete) }()
 	c.run()
 }
 
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -406,24 +408,26 @@
 
 // TestStopping checks which requests a stopping router admits.
 func TestStopping(t *testing.T) {
+	// enough is a number of requests that show how long those of a route take.
+	const enough = 200
 	now := time.Now()
 	for _, test := range []struct {
 		name string
 		stop kcwforward.Stop
-		// known is set if a request of the route has ended before, so that its duration
-		// can be estimated.
-		known  bool
+		// ended is the number of requests of the route that have ended before.
+		ended  int
 		status int
 	}{
-		{"not stopping", kcwforward.Stop{}, false, 200},
-		{"before AcceptsUntil", kcwforward.Stop{AcceptsUntil: now.Add(longTime), EndsAt: now.Add(longTime)}, false, 200},
-		{"after AcceptsUntil, with enough time", kcwforward.Stop{AcceptsUntil: now, EndsAt: now.Add(longTime)}, true, 200},
-		{"after AcceptsUntil, with unknown duration", kcwforward.Stop{AcceptsUntil: now, EndsAt: now.Add(longTime)}, false, 503},
-		{"after AcceptsUntil, with too little time", kcwforward.Stop{AcceptsUntil: now, EndsAt: now}, true, 503},
+		{"not stopping", kcwforward.Stop{}, 0, 200},
+		{"deadline before the end", kcwforward.Stop{EndsAt: now.Add(2 * longTime)}, 0, 200},
+		{"with enough time", kcwforward.Stop{EndsAt: now.Add(longTime / 2)}, enough, 200},
+		{"with too few earlier requests", kcwforward.Stop{EndsAt: now.Add(longTime / 2)}, 1, 503},
+		{"with unknown duration", kcwforward.Stop{EndsAt: now.Add(longTime / 2)}, 0, 503},
+		{"with too little time", kcwforward.Stop{EndsAt: now}, enough, 503},
 	} {
 		f := newFixture(t, 1, once, good)
-		if test.known {
-			_, _, _ = f.call(t, http.MethodPost, "")
+		for i := range test.ended {
+			_, _, _ = f.call(t, http.MethodPost, "", "Attempt", "ended-"+strconv.Itoa(i))
 		}
 		f.stop = test.stop
 		response, _, _ := f.call(t, http.MethodPost, "", "Attempt", "id-2")
@@ -435,3 +439,51 @@
 		}
 	}
 }
+
+// TestStoppingRouterRefusesStreamsItCannotEnd guards against streams that are accepted
+// while a router stops and cut when its time is over.
+func TestStoppingRouterRefusesStreamsItCannotEnd(t *testing.T) {
+	longStreams := make(chan struct{})
+	f := newFixture(t, 1, stream, func(e *exchange) {
+		e.events(false, "id: 1\n\n")
+		if e.Header.Get("Length") == "long" {
+			<-longStreams
+		}
+		_, _ = io.WriteString(e.conn, "0\r\n\r\n")
+	})
+	var underWay sync.WaitGroup
+	defer underWay.Wait()
+	defer close(longStreams)
+	for i := range 3 {
+		underWay.Go(func() { _, _, _ = f.call(t, http.MethodPost, "", "Length", "long", "Attempt", "long-"+strconv.Itoa(i)) })
+	}
+	for f.forwarder.InFlight() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	// The long streams have not ended, and so only the short ones have a known duration.
+	for i := range 20 {
+		_, _, _ = f.call(t, http.MethodPost, "", "Attempt", "short-"+strconv.Itoa(i))
+	}
+	now := time.Now()
+	for _, test := range []struct {
+		name string
+		stop kcwforward.Stop
+		// wait is how long the caller waits.
+		wait   time.Duration
+		status int
+	}{
+		{"the stream may take longer", kcwforward.Stop{EndsAt: now.Add(longTime / 2)}, longTime, 503},
+		{"the caller leaves before the end", kcwforward.Stop{EndsAt: now.Add(longTime / 2)}, longTime / 4, 200},
+	} {
+		f.stop = test.stop
+		sends := f.arrivals()
+		response, _, err := f.call(t, http.MethodPost, "", "Attempt", test.name, "Wait", strconv.FormatInt(test.wait.Milliseconds(), 10))
+		isRefused := response.StatusCode == http.StatusServiceUnavailable
+		if err != nil || response.StatusCode != test.status || !response.Close {
+			t.Errorf("%s: status %d, connection closed: %v, error %v; want status %d", test.name, response.StatusCode, response.Close, err, test.status)
+		}
+		if isRefused && (response.Header.Get("Retry-After") == "" || f.arrivals() != sends) {
+			t.Errorf("%s: refused with Retry-After %q, and sent %d times", test.name, response.Header.Get("Retry-After"), f.arrivals()-sends)
+		}
+	}
+}
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -149,7 +149,7 @@
 	switch {
 	case res == delivered:
 		c.event.Outcome, c.event.Cause = "Delivered", ""
-		c.f.latency.Observe(c.route.Name, c.f.cfg.Now().Sub(c.start))
+		c.isComplete = true
 	case res == callerGone:
 		c.event.Outcome = "CallerGone"
 	case c.stream.started:
@@ -159,7 +159,7 @@
 		c.resetOldCaller()
 		panic(http.ErrAbortHandler)
 	case lastFailure != nil:
-		c.event.Outcome = "UpstreamFailed"
+		c.event.Outcome, c.isComplete = "UpstreamFailed", true
 		lastFailure.write(c)
 	case res == blocked:
 		c.event.Outcome = blockedOutcome
