kcwforward: tests that are not about silence have no silent upstreams

Each upstream of the tests counted as silent after 100 ms. Beside load that can make the router send a request once more, and tests that count sends or script each attempt of a stream would fail. The time is now that of a test's end, except in TestSilentUpstream and TestSurplusAnswerIsNoSignOfLife, which keep 100 ms. No check has changed.

--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -86,6 +86,9 @@
 
 func (dialect) RetryAfter(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
 
+// shortSilence is the time after which upstreams are silent in the tests of that.
+const shortSilence = 100 * time.Millisecond
+
 // exchange is a request that arrived at an upstream, with its connection.
 type exchange struct {
 	*http.Request
@@ -186,11 +189,19 @@
 }
 
 // newFixture starts a forwarder and upstreams that call script for each request. Each
-// connection stays open unless script closes it.
+// connection stays open unless script closes it. No upstream is taken for silent, however
+// slow the test runs.
 func newFixture(t *testing.T, upstreams int, route kcwroute.Route, script func(e *exchange)) *fixture {
+	t.Helper()
+	return newSilenceFixture(t, upstreams, route, longTime, script)
+}
+
+// newSilenceFixture is like newFixture, with the time after which an upstream that sends
+// nothing is silent.
+func newSilenceFixture(t *testing.T, upstreams int, route kcwroute.Route, silence time.Duration, script func(e *exchange)) *fixture {
 	t.Helper()
 	f := &fixture{memory: kcwmemory.New(4 * maxBodyBytes), guard: &guard{}, limits: &limits{limited: map[string]bool{}, permits: map[string]int{}}}
-	roster := newRoster(f.limits)
+	roster := newRoster(f.limits, silence)
 	f.roster = roster
 	var entries []kcwroster.Entry
 	for i := range upstreams {
@@ -243,7 +254,7 @@
 	return f
 }
 
-func newRoster(limits *limits) *kcwroster.Roster {
+func newRoster(limits *limits, silence time.Duration) *kcwroster.Roster {
 	return kcwroster.New(kcwroster.Config{
 		Placer: kcwplace.New(kcwplace.Config{LoadFactor: 1.25, LoadMargin: 0.1, Rand: rand.New(rand.NewPCG(1, 1))}),
 		Breaker: kcwbreaker.Config{
@@ -251,7 +262,7 @@
 			Probes: 1, ProbeTimeout: time.Second, InitialBackoff: time.Second, MaxBackoff: time.Second,
 		},
 		Conn:           kcwconn.Config{DialTimeout: longTime, SilenceTimeout: longTime, IdleTimeout: longTime, MaxIdle: 4},
-		SilenceTimeout: 100 * time.Millisecond, DialPause: time.Millisecond, HalfLife: time.Second,
+		SilenceTimeout: silence, DialPause: time.Millisecond, HalfLife: time.Second,
 		Limits: limits, Rand: rand.New(rand.NewPCG(2, 2)), Now: time.Now,
 	})
 }
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -329,11 +329,11 @@
 // first is silent on all connections, and that other requests wait until their deadline.
 func TestSilentUpstream(t *testing.T) {
 	silent := func(*exchange) {}
-	f := newFixture(t, 2, repeatable, first(silent, good))
+	f := newSilenceFixture(t, 2, repeatable, shortSilence, first(silent, good))
 	if response, body, _ := f.call(t, http.MethodGet, ""); response.StatusCode != 200 || body != "whole" {
 		t.Errorf("repeatable: got %d, %q", response.StatusCode, body)
 	}
-	f = newFixture(t, 2, once, first(silent, good))
+	f = newSilenceFixture(t, 2, once, shortSilence, first(silent, good))
 	if response, _, _ := f.call(t, http.MethodPost, "", "Wait", "300"); response.StatusCode != 504 || f.arrivals() != 1 {
 		t.Errorf("once: got %d after %d sends, want 504 after one", response.StatusCode, f.arrivals())
 	}
--- a/kcw/kcwforward/surplus_test.go
+++ b/kcw/kcwforward/surplus_test.go
@@ -46,7 +46,14 @@
 // request. On that, script answers.
 func newKept(t *testing.T, upstreams int, route kcwroute.Route, script func(e *exchange)) *fixture {
 	t.Helper()
-	f := newFixture(t, upstreams, route, func(e *exchange) {
+	return newSilenceKept(t, upstreams, route, longTime, script)
+}
+
+// newSilenceKept is like newKept, with the time after which an upstream that sends nothing is
+// silent.
+func newSilenceKept(t *testing.T, upstreams int, route kcwroute.Route, silence time.Duration, script func(e *exchange)) *fixture {
+	t.Helper()
+	f := newSilenceFixture(t, upstreams, route, silence, func(e *exchange) {
 		if strings.HasPrefix(e.Header.Get("Attempt"), "warm") {
 			// The next request goes to another upstream.
 			e.answer(503, refused, "")
@@ -201,14 +208,14 @@
 // An upstream that sends only an answer to another request is silent.
 func TestSurplusAnswerIsNoSignOfLife(t *testing.T) {
 	for _, id := range []string{"", "warm"} {
-		f := newKept(t, 2, repeatable, func(e *exchange) {
+		f := newSilenceKept(t, 2, repeatable, shortSilence, func(e *exchange) {
 			if e.number == 3 {
 				surplus{status: 503, id: id, header: refused, framing: "length", times: 1}.write(e)
 				return
 			}
 			good(e)
 		})
-		response, body, err := f.call(t, http.MethodPost, "", "Wait", "3000")
+		response, body, err := f.call(t, http.MethodPost, "")
 		if err != nil || response.StatusCode != 200 || body != "whole" || f.runs("id-1") != 2 {
 			t.Errorf("identity %q: status %d, body %q, %v after %d sends", id, response.StatusCode, body, err, f.runs("id-1"))
 		}
@@ -245,7 +252,11 @@
 		}, func(e *exchange) {
 			e.answer(200, "Content-Type: text/event-stream\r\n", "id: 1\n\n")
 		}))
-		response, _, err := f.call(t, http.MethodPost, "", "Wait", "500")
+		wait := longTime
+		if test.want == http.StatusGatewayTimeout {
+			wait = shortSilence
+		}
+		response, _, err := f.call(t, http.MethodPost, "", "Wait", strconv.FormatInt(wait.Milliseconds(), 10))
 		if err != nil || response.StatusCode != test.want || f.arrivals() != test.sends {
 			t.Errorf("kind %d, status %d %q: the caller got %d, %v after %d sends, want %d after %d", test.route.Kind, test.status, test.header, response.StatusCode, err, f.arrivals(), test.want, test.sends)
 		}
