--- a/kcw/kcwreplica/members.go
+++ b/kcw/kcwreplica/members.go
@@ -190,8 +190,9 @@
 }
 
 // Transfer starts the transfer of leadership to the voter that has acknowledged
-// the most entries, but not to a voter that is being replaced. Proposals are rejected until that voter leads or the election
-// timeout has passed. Transfer reports whether it started a transfer.
+// the most entries, but not to a voter that is being replaced. Proposals are rejected
+// until that voter leads or the election timeout has passed. Transfer reports whether
+// it started a transfer.
 func (r *Replica) Transfer(now time.Time) bool {
 	r.checkQuorum(now)
 	if r.role != leader {
