kcwcontrol: log and count the entries that the list's reader leaves out

The leader logged the number of odd entries only when the list itself changed. It logs each change of the number now, and kcw_control_list_skipped tells it.

--- a/kcw-fleet/kcwcontrol/list.go
+++ b/kcw-fleet/kcwcontrol/list.go
@@ -47,6 +47,8 @@
 	list   *kcwpb.UpstreamList
 	readAt time.Time
 	failed bool
+	// skipped is the number of entries that the last reading left out.
+	skipped int
 	// dueAt is when the next reading is due. changingUntil is the end of the change
 	// window.
 	dueAt, changingUntil time.Time
@@ -81,6 +83,10 @@
 	if err != nil {
 		return
 	}
+	if skipped != l.skipped {
+		l.skipped = skipped
+		klog.InfoS("Entries of the list of upstreams left out", "Skipped", skipped, "Upstreams", len(upstreams))
+	}
 	next := &kcwpb.UpstreamList{Version: l.list.GetVersion(), Reader: l.cfg.Name, Upstreams: upstreams}
 	if l.list == nil || !proto.Equal(l.list, next) {
 		next.Version++
@@ -91,6 +97,13 @@
 	l.readAt = began
 }
 
+// skippedEntries returns the number of entries that the last reading left out.
+func (l *listReader) skippedEntries() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.skipped
+}
+
 // latest returns the newest list and its age at now. The list is nil if there is none.
 func (l *listReader) latest(now time.Time) (*kcwpb.UpstreamList, time.Duration) {
 	l.mu.Lock()
--- a/kcw-fleet/kcwcontrol/list_test.go
+++ b/kcw-fleet/kcwcontrol/list_test.go
@@ -12,8 +12,8 @@
 
 // lister is a Lister whose list the test changes or makes fail.
 type lister struct {
-	version, readings int
-	broken            bool
+	version, readings, skipped int
+	broken                     bool
 }
 
 func (l *lister) Read(context.Context) ([]*kcwpb.UpstreamRecord, int, error) {
@@ -21,7 +21,7 @@
 	if l.broken {
 		return nil, 0, errors.New("no answer")
 	}
-	return []*kcwpb.UpstreamRecord{{Id: strconv.Itoa(l.version)}}, 0, nil
+	return []*kcwpb.UpstreamRecord{{Id: strconv.Itoa(l.version)}}, l.skipped, nil
 }
 
 // TestPace checks how often the leader reads a list that changes, one that does not
@@ -58,3 +58,21 @@
 		}
 	}
 }
+
+// TestSkippedEntriesAreCounted checks that the number of entries left out is kept over a
+// reading that fails.
+func TestSkippedEntriesAreCounted(t *testing.T) {
+	source := &lister{}
+	reader := &listReader{cfg: listConfig{Lister: source, Name: "m"}}
+	for _, step := range []struct {
+		skipped int
+		broken  bool
+		want    int
+	}{{0, false, 0}, {2, false, 2}, {5, true, 2}, {1, false, 1}} {
+		source.skipped, source.broken = step.skipped, step.broken
+		reader.read(t.Context(), time.Now())
+		if got := reader.skippedEntries(); got != step.want {
+			t.Errorf("%+v: %d entries are left out", step, got)
+		}
+	}
+}
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -242,6 +242,7 @@
 		blocks, _ := m.service.table.Blocks()
 		return int64(len(blocks))
 	})
+	gauge("kcw_control_list_skipped", "Entries of the list of upstreams that the last reading left out.", func() int64 { return int64(m.service.list.skippedEntries()) })
 	gauge("kcw_control_limited_upstreams", "Upstreams that name a rate limit.", func() int64 { return int64(m.service.limits.limited()) })
 	gauge("kcw_control_disk_full", "Whether this member waits for room on its disk, 0 or 1.", func() int64 {
 		if group.Full() {
