kcwmembership: a lost voter's vote moves to its successor in one change

The planner now keeps an odd number of voters, moves a failing voter's vote to a learner by KIND_REPLACE, demotes or removes it if enough voters remain, and never leaves fewer than 2*Losses+1. A voter whose disk is lost keeps its vote until its successor has caught up. A member that gets SIGTERM announces it and waits, bounded, until it has no vote. A member that was removed while it was away requests admission once it has had no contact for two election timeouts.

Evidence: TestQuorumSurvivesToleratedLosses draws sequences of losses, late returns, planned replacements, splits and overlaps and checks at each moment that each further loss within the tolerance leaves a quorum.

In the simulation CatchUp starts anew while the hosts are split or more are out than tolerated, since then no membership can change, and at most one election in a row is split.

TestNext asserted the former rules and is replaced: a lone third learner is no longer promoted, a lost disk's voter is no longer removed before its successor has caught up, and a silent voter is demoted or replaced, not removed. TestFleet (platform) waited for KIND_PROMOTE of the repaired member, which is now one KIND_REPLACE; it counts lines on changes made, since refusals are logged too.

For operators: lines on changes and refusals name voters, learners and silent members, a refusal is logged once, "Member silent" and "Member heard again", the members in the state dump, kcw_control_voters and kcw_control_silent_voters.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
@@ -24,6 +25,7 @@
 	"kingcupwick.example/kcw/kcwmeter"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpeer"
+	"kingcupwick.example/kcw/kcwreplica"
 	"kingcupwick.example/kcw/kcwroute"
 	"kingcupwick.example/kcw/kcwuptime"
 )
@@ -41,6 +43,18 @@
 	admitInterval = 500 * time.Millisecond
 	// reloadInterval is the time between two reads of the settings file.
 	reloadInterval = 2 * time.Second
+	// maxPause is the longest time between two checks of the membership in which another
+	// member can be silent.
+	maxPause = 2 * membershipInterval
+	// stopPollInterval is the time between two checks of whether a member that is about to
+	// stop still votes.
+	stopPollInterval = 50 * time.Millisecond
+	// silentParts and removeParts state when a member is silent and when a silent learner is
+	// removed, as parts of Group.CatchUp. Within CatchUp after its start, a successor has
+	// taken over the vote of a lost member, even if the leader that would have arranged it
+	// is lost as well: two elections and two times of silence fit in.
+	silentParts = 4
+	removeParts = 12
 	// headerTimeout bounds the wait for a request's header.
 	headerTimeout = 10 * time.Second
 	// founding is the role of a replica whose group does not exist yet.
@@ -71,6 +85,11 @@
 	meter   *kcwmeter.Meter
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// leaving is set once the member is about to stop.
+	leaving atomic.Bool
+	// freshAt is when the member was last in contact with a leader. Only requestAdmission
+	// uses it.
+	freshAt time.Time
 	// tasks counts the goroutines that use the folder.
 	tasks    sync.WaitGroup
 	operator *kcwserve.Server
@@ -136,15 +155,22 @@
 			Lister: m.cfg.Lister, Name: s.Host.Name + "/" + time.Now().String(), Interval: s.List.Interval,
 		}},
 		planner: kcwmembership.New(kcwmembership.Config{
-			Voters: 2*s.Group.Losses + 1, SilentAfter: s.Group.RemoveAfter, MaxRequestAge: 4 * admitInterval,
+			Losses: s.Group.Losses, SilentAfter: m.silentAfter(), RemoveAfter: removeParts * m.silentAfter(),
+			MaxRequestAge: 4 * admitInterval, MaxPause: maxPause,
 		}),
-		client:  m.client,
+		client: m.client, watch: newMemberWatch(), changeTimeout: s.Group.Election,
 		routers: map[string]contact{},
 	}
 	blocks.propose = m.service.propose
 	return nil
 }
 
+// silentAfter returns how long a member may make no progress before it counts as silent.
+func (m *Member) silentAfter() time.Duration {
+	group := m.cfg.Settings.Group
+	return max(group.CatchUp/silentParts, 3*group.Heartbeat)
+}
+
 // reload reads the settings again and applies their seeds.
 func (m *Member) reload(signalled bool) {
 	s, err := kcwsetup.LoadControl(m.cfg.SettingsPath)
@@ -203,6 +229,11 @@
 	// disk. Term and Commit are those of the replicated log.
 	Leader       string
 	Term, Commit uint64
+	// Fresh is whether the member was in contact with a leader, or as leader with a quorum,
+	// within an election timeout.
+	Fresh           bool
+	DocumentVersion uint64
+	Members         []memberState
 	// RateLimits are the limits of upstreams for which this member issues permits if it
 	// leads.
 	RateLimits []limitState
@@ -214,6 +245,7 @@
 	if m.service != nil {
 		status := m.service.group.Status()
 		d.Leader, d.Term, d.Commit, d.RateLimits = status.GetLeaderAddress(), status.GetTerm(), status.GetCommit(), m.service.limits.dump()
+		d.Fresh, d.DocumentVersion, d.Members = m.service.group.Fresh(), m.service.table.Version(), m.service.members(status)
 	}
 	return d
 }
@@ -249,6 +281,10 @@
 		}
 		return 0
 	})
+	gauge("kcw_control_voters", "Members with a vote, as this member knows them.", func() int64 {
+		return int64(countVoters(group.Status().GetMembership()))
+	})
+	gauge("kcw_control_silent_voters", "Members with a vote that this member, if it leads, takes to be silent.", m.service.silentVoters)
 	gauge("kcw_control_leads", "Whether this member leads, 0 or 1.", func() int64 {
 		if status := group.Status(); status.GetLeader() == status.GetId() {
 			return 1
@@ -268,6 +304,7 @@
 		kratos.StopTimeout(s.Stop.Grace/2),
 		kratos.BeforeStop(func(context.Context) error {
 			klog.InfoS("Member stops", "PeerAddress", s.Host.PeerAddress)
+			m.handOverVote()
 			return m.closeGroup()
 		}),
 	)
@@ -325,30 +362,97 @@
 	}
 }
 
-// requestAdmission asks the leader to admit this replica if it has no vote.
+// requestAdmission asks the leader to admit this replica if it has no vote, or if it has had
+// no contact with a leader for some time: it may have been removed meanwhile.
 func (m *Member) requestAdmission(ctx context.Context) {
 	status := m.service.group.Status()
-	if status.GetId() == 0 || isVoter(status) || status.GetRole() == founding {
+	now := time.Now()
+	if m.service.group.Fresh() || m.freshAt.IsZero() {
+		m.freshAt = now
+	}
+	election := m.cfg.Settings.Group.Election
+	inForce := kcwreplica.IsVoter(status.GetMembership(), status.GetId()) && now.Sub(m.freshAt) <= 2*election
+	if status.GetId() == 0 || inForce || status.GetRole() == founding || m.leaving.Load() {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, election)
+	defer cancel()
+	if err := m.client.Admit(ctx, m.self(status)); err != nil {
+		klog.V(kcwlog.DebugVerbosity).InfoS("Not admitted yet", "Cause", err.Error())
+	}
+}
+
+// self returns this replica as a member.
+func (m *Member) self(status *kcwpb.GroupStatus) *kcwpb.Member {
 	s := m.cfg.Settings
 	own := s.Host.PeerAddress.String()
-	ctx, cancel := context.WithTimeout(ctx, s.Group.Election)
+	return &kcwpb.Member{Id: status.GetId(), Name: own, Zone: s.Host.Zone, Address: own}
+}
+
+// handOverVote announces that this member is about to stop and waits until it has no vote, if
+// the group can do without it or has a learner. It gives up after the time after which the
+// others take a member to be silent.
+func (m *Member) handOverVote() {
+	if m.service == nil {
+		return
+	}
+	m.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(m.ctx, m.silentAfter())
 	defer cancel()
-	err := m.client.Admit(ctx, &kcwpb.Member{Id: status.GetId(), Name: own, Zone: s.Host.Zone, Address: own})
-	if err != nil {
-		klog.V(kcwlog.DebugVerbosity).InfoS("Not admitted yet", "Cause", err.Error())
+	started := time.Now()
+	var announceAt time.Time
+	for {
+		status := m.service.group.Status()
+		if !m.canGiveUpVote(status) {
+			klog.InfoS("Vote handed over or kept", "Voter", kcwreplica.IsVoter(status.GetMembership(), status.GetId()), "Waited", time.Since(started).String())
+			return
+		}
+		if now := time.Now(); !now.Before(announceAt) {
+			announceAt = now.Add(admitInterval)
+			m.announceStop(ctx, status)
+		}
+		select {
+		case <-ctx.Done():
+			klog.InfoS("Vote not handed over in time", "Waited", time.Since(started).String())
+			return
+		case <-time.After(stopPollInterval):
+		}
+	}
+}
+
+// announceStop tells the leader that this member is about to stop.
+func (m *Member) announceStop(ctx context.Context, status *kcwpb.GroupStatus) {
+	if status.GetLeader() == status.GetId() {
+		m.service.announceStop(m.self(status))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, admitInterval)
+	defer cancel()
+	if err := m.client.AnnounceStop(ctx, m.self(status)); err != nil {
+		klog.InfoS("Stop not announced", "Cause", err.Error())
+	}
+}
+
+// canGiveUpVote reports whether this replica leads or votes and the leader may be able to
+// take its vote.
+func (m *Member) canGiveUpVote(status *kcwpb.GroupStatus) bool {
+	id, membership := status.GetId(), status.GetMembership()
+	if id == 0 || !kcwreplica.IsVoter(membership, id) && status.GetLeader() != id {
+		return false
 	}
+	voters := countVoters(membership)
+	return voters < len(membership.GetMembers()) || voters > 2*m.cfg.Settings.Group.Losses+1
 }
 
-// isVoter reports whether the replica of status is a member with a vote.
-func isVoter(status *kcwpb.GroupStatus) bool {
-	for _, m := range status.GetMembership().GetMembers() {
-		if m.GetId() == status.GetId() {
-			return !m.GetLearner()
+// countVoters returns the number of members that vote, outgoing ones left out.
+func countVoters(membership *kcwpb.Membership) int {
+	n := 0
+	for _, m := range membership.GetMembers() {
+		if !m.GetLearner() {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // readList reads the list of upstreams if this member leads.
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -20,7 +20,6 @@
 	"kingcupwick.example/kcw-fleet/kcwdirectory"
 	"kingcupwick.example/kcw/kcwallowance"
 	"kingcupwick.example/kcw/kcwgroup"
-	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwmembership"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
@@ -44,8 +43,11 @@
 	blocks  *blockKeeper
 	limits  *limitKeeper
 
-	// mu guards routers and the planner.
-	mu sync.Mutex
+	// mu guards routers, the planner and watch.
+	mu    sync.Mutex
+	watch *memberWatch
+	// changeTimeout bounds the wait for a membership change.
+	changeTimeout time.Duration
 	// routers holds the last contact of each active router, by name.
 	routers map[string]contact
 }
@@ -151,7 +153,7 @@
 	maps.DeleteFunc(s.routers, func(_ string, c contact) bool { return now.Sub(c.at) > routerActiveWindow })
 }
 
-// Admit records that a replica asks to become a voter.
+// Admit records that a replica requests admission, or that it is about to stop.
 func (s *service) Admit(_ context.Context, req *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error) {
 	status := s.group.Status()
 	if status.GetId() != status.GetLeader() {
@@ -162,7 +164,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.planner.RequestAdmission(req.Msg.GetMember(), time.Now())
+	if req.Msg.GetLeaving() {
+		s.planner.AnnounceStop(req.Msg.GetMember(), time.Now())
+	} else {
+		s.planner.RequestAdmission(req.Msg.GetMember(), time.Now())
+	}
 	return connect.NewResponse(&kcwpb.FleetAdmitResponse{Membership: status.GetMembership()}), nil
 }
 
@@ -243,24 +249,61 @@
 func (s *service) maintain(ctx context.Context) {
 	s.dropSilentRouters(time.Now())
 	status := s.group.Status()
-	s.mu.Lock()
-	if status.GetId() == 0 || status.GetId() != status.GetLeader() {
-		s.planner.ResetProgress()
-		s.mu.Unlock()
-		return
-	}
-	change := s.planner.Next(status, time.Now())
-	s.mu.Unlock()
+	change := s.nextChange(status, time.Now())
 	if change == nil {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.changeTimeout)
+	defer cancel()
 	membership, err := s.group.ChangeMembers(ctx, change)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
 	if err != nil {
-		klog.V(kcwlog.DebugVerbosity).InfoS("Membership change refused", "Kind", change.GetKind().String(), "Member", change.GetMember().GetAddress(), "Cause", err.Error())
+		s.planner.Refuse(change, now)
+		s.watch.reportRefusal(change, status, err, s.planner, now)
 		return
 	}
-	klog.InfoS("Membership changed", "Kind", change.GetKind().String(), "Member", change.GetMember().GetAddress(),
-		"Identity", change.GetMember().GetId(), "Members", len(membership.GetMembers()), "Term", status.GetTerm())
+	s.watch.reportChange(change, status, membership, s.planner, now)
+}
+
+// nextChange records the state of the members and returns the membership change to make,
+// nil if there is none or if this member does not lead.
+func (s *service) nextChange(status *kcwpb.GroupStatus, now time.Time) *kcwpb.ChangeMembersRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.observeRoles(status, now)
+	if status.GetId() == 0 || status.GetId() != status.GetLeader() {
+		s.planner.Reset()
+		s.watch.forgetLeading()
+		return nil
+	}
+	change := s.planner.Next(status, now)
+	s.watch.observeSilence(status, s.planner, now)
+	return change
+}
+
+// silentVoters returns the number of voters that this member, if it leads, takes to be
+// silent.
+func (s *service) silentVoters() int64 {
+	status := s.group.Status()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watch.silentVoters(status)
+}
+
+// members returns the state of the members for the state dump.
+func (s *service) members(status *kcwpb.GroupStatus) []memberState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watch.dump(status, s.planner, time.Now())
+}
+
+// announceStop records at this member, which leads, that it is about to stop.
+func (s *service) announceStop(m *kcwpb.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.planner.AnnounceStop(m, time.Now())
 }
 
 // handler returns the handler for routers and other members.
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -239,7 +239,7 @@
 	Seeds     []netip.AddrPort `setting:"required"`
 	Bootstrap bool
 	// Losses is the number of members that may be lost at once. 2*Losses+1 members keep
-	// their votes even if some of them are silent.
+	// their votes unless a successor takes one over.
 	Losses int `default:"1" setting:"min=0,max=49"`
 	// Heartbeat and Election are the heartbeat interval and the election timeout of the
 	// log. An election ends well within the time in which an operator expects an answer.
@@ -251,9 +251,10 @@
 	SnapshotBytes   int64  `default:"4194304" setting:"min=65536,max=1073741824"`
 	KeepEntries     uint64 `default:"1000" setting:"min=0,max=10000000"`
 	SegmentBytes    int64  `default:"1048576" setting:"min=65536,max=1073741824"`
-	// RemoveAfter is how long a member must be silent before it is removed, provided
-	// that enough others have a vote.
-	RemoveAfter time.Duration `default:"10s" setting:"min=1s,max=24h"`
+	// CatchUp is the time after the start of a lost member's successor at which the lost
+	// member no longer counts and the next may be lost, so that by then the successor has
+	// its vote. A member without progress for a quarter of it is silent.
+	CatchUp time.Duration `default:"4s" setting:"min=100ms,max=1h"`
 	// MaxDocumentBytes bounds a configuration document.
 	MaxDocumentBytes int64 `default:"4194304" setting:"min=1024,max=67108864"`
 	// PutTimeout bounds the wait for the commit of a document. It is shorter than the time
