kcwcontrol: the wait for the loss of a vote ends well before the stop does

A member that is about to stop waits until its vote is taken, for the time after which it counts as silent. That follows from CatchUp alone, and the time to the end of the process from Grace: with a CatchUp of 40 s and a Grace of 8 s it waited 10 s where a learner is gone, and was killed before it had handed over the lead and closed its log. The wait is now a quarter of Grace at most. With the times of the sites (4 and 6 s, 8 s) nothing changes.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -391,15 +391,21 @@
 	return &kcwpb.Member{Id: status.GetId(), Name: own, Zone: s.Host.Zone, Address: own}
 }
 
+// handOverTimeout returns how long a member that is about to stop waits for the loss of its
+// vote: until the others take a member to be silent, but for a quarter of the time to its end
+// at most.
+func (m *Member) handOverTimeout() time.Duration {
+	return min(m.silentAfter(), m.cfg.Settings.Stop.Grace/4)
+}
+
 // handOverVote announces that this member is about to stop and waits until it has no vote, if
-// the group can do without it or has a learner. It gives up after the time after which the
-// others take a member to be silent.
+// the group can do without it or has a learner. It gives up after handOverTimeout.
 func (m *Member) handOverVote() {
 	if m.service == nil {
 		return
 	}
 	m.leaving.Store(true)
-	ctx, cancel := context.WithTimeout(m.ctx, m.silentAfter())
+	ctx, cancel := context.WithTimeout(m.ctx, m.handOverTimeout())
 	defer cancel()
 	started := time.Now()
 	var announceAt time.Time
