kcwcontrol, kcwgroup: the age of a member's view does not depend on the time of day

A member without contact with a leader states how old its view of the core is. It computed that from the time of day of its last contact. If the time of day was set back since, the view counted as confirmed just now, until the clock had made up for the step: other hosts then took its leader and members for the newest ones, and called a leader that is gone again and again.

Group.ContactAge states the age by the monotonic clock, from the contact that Fresh uses.

Before: TestClockSetBackLeavesViewOld, "10.0.0.1:7000 is listed as confirmed 3.552µs ago, and the last contact was more than 50ms ago".

--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -185,8 +185,8 @@
 	age := staleAge
 	if s.group.Fresh() {
 		age = 0
-	} else if heard := status.GetHeardAt(); heard != 0 {
-		age = max(0, time.Since(time.Unix(0, heard)))
+	} else if contact, found := s.group.ContactAge(); found {
+		age = contact
 	}
 	view := kcwdirectory.View{LeaderAge: age}
 	for _, address := range kcwcore.ParseAddresses(memberAddresses(status)) {
