kcwreplica: a replacement whose outgoing voter is no member is completed

Cause: a program that does not know replacements keeps the unknown field when it changes the membership, and may remove one of the outgoing voters; the leader has no record of that one's progress. Such a list of outgoing voters is passed over now, and the replacement completed. TestRemovedOutgoingVoterDoesNotStopLeaders failed before: 'invalid memory address or nil pointer dereference'.

--- a/kcw/kcwreplica/members.go
+++ b/kcw/kcwreplica/members.go
@@ -26,7 +26,19 @@
 			return true
 		}
 	}
-	return slices.Contains(membership.GetOutgoing(), id)
+	return slices.Contains(outgoingVoters(membership), id)
+}
+
+// outgoingVoters returns the voters before a replacement in progress. It returns none if
+// one of them is no member: a program that does not know replacements has removed it, and
+// nobody could answer for it.
+func outgoingVoters(membership *kcwpb.Membership) []uint64 {
+	for _, id := range membership.GetOutgoing() {
+		if !slices.ContainsFunc(membership.Members, func(m *kcwpb.Member) bool { return m.Id == id }) {
+			return nil
+		}
+	}
+	return membership.GetOutgoing()
 }
 
 // incomingVoters returns the identities of the members that have a vote once a
--- a/kcw/kcwreplica/replace_test.go
+++ b/kcw/kcwreplica/replace_test.go
@@ -456,3 +456,20 @@
 		t.Errorf("outgoing %v after the restart, want [1 2 3]", got)
 	}
 }
+
+// A leader elected under a replacement whose outgoing voter was removed by a program without
+// replacements dereferenced a missing progress record.
+func TestRemovedOutgoingVoterDoesNotStopLeaders(t *testing.T) {
+	s := newSim(9, 3)
+	leader := elect(t, s)
+	membership := proto.Clone(leader.replica.Membership()).(*kcwpb.Membership)
+	membership.Outgoing = []uint64{1, 2, 9}
+	if _, err := leader.replica.appendMembership("change", membership, s.now); err != nil {
+		t.Fatal(err)
+	}
+	s.drive(leader, false)
+	s.run(second)
+	if got := leader.replica.Membership().Outgoing; len(got) > 0 || leader.replica.Commit() < leader.replica.log.last() {
+		t.Errorf("outgoing %v, commit %d of %d; want a complete replacement", got, leader.replica.Commit(), leader.replica.log.last())
+	}
+}
--- a/kcw/kcwreplica/replica.go
+++ b/kcw/kcwreplica/replica.go
@@ -288,8 +288,8 @@
 func (r *Replica) quorumOf(value func(id uint64) uint64) uint64 {
 	membership := r.Membership()
 	quorum := majorityOf(incomingVoters(membership), value)
-	if len(membership.Outgoing) > 0 {
-		quorum = min(quorum, majorityOf(membership.Outgoing, value))
+	if outgoing := outgoingVoters(membership); len(outgoing) > 0 {
+		quorum = min(quorum, majorityOf(outgoing, value))
 	}
 	return quorum
 }
