--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -50,9 +50,9 @@
 	// stop still votes.
 	stopPollInterval = 50 * time.Millisecond
 	// silentParts and removeParts state when a member is silent and when a silent learner is
-	// removed, as parts of Group.CatchUp. Within CatchUp after its start, a successor has
-	// taken over the vote of a lost member, even if the leader that would have arranged it
-	// is lost as well: two elections and two times of silence fit in.
+	// removed, as parts of Group.CatchUp. The rest of CatchUp is for a successor to start and
+	// for elections, also if the leader that would have moved a lost member's vote is lost
+	// as well.
 	silentParts = 4
 	removeParts = 12
 	// headerTimeout bounds the wait for a request's header.
