--- a/kcw-fleet/kcwcore/bound_test.go
+++ b/kcw-fleet/kcwcore/bound_test.go
@@ -34,7 +34,7 @@
 type state int
 
 const (
-	// answering hosts answer as leader, or refuse and name whom they believe to lead.
+	// answering hosts answer as leader, or refuse and name the leader that they know.
 	answering state = iota
 	// unpowered hosts accept no connection and do not refuse it. Frozen hosts accept
 	// connections and calls and never answer. Killed hosts refuse connections. Silent hosts
@@ -53,10 +53,10 @@
 	kcwpbconnect.UnimplementedFleetHandler
 	sim     *simNet
 	address netip.AddrPort
-	// state and believed are used under the lock of sim. believed is the host that this
-	// one believes to lead, itself if it leads.
-	state    state
-	believed netip.AddrPort
+	// state and knownLeader are used under the lock of sim. knownLeader is the host that this
+	// one takes for the leader, itself if it leads.
+	state       state
+	knownLeader netip.AddrPort
 	// locates is set for a host that looks for the leader until the call ends if it knows
 	// none, as hosts without a disk do.
 	locates bool
@@ -114,21 +114,21 @@
 // Sync implements kcwpbconnect.FleetHandler.
 func (h *simHost) Sync(ctx context.Context, _ *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
 	h.sim.mu.Lock()
-	state, believed, core := h.state, h.believed, h.sim.core
+	state, knownLeader, core := h.state, h.knownLeader, h.sim.core
 	if state == silent && ctx.Value(connAge{}) == h.sim.changes {
 		state = answering
 	}
 	h.sim.mu.Unlock()
-	if state != answering || h.locates && !believed.IsValid() {
+	if state != answering || h.locates && !knownLeader.IsValid() {
 		<-h.sim.ended
 		return nil, connect.NewError(connect.CodeUnavailable, errors.New("no answer"))
 	}
-	if believed == h.address {
+	if knownLeader == h.address {
 		return connect.NewResponse(&kcwpb.FleetSyncResponse{Core: core}), nil
 	}
 	e := connect.NewError(connect.CodeUnavailable, errors.New("not the leader"))
-	if believed.IsValid() {
-		e.Meta().Set(kcwledger.LeaderHeader, believed.String())
+	if knownLeader.IsValid() {
+		e.Meta().Set(kcwledger.LeaderHeader, knownLeader.String())
 	}
 	return nil, e
 }
@@ -168,11 +168,11 @@
 		s.core = append(s.core, m.String())
 	}
 	for _, h := range s.hosts {
-		h.believed = address
+		h.knownLeader = address
 	}
 }
 
-// change changes states and beliefs.
+// change changes states and known leaders.
 func (s *simNet) change(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -211,7 +211,7 @@
 		name string
 		// locators are hosts without a disk and gone former members, all known to the router.
 		locators, gone int
-		// lose changes the states and the beliefs of members, the first of which leads, and
+		// lose changes the states and the known leaders of members, the first of which leads, and
 		// of hosts without a disk.
 		lose func(members, locators []*simHost)
 	}{
@@ -224,7 +224,7 @@
 		{name: "leader without power that members name", lose: func(m, _ []*simHost) { m[0].state = unpowered }},
 		{name: "deposed leader that names none", lose: func(m, _ []*simHost) { forget(m) }},
 		{name: "deposed leaders that name each other", lose: func(m, _ []*simHost) {
-			m[0].believed, m[1].believed = m[1].address, m[0].address
+			m[0].knownLeader, m[1].knownLeader = m[1].address, m[0].address
 		}},
 		{name: "silent connections", lose: func(m, l []*simHost) {
 			for _, h := range append(m, l...) {
@@ -294,9 +294,9 @@
 	}
 }
 
-// forget makes hosts believe that none leads.
+// forget clears the known leader of hosts.
 func forget(hosts []*simHost) {
 	for _, h := range hosts {
-		h.believed = netip.AddrPort{}
+		h.knownLeader = netip.AddrPort{}
 	}
 }
--- a/kcw-fleet/kcwrouter/dump.go
+++ b/kcw-fleet/kcwrouter/dump.go
@@ -43,7 +43,7 @@
 }
 
 func (r *Router) dump() dump {
-	b := r.reporter.belief()
+	b := r.reporter.documentStatus()
 	d := dump{
 		Router: r.cfg.Settings.Host.Name, Zone: r.cfg.Settings.Host.Zone, Incarnation: r.reporter.currentIncarnation(),
 		Document: b.Version, DocumentFrom: b.From, CoreHost: b.Host, ContactAge: time.Since(b.ContactAt).String(), CoreLost: b.IsLost,
@@ -75,12 +75,12 @@
 		func(observe func(int64, ...attribute.KeyValue)) { observe(int64(r.reporter.version())) })
 	r.meter.Gauge("kcw_router_document_age", "Time since the configuration in force came, in milliseconds; none before the first.",
 		func(observe func(int64, ...attribute.KeyValue)) {
-			if b := r.reporter.belief(); b.Version != 0 {
+			if b := r.reporter.documentStatus(); b.Version != 0 {
 				observe(time.Since(b.ReceivedAt).Milliseconds())
 			}
 		})
 	r.meter.Gauge("kcw_router_contact_age", "Time since the last report that the core has answered was sent, in milliseconds.",
 		func(observe func(int64, ...attribute.KeyValue)) {
-			observe(time.Since(r.reporter.belief().ContactAt).Milliseconds())
+			observe(time.Since(r.reporter.documentStatus().ContactAt).Milliseconds())
 		})
 }
--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -16,9 +16,9 @@
 // timeBounds are the upper bounds of the histogram buckets, in seconds.
 var timeBounds = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.6, 0.8, 1, 2, 4, 6, 15}
 
-// newObserver returns a callback that logs and counts each request when it ends. Believe
-// returns what the router knows of the configuration.
-func newObserver(m *kcwmeter.Meter, believe func() belief) func(kcwforward.Event) {
+// newObserver returns a callback that logs and counts each request when it ends. Status
+// returns the status of the document in force.
+func newObserver(m *kcwmeter.Meter, status func() documentStatus) func(kcwforward.Event) {
 	requests := m.Counter("kcw_router_requests", "Requests that ended, by service, outcome and status.")
 	sends := m.Counter("kcw_router_sends", "Attempts at upstreams, by service.")
 	cut := m.Counter("kcw_router_attempts_cut", "Last attempts of requests whose upstream closed the connection, by service and whether an answer had begun.")
@@ -42,7 +42,7 @@
 		}
 		logRequest(e)
 		if isNotAllowed(e) {
-			logNotAllowed(e, believe())
+			logNotAllowed(e, status())
 		}
 	}
 }
@@ -55,7 +55,7 @@
 
 // logNotAllowed logs the version that does not allow a request, and the age of the last
 // contact with the core.
-func logNotAllowed(e kcwforward.Event, b belief) {
+func logNotAllowed(e kcwforward.Event, b documentStatus) {
 	klog.InfoS("Configuration does not allow the request", "Request", e.RequestID, "Outcome", e.Outcome, "Status", e.Status,
 		"Version", e.Document, "Newest", b.Version, "From", b.From, "VersionAge", time.Since(b.ReceivedAt).String(),
 		"Member", b.Host, "ContactAge", time.Since(b.ContactAt).String(), "CoreLost", b.IsLost)
--- a/kcw-fleet/kcwrouter/reporter.go
+++ b/kcw-fleet/kcwrouter/reporter.go
@@ -224,8 +224,9 @@
 	return 0
 }
 
-// belief is what a router knows of the configuration, and how old that is.
-type belief struct {
+// documentStatus is the version of the document in force, its source and its age, and the
+// last contact with the core.
+type documentStatus struct {
 	// Version is that of the document in force, zero if there is none. From is the host of
 	// the core that sent it, at ReceivedAt.
 	Version    uint64
@@ -239,11 +240,11 @@
 	IsLost bool
 }
 
-// belief returns what the router knows of the configuration.
-func (p *reporter) belief() belief {
+// documentStatus returns the status of the document in force.
+func (p *reporter) documentStatus() documentStatus {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return belief{
+	return documentStatus{
 		Version: p.version(), From: p.documentFrom, ReceivedAt: p.documentAt, Host: p.host, ContactAt: p.answeredAt, IsLost: p.coreLost,
 	}
 }
--- a/kcw-fleet/kcwrouter/reporter_test.go
+++ b/kcw-fleet/kcwrouter/reporter_test.go
@@ -115,9 +115,9 @@
 	var version uint64
 	decode := func([]byte) (*kcwroute.Document, error) { return &kcwroute.Document{Version: version}, nil }
 	r := newTestRouter(t, decode, firstAt, secondAt)
-	start := r.reporter.belief()
+	start := r.reporter.documentStatus()
 	if start.Version != 0 || start.Host.IsValid() || start.From.IsValid() {
-		t.Errorf("before the first report, the router believes %+v", start)
+		t.Errorf("before the first report, the status is %+v", start)
 	}
 	for _, test := range []struct {
 		name          string
@@ -135,11 +135,11 @@
 		first.set(test.first)
 		second.set(test.second)
 		version = max(test.first, test.second)
-		before := r.reporter.belief()
+		before := r.reporter.documentStatus()
 		r.reporter.report(t.Context())
-		b := r.reporter.belief()
+		b := r.reporter.documentStatus()
 		if b.Version != test.version || b.From != test.from || b.Host != test.host {
-			t.Errorf("%s: the router believes %+v", test.name, b)
+			t.Errorf("%s: the status is %+v", test.name, b)
 		}
 		if isAnswered := version != 0; b.ContactAt.After(before.ContactAt) != isAnswered {
 			t.Errorf("%s: last contact at %v, before at %v", test.name, b.ContactAt, before.ContactAt)
@@ -155,13 +155,13 @@
 // can't be told from the log.
 func TestNotAllowedIsLogged(t *testing.T) {
 	calls := 0
-	believe := func() belief {
+	status := func() documentStatus {
 		calls++
-		return belief{Version: 7}
+		return documentStatus{Version: 7}
 	}
 	leader, leaderAt := serveCore(t)
 	leader.set(7)
-	observe := newObserver(newTestRouter(t, nil, leaderAt).meter, believe)
+	observe := newObserver(newTestRouter(t, nil, leaderAt).meter, status)
 	for _, test := range []struct {
 		status, sends int
 		isLogged      bool
--- a/kcw/kcwforward/surplus_test.go
+++ b/kcw/kcwforward/surplus_test.go
@@ -177,7 +177,7 @@
 	}
 }
 
-// Load, leaving, declining and limits of an answer to no request are not believed.
+// Load, leaving, declining and limits of an answer to no request are ignored.
 func TestSurplusAnswersStateNothing(t *testing.T) {
 	for _, id := range []string{"", "warm"} {
 		for _, status := range []int{103, 200, 503} {
