--- a/kcw/kcwmembership/group_test.go
+++ b/kcw/kcwmembership/group_test.go
@@ -93,7 +93,7 @@
 	log     *entry
 	// commit is the highest index that it knows to be committed.
 	commit int
-	// electAt is when it seeks election unless it hears from a leader, and heardAt when it
+	// electAt is when it starts an election without a message from a leader, and heardAt when it
 	// last did.
 	electAt, heardAt time.Time
 	leading          *leading
@@ -353,7 +353,7 @@
 }
 
 // elect makes r the leader if it gets the votes, and if no other replica seeks election
-// before it could hear of the candidate. The second election in a row is not split: bounds
+// before a message of the candidate could arrive. The second election in a row is not split: bounds
 // that hold whatever the random timeouts are would have to be infinite.
 func (g *group) elect(r *replica) {
 	for id, to := range g.replicas {
