kcwroster, kcwrouter: log and count the silences of upstreams

The log has the end of a request that its router gave up for silence, but not when the upstream became silent, for how long, with how many requests waiting and under way, nor that it went on. Decisions are unchanged.

--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -11,6 +11,7 @@
 
 	"kingcupwick.example/kcw/kcwforward"
 	"kingcupwick.example/kcw/kcwmeter"
+	"kingcupwick.example/kcw/kcwroster"
 )
 
 // timeBounds are the upper bounds of the histogram buckets, in seconds.
@@ -94,3 +95,17 @@
 func logWithdrawal(attempt, upstream string, answer kcwforward.ResponseInfo) {
 	klog.InfoS("Upstream withdraws", "Request", attempt, "Upstream", upstream, "Leaving", answer.Leaving, "DeclinedUntil", answer.DeclinedUntil)
 }
+
+// newSilenceObserver returns a callback that logs and counts each silence of an upstream.
+func newSilenceObserver(m *kcwmeter.Meter) func(kcwroster.Silence) {
+	silences := m.Counter("kcw_router_upstream_silences", "Silences of upstreams that requests waited for, by service.")
+	return func(s kcwroster.Silence) {
+		message := "Upstream silent"
+		if s.Ended {
+			message = "Upstream no longer silent"
+		} else {
+			silences.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", s.Service)))
+		}
+		klog.InfoS(message, "Upstream", s.Upstream, "Service", s.Service, "Silence", time.Since(s.Since).String(), "Waiting", s.Waiting, "InFlight", s.InFlight)
+	}
+}
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -136,7 +136,7 @@
 		return nil, err
 	}
 	r.newQuota(uptime)
-	r.roster = newRoster(s, r.quota)
+	r.roster = newRoster(s, r.quota, newSilenceObserver(r.meter))
 	if r.guard, err = kcwguard.New(kcwguard.Config{Router: s.Host.Name, Detector: s.Parts.Detector(), Now: time.Now}); err != nil {
 		return nil, err
 	}
@@ -199,7 +199,7 @@
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func newRoster(s *kcwsetup.Router, quota *kcwquota.Quota) *kcwroster.Roster {
+func newRoster(s *kcwsetup.Router, quota *kcwquota.Quota, onSilence func(kcwroster.Silence)) *kcwroster.Roster {
 	u := s.Upstream
 	return kcwroster.New(kcwroster.Config{
 		Zone: s.Host.Zone,
@@ -216,7 +216,7 @@
 			DialTimeout: u.DialTimeout, SilenceTimeout: u.SilenceTimeout, IdleTimeout: u.IdleTimeout, MaxIdle: u.MaxIdle,
 		},
 		SilenceTimeout: u.SilenceTimeout, DialPause: u.DialPause, HalfLife: u.LoadHalfLife, PromptWeight: u.PromptWeight,
-		Limits: quota, Rand: newRand(), Now: time.Now,
+		Limits: quota, OnSilence: onSilence, Rand: newRand(), Now: time.Now,
 	})
 }
 
--- a/kcw/kcwroster/attempt.go
+++ b/kcw/kcwroster/attempt.go
@@ -31,6 +31,14 @@
 	defer a.roster.mu.Unlock()
 	a.upstream.lastDataAt = now
 	a.markAnswered()
+	a.endSilence(now)
+}
+
+// endSilence reports the end of a silence at once.
+func (a *Attempt) endSilence(now time.Time) {
+	if !a.upstream.silentSince.IsZero() {
+		a.roster.isSilent(a.upstream, now)
+	}
 }
 
 // markAnswered removes the attempt from those without an answer, once.
@@ -49,6 +57,7 @@
 	a.roster.mu.Lock()
 	defer a.roster.mu.Unlock()
 	a.upstream.lastDataAt = now
+	a.endSilence(now)
 }
 
 // ReportLoad stores a load report of the upstream.
--- a/kcw/kcwroster/roster.go
+++ b/kcw/kcwroster/roster.go
@@ -59,8 +59,11 @@
 	PromptWeight float64
 	// Limits keeps the rate limits that upstreams name. It is optional.
 	Limits limiter
-	Rand   *rand.Rand
-	Now    func() time.Time
+	// OnSilence is called when an upstream becomes silent and when it no longer is. It is
+	// called with the roster locked and must not block. It is optional.
+	OnSilence func(Silence)
+	Rand      *rand.Rand
+	Now       func() time.Time
 }
 
 // upstream is the state of one listed upstream.
@@ -76,6 +79,8 @@
 	// waiting holds the attempts without an answer and when each one began.
 	waiting    map[*Attempt]time.Time
 	lastDataAt time.Time
+	// silentSince is when the silence of the upstream began, zero if it is not silent.
+	silentSince time.Time
 	// load is the newest load report. It was received at loadAt, when loadInFlight
 	// attempts of this router were in flight.
 	load         Load
@@ -253,20 +258,6 @@
 	return suspected
 }
 
-// isSilent reports whether an attempt at u has waited for at least the silence
-// timeout while u sent no data to any attempt.
-func (r *Roster) isSilent(u *upstream, now time.Time) bool {
-	for _, since := range u.waiting {
-		if u.lastDataAt.After(since) {
-			since = u.lastDataAt
-		}
-		if now.Sub(since) >= r.cfg.SilenceTimeout {
-			return true
-		}
-	}
-	return false
-}
-
 // meanLoad returns the mean fraction of capacity in use over those upstreams of the
 // service that have a recent load report, and 0 if none has.
 func (r *Roster) meanLoad(service string, now time.Time) float64 {
