kcwforward: keep a silent upstream's requests until another one answers

Cause: when any request had waited for the silence timeout at an upstream that sent nothing, every attempt there that may be repeated was ended, streams under way included. Only then it was tried to begin another one, and the retry budget, the other upstreams, permits or the number of attempts could say no. The class is an irreversible act on a suspicion before its replacement is certain.

An attempt now stays open while its upstream is silent. If a retry is left and another upstream isn't suspected, a second attempt, a hedge, begins beside it; whichever answers first replaces the other, and at most two are open. Without a hedge the request waits on. A hedge counts as a retry and as an attempt of the route, and is refunded if nothing was sent. The silence of the upstream is a failure only if it lasts for another silence timeout after the hedge has won; until then the upstream gets no new work.

--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -109,3 +109,13 @@
 		klog.InfoS(message, "Upstream", s.Upstream, "Service", s.Service, "Silence", time.Since(s.Since).String(), "Waiting", s.Waiting, "InFlight", s.InFlight)
 	}
 }
+
+// newHedgeObserver returns a callback that logs and counts the hedges of requests whose
+// upstream is silent.
+func newHedgeObserver(m *kcwmeter.Meter) func(kcwforward.Hedge) {
+	hedges := m.Counter("kcw_router_hedges", "Hedges of requests whose upstream is silent, by service and what happened to them.")
+	return func(h kcwforward.Hedge) {
+		hedges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", h.Service), attribute.String("state", string(h.State))))
+		klog.InfoS("Hedge of a request", "State", h.State, "Request", h.RequestID, "Service", h.Service, "Silent", h.Silent, "Upstream", h.Upstream, "Cause", h.Cause, "Events", h.Events)
+	}
+}
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -229,7 +229,7 @@
 		Memory: r.memory, MaxHeadBytes: int64(s.Limits.MaxHeaderBytes),
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		UsedWithin: s.Upstream.UsedWithin, SilenceCheckInterval: s.Upstream.Patience,
-		Stopping: r.stopping, OnEnd: newObserver(r.meter, r.reporter.documentStatus), OnRetry: logRetry, OnWithdrawal: logWithdrawal, Rand: newRand(), Now: time.Now,
+		Stopping: r.stopping, OnEnd: newObserver(r.meter, r.reporter.documentStatus), OnRetry: logRetry, OnHedge: newHedgeObserver(r.meter), OnWithdrawal: logWithdrawal, Rand: newRand(), Now: time.Now,
 	})
 }
 
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -59,15 +59,13 @@
 	memoryHeld int64
 	// reservedTokens is the number of tokens reserved for the request.
 	reservedTokens int64
-	// mayHaveRun is set if an upstream may have run the request.
-	mayHaveRun bool
 	// isTrial is set if the request tests whether a blocked part still crashes upstreams.
 	isTrial bool
 	// isAtLimit is set if the request ends because all upstreams are at their rate limits.
 	isAtLimit bool
 	// isComplete is set if the caller has got a whole answer of an upstream.
 	isComplete bool
-	stream     streamProgress
+	attempts
 	// isUnmeasured is set if an answer on a stream route had a body without events, so that
 	// the number of its tokens isn't known.
 	isUnmeasured bool
--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -44,26 +44,28 @@
 		// Callers request unencoded bodies, so an encoding is a sign of damage.
 		return a.endBroken("the answer is damaged", errors.New("it has an encoding"))
 	}
-	if a.stream.started {
+	if a.resumed != nil {
 		if err := checkResumption(response); err != nil {
 			return a.endBroken("the stream can't be resumed", err)
 		}
-		return a.relay(response, &resumption{progress: &a.stream})
+		return a.relay(response)
 	}
 	isSuccess := response.StatusCode < http.StatusMultipleChoices
 	if isSuccess && a.route.Kind == kcwroute.Stream && isStream(response) {
-		return a.relay(response, nil)
+		return a.relay(response)
 	}
 	answer, err := a.bufferAnswer(response)
 	if err != nil {
 		return a.endBroken("the answer broke off", err)
 	}
-	a.event.FirstByte = a.f.cfg.Now().Sub(a.start)
 	if response.StatusCode >= http.StatusInternalServerError {
 		a.failedAnswer = answer
 		a.cause = "upstream " + a.ticket.ID() + " failed the request with status " + strconv.Itoa(answer.status)
 		return failedRun, kcwroster.Failed
 	}
+	if !a.claim() {
+		return replaced, kcwroster.Replaced
+	}
 	if isSuccess {
 		a.begin()
 		a.isUnmeasured = a.route.Kind == kcwroute.Stream && len(answer.body) > 0
@@ -90,6 +92,7 @@
 // write writes the answer to the caller.
 func (h *bufferedAnswer) write(c *call) {
 	c.event.Status = h.status
+	c.event.FirstByte = c.f.cfg.Now().Sub(c.start)
 	copyHeader(c.w.Header(), h.header)
 	if c.r.Method != http.MethodHead && h.status != http.StatusNoContent && h.status != http.StatusNotModified {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
@@ -127,8 +130,7 @@
 }
 
 // relay passes on the events of a stream as they arrive. It passes on only whole events.
-// Resumed is nil unless the stream goes on with what an earlier attempt has passed on.
-func (a *attempt) relay(response *http.Response, resumed *resumption) (result, kcwroster.Outcome) {
+func (a *attempt) relay(response *http.Response) (result, kcwroster.Outcome) {
 	if !a.f.cfg.Memory.TryAcquire(initialBufferBytes) {
 		return a.endBrokenStream(errMemoryFull)
 	}
@@ -138,9 +140,6 @@
 		if err := a.r.Context().Err(); err != nil && a.bodyStarted {
 			return a.endBrokenStream(err)
 		}
-		if err := a.awaitBytes(); err != nil && a.conn.Reader.Buffered() == 0 && !errors.Is(err, io.EOF) {
-			return a.endBrokenStream(err)
-		}
 		if len(buffer) == cap(buffer) {
 			var err error
 			if buffer, err = a.growBuffer(buffer); err != nil {
@@ -159,8 +158,13 @@
 			if n > 0 {
 				a.ticket.DataReceived()
 			}
-			events, orderErr := a.takeEvents(buffer[:size], resumed)
-			if writeErr := a.forwardEvents(response, events); writeErr != nil {
+			events, isReplaced, orderErr := a.takeEvents(buffer[:size])
+			if isReplaced {
+				return replaced, kcwroster.Replaced
+			}
+			writeErr := a.forwardEvents(response, events)
+			a.endWrite()
+			if writeErr != nil {
 				a.cause = "can't write to the caller: " + writeErr.Error()
 				return callerGone, kcwroster.Neutral
 			}
@@ -173,12 +177,14 @@
 		case err == nil:
 		case err != io.EOF:
 			return a.endBrokenStream(err)
-		case len(buffer) > 0 || !a.stream.started && isCloseDelimited(response):
+		case len(buffer) > 0 || isCloseDelimited(response) && !a.isStreamStarted():
 			// An empty stream that ends with its connection can't be told from one that
 			// broke off before its first event.
 			return a.endBrokenStream(io.ErrUnexpectedEOF)
-		case resumed != nil && resumed.end() != nil:
-			return a.endBrokenStream(resumed.end())
+		case a.resumed != nil && a.resumed.end() != nil:
+			return a.endBrokenStream(a.resumed.end())
+		case !a.claim():
+			return replaced, kcwroster.Replaced
 		default:
 			a.reusable = !response.Close
 			a.startStream(response)
@@ -199,15 +205,18 @@
 
 // endBrokenStream ends an attempt whose stream did not end properly.
 func (a *attempt) endBrokenStream(err error) (result, kcwroster.Outcome) {
-	return a.endBroken("the stream broke off after "+strconv.FormatInt(a.stream.events, 10)+" events", err)
+	return a.endBroken("the stream broke off after "+strconv.FormatInt(a.eventsPassedOn(), 10)+" events", err)
 }
 
 // startStream writes the header of the answer, unless an earlier attempt has done so.
 func (a *attempt) startStream(response *http.Response) {
-	if a.stream.started {
+	a.mu.Lock()
+	wasStarted := a.stream.started
+	a.stream.started = true
+	a.mu.Unlock()
+	if wasStarted {
 		return
 	}
-	a.stream.started = true
 	a.event.FirstByte = a.f.cfg.Now().Sub(a.start)
 	a.event.Status = response.StatusCode
 	header := response.Header.Clone()
@@ -218,17 +227,24 @@
 }
 
 // takeEvents records the events to pass on and returns them, in the memory of events. All
-// are passed on unless the stream is resumed. If the error is not nil, the stream can't go on
-// after the events returned.
-func (a *attempt) takeEvents(events []byte, resumed *resumption) ([]byte, error) {
-	taken := events[:0]
+// are passed on unless the stream is resumed. If there are any, no other attempt may pass on
+// events from now on. The attempt must call endWrite once it has passed them on. It sets
+// isReplaced if another attempt has answered first. If the error is not nil, the stream can't
+// go on after the events returned.
+func (a *attempt) takeEvents(events []byte) (taken []byte, isReplaced bool, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isReplaced {
+		return nil, true, nil
+	}
+	taken = events[:0]
 	for rest := events; len(rest) > 0; {
 		event := rest[:eventSize(rest)]
 		rest = rest[len(event):]
-		if resumed != nil {
-			isNext, err := resumed.admit(event)
-			if err != nil {
-				return taken, err
+		if a.resumed != nil {
+			isNext := false
+			if isNext, err = a.resumed.admit(event); err != nil {
+				break
 			}
 			if !isNext {
 				continue
@@ -237,7 +253,11 @@
 		a.stream.record(event, a.route.Resumable)
 		taken = append(taken, event...)
 	}
-	return taken, nil
+	if len(taken) > 0 {
+		a.replaceOthers()
+		a.isWriting = true
+	}
+	return taken, false, err
 }
 
 // forwardEvents writes whole events to the caller, in one write.
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"syscall"
 	"time"
@@ -41,15 +40,36 @@
 // attempt is one attempt to run the request at one upstream.
 type attempt struct {
 	*call
-	ticket *kcwroster.Attempt
-	// final is set if no other attempt may follow unless this one did not run the
-	// request.
-	final bool
-	conn  *kcwconn.Conn
+	// ctx ends when the caller has disconnected or another attempt has answered first.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// ended is closed when the attempt has ended.
+	ended chan struct{}
+	// silent is the silent upstream of the first attempt if this one is a hedge, and empty if
+	// it is not. IsReplaced is set once another attempt has answered first. Mu guards it.
+	silent     string
+	isReplaced bool
+	// silenceCheck runs checkSilence. It is nil if no other attempt may follow unless this
+	// one did not run the request.
+	silenceCheck *time.Timer
+	// ticket is nil until an upstream was chosen. Permit and displaced are those of Event.
+	ticket            *kcwroster.Attempt
+	permit, displaced string
+	conn              *kcwconn.Conn
 	// written is closed when a large request has been written; it is nil for a
 	// small one. writeErr is the error of writing, valid after that.
 	written  chan struct{}
 	writeErr error
+	// resumed is nil unless the attempt goes on with a stream that has been started, after
+	// the event with lastEventID.
+	resumed     *resumption
+	lastEventID string
+	// mayHaveRun is set if the upstream may have run the request.
+	mayHaveRun bool
+	// memoryHeld is the memory acquired for the answer, in bytes.
+	memoryHeld int64
+	// surplus is the number of answers to other requests that came before the one to this.
+	surplus int
 	// failedAnswer is an answer with a status of 500 or above.
 	failedAnswer *bufferedAnswer
 	// cause describes why the attempt failed.
@@ -77,26 +97,30 @@
 	if isHead {
 		identity = ""
 	}
-	conn, err := a.ticket.Pool().Take(a.r.Context(), a.usedAfter(), identity)
+	conn, err := a.ticket.Pool().Take(a.ctx, a.usedAfter(), identity)
 	if err != nil {
 		return a.endUnreachable(err)
 	}
 	a.conn = conn
-	before := a.mayHaveRun
-	stop := context.AfterFunc(a.r.Context(), a.onCallerGone)
-	res, outcome := a.exchange()
+	// The deadline is set before the end of ctx can set an earlier one.
+	deadlineErr := conn.SetDeadline(a.deadline)
+	stop := context.AfterFunc(a.ctx, a.onCanceled)
+	res, outcome := a.exchange(deadlineErr)
 	if stop() && a.reusable && !isHead && a.isWritten() {
 		a.ticket.Pool().Put(conn, a.keepAliveUntil)
 	} else {
 		_ = conn.Close()
 	}
-	if a.r.Context().Err() != nil && res != delivered {
+	switch {
+	case a.wasReplaced():
+		res, outcome = replaced, kcwroster.Replaced
+	case a.r.Context().Err() != nil && res != delivered:
 		res, outcome = callerGone, kcwroster.Neutral
 		isEOF := errors.Is(a.err, io.EOF) || errors.Is(a.err, io.ErrUnexpectedEOF)
 		if !a.bodyStarted && (isEOF || !a.waitWritten()) {
 			// The upstream dropped the request before the first token, or never
 			// received all of it. A generation counts as run from its first token.
-			a.mayHaveRun = before
+			a.mayHaveRun = false
 		}
 	}
 	a.ticket.Done(outcome)
@@ -116,6 +140,15 @@
 	}
 }
 
+// onCanceled ends the attempt because ctx has ended.
+func (a *attempt) onCanceled() {
+	if a.wasReplaced() {
+		_ = a.conn.Close()
+		return
+	}
+	a.onCallerGone()
+}
+
 // onCallerGone ends the attempt because the caller has disconnected. If tokens are
 // reserved for the request, it closes only the writing side and waits up to
 // callerGoneTimeout for the upstream's reaction, which shows whether the request ran:
@@ -131,7 +164,11 @@
 // endUnreachable ends an attempt for which no connection could be opened.
 func (a *attempt) endUnreachable(err error) result {
 	a.cause = "upstream " + a.ticket.ID() + " can't be connected: " + err.Error()
-	if a.r.Context().Err() != nil {
+	switch {
+	case a.wasReplaced():
+		a.ticket.Done(kcwroster.Neutral)
+		return replaced
+	case a.r.Context().Err() != nil:
 		a.ticket.Done(kcwroster.Neutral)
 		return callerGone
 	}
@@ -161,13 +198,13 @@
 	return a.writeErr == nil
 }
 
-// exchange sends the request and handles the answer.
-func (a *attempt) exchange() (result, kcwroster.Outcome) {
+// exchange sends the request and handles the answer. DeadlineErr is the error of setting the
+// deadline of the connection.
+func (a *attempt) exchange(deadlineErr error) (result, kcwroster.Outcome) {
 	// The request may run as soon as a byte of it may have been sent.
-	before := a.mayHaveRun
 	a.mayHaveRun = true
-	if err := a.conn.SetDeadline(a.deadline); err != nil {
-		return a.endBroken("the connection is closed", err)
+	if deadlineErr != nil {
+		return a.endBroken("the connection is closed", deadlineErr)
 	}
 	if err := a.send(); err != nil {
 		return a.endBroken("the request could not be sent", err)
@@ -184,7 +221,7 @@
 		a.ticket.ReportLoad(*info.Load)
 	}
 	if info.NotRun {
-		a.mayHaveRun = before
+		a.mayHaveRun = false
 		return a.endNotRun(response, info)
 	}
 	return a.forwardAnswer(response)
@@ -233,7 +270,7 @@
 		return oversized, kcwroster.Failed
 	}
 	var headTooLarge *kcwconn.Error
-	if a.conn.Reused && !errors.Is(err, errSilent) && !errors.As(err, &headTooLarge) {
+	if a.conn.Reused && !errors.As(err, &headTooLarge) {
 		// The upstream may have closed the idle connection before the request
 		// arrived, which does not indicate a failure.
 		return unknownRun, kcwroster.Neutral
@@ -264,8 +301,8 @@
 	var head bytes.Buffer
 	head.WriteString(a.r.Method + " " + a.r.RequestURI + " HTTP/1.1\r\nHost: " + a.r.Host + "\r\n")
 	lastEventID := a.request.LastEventID
-	if a.stream.lastEventID != "" {
-		lastEventID = a.stream.lastEventID
+	if a.lastEventID != "" {
+		lastEventID = a.lastEventID
 	}
 	team := ""
 	if a.team != nil {
@@ -296,49 +333,6 @@
 	return nil
 }
 
-// errSilent ends the wait for an answer of an upstream that is silent on all
-// connections.
-var errSilent = errors.New("the upstream is silent")
-
-// awaitBytes waits until bytes of an answer are buffered. Unless no other attempt may follow,
-// it returns errSilent once the upstream is silent on all connections.
-func (a *attempt) awaitBytes() error {
-	if a.conn.Reader.Buffered() > 0 {
-		return nil
-	}
-	if a.final || a.stream.isUnordered {
-		_, err := a.conn.Reader.Peek(1)
-		return err
-	}
-	for {
-		now := a.f.cfg.Now()
-		until := now.Add(a.f.cfg.SilenceCheckInterval)
-		isCallerGone := a.r.Context().Err() != nil
-		if isCallerGone {
-			until = now.Add(callerGoneTimeout)
-		}
-		if until.After(a.deadline) {
-			until = a.deadline
-		}
-		if err := a.conn.SetReadDeadline(until); err != nil {
-			return err
-		}
-		_, err := a.conn.Reader.Peek(1)
-		if err == nil {
-			return a.conn.SetReadDeadline(a.deadline)
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return err
-		}
-		if isCallerGone || !a.f.cfg.Now().Before(a.deadline) {
-			return err
-		}
-		if a.ticket.IsSilent() {
-			return errSilent
-		}
-	}
-}
-
 // reportWithdrawal updates the roster with what an answer to this request states about the
 // requests that the upstream accepts, and calls Config.OnWithdrawal if it accepts none.
 // Status is the answer's.
@@ -367,12 +361,6 @@
 	defer a.conn.LiftHeadLimit()
 	remaining := int64(maxDiscardBytes)
 	for surplus, interim := 0, 0; ; {
-		if err := a.awaitBytes(); err != nil {
-			return nil, ResponseInfo{}, err
-		}
-		if err := a.conn.SetReadDeadline(a.deadline); err != nil {
-			return nil, ResponseInfo{}, err
-		}
 		response, err := http.ReadResponse(a.conn.Reader, request)
 		if err != nil {
 			return nil, ResponseInfo{}, err
@@ -396,7 +384,7 @@
 		if isOwn {
 			return response, info, nil
 		}
-		a.event.Surplus++
+		a.surplus++
 		if surplus++; surplus > maxSurplusAnswers {
 			return nil, ResponseInfo{}, errors.New("answers to other requests do not end")
 		}
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -138,6 +138,7 @@
 	requests []*exchange
 	bodies   []string
 	events   []kcwforward.Event
+	hedges   []kcwforward.Hedge
 	// retries counts the calls of OnRetry.
 	retries int
 	guard   *guard
@@ -241,6 +242,11 @@
 			f.events = append(f.events, e)
 		},
 		OnWithdrawal: func(string, string, kcwforward.ResponseInfo) {},
+		OnHedge: func(h kcwforward.Hedge) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.hedges = append(f.hedges, h)
+		},
 		OnRetry: func(kcwforward.Event) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -197,16 +197,19 @@
 	// UsedWithin is the longest time that a pooled connection may have been idle to be
 	// reused for a request that must not run twice.
 	UsedWithin time.Duration
-	// SilenceCheckInterval is how often an attempt that waits for its answer checks
-	// whether the upstream is silent on all connections.
+	// SilenceCheckInterval is how often an attempt checks whether its upstream is silent on
+	// all connections.
 	SilenceCheckInterval time.Duration
 	// Stopping returns the planned stop and whether the router is stopping. While
 	// it is, answers ask callers to close their connections.
 	Stopping func() (Stop, bool)
 	// OnEnd is called when a request has ended, OnRetry when an attempt has failed
 	// and another may follow, and OnWithdrawal when an answer states that its upstream
-	// accepts no requests. They must not block.
+	// accepts no requests. OnHedge is called when a second attempt begins beside one whose
+	// upstream is silent, when it ends, and when there should be one and none could begin.
+	// They must not block, nor call the Forwarder.
 	OnEnd, OnRetry func(Event)
+	OnHedge        func(Hedge)
 	OnWithdrawal   func(requestID, upstream string, info ResponseInfo)
 	Rand           *rand.Rand
 	Now            func() time.Time
@@ -263,7 +266,7 @@
 // RetrySlack and UsedWithin; ServeHTTP panics if RetryRatio is not in (0, 1].
 func New(cfg Config) (*Forwarder, error) {
 	complete := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil && cfg.Link != nil && cfg.Guard != nil && cfg.Permits != nil && cfg.Memory != nil && cfg.MaxHeadBytes > 0 &&
-		cfg.RequestTokens != nil && cfg.BorrowTokens != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.OnEnd != nil && cfg.OnRetry != nil && cfg.OnWithdrawal != nil && cfg.Rand != nil && cfg.Now != nil
+		cfg.RequestTokens != nil && cfg.BorrowTokens != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.OnEnd != nil && cfg.OnRetry != nil && cfg.OnHedge != nil && cfg.OnWithdrawal != nil && cfg.Rand != nil && cfg.Now != nil
 	if !complete || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.SilenceCheckInterval <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
 	}
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"kingcupwick.example/kcw/kcwpermit"
@@ -32,6 +33,8 @@
 	expired
 	// blocked: the prompt has parts that crash upstreams.
 	blocked
+	// replaced: another attempt has answered first.
+	replaced
 )
 
 // maxExtraSends is the number of attempts allowed beyond the route's maximum after an
@@ -47,53 +50,45 @@
 // run makes attempts until an answer is delivered, no other attempt is allowed, or the
 // deadline has passed.
 func (c *call) run() {
-	retryBudget := c.f.retryBudget(c.service.Name)
-	retryBudget.Deposit()
-	var tried []string
-	var lastFailure *bufferedAnswer
-	// possibleRuns counts the attempts after which the request may have run,
-	// connected those that had a connection to an upstream.
-	possibleRuns, connected := 0, 0
+	c.retryBudget = c.f.retryBudget(c.service.Name)
+	c.retryBudget.Deposit()
 	lastCause := "no upstream may be given work"
-	for sends := 0; ; sends++ {
+	for {
 		if !c.f.cfg.Now().Before(c.deadline) {
-			c.finish(expired, lastFailure, "the time of the request is over; "+lastCause)
+			c.finish(expired, "the time of the request is over; "+lastCause)
 			return
 		}
-		if parts := c.f.cfg.Guard.Match(c.request.Parts); parts != nil && !(c.isTrial && sends == 0) {
-			c.finish(blocked, lastFailure, blockedCause(parts))
+		if parts := c.f.cfg.Guard.Match(c.request.Parts); parts != nil && !(c.isTrial && c.sends == 0) {
+			c.finish(blocked, blockedCause(parts))
 			return
 		}
-		if connected > 0 && !retryBudget.TryWithdraw() {
-			c.finish(notRun, lastFailure, "no retries are left; "+lastCause)
+		if c.connected > 0 && !c.retryBudget.TryWithdraw() {
+			c.finish(notRun, "no retries are left; "+lastCause)
 			return
 		}
-		ticket, isAtLimit := c.begin(tried)
-		if ticket == nil {
+		c.mu.Lock()
+		a := c.newAttempt()
+		c.mu.Unlock()
+		isAtLimit := a.choose()
+		c.event.Permit, c.event.Displaced = a.permit, a.displaced
+		if a.ticket == nil {
+			c.mu.Lock()
+			a.remove()
+			c.mu.Unlock()
 			if isAtLimit {
 				lastCause = "all upstreams are at their rate limits; " + lastCause
 			}
 			c.isAtLimit = isAtLimit
-			c.finish(notRun, lastFailure, lastCause)
+			c.finish(notRun, lastCause)
 			return
 		}
-		tried = append(tried, ticket.ID())
-		a := &attempt{call: c, ticket: ticket, final: !c.mayRepeat(possibleRuns + 1)}
-		res := a.do()
-		c.event.Sends, c.event.Upstream = sends+1, ticket.ID()
-		c.event.Cut, c.event.Begun = a.cut, c.stream.started
-		lastCause = a.cause
-		if a.failedAnswer != nil {
-			lastFailure = a.failedAnswer
-		}
-		if a.conn != nil {
-			connected++
-		}
-		if res == unknownRun || res == failedRun {
-			possibleRuns++
-		}
-		if !c.mayContinue(res, sends+1, possibleRuns) {
-			c.finish(res, lastFailure, lastCause)
+		last, res := c.compete(a)
+		c.event.Sends, c.event.Upstream = c.sends, last.ticket.ID()
+		c.event.Permit, c.event.Displaced = last.permit, last.displaced
+		c.event.Cut, c.event.Begun = last.cut, c.stream.started
+		lastCause = last.cause
+		if !c.mayContinue(res) {
+			c.finish(res, lastCause)
 			return
 		}
 		c.event.Cause = lastCause
@@ -101,41 +96,56 @@
 	}
 }
 
-// begin begins an attempt at an upstream that was not tried, with a permit if that is one
-// with a rate limit. If all of these are at their rate limits, it returns no attempt and
-// sets isAtLimit.
-func (c *call) begin(tried []string) (ticket *kcwroster.Attempt, isAtLimit bool) {
-	request := kcwroster.Request{Service: c.service.Name, Prefix: c.request.Prefix, PromptTokens: c.request.PromptTokens, Tried: tried}
-	c.event.Permit, c.event.Displaced = "", ""
-	limited, hasOther := c.f.cfg.Roster.Limited(request)
+// choose chooses an upstream that was not tried and begins the attempt there, with a permit if
+// that is one with a rate limit. The ticket stays nil if there is none. If all upstreams are at
+// their rate limits, choose sets isAtLimit.
+func (a *attempt) choose() (isAtLimit bool) {
+	a.mu.Lock()
+	request := kcwroster.Request{
+		Service: a.service.Name, Prefix: a.request.Prefix, PromptTokens: a.request.PromptTokens,
+		Tried: slices.Clone(a.tried), IsHedge: a.silent != "",
+	}
+	a.mu.Unlock()
+	limited, hasOther := a.f.cfg.Roster.Limited(request)
 	if len(limited) > 0 {
-		ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+		ctx, cancel := context.WithDeadline(a.ctx, a.deadline)
 		defer cancel()
-		request.Permit = c.f.cfg.Permits.Acquire(ctx, kcwpermit.Claim{
-			RequestID: c.request.RequestID, Service: c.service.Name, Team: c.event.Team, Priority: c.enginePriority(), Size: float64(c.request.PromptTokens),
+		request.Permit = a.f.cfg.Permits.Acquire(ctx, kcwpermit.Claim{
+			RequestID: a.request.RequestID, Service: a.service.Name, Team: a.event.Team, Priority: a.enginePriority(), Size: float64(a.request.PromptTokens),
 			Upstreams: limited, HasOther: hasOther,
 		})
-		c.event.Permit = request.Permit
+		a.permit = request.Permit
 		if request.Permit == "" {
-			c.event.Displaced = limited[0]
+			a.displaced = limited[0]
 		}
 	}
-	ticket = c.f.cfg.Roster.Begin(request)
-	return ticket, ticket == nil && len(limited) > 0
+	ticket := a.f.cfg.Roster.Begin(request)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ticket = ticket; ticket == nil {
+		return len(limited) > 0
+	}
+	a.tried = append(a.tried, ticket.ID())
+	a.sends++
+	return false
 }
 
-// mayContinue reports whether another attempt may follow one that ended with res.
-// Sends counts the attempts made and possibleRuns those that may have run.
-func (c *call) mayContinue(res result, sends, possibleRuns int) bool {
+// mayContinue reports whether another attempt may follow when all have ended, the last one with
+// res.
+func (c *call) mayContinue(res result) bool {
 	switch res {
 	case notRun:
-		return sends < max(1, c.route.MaxAttempts)+maxExtraSends
+		return c.maySend() && (c.possibleRuns == 0 || c.mayRepeat(c.possibleRuns))
 	case unknownRun, failedRun:
-		return c.mayRepeat(possibleRuns)
+		return c.mayRepeat(c.possibleRuns)
 	}
 	return false
 }
 
+// maySend reports whether the request was sent so few times that it may be sent once more
+// after an attempt that did not run it.
+func (c *call) maySend() bool { return c.sends < max(1, c.route.MaxAttempts)+maxExtraSends }
+
 // mayRepeat reports whether the request may be sent once more after it may have run
 // possibleRuns times. A stream may only if another upstream can go on with it.
 func (c *call) mayRepeat(possibleRuns int) bool {
@@ -144,7 +154,7 @@
 
 // finish ends the request after its last attempt ended with res: it sets the outcome of
 // the event and, unless the answer was delivered, answers the caller.
-func (c *call) finish(res result, lastFailure *bufferedAnswer, cause string) {
+func (c *call) finish(res result, cause string) {
 	c.event.Cause = cause
 	switch {
 	case res == delivered:
@@ -158,9 +168,9 @@
 		// the answer is incomplete.
 		c.resetOldCaller()
 		panic(http.ErrAbortHandler)
-	case lastFailure != nil:
+	case c.lastFailure != nil:
 		c.event.Outcome, c.isComplete = "UpstreamFailed", true
-		lastFailure.write(c)
+		c.lastFailure.write(c)
 	case res == blocked:
 		c.event.Outcome = blockedOutcome
 		c.fail(blockedStatus, cause)
--- a/kcw/kcwretry/budget.go
+++ b/kcw/kcwretry/budget.go
@@ -90,6 +90,14 @@
 	return true
 }
 
+// Refund returns a retry that was withdrawn and not sent.
+func (b *Budget) Refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retries--
+	b.balance = min(b.balance+1, float64(b.cfg.Burst))
+}
+
 // SetBurst changes the largest balance, for example because the number of processes
 // that share an allowance has changed. A burst below one is treated as one.
 func (b *Budget) SetBurst(burst int) {
--- a/kcw/kcwroster/attempt.go
+++ b/kcw/kcwroster/attempt.go
@@ -29,16 +29,8 @@
 	now := a.roster.cfg.Now()
 	a.roster.mu.Lock()
 	defer a.roster.mu.Unlock()
-	a.upstream.lastDataAt = now
 	a.markAnswered()
-	a.endSilence(now)
-}
-
-// endSilence reports the end of a silence at once.
-func (a *Attempt) endSilence(now time.Time) {
-	if !a.upstream.silentSince.IsZero() {
-		a.roster.isSilent(a.upstream, now)
-	}
+	a.roster.endSilence(a.upstream, now)
 }
 
 // markAnswered removes the attempt from those without an answer, once.
@@ -56,8 +48,7 @@
 	now := a.roster.cfg.Now()
 	a.roster.mu.Lock()
 	defer a.roster.mu.Unlock()
-	a.upstream.lastDataAt = now
-	a.endSilence(now)
+	a.roster.endSilence(a.upstream, now)
 }
 
 // ReportLoad stores a load report of the upstream.
@@ -91,6 +82,9 @@
 	Unreachable
 	// Misdirected means that another upstream answered at the address.
 	Misdirected
+	// Replaced means that another attempt at the same request has answered first. If the
+	// upstream is silent and stays so, the attempt failed.
+	Replaced
 	// Neutral means that the end doesn't show whether the upstream is healthy, such
 	// as when the caller canceled.
 	Neutral
@@ -102,6 +96,7 @@
 	a.roster.mu.Lock()
 	defer a.roster.mu.Unlock()
 	u := a.upstream
+	isLate := outcome == Replaced && a.roster.isSilent(u, now)
 	a.markAnswered()
 	u.inFlight--
 	switch outcome {
@@ -111,6 +106,8 @@
 		u.gone = true
 	}
 	switch {
+	case isLate:
+		u.replaced = append(u.replaced, replaced{a.breakerTicket, a.admitted, now.Add(a.roster.cfg.SilenceTimeout)})
 	case !a.admitted:
 	case outcome == Succeeded:
 		u.breaker.Succeed(now, a.breakerTicket, a.began)
--- a/kcw/kcwroster/roster.go
+++ b/kcw/kcwroster/roster.go
@@ -81,6 +81,9 @@
 	lastDataAt time.Time
 	// silentSince is when the silence of the upstream began, zero if it is not silent.
 	silentSince time.Time
+	// replaced holds the attempts that others have replaced during the silence, the
+	// earliest first.
+	replaced []replaced
 	// load is the newest load report. It was received at loadAt, when loadInFlight
 	// attempts of this router were in flight.
 	load         Load
@@ -206,6 +209,9 @@
 	Permit string
 	// Tried holds the IDs of the upstreams that were already tried.
 	Tried []string
+	// IsHedge is set if the request is open at another upstream already. Then only an
+	// upstream that is not suspected may be chosen.
+	IsHedge bool
 }
 
 // Begin chooses an upstream for a request and counts an attempt at it. It returns
@@ -238,8 +244,8 @@
 }
 
 // usable returns the upstreams of the service that may receive the request, without the
-// suspected ones. If all are suspected, it returns them all, since the suspicion then
-// doesn't distinguish between them.
+// suspected ones. If all are suspected, it returns them all unless the request is a hedge,
+// since the suspicion then doesn't distinguish between them.
 func (r *Roster) usable(request Request, now time.Time) []*upstream {
 	var healthy, suspected []*upstream
 	for _, u := range r.services[request.Service] {
@@ -252,7 +258,7 @@
 		}
 		suspected = append(suspected, u)
 	}
-	if len(healthy) > 0 {
+	if len(healthy) > 0 || request.IsHedge {
 		return healthy
 	}
 	return suspected
--- a/kcw/kcwroster/silence.go
+++ b/kcw/kcwroster/silence.go
@@ -16,8 +16,13 @@
 }
 
 // isSilent reports whether an attempt at u has waited for at least the silence
-// timeout while u sent no data to any attempt.
+// timeout while u sent no data to any attempt. An attempt that another one replaced meanwhile
+// counts as waiting until it is known whether the upstream was only late.
 func (r *Roster) isSilent(u *upstream, now time.Time) bool {
+	r.failReplaced(u, now)
+	if len(u.replaced) > 0 {
+		return true
+	}
 	var since time.Time
 	for _, began := range u.waiting {
 		if u.lastDataAt.After(began) {
@@ -39,6 +44,40 @@
 	return isSilent
 }
 
+// replaced is an attempt that another one has replaced while its upstream was silent. If the
+// upstream sends no data until failsAt, the attempt counts as failed.
+type replaced struct {
+	breakerTicket uint64
+	admitted      bool
+	failsAt       time.Time
+}
+
+// failReplaced counts the replaced attempts at u as failed whose time is over.
+func (r *Roster) failReplaced(u *upstream, now time.Time) {
+	for len(u.replaced) > 0 && !now.Before(u.replaced[0].failsAt) {
+		if u.replaced[0].admitted {
+			u.breaker.Fail(now, u.replaced[0].breakerTicket)
+		}
+		u.replaced = u.replaced[1:]
+	}
+}
+
+// endSilence records that u has sent data. The attempts that others have replaced did not
+// fail: the upstream was late.
+func (r *Roster) endSilence(u *upstream, now time.Time) {
+	u.lastDataAt = now
+	r.failReplaced(u, now)
+	for _, a := range u.replaced {
+		if a.admitted {
+			u.breaker.Cancel(a.breakerTicket)
+		}
+	}
+	u.replaced = nil
+	if !u.silentSince.IsZero() {
+		r.isSilent(u, now)
+	}
+}
+
 // reportSilence calls Config.OnSilence.
 func (r *Roster) reportSilence(u *upstream, ended bool) {
 	if r.cfg.OnSilence != nil {
