--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -162,9 +162,7 @@
 			if isReplaced {
 				return replaced, kcwroster.Replaced
 			}
-			writeErr := a.forwardEvents(response, events)
-			a.endWrite()
-			if writeErr != nil {
+			if writeErr := a.forwardEvents(response, events); writeErr != nil {
 				a.cause = "can't write to the caller: " + writeErr.Error()
 				return callerGone, kcwroster.Neutral
 			}
@@ -227,10 +225,9 @@
 }
 
 // takeEvents records the events to pass on and returns them, in the memory of events. All
-// are passed on unless the stream is resumed. If there are any, no other attempt may pass on
-// events from now on. The attempt must call endWrite once it has passed them on. It sets
-// isReplaced if another attempt has answered first. If the error is not nil, the stream can't
-// go on after the events returned.
+// are passed on unless the stream is resumed. If there are any, a replaces the other attempt.
+// IsReplaced is set if another attempt has answered first. If the error is not nil, the stream
+// can't go on after the events returned.
 func (a *attempt) takeEvents(events []byte) (taken []byte, isReplaced bool, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -260,11 +257,12 @@
 	return taken, false, err
 }
 
-// forwardEvents writes whole events to the caller, in one write.
+// forwardEvents writes the events of takeEvents to the caller, in one write.
 func (a *attempt) forwardEvents(response *http.Response, events []byte) error {
 	if len(events) == 0 {
 		return nil
 	}
+	defer a.endWrite()
 	a.startStream(response)
 	if _, err := a.w.Write(events); err != nil {
 		return err
--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -245,7 +245,7 @@
 	return a.isReplaced
 }
 
-// endWrite records that the events of takeEvents were passed on.
+// endWrite records that events were passed on.
 func (a *attempt) endWrite() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/kcw/kcwroster/roster.go
+++ b/kcw/kcwroster/roster.go
@@ -299,7 +299,7 @@
 // Upstream is the state of one upstream as shown in dumps.
 type Upstream struct {
 	Entry
-	// State is Gone, Leaving, Declining or the state of the breaker.
+	// State is Gone, Leaving, Declining, Silent or the state of the breaker.
 	State    string
 	InFlight int
 	Load     Load
@@ -310,6 +310,7 @@
 
 // Upstreams returns the state of all upstreams, sorted by ID.
 func (r *Roster) Upstreams() []Upstream {
+	now := r.cfg.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]Upstream, 0, len(r.byID))
@@ -320,8 +321,10 @@
 			state = "Gone"
 		case u.announcedLeaving:
 			state = "Leaving"
-		case r.cfg.Now().Before(u.declinedUntil):
+		case now.Before(u.declinedUntil):
 			state = "Declining"
+		case r.isSilent(u, now):
+			state = "Silent"
 		}
 		list = append(list, Upstream{Entry: u.Entry, State: state, InFlight: u.inFlight, Load: u.load, LoadAt: u.loadAt, Opened: u.pool.Opened()})
 	}
