--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -116,6 +116,6 @@
 	hedges := m.Counter("kcw_router_hedges", "Hedges of requests whose upstream is silent, by service and what happened to them.")
 	return func(h kcwforward.Hedge) {
 		hedges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", h.Service), attribute.String("state", string(h.State))))
-		klog.InfoS("Hedge of a request", "State", h.State, "Request", h.RequestID, "Service", h.Service, "Silent", h.Silent, "Upstream", h.Upstream, "Cause", h.Cause, "Events", h.Events)
+		klog.InfoS("Hedge of a request", "State", h.State, "Request", h.RequestID, "Service", h.Service, "SilentUpstream", h.Silent, "Upstream", h.Upstream, "Cause", h.Cause, "Events", h.Events)
 	}
 }
