kcwforward: hedge a request whose hedge is silent

A caller waited until its deadline when its first attempt had failed and the upstream of the hedge was silent too, although the route allows a third one: only first attempts were checked for silence. TestSilentHedgeIsHedged failed before: 504 after 30 s, 2 attempts.

--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -173,6 +173,7 @@
 		a.mu.Lock()
 		a.reportHedge(HedgeBegun, "")
 		a.mu.Unlock()
+		a.watchSilence()
 		res := a.do()
 		if a.conn == nil {
 			a.retryBudget.Refund()
--- a/kcw/kcwforward/pause_test.go
+++ b/kcw/kcwforward/pause_test.go
@@ -141,3 +141,28 @@
 		})
 	}
 }
+
+// TestSilentHedgeIsHedged checks that a further attempt follows when the first one has failed
+// and the upstream of the hedge is silent too.
+func TestSilentHedgeIsHedged(t *testing.T) {
+	route := repeatable
+	route.MaxAttempts = 3
+	hedged := make(chan struct{})
+	f := newSilenceFixture(t, 3, route, shortSilence, func(e *exchange) {
+		switch e.number {
+		case 1:
+			<-hedged
+			e.closeConn()
+		case 2:
+			close(hedged)
+		default:
+			good(e)
+		}
+	})
+	if status, body, err := f.tryCall(t.Context(), "id-1", ""); status != http.StatusOK || body != "whole" || err != nil {
+		t.Errorf("status %d, body %q, %v", status, body, err)
+	}
+	if f.arrivals() != 3 {
+		t.Errorf("%d attempts, want 3", f.arrivals())
+	}
+}
