kcwwal: Compact and Reset survive a disk that is full

What callers saw: a replica that cut its log while its disk was full ended by itself (kcwgroup stops after an error of kind Storage), and an interrupted Compact failed for good, since the segments it had removed stayed listed.

Cause: removing a segment and flushing the folder can need space too. Compact reported that as Storage, Reset after its record was on disk, and undoRoll did not make the removal of the new segment durable before later records went to the former one.

Evidence, on the code before with the two test seams added: TestCompactOnFullDiskIsRepeated "a removal fails at call 1: Compact gave ... storage: ... no space left on device, want an error of kind Full", "a removal fails at call 2: Compact with free space gave ... storage", "11 files and 12 segments after Compact"; TestResetSucceedsWithoutRoomToRemoveSegments "Reset gave kcwwal: compact ... storage".

Each segment leaves the list as it is removed, a removal that is not durable is flushed before the next removal or record, a full disk is reported as Full, and Reset leaves the rest to a later Compact. Both tests pass, and the package with -race.

--- a/kcw/kcwwal/full_test.go
+++ b/kcw/kcwwal/full_test.go
@@ -101,3 +101,112 @@
 		t.Errorf("later write gave %v, want the first failure", second)
 	}
 }
+
+// A full disk must not end Compact for good: removing a segment, or flushing the folder
+// after it, may need space too.
+func TestCompactOnFullDiskIsRepeated(t *testing.T) {
+	const entries = 20
+	errFull := &os.PathError{Op: "remove", Path: "segment", Err: unix.ENOSPC}
+	for _, test := range []struct {
+		name string
+		// full makes the nth removal or flush of the folder find the disk full.
+		full func(l *Log, n int)
+	}{
+		{"a removal fails", func(l *Log, n int) {
+			remove, calls := l.remove, 0
+			l.remove = func(path string) error {
+				if calls++; calls == n {
+					return errFull
+				}
+				return remove(path)
+			}
+		}},
+		{"a flush of the folder fails", func(l *Log, n int) {
+			flush, calls := l.syncFolder, 0
+			l.syncFolder = func(path string) error {
+				if calls++; calls == n {
+					return errFull
+				}
+				return flush(path)
+			}
+		}},
+	} {
+		for n := 1; n <= 3; n++ {
+			path := t.TempDir()
+			l, err := Open(Config{Path: path, Owner: owner, SegmentBytes: 150})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := uint64(1); i <= entries; i++ {
+				if err := l.Save(1, 1, []*kcwpb.Entry{entry(i, 1)}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			before := len(l.segments)
+			test.full(l, n)
+			if err := l.Compact(entries); !isFull(err) {
+				t.Errorf("%s at call %d: Compact gave %v, want an error of kind Full", test.name, n, err)
+			}
+			if err := l.Save(1, 1, []*kcwpb.Entry{entry(entries+1, 1)}); err != nil {
+				t.Errorf("%s at call %d: later Save gave %v", test.name, n, err)
+			}
+			if err := l.Compact(entries); err != nil {
+				t.Errorf("%s at call %d: Compact with free space gave %v", test.name, n, err)
+			}
+			if got := len(segments(t, path)); got >= before || got != len(l.segments) {
+				t.Errorf("%s at call %d: %d files and %d segments after Compact, %d before", test.name, n, got, len(l.segments), before)
+			}
+			if err := l.Close(); err != nil {
+				t.Fatal(err)
+			}
+			again, err := Open(Config{Path: path, Owner: owner, SegmentBytes: 150, Existing: true})
+			if err != nil {
+				t.Errorf("%s at call %d: Open gave %v", test.name, n, err)
+				continue
+			}
+			if got := again.Entries(); len(got) == 0 || got[len(got)-1].Index != entries+1 {
+				t.Errorf("%s at call %d: the newest entry is lost", test.name, n)
+			}
+			_ = again.Close()
+		}
+	}
+}
+
+// Reset has taken effect once its record is on disk, so that it must not report a full disk
+// because old segments can't be removed yet.
+func TestResetSucceedsWithoutRoomToRemoveSegments(t *testing.T) {
+	path := t.TempDir()
+	l, err := Open(Config{Path: path, Owner: owner, SegmentBytes: 150})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := uint64(1); i <= 20; i++ {
+		if err := l.Save(1, 1, []*kcwpb.Entry{entry(i, 1)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.remove = func(path string) error { return &os.PathError{Op: "remove", Path: path, Err: unix.ENOSPC} }
+	if err := l.Reset(30, 2); err != nil {
+		t.Errorf("Reset gave %v", err)
+	}
+	l.remove = os.Remove
+	for i := uint64(31); i <= 40; i++ {
+		if err := l.Save(2, 1, []*kcwpb.Entry{entry(i, 2)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.Compact(35); err != nil {
+		t.Errorf("Compact gave %v", err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Open(Config{Path: path, Owner: owner, SegmentBytes: 150, Existing: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if got := again.Entries(); len(got) == 0 || got[len(got)-1].Index != 40 || got[0].Index > 36 {
+		t.Errorf("the log holds %d entries after Reset, want 36 to 40 at least", len(got))
+	}
+}
--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -48,11 +48,16 @@
 	file *os.File
 	size int64
 	buf  []byte
+	// unflushed means that the last removal of a segment is not durable yet.
+	unflushed bool
 	// failure is the error that every later call of Save and Reset returns, nil if there
 	// is none.
 	failure error
-	// sync flushes the data written to a file to the disk.
-	sync func(*os.File) error
+	// sync flushes the data written to a file to the disk, remove removes a file, and
+	// syncFolder flushes the names in the log's folder.
+	sync       func(*os.File) error
+	remove     func(path string) error
+	syncFolder func(path string) error
 }
 
 // Open reads the log and opens it for writing. The error is an *Error that holds the
@@ -67,7 +72,7 @@
 	if cfg.Path == "" || cfg.Owner == 0 {
 		return nil, failText("open", Invalid, cfg.Path, 0, "Path and Owner must be set")
 	}
-	l := &Log{cfg: cfg, sync: syncFile}
+	l := &Log{cfg: cfg, sync: syncFile, remove: os.Remove, syncFolder: syncFolder}
 	var err error
 	l.segments, err = listSegments(cfg.Path)
 	if err != nil {
@@ -165,7 +170,7 @@
 		}
 		return l.undoRoll(old, oldSize, err)
 	}
-	if err := syncFolder(l.cfg.Path); err != nil {
+	if err := l.syncFolder(l.cfg.Path); err != nil {
 		return fail("roll", Storage, path, 0, err)
 	}
 	if old == nil {
@@ -179,7 +184,7 @@
 func (l *Log) undoRoll(old *os.File, oldSize int64, cause error) error {
 	path := l.file.Name()
 	err := l.file.Close()
-	if removeErr := os.Remove(path); err == nil {
+	if removeErr := l.remove(path); err == nil {
 		err = removeErr
 	}
 	if err != nil {
@@ -188,6 +193,7 @@
 	}
 	l.file, l.size = old, oldSize
 	l.segments = l.segments[:len(l.segments)-1]
+	l.unflushed = true
 	return cause
 }
 
@@ -274,7 +280,8 @@
 }
 
 // Reset removes all entries. The next entry saved must follow the entry at index, which
-// has the given term. The error's Kind is Storage or Full.
+// has the given term. The error's Kind is Storage, or Full if nothing was changed. Segments
+// that can't be removed because the disk is full are left to a later Compact.
 func (l *Log) Reset(index, term uint64) error {
 	if l.failure != nil {
 		return l.failure
@@ -283,10 +290,14 @@
 	if err := l.append(buf); err != nil {
 		return err
 	}
-	return l.removeBefore(len(l.segments) - 1)
+	if err := l.removeBefore(len(l.segments) - 1); err != nil && !isFull(err) {
+		return err
+	}
+	return nil
 }
 
-// Compact removes the segments whose entries all have an index of at most index.
+// Compact removes the segments whose entries all have an index of at most index. If the
+// error's Kind is Full, some may be left, and a later call removes them.
 func (l *Log) Compact(index uint64) error {
 	keep := 0
 	for keep < len(l.segments)-1 && l.segments[keep].last <= index {
@@ -295,21 +306,35 @@
 	return l.removeBefore(keep)
 }
 
-// removeBefore removes the segments before l.segments[keep], oldest first, so that a
-// crash leaves no gap in the sequence.
+// removeBefore removes the segments before l.segments[keep], oldest first, each durably
+// before the next one, so that a crash leaves no gap in the sequence.
 func (l *Log) removeBefore(keep int) error {
-	if keep == 0 {
-		return nil
+	if err := l.flushRemoval(); err != nil {
+		return err
 	}
-	for _, s := range l.segments[:keep] {
-		if err := os.Remove(s.path); err != nil {
-			return fail("compact", Storage, s.path, 0, err)
+	for range keep {
+		path := l.segments[0].path
+		if err := l.remove(path); err != nil {
+			return fail("compact", storageKind(err), path, 0, err)
 		}
-		if err := syncFolder(l.cfg.Path); err != nil {
-			return fail("compact", Storage, s.path, 0, err)
+		l.segments = append([]*segment(nil), l.segments[1:]...)
+		l.unflushed = true
+		if err := l.flushRemoval(); err != nil {
+			return err
 		}
 	}
-	l.segments = append([]*segment(nil), l.segments[keep:]...)
+	return nil
+}
+
+// flushRemoval makes the last removal of a segment durable, if it is not yet.
+func (l *Log) flushRemoval() error {
+	if !l.unflushed {
+		return nil
+	}
+	if err := l.syncFolder(l.cfg.Path); err != nil {
+		return fail("flush", storageKind(err), l.cfg.Path, 0, err)
+	}
+	l.unflushed = false
 	return nil
 }
 
@@ -322,8 +347,12 @@
 }
 
 // append writes buf at the end of the current segment and syncs it. If the disk is full,
-// it truncates the part that was written.
+// it truncates the part that was written. A removed segment must not reappear after what is
+// written now, so append makes its removal durable first.
 func (l *Log) append(buf []byte) error {
+	if err := l.flushRemoval(); err != nil {
+		return err
+	}
 	_, err := l.cfg.Write(l.file, buf)
 	if storageKind(err) == Full {
 		if truncateErr := l.truncateTail(); truncateErr != nil {
