--- a/kcw/kcwsnapshot/store.go
+++ b/kcw/kcwsnapshot/store.go
@@ -17,6 +17,7 @@
 
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw/kcwfolder"
 	"kingcupwick.example/kcw/kcwpb"
 )
 
@@ -35,12 +36,20 @@
 	// Path is the folder of the snapshots, which must exist and hold nothing
 	// else.
 	Path string
+	// WriteAt writes to a file of a snapshot; the default is (*os.File).WriteAt.
+	WriteAt func(file *os.File, data []byte, offset int64) (int, error)
 }
 
 // Store manages the snapshots in a folder. Its methods may be called concurrently,
 // except for Receive, which must be called by one goroutine only.
 type Store struct {
-	path string
+	path    string
+	writeAt func(file *os.File, data []byte, offset int64) (int, error)
+	// sync flushes a file to the disk, remove removes one, and syncFolder flushes the
+	// names in a folder.
+	sync       func(*os.File) error
+	remove     func(path string) error
+	syncFolder func(path string) error
 
 	mu sync.Mutex
 	// metas holds the metas of the stored snapshots, sorted by index. Their offset is
@@ -63,7 +72,13 @@
 	if err != nil {
 		return nil, fail("open", Storage, cfg.Path, 0, err)
 	}
-	s := &Store{path: cfg.Path}
+	s := &Store{
+		path: cfg.Path, writeAt: cfg.WriteAt,
+		sync: (*os.File).Sync, remove: os.Remove, syncFolder: syncFolder,
+	}
+	if s.writeAt == nil {
+		s.writeAt = (*os.File).WriteAt
+	}
 	for _, file := range files {
 		if err := s.scanFile(file.Name()); err != nil {
 			return nil, err
@@ -135,7 +150,8 @@
 	if err != nil {
 		return failWrite("write", path, 0, err)
 	}
-	body := &checksumWriter{w: bufio.NewWriterSize(file, bufferSize)}
+	target := io.NewOffsetWriter(fileWriter{file, s.writeAt}, 0)
+	body := &checksumWriter{w: bufio.NewWriterSize(target, bufferSize)}
 	err = fill(body)
 	if err == nil {
 		err = body.w.Flush()
@@ -156,25 +172,27 @@
 func (s *Store) finish(file *os.File, meta *kcwpb.SnapshotChunk) error {
 	trailer, err := appendTrailer(nil, meta)
 	if err == nil {
-		_, err = file.WriteAt(trailer, meta.Offset)
+		_, err = s.writeAt(file, trailer, meta.Offset)
 	}
 	path := filepath.Join(s.path, fileName(meta.Index))
 	if err != nil {
 		s.discard(file)
 		return failWrite("finish", path, meta.Offset, err)
 	}
-	err = file.Sync()
-	if closeErr := file.Close(); err == nil {
-		err = closeErr
-	}
+	err = s.sync(file)
 	if err == nil {
 		err = os.Rename(file.Name(), path)
 	}
+	if err != nil {
+		s.discard(file)
+		return failWrite("finish", path, meta.Offset, err)
+	}
+	err = file.Close()
 	if err == nil {
-		err = syncFolder(s.path)
+		err = s.syncFolder(s.path)
 	}
 	if err != nil {
-		return fail("finish", Storage, path, meta.Offset, err)
+		return failWrite("finish", path, meta.Offset, err)
 	}
 	return s.add(meta)
 }
@@ -206,15 +224,19 @@
 	}
 	sort.Slice(metas, func(i, j int) bool { return metas[i].Index < metas[j].Index })
 	s.metas = metas
-	return s.prune(maxSnapshots)
+	if err := s.prune(maxSnapshots); err != nil && !kcwfolder.IsFull(err) {
+		return err
+	}
+	return nil
 }
 
-// prune removes all but the given number of newest snapshots. The caller must hold mu.
+// prune removes all but the given number of newest snapshots. If the disk is too full for
+// that, a later call removes them. The caller must hold mu.
 func (s *Store) prune(newest int) error {
 	for len(s.metas) > newest {
 		path := filepath.Join(s.path, fileName(s.metas[0].Index))
-		if err := os.Remove(path); err != nil {
-			return fail("prune", Storage, path, 0, err)
+		if err := s.remove(path); err != nil {
+			return failWrite("prune", path, 0, err)
 		}
 		s.metas = s.metas[1:]
 	}
@@ -246,6 +268,17 @@
 	return nil
 }
 
+// fileWriter writes to a file with a given function.
+type fileWriter struct {
+	file    *os.File
+	writeAt func(file *os.File, data []byte, offset int64) (int, error)
+}
+
+// WriteAt implements io.WriterAt.
+func (w fileWriter) WriteAt(data []byte, offset int64) (int, error) {
+	return w.writeAt(w.file, data, offset)
+}
+
 // checksumWriter computes the size and the checksum of what is written through it.
 type checksumWriter struct {
 	w    *bufio.Writer
--- a/kcw/kcwsnapshot/transfer.go
+++ b/kcw/kcwsnapshot/transfer.go
@@ -56,7 +56,7 @@
 	if chunk.Offset != s.incoming.Offset {
 		return s.incoming.Offset, false, nil
 	}
-	if _, err := s.file.WriteAt(chunk.Data, chunk.Offset); err != nil {
+	if _, err := s.writeAt(s.file, chunk.Data, chunk.Offset); err != nil {
 		path := s.file.Name()
 		s.discardIncoming()
 		return 0, false, failWrite("receive", path, chunk.Offset, err)
