kcwgroup: repeat the writes of background work that found the disk full

Save and Reset were repeated, these were not.

Segments that can't be removed are left to a later tick, since nothing depends on their removal, and the replica goes on voting and leading. The logs tell when either begins to wait and when it is done.

--- a/kcw/kcwgroup/config.go
+++ b/kcw/kcwgroup/config.go
@@ -27,8 +27,9 @@
 type machine interface {
 	// Apply executes one command and returns its result.
 	Apply(index uint64, data []byte) []byte
-	// Freeze returns a function that writes the state as of the call of Freeze.
-	// Freeze itself must return quickly, since no command is applied meanwhile.
+	// Freeze returns a function that writes the state as of the call of Freeze. It may
+	// be called again after an error. Freeze itself must return quickly, since no command
+	// is applied meanwhile.
 	Freeze() func(io.Writer) error
 	// Restore replaces the state by one that such a function wrote.
 	Restore(io.Reader) error
@@ -82,8 +83,12 @@
 	// SegmentBytes is the size at which a log segment is closed; the default is
 	// 16 MiB.
 	SegmentBytes int64
-	// Write writes to a segment of the log; the default is (*os.File).Write.
-	Write func(*os.File, []byte) (int, error)
+	// Write writes to a segment of the log, and Remove removes one; the defaults are
+	// (*os.File).Write and os.Remove. WriteAt writes to a snapshot; the default is
+	// (*os.File).WriteAt.
+	Write   func(*os.File, []byte) (int, error)
+	WriteAt func(file *os.File, data []byte, offset int64) (int, error)
+	Remove  func(path string) error
 	// Queue limits the proposals that wait to be appended, and likewise the
 	// confirmations that wait to start; the default is 16,384.
 	Queue int
--- a/kcw/kcwgroup/full.go
+++ b/kcw/kcwgroup/full.go
@@ -8,11 +8,17 @@
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwsnapshot"
 	"kingcupwick.example/kcw/kcwwal"
 )
 
-// fullRetryInterval is the pause between two attempts to write to a full disk.
-const fullRetryInterval = 50 * time.Millisecond
+// fullRetryInterval is the pause between two attempts to write to the log on a full disk,
+// or to remove parts of it, and snapshotRetryInterval that between two attempts to write a
+// snapshot, each of which may write most of it.
+const (
+	fullRetryInterval     = 50 * time.Millisecond
+	snapshotRetryInterval = 500 * time.Millisecond
+)
 
 // Full reports whether the replica is waiting for free space on its disk. It neither
 // votes nor leads while it waits.
@@ -40,9 +46,59 @@
 	return err
 }
 
+// isFull reports whether err means that the log or the snapshots found the disk full and
+// changed nothing.
 func isFull(err error) bool {
-	var e *kcwwal.Error
-	return errors.As(err, &e) && e.Kind == kcwwal.Full
+	var log *kcwwal.Error
+	var snapshot *kcwsnapshot.Error
+	return errors.As(err, &log) && log.Kind == kcwwal.Full ||
+		errors.As(err, &snapshot) && snapshot.Kind == kcwsnapshot.Full
+}
+
+// compactLog removes the segments of the log up to compactTo. If the disk is too full for
+// that, they are left until a later tick: nothing depends on their removal.
+func (g *Group) compactLog() error {
+	err := g.wal.Compact(g.compactTo)
+	waited := !g.compactAt.IsZero()
+	switch {
+	case isFull(err):
+		if !waited {
+			klog.InfoS("Disk is too full to remove segments of the log", "Group", g.cfg.Group, "Replica", g.identity.ID, "Index", g.compactTo, "Cause", err.Error())
+		}
+		g.compactAt = g.cfg.Now().Add(fullRetryInterval)
+		return nil
+	case err != nil:
+		return fail("compact", Storage, err)
+	case waited:
+		klog.InfoS("Segments of the log removed after a full disk", "Group", g.cfg.Group, "Replica", g.identity.ID, "Index", g.compactTo)
+	}
+	g.compactAt = time.Time{}
+	return nil
+}
+
+// repeatSnapshot calls write, which writes the snapshot meta, until it no longer finds the
+// disk full, a newer snapshot is stored or the group stops. It returns the last error.
+func (g *Group) repeatSnapshot(meta *kcwpb.SnapshotChunk, write func() error) error {
+	err := write()
+	if !isFull(err) {
+		return err
+	}
+	since := g.cfg.Now()
+	klog.InfoS("Disk is too full for a snapshot", "Group", g.cfg.Group, "Replica", g.identity.ID, "Index", meta.Index, "Cause", err.Error())
+	pause := time.NewTicker(snapshotRetryInterval)
+	defer pause.Stop()
+	for isFull(err) && g.store.Latest().GetIndex() < meta.Index {
+		select {
+		case <-g.halting:
+			return err
+		case <-pause.C:
+		}
+		err = write()
+	}
+	if err == nil {
+		klog.InfoS("Snapshot written after a full disk", "Group", g.cfg.Group, "Replica", g.identity.ID, "Index", meta.Index, "Elapsed", g.cfg.Now().Sub(since).String())
+	}
+	return err
 }
 
 // enterFull logs that the disk is full, publishes a status without a leader, removes
--- a/kcw/kcwgroup/full_test.go
+++ b/kcw/kcwgroup/full_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 
@@ -20,14 +21,22 @@
 	d.full[name] = full
 }
 
+func (d *disks) isFull(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.full[name]
+}
+
+// configure makes the host that cfg configures use its disk.
+func (d *disks) configure(cfg *Config) {
+	cfg.Write, cfg.WriteAt, cfg.Remove = d.write(cfg.Name), d.writeAt(cfg.Name), d.remove(cfg.Name)
+}
+
 // write returns a Config.Write for a host. If the host's disk is full it writes half of
 // data and returns ENOSPC.
 func (d *disks) write(name string) func(*os.File, []byte) (int, error) {
 	return func(file *os.File, data []byte) (int, error) {
-		d.mu.Lock()
-		full := d.full[name]
-		d.mu.Unlock()
-		if !full {
+		if !d.isFull(name) {
 			return file.Write(data)
 		}
 		n, err := file.Write(data[:len(data)/2])
@@ -38,10 +47,35 @@
 	}
 }
 
+// writeAt returns a Config.WriteAt that fails as write does.
+func (d *disks) writeAt(name string) func(*os.File, []byte, int64) (int, error) {
+	return func(file *os.File, data []byte, offset int64) (int, error) {
+		if !d.isFull(name) {
+			return file.WriteAt(data, offset)
+		}
+		n, err := file.WriteAt(data[:len(data)/2], offset)
+		if err == nil {
+			err = &os.PathError{Op: "write", Path: file.Name(), Err: unix.ENOSPC}
+		}
+		return n, err
+	}
+}
+
+// remove returns a Config.Remove that fails while the host's disk is full, as on a file
+// system that needs space to remove a file.
+func (d *disks) remove(name string) func(string) error {
+	return func(path string) error {
+		if d.isFull(name) {
+			return &os.PathError{Op: "remove", Path: path, Err: unix.ENOSPC}
+		}
+		return os.Remove(path)
+	}
+}
+
 // newDisks returns a running cluster of three hosts and their disks.
 func newDisks(t *testing.T) (*cluster, *disks) {
 	d := &disks{full: map[string]bool{}}
-	c := newCluster(t, 3, func(cfg *Config) { cfg.Write = d.write(cfg.Name) })
+	c := newCluster(t, 3, d.configure)
 	c.startAll()
 	return c, d
 }
@@ -132,3 +166,63 @@
 		c.eventually("all commands", func() bool { return len(h.machine.list()) >= 6 })
 	}
 }
+
+// A snapshot that found the disk full must be written once there is room, and not wait for
+// as many entries as the next one.
+func TestSnapshotIsWrittenOnceDiskHasRoom(t *testing.T) {
+	const entries = 30
+	d := &disks{full: map[string]bool{}}
+	c := newCluster(t, 3, func(cfg *Config) {
+		cfg.WriteAt = d.writeAt(cfg.Name)
+		cfg.SnapshotEntries = entries
+	})
+	c.startAll()
+	h := c.leader()
+	d.set(h.name, true)
+	c.proposeMany("c", entries+5)
+	c.eventually("snapshots of the others", func() bool {
+		for _, other := range c.running() {
+			if other.name != h.name && other.group.Status().GetSnapshot() == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	if h.group.Status().GetSnapshot() != 0 {
+		t.Error("a snapshot was written to a full disk")
+	}
+	d.set(h.name, false)
+	c.eventually("snapshot once the disk has room", func() bool { return h.group.Status().GetSnapshot() != 0 })
+}
+
+// A replica that can't remove segments of its log because its disk is full must go on, and
+// remove them once there is room.
+func TestReplicaSurvivesCompactOnFullDisk(t *testing.T) {
+	const entries = 30
+	d := &disks{full: map[string]bool{}}
+	c := newCluster(t, 3, func(cfg *Config) {
+		cfg.Remove = d.remove(cfg.Name)
+		cfg.SnapshotEntries, cfg.KeepEntries, cfg.SegmentBytes = entries, 5, 500
+	})
+	c.startAll()
+	h := c.leader()
+	segments := func() int {
+		files, err := os.ReadDir(filepath.Join(h.path, logFolder))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(files)
+	}
+	d.set(h.name, true)
+	c.proposeMany("c", entries+5)
+	c.eventually("snapshot", func() bool { return h.group.Status().GetSnapshot() != 0 })
+	c.proposeMany("d", 5)
+	select {
+	case <-h.group.Done():
+		t.Fatalf("the replica has stopped: %v", h.group.Close())
+	default:
+	}
+	full := segments()
+	d.set(h.name, false)
+	c.eventually("removal of segments once the disk has room", func() bool { return segments() < full })
+}
--- a/kcw/kcwgroup/group.go
+++ b/kcw/kcwgroup/group.go
@@ -76,6 +76,10 @@
 	// leaderTerm is the term in which this replica leads, zero if it does not.
 	leaderTerm  uint64
 	publishedAt time.Time
+	// compactTo is the index up to which the log's segments may be removed. If segments
+	// were left because the disk was full, compactAt is when to try again, otherwise zero.
+	compactTo uint64
+	compactAt time.Time
 }
 
 // New opens the replica's state and starts the replica. The error is an *Error; its
@@ -272,7 +276,9 @@
 	go func() {
 		defer g.writers.Done()
 		defer g.applier.writerIdle.Store(true)
-		err := g.store.Write(meta.Index, meta.Term, meta.Membership, image)
+		err := g.repeatSnapshot(meta, func() error {
+			return g.store.Write(meta.Index, meta.Term, meta.Membership, image)
+		})
 		g.post(func() error { return g.compact(meta, err) })
 	}()
 }
--- a/kcw/kcwgroup/loop.go
+++ b/kcw/kcwgroup/loop.go
@@ -68,7 +68,10 @@
 		return err
 	}
 	g.replica.Tick(now)
-	return nil
+	if g.compactAt.IsZero() || now.Before(g.compactAt) {
+		return nil
+	}
+	return g.compactLog()
 }
 
 func (g *Group) stepAll(msgs []*kcwpb.Message) error {
--- a/kcw/kcwgroup/open.go
+++ b/kcw/kcwgroup/open.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return fail("open", Storage, err)
 	}
-	g.store, err = kcwsnapshot.Open(kcwsnapshot.Config{Path: path})
+	g.store, err = kcwsnapshot.Open(kcwsnapshot.Config{Path: path, WriteAt: g.cfg.WriteAt})
 	if err != nil {
 		return fail("open", Storage, err)
 	}
@@ -58,7 +58,8 @@
 	}
 	g.wal, err = kcwwal.Open(kcwwal.Config{
 		Path: path, Owner: g.identity.ID,
-		SegmentBytes: g.cfg.SegmentBytes, Existing: g.identity.Started, Write: g.cfg.Write,
+		SegmentBytes: g.cfg.SegmentBytes, Existing: g.identity.Started,
+		Write: g.cfg.Write, Remove: g.cfg.Remove,
 	})
 	if err != nil {
 		return fail("open", Storage, err)
--- a/kcw/kcwgroup/transport.go
+++ b/kcw/kcwgroup/transport.go
@@ -1,13 +1,11 @@
 package kcwgroup
 
 import (
-	"errors"
 	"net/netip"
 
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw/kcwpb"
-	"kingcupwick.example/kcw/kcwsnapshot"
 )
 
 // chunkBytes is the size of the chunks in which a snapshot is sent.
@@ -73,8 +71,7 @@
 // the log to it and queues it for the applier.
 func (g *Group) receive(m *kcwpb.Message) error {
 	next, complete, err := g.store.Receive(m.Chunk)
-	var full *kcwsnapshot.Error
-	if errors.As(err, &full) && full.Kind == kcwsnapshot.Full {
+	if isFull(err) {
 		// The leader will send the snapshot again.
 		klog.InfoS("Disk is too full for a received snapshot", "Group", g.cfg.Group, "Index", m.Chunk.Index, "Cause", err.Error())
 		return nil
@@ -103,11 +100,8 @@
 		klog.ErrorS(err, "can't write a snapshot", "Group", g.cfg.Group, "Index", meta.Index)
 		return nil
 	}
-	base := g.replica.Compact(meta, g.cfg.KeepEntries)
-	if err := g.wal.Compact(base); err != nil {
-		return fail("compact", Storage, err)
-	}
-	return nil
+	g.compactTo = max(g.compactTo, g.replica.Compact(meta, g.cfg.KeepEntries))
+	return g.compactLog()
 }
 
 // withLeader sets the leader's address in e, if it is known.
--- a/kcw/kcwwal/full_test.go
+++ b/kcw/kcwwal/full_test.go
@@ -113,8 +113,8 @@
 		full func(l *Log, n int)
 	}{
 		{"a removal fails", func(l *Log, n int) {
-			remove, calls := l.remove, 0
-			l.remove = func(path string) error {
+			remove, calls := l.cfg.Remove, 0
+			l.cfg.Remove = func(path string) error {
 				if calls++; calls == n {
 					return errFull
 				}
@@ -185,11 +185,11 @@
 			t.Fatal(err)
 		}
 	}
-	l.remove = func(path string) error { return &os.PathError{Op: "remove", Path: path, Err: unix.ENOSPC} }
+	l.cfg.Remove = func(path string) error { return &os.PathError{Op: "remove", Path: path, Err: unix.ENOSPC} }
 	if err := l.Reset(30, 2); err != nil {
 		t.Errorf("Reset gave %v", err)
 	}
-	l.remove = os.Remove
+	l.cfg.Remove = os.Remove
 	for i := uint64(31); i <= 40; i++ {
 		if err := l.Save(2, 1, []*kcwpb.Entry{entry(i, 2)}); err != nil {
 			t.Fatal(err)
--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -34,6 +34,8 @@
 	Existing bool
 	// Write writes to a segment; the default is (*os.File).Write.
 	Write func(*os.File, []byte) (int, error)
+	// Remove removes a segment; the default is os.Remove.
+	Remove func(path string) error
 }
 
 // Log is an open log. It must be used by one goroutine at a time.
@@ -53,10 +55,9 @@
 	// failure is the error that every later call of Save and Reset returns, nil if there
 	// is none.
 	failure error
-	// sync flushes the data written to a file to the disk, remove removes a file, and
-	// syncFolder flushes the names in the log's folder.
+	// sync flushes the data written to a file to the disk, and syncFolder the names in the
+	// log's folder.
 	sync       func(*os.File) error
-	remove     func(path string) error
 	syncFolder func(path string) error
 }
 
@@ -69,10 +70,13 @@
 	if cfg.Write == nil {
 		cfg.Write = (*os.File).Write
 	}
+	if cfg.Remove == nil {
+		cfg.Remove = os.Remove
+	}
 	if cfg.Path == "" || cfg.Owner == 0 {
 		return nil, failText("open", Invalid, cfg.Path, 0, "Path and Owner must be set")
 	}
-	l := &Log{cfg: cfg, sync: syncFile, remove: os.Remove, syncFolder: syncFolder}
+	l := &Log{cfg: cfg, sync: syncFile, syncFolder: syncFolder}
 	var err error
 	l.segments, err = listSegments(cfg.Path)
 	if err != nil {
@@ -121,7 +125,7 @@
 	if len(l.segments) == 1 && l.cfg.Existing {
 		return failText("open", Damaged, last.path, 0, "the only segment has no header")
 	}
-	if err := os.Remove(last.path); err != nil {
+	if err := l.cfg.Remove(last.path); err != nil {
 		return fail("open", Storage, last.path, 0, err)
 	}
 	l.segments = l.segments[:len(l.segments)-1]
@@ -184,7 +188,7 @@
 func (l *Log) undoRoll(old *os.File, oldSize int64, cause error) error {
 	path := l.file.Name()
 	err := l.file.Close()
-	if removeErr := l.remove(path); err == nil {
+	if removeErr := l.cfg.Remove(path); err == nil {
 		err = removeErr
 	}
 	if err != nil {
@@ -314,7 +318,7 @@
 	}
 	for range keep {
 		path := l.segments[0].path
-		if err := l.remove(path); err != nil {
+		if err := l.cfg.Remove(path); err != nil {
 			return fail("compact", storageKind(err), path, 0, err)
 		}
 		l.segments = append([]*segment(nil), l.segments[1:]...)
