kcwwal: undo a roll later if the disk has no room to remove the segment

What callers saw: a replica whose disk became full while its log began a new segment ended by itself, if the file system needs space to remove a file.

Cause: undoRoll took the failed removal of the new segment as a failure of the log.

Evidence: TestRollSurvivesWithoutRoomToRemoveSegment, before: "Save before the roll gave kcwwal: roll ... storage: roll: remove ...: no space left on device". It passes now, and the package with -race. The segment is remembered and removed before the next record is written, so that no record of the former segment is followed by it after a crash either.

--- a/kcw/kcwwal/full_test.go
+++ b/kcw/kcwwal/full_test.go
@@ -210,3 +210,70 @@
 		t.Errorf("the log holds %d entries after Reset, want 36 to 40 at least", len(got))
 	}
 }
+
+// A roll that found the disk too full even to remove the new segment must be undone later,
+// and must not make the log fail for good.
+func TestRollSurvivesWithoutRoomToRemoveSegment(t *testing.T) {
+	path := t.TempDir()
+	l, err := Open(Config{Path: path, Owner: owner, SegmentBytes: 150})
+	if err != nil {
+		t.Fatal(err)
+	}
+	errFull := &os.PathError{Op: "remove", Path: path, Err: unix.ENOSPC}
+	saved := uint64(0)
+	save := func() error {
+		err := l.Save(1, 1, []*kcwpb.Entry{entry(saved+1, 1)})
+		if err == nil {
+			saved++
+		}
+		return err
+	}
+	for rolled := false; !rolled; {
+		before := len(l.segments)
+		disk := &limitedDisk{free: 1 << 20}
+		l.cfg.Write = func(file *os.File, data []byte) (int, error) {
+			if file.Name() != l.segments[0].path {
+				disk.free = min(disk.free, 10)
+			}
+			return disk.write(file, data)
+		}
+		l.cfg.Remove = func(string) error { return errFull }
+		if err := save(); err != nil {
+			t.Fatalf("Save before the roll gave %v", err)
+		}
+		rolled = disk.free == 0
+		if len(l.segments) != before {
+			t.Fatal("the roll was not undone")
+		}
+	}
+	if err := save(); !isFull(err) {
+		t.Errorf("Save beside the abandoned segment gave %v, want an error of kind Full", err)
+	}
+	if got := readCopy(t, path, func(path string) []*kcwpb.Entry {
+		copied, err := Open(Config{Path: path, Owner: owner, Existing: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer copied.Close()
+		return copied.Entries()
+	}); len(got) != int(saved) {
+		t.Errorf("%d entries after a restart, want %d", len(got), saved)
+	}
+	l.cfg.Write, l.cfg.Remove = (*os.File).Write, os.Remove
+	for range 10 {
+		if err := save(); err != nil {
+			t.Fatalf("Save with free space gave %v", err)
+		}
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Open(Config{Path: path, Owner: owner, SegmentBytes: 150, Existing: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if got := again.Entries(); len(got) != int(saved) {
+		t.Errorf("%d entries, want %d", len(got), saved)
+	}
+}
--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -50,7 +50,9 @@
 	file *os.File
 	size int64
 	buf  []byte
-	// unflushed means that the last removal of a segment is not durable yet.
+	// abandoned is the path of a segment that undoRoll still has to remove, empty if there
+	// is none. unflushed means that the last removal of a segment is not durable yet.
+	abandoned string
 	unflushed bool
 	// failure is the error that every later call of Save and Reset returns, nil if there
 	// is none.
@@ -157,6 +159,9 @@
 // one, so that a closed segment always has a successor on disk. If the disk is full,
 // the current segment stays in use.
 func (l *Log) roll(sequence uint64) error {
+	if err := l.finishRemoval(); err != nil {
+		return err
+	}
 	old, oldSize := l.file, l.size
 	path := filepath.Join(l.cfg.Path, segmentName(sequence))
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_EXCL, fileMode)
@@ -183,21 +188,21 @@
 	return l.closeSegment(old, oldSize)
 }
 
-// undoRoll removes the segment that roll started to create on a full disk, and returns
-// cause.
+// undoRoll returns to the former segment and removes the one that roll started to create on
+// a full disk, at the latest before the next record is written. It returns cause.
 func (l *Log) undoRoll(old *os.File, oldSize int64, cause error) error {
 	path := l.file.Name()
-	err := l.file.Close()
-	if removeErr := l.cfg.Remove(path); err == nil {
-		err = removeErr
-	}
-	if err != nil {
+	if err := l.file.Close(); err != nil {
 		l.failure = fail("roll", Storage, path, 0, err)
 		return l.failure
 	}
 	l.file, l.size = old, oldSize
 	l.segments = l.segments[:len(l.segments)-1]
-	l.unflushed = true
+	l.abandoned = path
+	if err := l.finishRemoval(); err != nil && !isFull(err) {
+		l.failure = err
+		return err
+	}
 	return cause
 }
 
@@ -313,7 +318,7 @@
 // removeBefore removes the segments before l.segments[keep], oldest first, each durably
 // before the next one, so that a crash leaves no gap in the sequence.
 func (l *Log) removeBefore(keep int) error {
-	if err := l.flushRemoval(); err != nil {
+	if err := l.finishRemoval(); err != nil {
 		return err
 	}
 	for range keep {
@@ -323,20 +328,27 @@
 		}
 		l.segments = append([]*segment(nil), l.segments[1:]...)
 		l.unflushed = true
-		if err := l.flushRemoval(); err != nil {
+		if err := l.finishRemoval(); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// flushRemoval makes the last removal of a segment durable, if it is not yet.
-func (l *Log) flushRemoval() error {
+// finishRemoval removes the abandoned segment, if there is one, and makes the last removal
+// durable. The error's Kind is Full if that is to be repeated.
+func (l *Log) finishRemoval() error {
+	if l.abandoned != "" {
+		if err := l.cfg.Remove(l.abandoned); err != nil {
+			return fail("remove", storageKind(err), l.abandoned, 0, err)
+		}
+		l.abandoned, l.unflushed = "", true
+	}
 	if !l.unflushed {
 		return nil
 	}
 	if err := l.syncFolder(l.cfg.Path); err != nil {
-		return fail("flush", storageKind(err), l.cfg.Path, 0, err)
+		return fail("remove", storageKind(err), l.cfg.Path, 0, err)
 	}
 	l.unflushed = false
 	return nil
@@ -351,10 +363,10 @@
 }
 
 // append writes buf at the end of the current segment and syncs it. If the disk is full,
-// it truncates the part that was written. A removed segment must not reappear after what is
-// written now, so append makes its removal durable first.
+// it truncates the part that was written. No segment that was removed may follow what is
+// written now, not even after a crash, so append makes its removal durable first.
 func (l *Log) append(buf []byte) error {
-	if err := l.flushRemoval(); err != nil {
+	if err := l.finishRemoval(); err != nil {
 		return err
 	}
 	_, err := l.cfg.Write(l.file, buf)
