kcwfolder: report a full disk as an error of kind Full and leave no temporary file

What callers saw: a write that found the disk full could not be told from a failed disk, and left half a temporary file, which used the space that was missing, until the next write or start.

--- a/kcw/kcwfolder/error.go
+++ b/kcw/kcwfolder/error.go
@@ -23,6 +23,8 @@
 	Damaged
 	// Invalid means that an argument is invalid.
 	Invalid
+	// Full means that the disk is full. The call may be repeated.
+	Full
 )
 
 // String returns the kind's name.
@@ -38,6 +40,8 @@
 		return "damaged"
 	case Invalid:
 		return "invalid"
+	case Full:
+		return "disk full"
 	}
 	return fmt.Sprintf("kind %d", int(k))
 }
@@ -66,6 +70,14 @@
 	return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT)
 }
 
+// storageKind returns the Kind for the error of a file system call.
+func storageKind(err error) Kind {
+	if IsFull(err) {
+		return Full
+	}
+	return Storage
+}
+
 func fail(op string, kind Kind, path string, err error) *Error {
 	return &Error{Op: op, Kind: kind, Path: path, Err: eris.Wrap(err, op)}
 }
--- a/kcw/kcwfolder/folder.go
+++ b/kcw/kcwfolder/folder.go
@@ -25,30 +25,37 @@
 type Config struct {
 	// Path is the path of the folder, which Open creates if it does not exist.
 	Path string
+	// Write writes to a file; the default is (*os.File).Write.
+	Write func(*os.File, []byte) (int, error)
 }
 
 // Folder is a locked data folder. Its methods may be called concurrently for different
 // files.
 type Folder struct {
-	path string
-	lock *os.File
+	path  string
+	lock  *os.File
+	write func(*os.File, []byte) (int, error)
 }
 
 // Open creates the folder if necessary, locks it, and removes temporary files that an
 // earlier process left behind. The error is an *Error, whose Kind is Locked if the folder
-// is locked by another process or by another Folder in this process.
+// is locked by another process or by another Folder in this process, and Full if the disk is
+// full.
 func Open(cfg Config) (*Folder, error) {
 	if cfg.Path == "" {
 		return nil, fail("open", Invalid, "", errors.New("empty path"))
 	}
 	if err := os.MkdirAll(cfg.Path, folderMode); err != nil {
-		return nil, fail("open", Storage, cfg.Path, err)
+		return nil, fail("open", storageKind(err), cfg.Path, err)
 	}
 	lock, err := lockFile(filepath.Join(cfg.Path, lockName))
 	if err != nil {
 		return nil, err
 	}
-	f := &Folder{path: cfg.Path, lock: lock}
+	f := &Folder{path: cfg.Path, lock: lock, write: cfg.Write}
+	if f.write == nil {
+		f.write = (*os.File).Write
+	}
 	if err := f.removeTemporary(); err != nil {
 		_ = lock.Close()
 		return nil, err
@@ -59,7 +66,7 @@
 func lockFile(path string) (*os.File, error) {
 	lock, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
-		return nil, fail("lock", Storage, path, err)
+		return nil, fail("lock", storageKind(err), path, err)
 	}
 	err = unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB)
 	if err == nil {
@@ -94,28 +101,28 @@
 }
 
 // Sub creates the subfolder name if necessary, syncs f, and returns the subfolder's path.
-// The error's Kind is Storage.
+// The error's Kind is Storage or Full.
 func (f *Folder) Sub(name string) (string, error) {
 	path := filepath.Join(f.path, name)
 	if err := os.MkdirAll(path, folderMode); err != nil {
-		return "", fail("make", Storage, path, err)
+		return "", fail("make", storageKind(err), path, err)
 	}
 	if err := syncFolder(f.path); err != nil {
-		return "", fail("make", Storage, path, err)
+		return "", fail("make", storageKind(err), path, err)
 	}
 	return path, nil
 }
 
 // Write replaces the content of the file name by data. When it returns nil all of data is
 // on disk; otherwise the file has either its old or its new content. The error's Kind is
-// Storage.
+// Storage or Full.
 func (f *Folder) Write(name string, data []byte) error {
 	path := filepath.Join(f.path, name)
-	if err := replace(path, data); err != nil {
-		return fail("write", Storage, path, err)
+	if err := f.replace(path, data); err != nil {
+		return fail("write", storageKind(err), path, err)
 	}
 	if err := syncFolder(f.path); err != nil {
-		return fail("write", Storage, path, err)
+		return fail("write", storageKind(err), path, err)
 	}
 	return nil
 }
@@ -165,23 +172,28 @@
 	return nil
 }
 
-func replace(path string, data []byte) error {
+// replace replaces the file at path. If it fails, it removes the temporary file, which would
+// use disk space.
+func (f *Folder) replace(path string, data []byte) error {
 	temporaryPath := path + temporarySuffix
 	file, err := os.OpenFile(temporaryPath, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
 		return err
 	}
-	_, err = file.Write(data)
+	_, err = f.write(file, data)
 	if err == nil {
 		err = file.Sync()
 	}
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
 	}
+	if err == nil {
+		err = os.Rename(temporaryPath, path)
+	}
 	if err != nil {
-		return err
+		return errors.Join(err, os.Remove(temporaryPath))
 	}
-	return os.Rename(temporaryPath, path)
+	return nil
 }
 
 func syncFolder(path string) error {
--- a/kcw/kcwfolder/folder_test.go
+++ b/kcw/kcwfolder/folder_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"path/filepath"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 func kindOf(err error) Kind {
@@ -64,3 +66,37 @@
 		t.Errorf("a leftover temporary file was not removed: %v", err)
 	}
 }
+
+// A write that finds the disk full must leave the former content and no temporary file.
+func TestWriteOnFullDiskChangesNothing(t *testing.T) {
+	path := t.TempDir()
+	full := false
+	f, err := Open(Config{Path: path, Write: func(file *os.File, data []byte) (int, error) {
+		if !full {
+			return file.Write(data)
+		}
+		n, _ := file.Write(data[:len(data)/2])
+		return n, &os.PathError{Op: "write", Path: file.Name(), Err: unix.ENOSPC}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := f.Write("File", []byte("former")); err != nil {
+		t.Fatal(err)
+	}
+	full = true
+	if err := f.Write("File", []byte("latter")); kindOf(err) != Full {
+		t.Errorf("Write gave %v, want an error of kind Full", err)
+	}
+	if data, err := f.Read("File"); err != nil || string(data) != "former" {
+		t.Errorf("read %q, %v", data, err)
+	}
+	if _, err := os.Stat(filepath.Join(path, "File"+temporarySuffix)); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("the temporary file is left: %v", err)
+	}
+	full = false
+	if err := f.Write("File", []byte("latter")); err != nil {
+		t.Errorf("Write with free space gave %v", err)
+	}
+}
