kcwgroup: found the group and start on a full disk as soon as there is room

What callers saw: a replica whose disk was full while it founded the group, or as it was started, ended by itself. Without it the group could not be founded; a start was left to the platform.

Cause: the writes of the founding and of New were not repeated, unlike Save and Reset.

Evidence, on the code before with the kind Full of kcwfolder (waiting 8 s in place of 60): TestFoundingGoesOnAfterFullDisk "h2: role stopped ... kcwgroup: found: storage: ... disk full"; TestStartOnFullDiskIsRepeated "start gave kcwgroup: open: storage: ... no space left on device".

The founding waits as Save does. New reports the kind Full, and NewWhenRoom, which the core and the ledger use, calls it again until there is room.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -193,7 +193,7 @@
 	for _, seed := range s.PeerAddresses() {
 		founders = append(founders, &kcwpb.Member{Name: seed.String(), Address: seed.String()})
 	}
-	return kcwgroup.New(kcwgroup.Config{
+	return kcwgroup.NewWhenRoom(m.ctx, kcwgroup.Config{
 		Folder: m.folder, Group: groupName, Name: own.String(), Zone: s.Host.Zone, Address: own,
 		Founders: founders, Bootstrap: s.Group.Bootstrap && slices.Contains(s.PeerAddresses(), own),
 		Machine: table, Send: m.sender.Send,
--- a/kcw-ledger/replica.go
+++ b/kcw-ledger/replica.go
@@ -97,7 +97,7 @@
 	r.sender = sender
 	send := func(to *kcwpb.Member, msgs []*kcwpb.Message) { sender.Send(via(to), msgs) }
 	notifier := kcwnotifier.New(kcwnotifier.Config{Machine: r.book, Revision: r.book.Revision})
-	group, err := kcwgroup.New(kcwgroup.Config{
+	group, err := kcwgroup.NewWhenRoom(context.Background(), kcwgroup.Config{
 		Folder:          folder,
 		Group:           s.Group.Name,
 		Name:            s.Host.Name,
--- a/kcw/kcwgroup/error.go
+++ b/kcw/kcwgroup/error.go
@@ -33,6 +33,8 @@
 	// Storage means that the disk failed, or that the folder is damaged or
 	// belongs to another replica.
 	Storage
+	// Full means that New found the disk full; it may be called again.
+	Full
 )
 
 // String returns the kind's name.
@@ -46,6 +48,7 @@
 		Canceled:       "canceled",
 		Closed:         "closed",
 		Storage:        "storage",
+		Full:           "disk full",
 	}
 	if name, ok := names[k]; ok {
 		return name
--- a/kcw/kcwgroup/found.go
+++ b/kcw/kcwgroup/found.go
@@ -154,7 +154,7 @@
 	f := g.founding
 	members, ok := f.complete()
 	if ok && len(f.persisted) == 0 {
-		if err := storeFounders(g.cfg.Folder, members); err != nil {
+		if err := g.retryWhileFull(func() error { return storeFounders(g.cfg.Folder, members) }); err != nil {
 			return err
 		}
 		f.persisted = members
@@ -178,7 +178,7 @@
 		Index: 1, Term: firstTerm,
 		Kind: kcwpb.EntryKind_ENTRY_KIND_MEMBERSHIP, Data: data,
 	}}
-	if err := g.wal.Save(firstTerm, 0, first); err != nil {
+	if err := g.retryWhileFull(func() error { return g.wal.Save(firstTerm, 0, first) }); err != nil {
 		return fail("found", Storage, err)
 	}
 	g.founding = nil
--- a/kcw/kcwgroup/full.go
+++ b/kcw/kcwgroup/full.go
@@ -1,12 +1,14 @@
 package kcwgroup
 
 import (
+	"context"
 	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
+	"kingcupwick.example/kcw/kcwfolder"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwsnapshot"
 	"kingcupwick.example/kcw/kcwwal"
@@ -20,6 +22,30 @@
 	snapshotRetryInterval = 500 * time.Millisecond
 )
 
+// NewWhenRoom calls New again while the disk is full, until ctx ends, so that a process that
+// starts on a full disk need not end. The error is that of the last call of New.
+func NewWhenRoom(ctx context.Context, cfg Config) (*Group, error) {
+	g, err := New(cfg)
+	if !isFull(err) {
+		return g, err
+	}
+	klog.InfoS("Disk is full: the replica is not started yet", "Group", cfg.Group, "Cause", err.Error())
+	pause := time.NewTicker(fullRetryInterval)
+	defer pause.Stop()
+	for isFull(err) {
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-pause.C:
+		}
+		g, err = New(cfg)
+	}
+	if err == nil {
+		klog.InfoS("Disk is no longer full: the replica is started", "Group", cfg.Group, "Replica", g.identity.ID)
+	}
+	return g, err
+}
+
 // Full reports whether the replica is waiting for free space on its disk. It neither
 // votes nor leads while it waits.
 func (g *Group) Full() bool { return g.full.Load() }
@@ -46,13 +72,15 @@
 	return err
 }
 
-// isFull reports whether err means that the log or the snapshots found the disk full and
-// changed nothing.
+// isFull reports whether err means that the log, the snapshots or the folder found the disk
+// full and changed nothing.
 func isFull(err error) bool {
 	var log *kcwwal.Error
 	var snapshot *kcwsnapshot.Error
+	var folder *kcwfolder.Error
 	return errors.As(err, &log) && log.Kind == kcwwal.Full ||
-		errors.As(err, &snapshot) && snapshot.Kind == kcwsnapshot.Full
+		errors.As(err, &snapshot) && snapshot.Kind == kcwsnapshot.Full ||
+		errors.As(err, &folder) && folder.Kind == kcwfolder.Full
 }
 
 // compactLog removes the segments of the log up to compactTo. If the disk is too full for
--- a/kcw/kcwgroup/full_test.go
+++ b/kcw/kcwgroup/full_test.go
@@ -1,12 +1,16 @@
 package kcwgroup
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"sync"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
+
+	"kingcupwick.example/kcw/kcwfolder"
 )
 
 // disks simulates the disks of a cluster, each of which can be full.
@@ -226,3 +230,52 @@
 	d.set(h.name, false)
 	c.eventually("removal of segments once the disk has room", func() bool { return segments() < full })
 }
+
+// A replica whose disk is full as it founds the group must wait, and not end: the group
+// can't be founded without it.
+func TestFoundingGoesOnAfterFullDisk(t *testing.T) {
+	d := &disks{full: map[string]bool{}}
+	c := newCluster(t, 3, d.configure)
+	c.configureFolder = func(name string, cfg *kcwfolder.Config) { cfg.Write = d.write(name) }
+	c.start("h1", true)
+	h := c.start("h2", true)
+	d.set("h2", true)
+	c.start("h3", true)
+	c.eventually("wait for disk space", func() bool { return h.group.Full() })
+	d.set("h2", false)
+	c.proposeMany("c", 3)
+	c.awaitCommands(h, []string{"c0", "c1", "c2"})
+}
+
+// A replica that is started on a full disk must report that, and start once there is room.
+func TestStartOnFullDiskIsRepeated(t *testing.T) {
+	d := &disks{full: map[string]bool{"h2": true}}
+	c := newCluster(t, 3, d.configure)
+	c.configureFolder = func(name string, cfg *kcwfolder.Config) { cfg.Write = d.write(name) }
+	c.start("h1", true)
+	c.start("h3", true)
+	if _, err := c.tryStart("h2", true); kindOf(err) != Full {
+		t.Fatalf("start gave %v, want an error of kind Full", err)
+	}
+	c.newGroup = func(cfg Config) (*Group, error) {
+		timer := time.AfterFunc(3*fullRetryInterval, func() { d.set("h2", false) })
+		defer timer.Stop()
+		return NewWhenRoom(t.Context(), cfg)
+	}
+	h := c.start("h2", true)
+	c.proposeMany("c", 3)
+	c.awaitCommands(h, []string{"c0", "c1", "c2"})
+}
+
+// A start that waits for disk space ends with its context.
+func TestStartOnFullDiskEndsWithContext(t *testing.T) {
+	d := &disks{full: map[string]bool{"h1": true}}
+	c := newCluster(t, 1, d.configure)
+	c.configureFolder = func(name string, cfg *kcwfolder.Config) { cfg.Write = d.write(name) }
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	c.newGroup = func(cfg Config) (*Group, error) { return NewWhenRoom(ctx, cfg) }
+	if _, err := c.tryStart("h1", true); kindOf(err) != Full {
+		t.Errorf("start gave %v, want an error of kind Full", err)
+	}
+}
--- a/kcw/kcwgroup/group.go
+++ b/kcw/kcwgroup/group.go
@@ -83,7 +83,8 @@
 }
 
 // New opens the replica's state and starts the replica. The error is an *Error; its
-// Kind is Storage if the folder is damaged or belongs to another replica.
+// Kind is Storage if the folder is damaged or belongs to another replica, and Full if the
+// disk has no space for what New has to write.
 func New(cfg Config) (*Group, error) {
 	cfg = cfg.withDefaults()
 	if err := cfg.check(); err != nil {
@@ -109,6 +110,9 @@
 	g.applier.onError = func(err error) { g.post(func() error { return err }) }
 	if err := g.open(); err != nil {
 		g.closeFiles()
+		if isFull(err) {
+			return nil, fail("open", Full, err)
+		}
 		return nil, err
 	}
 	g.publish()
--- a/kcw/kcwgroup/helper_test.go
+++ b/kcw/kcwgroup/helper_test.go
@@ -112,6 +112,10 @@
 type cluster struct {
 	t         testing.TB
 	configure func(*Config)
+	// configureFolder, if set, is called with the settings of a host's folder.
+	configureFolder func(name string, cfg *kcwfolder.Config)
+	// newGroup starts a host's group; the default is New.
+	newGroup func(Config) (*Group, error)
 	// connect returns a Config.Send for a host. If it is nil, the hosts use the
 	// cluster's own transport.
 	connect func(*host) func(*kcwpb.Member, []*kcwpb.Message)
@@ -177,7 +181,11 @@
 
 func (c *cluster) tryStart(name string, bootstrap bool) (*host, error) {
 	h := c.hosts[name]
-	folder, err := kcwfolder.Open(kcwfolder.Config{Path: h.path})
+	folderConfig := kcwfolder.Config{Path: h.path}
+	if c.configureFolder != nil {
+		c.configureFolder(name, &folderConfig)
+	}
+	folder, err := kcwfolder.Open(folderConfig)
 	if err != nil {
 		return nil, err
 	}
@@ -202,7 +210,11 @@
 	if c.configure != nil {
 		c.configure(&cfg)
 	}
-	group, err := New(cfg)
+	newGroup := New
+	if c.newGroup != nil {
+		newGroup = c.newGroup
+	}
+	group, err := newGroup(cfg)
 	if err != nil {
 		_ = folder.Close()
 		return nil, err
