kcwforward: an answer that ends with its connection ends with the caller's

Cause: an answer that only the end of its connection delimits (RFC 9112, section 6.3) was passed on with a Content-Length of the router's own making, and a stream of that kind in chunks with the last chunk. Such an answer can't be told from one that was cut, so the router stated more than the upstream had. Apart from that, streams to HTTP/1.0 callers, which end with the connection, looked whole if the server closed the connection at the end of a planned stop.

The answer is still read whole, or event by event, so that memory is bounded as before and a reset is retried or becomes 502. It is now passed on without a length and without chunks, and the caller's connection ends with it. From its head to its end the connection has a linger time of zero, so that whatever closes it, the end of the process included, resets it. The server hands its connections to the Forwarder by ConnContext. The log line of a request has CloseDelimited.

go test -run 'TestCloseDelimitedAnswerGetsNoLength|TestRouterThatEndsCutsNoAnswerUnseen' ./kcwforward. The package's tests pass with -race.

--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -73,7 +73,7 @@
 		"Route", e.Route, "Team", e.Team, "Service", e.Service, "Upstream", e.Upstream, "Sends", e.Sends,
 		"Permit", e.Permit, "Displaced", e.Displaced,
 		"Elapsed", e.Elapsed.String(), "FirstByte", e.FirstByte.String(), "RetryAfter", e.RetryAfter.String(),
-		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used, "Cut", e.Cut, "Surplus", e.Surplus, "Parts", loggedParts(e))
+		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used, "Cut", e.Cut, "CloseDelimited", e.CloseDelimited, "Surplus", e.Surplus, "Parts", loggedParts(e))
 }
 
 // loggedParts returns the parts of the prompt of a request whose upstream closed the
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -243,6 +243,7 @@
 	if err != nil {
 		return err
 	}
+	r.public.ConnContext = r.forwarder.ConnContext
 	limits := kcwserve.Config{HeaderTimeout: s.Limits.HeaderTimeout, MaxHeaderBytes: s.Limits.MaxHeaderBytes}
 	peers := http.NewServeMux()
 	peers.Handle(r.lending.Handler())
--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -17,6 +17,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// isCloseDelimited is set if only the end of the connection ended the answer.
+	isCloseDelimited bool
 }
 
 // hopHeaders are the hop-by-hop headers, which are not passed on.
@@ -86,7 +88,7 @@
 	a.reusable = !response.Close
 	header := response.Header.Clone()
 	RemoveHopHeaders(header)
-	return &bufferedAnswer{status: response.StatusCode, header: header, body: body}, nil
+	return &bufferedAnswer{status: response.StatusCode, header: header, body: body, isCloseDelimited: isCloseDelimited(response)}, nil
 }
 
 // write writes the answer to the caller.
@@ -94,12 +96,17 @@
 	c.event.Status = h.status
 	c.event.FirstByte = c.f.cfg.Now().Sub(c.start)
 	copyHeader(c.w.Header(), h.header)
-	if c.r.Method != http.MethodHead && h.status != http.StatusNoContent && h.status != http.StatusNotModified {
+	switch {
+	case h.isCloseDelimited:
+		// The caller must not be told a length that the upstream has not stated.
+		c.delimitByClose()
+	case c.r.Method != http.MethodHead && h.status != http.StatusNoContent && h.status != http.StatusNotModified:
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
 	}
 	c.w.WriteHeader(h.status)
 	// A write fails only if the caller has disconnected.
 	_, _ = c.w.Write(h.body)
+	c.endAnswer()
 }
 
 func copyHeader(to, from http.Header) {
@@ -188,17 +195,12 @@
 		default:
 			a.reusable = !response.Close
 			a.startStream(response)
+			a.endAnswer()
 			return delivered, kcwroster.Succeeded
 		}
 	}
 }
 
-// isCloseDelimited reports whether only the end of the connection ends the answer (RFC 9112,
-// section 6.3).
-func isCloseDelimited(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // initialBufferBytes is the initial size of a stream's buffer in bytes, enough for
 // several events.
 const initialBufferBytes = 4 << 10
@@ -223,6 +225,9 @@
 	RemoveHopHeaders(header)
 	header.Del("Content-Length")
 	copyHeader(a.w.Header(), header)
+	if isCloseDelimited(response) || !a.r.ProtoAtLeast(1, 1) {
+		a.delimitByClose()
+	}
 	a.w.WriteHeader(response.StatusCode)
 }
 
--- /dev/null
+++ b/kcw/kcwforward/delimit.go
@@ -0,0 +1,70 @@
+package kcwforward
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// connKey is the key of the caller's connection in the context of a request.
+type connKey struct{}
+
+// ConnContext returns ctx with the connection of a caller. It is meant for the field of that
+// name of the http.Server whose handler is the Forwarder. Without it, an answer that ends with
+// the caller's connection looks whole if the server or the process ends in the middle of it.
+func (f *Forwarder) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// delimitByClose makes the end of the caller's connection the end of the answer, as RFC 9112,
+// section 6.3, allows. It must be called before the header is written. Until endAnswer is
+// called, whatever closes the connection resets it, so that the answer does not look whole.
+func (c *call) delimitByClose() {
+	c.event.CloseDelimited = true
+	// With this value net/http neither adds a length nor sends chunks. It does not write it.
+	c.w.Header().Set("Transfer-Encoding", "identity")
+	c.setLinger(0)
+}
+
+// endAnswer ends an answer that is whole.
+func (c *call) endAnswer() {
+	if !c.event.CloseDelimited {
+		return
+	}
+	// What is still buffered must not be lost if the process ends. If it can't be written, the
+	// connection is reset.
+	if err := http.NewResponseController(c.w).Flush(); err == nil {
+		c.setLinger(-1)
+	}
+}
+
+// resetCaller resets the caller's connection if its end is the end of the answer.
+func (c *call) resetCaller() {
+	if !c.event.CloseDelimited {
+		return
+	}
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		return // The connection is closed already.
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Linger fails only on a connection that is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// setLinger sets the linger time of the caller's connection in seconds, negative for the
+// default.
+func (c *call) setLinger(seconds int) {
+	if conn, ok := c.r.Context().Value(connKey{}).(*net.TCPConn); ok {
+		// Linger fails only on a connection that is closed already.
+		_ = conn.SetLinger(seconds)
+	}
+}
+
+// isCloseDelimited reports whether only the end of the connection ends the answer (RFC 9112,
+// section 6.3).
+func isCloseDelimited(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -128,6 +128,7 @@
 	roster    *kcwroster.Roster
 	balance   *kcwbalance.Balance
 	memory    *kcwmemory.Account
+	server    *httptest.Server
 	url       string
 	// document is the configuration in force.
 	document atomic.Pointer[kcwroute.Document]
@@ -257,9 +258,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := httptest.NewServer(f.forwarder)
-	t.Cleanup(server.Close)
-	f.url = server.URL
+	f.server = httptest.NewUnstartedServer(f.forwarder)
+	f.server.Config.ConnContext = f.forwarder.ConnContext
+	f.server.Start()
+	t.Cleanup(f.server.Close)
+	f.url = f.server.URL
 	return f
 }
 
@@ -352,6 +355,45 @@
 	return len(f.requests)
 }
 
+// rawAnswer is what a caller sees on its connection.
+type rawAnswer struct {
+	status     int
+	seal, body string
+	// isWhole is set if nothing shows that the answer is broken, endsWithConn if only the end
+	// of the connection ends it.
+	isWhole, endsWithConn bool
+}
+
+// callRaw sends one request on a connection of its own and reads the answer.
+func (f *fixture) callRaw(method, proto string) (rawAnswer, error) {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		return rawAnswer{}, err
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, method+" /a/x "+proto+"\r\nHost: host.example\r\nAttempt: id-1\r\nKey: key\r\n\r\n"); err != nil {
+		return rawAnswer{}, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		return rawAnswer{}, nil
+	}
+	got := rawAnswer{status: response.StatusCode, seal: strings.Join(response.Header["Seal"], ",")}
+	got.endsWithConn = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Close
+	body, err := io.ReadAll(response.Body)
+	got.body, got.isWhole = string(body), err == nil
+	return got, nil
+}
+
+// closeUpstreams closes the connections of the upstreams.
+func (f *fixture) closeUpstreams() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.requests {
+		_ = e.conn.Close()
+	}
+}
+
 // grant grants the team tokens. Available and unspent are the tokens of the team that
 // the core reports as not granted and as not used by any router.
 func (f *fixture) grant(tokens, available, unspent int64) {
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -131,6 +131,8 @@
 	// Cut is set if the upstream closed the connection of the last attempt before its
 	// answer was whole, and Begun if a part of an answer had been passed on by then.
 	Cut, Begun bool
+	// CloseDelimited is set if the end of the caller's connection is the end of the answer.
+	CloseDelimited bool
 	// Surplus is the number of answers to other requests that came before those to this
 	// one, in all attempts.
 	Surplus int
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -166,7 +165,7 @@
 		c.event.Outcome = "StreamBroken"
 		// Closing the connection without the end of the stream shows the caller that
 		// the answer is incomplete.
-		c.resetOldCaller()
+		c.resetCaller()
 		panic(http.ErrAbortHandler)
 	case c.lastFailure != nil:
 		c.event.Outcome, c.isComplete = "UpstreamFailed", true
@@ -185,23 +184,6 @@
 	}
 }
 
-// resetOldCaller resets the connection of an HTTP/1.0 caller, to which the end of a
-// connection is the end of an answer.
-func (c *call) resetOldCaller() {
-	if c.r.ProtoAtLeast(1, 1) {
-		return
-	}
-	conn, _, err := http.NewResponseController(c.w).Hijack()
-	if err != nil {
-		return // The connection is closed already.
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// Linger fails only on a connection that is closed already.
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // notRunRefusal returns the refusal of a request that no upstream has run. If all
 // upstreams have declined requests for a time, Retry-After is the time until the first
 // of them accepts requests again, and if they are at their rate limits, until there may be
