kcwforward: a request whose caller is gone ends without an answer

A caller that closed the sending side of its connection, which TCP allows while it waits for the answer, got a 200 with an empty body and a length of zero, or, if events had been passed on, the last chunk of a stream that was cut.

Cause: the end of the caller's sending side ends the context of the request, and the attempt is given up. The handler then returned normally, and net/http completes the answer of such a handler: status 200 if there is none yet, and the last chunk.

The handler now aborts the connection, as for a stream that broke off. Callers that have closed their connection see no difference.

go test -run TestHalfClosedCaller ./kcwforward. Before: "HTTP/1.1 caller: got status 200 with length 0", the same for HTTP/1.0, and "HTTP/1.1 caller: the stream ends after one event and "", and looks whole". The package's tests pass with -race.

--- a/kcw/kcwforward/delimit.go
+++ b/kcw/kcwforward/delimit.go
@@ -38,11 +38,17 @@
 	}
 }
 
-// resetCaller resets the caller's connection if its end is the end of the answer.
-func (c *call) resetCaller() {
-	if !c.event.CloseDelimited {
-		return
+// abort closes the caller's connection without the end of the answer, which shows the caller
+// that there is no whole one. It does not return.
+func (c *call) abort() {
+	if c.event.CloseDelimited {
+		c.resetCaller()
 	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetCaller resets the caller's connection.
+func (c *call) resetCaller() {
 	conn, _, err := http.NewResponseController(c.w).Hijack()
 	if err != nil {
 		return // The connection is closed already.
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -161,12 +161,11 @@
 		c.isComplete = true
 	case res == callerGone:
 		c.event.Outcome = "CallerGone"
+		// The caller may have closed only its sending side.
+		c.abort()
 	case c.stream.started:
 		c.event.Outcome = "StreamBroken"
-		// Closing the connection without the end of the stream shows the caller that
-		// the answer is incomplete.
-		c.resetCaller()
-		panic(http.ErrAbortHandler)
+		c.abort()
 	case c.lastFailure != nil:
 		c.event.Outcome, c.isComplete = "UpstreamFailed", true
 		c.lastFailure.write(c)
