kcwforward, kcwconn: a reset that a write has got ends no answer

Callers got a short body as a whole answer if an upstream answered a large request before it had read all of it, without a length, and reset the connection in the middle of the answer. A kernel also resets it if the upstream closes it with a part of the request unread.

Cause: a large request is written beside reading its answer, and the kernel reports a reset once. If the write got it, the read returned io.EOF, which is the end of an answer without a length. Answers with a length and in chunks are not concerned.

At the end of such an answer the state of the connection is read (TCP_INFO): it is closed after a reset and half closed after the upstream's own end. An answer that ended with a reset is retried or becomes 502, as if the read had got it.

--- a/kcw/kcwconn/pool.go
+++ b/kcw/kcwconn/pool.go
@@ -142,6 +142,27 @@
 	return err == nil && isQuiet
 }
 
+// tcpClose is the state CLOSED of a TCP connection in Linux (TCP_CLOSE in net/tcp_states.h).
+const tcpClose = 7
+
+// IsReset reports whether the connection has been reset or closed, rather than ended by the
+// upstream alone. The kernel reports a reset once: if a write has got it, a read returns
+// io.EOF.
+func (c *Conn) IsReset() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return err != nil || infoErr != nil || info.State == tcpClose
+}
+
 // Pool is a pool of connections to one upstream. It is safe for concurrent use.
 type Pool struct {
 	cfg    Config
--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -81,6 +81,9 @@
 	a.bodyStarted = true
 	body, acquired, err := a.f.cfg.Memory.ReadAll(response.Body, response.ContentLength, a.f.cfg.MaxAnswerBytes)
 	a.memoryHeld += acquired
+	if err == nil {
+		err = a.checkEnd(response)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -154,6 +157,11 @@
 			}
 		}
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
+		if err == io.EOF {
+			if endErr := a.checkEnd(response); endErr != nil {
+				err = endErr
+			}
+		}
 		buffer = buffer[:len(buffer)+n]
 		a.f.recordBytes(n, n)
 		a.bodyStarted = a.bodyStarted || n > 0
--- a/kcw/kcwforward/delimit.go
+++ b/kcw/kcwforward/delimit.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 )
 
 // connKey is the key of the caller's connection in the context of a request.
@@ -74,3 +75,12 @@
 func isCloseDelimited(response *http.Response) bool {
 	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
+
+// checkEnd returns an error if the answer, which has been read to its end, ended with a reset
+// of its connection.
+func (a *attempt) checkEnd(response *http.Response) error {
+	if isCloseDelimited(response) && a.conn.IsReset() {
+		return syscall.ECONNRESET
+	}
+	return nil
+}
--- a/kcw/kcwforward/delimited_test.go
+++ b/kcw/kcwforward/delimited_test.go
@@ -114,3 +114,23 @@
 		f.closeUpstreams()
 	}
 }
+
+// TestResetSeenByWriterEndsNoAnswer checks that an answer that ends with its connection is not
+// whole if that was reset, also where the kernel reports the reset to the one who writes the
+// request and an end to the one who reads the answer.
+func TestResetSeenByWriterEndsNoAnswer(t *testing.T) {
+	const calls = 40
+	for range calls {
+		t.Run("call", func(t *testing.T) {
+			f := newFixture(t, 1, once, func(e *exchange) {
+				delimitedByClose(e, 200, "", "half")
+				_ = e.conn.(*net.TCPConn).SetLinger(0)
+				e.closeConn()
+			})
+			response, body, err := f.call(t, http.MethodPost, strings.Repeat("x", maxBodyBytes), "Leave-Body", "1")
+			if err == nil && response.StatusCode != http.StatusBadGateway {
+				t.Errorf("got status %d and %q", response.StatusCode, body)
+			}
+		})
+	}
+}
