kcwstop, kcwforward: a stopping router relies on an estimate only for what may be repeated

Cause: a stopping router passed on any request whose deadline lies before the end of the stop or whose route's earlier requests were quick (kcwlatency). That is a probability of one in 100 over what has been seen; an upstream that pauses is not in it, and what must not be repeated is lost when it is cut.

The decision is now made by kcwstop, which does no I/O: a deadline before the end, or, for requests that may be repeated (idempotent routes and streams that can be resumed), the estimate as before.

Two tests asserted the former rule. TestStopping expected status 200 for a request of a route that must not be repeated, by the estimate; it now checks each case for such a route and for one that may be repeated, so that all former statuses but that one are still asserted. The route of TestStoppingRouterRefusesStreamsItCannotEnd is resumable now: for one that is not, the estimate which that test guards is no longer asked.

--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -37,6 +37,7 @@
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
 	"kingcupwick.example/kcw/kcwrunrecord"
+	"kingcupwick.example/kcw/kcwstop"
 	"kingcupwick.example/kcw/kcwuptime"
 )
 
@@ -115,7 +116,7 @@
 	public      *kcwserve.Server
 	peerServer  *kcwserve.Server
 	admin       *kcwadmin.Server
-	stop        atomic.Pointer[kcwforward.Stop]
+	stop        atomic.Pointer[kcwstop.Stop]
 	ctx         context.Context
 	cancel      context.CancelFunc
 }
--- a/kcw-fleet/kcwrouter/run.go
+++ b/kcw-fleet/kcwrouter/run.go
@@ -12,8 +12,8 @@
 
 	"kingcupwick.example/kcw-fleet/kcwreload"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
-	"kingcupwick.example/kcw/kcwforward"
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwstop"
 )
 
 // Run serves until a signal stops the router.
@@ -52,7 +52,7 @@
 func (r *Router) drain(context.Context) error {
 	s := r.cfg.Settings.Stop
 	now := time.Now()
-	stop := &kcwforward.Stop{EndsAt: now.Add(s.Grace - stopMargin)}
+	stop := &kcwstop.Stop{EndsAt: now.Add(s.Grace - stopMargin)}
 	r.stop.Store(stop)
 	klog.InfoS("Router drains", "Grace", s.Grace.String(), "InFlight", r.forwarder.InFlight())
 	time.Sleep(s.Notice)
@@ -64,11 +64,11 @@
 }
 
 // stopping returns the planned stop that is in progress, if any.
-func (r *Router) stopping() (kcwforward.Stop, bool) {
+func (r *Router) stopping() (kcwstop.Stop, bool) {
 	if stop := r.stop.Load(); stop != nil {
 		return *stop, true
 	}
-	return kcwforward.Stop{}, false
+	return kcwstop.Stop{}, false
 }
 
 // returnTokens returns the tokens that are left to the core.
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -13,6 +13,7 @@
 	"kingcupwick.example/kcw/kcwbalance"
 	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwstop"
 )
 
 // Values of Retry-After for refused callers. Each is about how long the cause
@@ -43,7 +44,7 @@
 	r     *http.Request
 	start time.Time
 	// stop is the router's planned stop, valid if stopping is set.
-	stop     Stop
+	stop     kcwstop.Stop
 	stopping bool
 
 	document *kcwroute.Document
@@ -138,13 +139,10 @@
 	return nil
 }
 
-// endsBeforeStop reports whether the request ends before the router stops, by its own
-// deadline or by what the requests of its route have shown.
+// endsBeforeStop reports whether the request ends before the router stops.
 func (c *call) endsBeforeStop() bool {
-	if !c.stopping || !c.deadline.After(c.stop.EndsAt) {
-		return true
-	}
-	return c.f.latency.EndsWithin(c.route.Name, c.stop.EndsAt.Sub(c.start), c.start)
+	request := kcwstop.Request{Route: c.route.Name, Deadline: c.deadline, MayRepeat: c.route.MayRepeat()}
+	return !c.stopping || c.stop.Allows(request, c.f.latency, c.start)
 }
 
 // authenticate looks up the team by the caller's key.
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -30,6 +30,7 @@
 	"kingcupwick.example/kcw/kcwplace"
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwstop"
 )
 
 // longTime is longer than any test takes.
@@ -131,8 +132,11 @@
 	url       string
 	// document is the configuration in force.
 	document atomic.Pointer[kcwroute.Document]
-	// stop is the planned stop, zero for none. It is set between requests.
-	stop kcwforward.Stop
+	// stop is the planned stop, nil for none.
+	stop atomic.Pointer[kcwstop.Stop]
+	// onTokenRequest is called instead of asking the core for tokens, unless it is nil. It is
+	// set between requests.
+	onTokenRequest func() bool
 
 	mu       sync.Mutex
 	requests []*exchange
@@ -232,10 +236,10 @@
 		Guard:        f.guard, Permits: f.limits,
 		Memory: f.memory, MaxHeadBytes: 1 << 16,
 		Link:          kcwlink.New(kcwlink.Config{TimeConstant: time.Second}),
-		RequestTokens: func(context.Context) bool { return false }, TokenTimeout: time.Second,
+		RequestTokens: func(context.Context) bool { return f.onTokenRequest != nil && f.onTokenRequest() }, TokenTimeout: time.Second,
 		RetryRatio: 0.1, RetrySlack: 10, Routers: func() int { return 1 },
 		MaxBodyBytes: maxBodyBytes, MaxAnswerBytes: 1 << 20, MaxEventBytes: 1 << 16,
-		UsedWithin: time.Second, SilenceCheckInterval: 20 * time.Millisecond, Stopping: func() (kcwforward.Stop, bool) { return f.stop, !f.stop.EndsAt.IsZero() },
+		UsedWithin: time.Second, SilenceCheckInterval: 20 * time.Millisecond, Stopping: f.stopping,
 		OnEnd: func(e kcwforward.Event) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -263,6 +267,18 @@
 	return f
 }
 
+func (f *fixture) stopping() (kcwstop.Stop, bool) {
+	if stop := f.stop.Load(); stop != nil {
+		return *stop, true
+	}
+	return kcwstop.Stop{}, false
+}
+
+// beginStop begins a planned stop that ends after d.
+func (f *fixture) beginStop(d time.Duration) {
+	f.stop.Store(&kcwstop.Stop{EndsAt: time.Now().Add(d)})
+}
+
 func newRoster(limits *limits, silence time.Duration) *kcwroster.Roster {
 	return kcwroster.New(kcwroster.Config{
 		Placer: kcwplace.New(kcwplace.Config{LoadFactor: 1.25, LoadMargin: 0.1, Rand: rand.New(rand.NewPCG(1, 1))}),
@@ -369,6 +385,8 @@
 	permits map[string]int
 	notices []kcwroster.LimitNotice
 	claims  []kcwpermit.Claim
+	// onAcquire is called before a permit is acquired, unless it is nil.
+	onAcquire func()
 }
 
 func (l *limits) Observe(notice kcwroster.LimitNotice) {
@@ -396,6 +414,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.claims = append(l.claims, claim)
+	if l.onAcquire != nil {
+		l.onAcquire()
+	}
 	for _, upstream := range claim.Upstreams {
 		if l.permits[upstream] > 0 {
 			l.permits[upstream]--
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -24,6 +24,7 @@
 	"kingcupwick.example/kcw/kcwretry"
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwstop"
 )
 
 // RequestInfo holds the values that a caller's request headers carry.
@@ -202,7 +203,7 @@
 	SilenceCheckInterval time.Duration
 	// Stopping returns the planned stop and whether the router is stopping. While
 	// it is, answers ask callers to close their connections.
-	Stopping func() (Stop, bool)
+	Stopping func() (kcwstop.Stop, bool)
 	// OnEnd is called when a request has ended, OnRetry when an attempt has failed
 	// and another may follow, and OnWithdrawal when an answer states that its upstream
 	// accepts no requests. OnHedge is called when a second attempt begins beside one whose
@@ -225,11 +226,6 @@
 	ReturnAfter(service string) time.Duration
 }
 
-// Stop is a planned stop. Only requests that are known to end before EndsAt are admitted.
-type Stop struct {
-	EndsAt time.Time
-}
-
 // Forwarder is the handler of callers' requests.
 type Forwarder struct {
 	cfg      Config
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"kingcupwick.example/kcw/kcwforward"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwstop"
 )
 
 var (
@@ -413,30 +413,42 @@
 	now := time.Now()
 	for _, test := range []struct {
 		name string
-		stop kcwforward.Stop
+		stop kcwstop.Stop
 		// ended is the number of requests of the route that have ended before.
-		ended  int
-		status int
+		ended int
+		// once and repeatable are the statuses of a request that must not be repeated and of
+		// one that may.
+		once, repeatable int
 	}{
-		{"not stopping", kcwforward.Stop{}, 0, 200},
-		{"deadline before the end", kcwforward.Stop{EndsAt: now.Add(2 * longTime)}, 0, 200},
-		{"with enough time", kcwforward.Stop{EndsAt: now.Add(longTime / 2)}, enough, 200},
-		{"with too few earlier requests", kcwforward.Stop{EndsAt: now.Add(longTime / 2)}, 1, 503},
-		{"with unknown duration", kcwforward.Stop{EndsAt: now.Add(longTime / 2)}, 0, 503},
-		{"with too little time", kcwforward.Stop{EndsAt: now}, enough, 503},
+		{"not stopping", kcwstop.Stop{}, 0, 200, 200},
+		{"deadline before the end", kcwstop.Stop{EndsAt: now.Add(2 * longTime)}, 0, 200, 200},
+		{"with enough time", kcwstop.Stop{EndsAt: now.Add(longTime / 2)}, enough, 503, 200},
+		{"with too few earlier requests", kcwstop.Stop{EndsAt: now.Add(longTime / 2)}, 1, 503, 503},
+		{"with unknown duration", kcwstop.Stop{EndsAt: now.Add(longTime / 2)}, 0, 503, 503},
+		{"with too little time", kcwstop.Stop{EndsAt: now}, enough, 503, 503},
 	} {
-		f := newFixture(t, 1, once, good)
-		for i := range test.ended {
-			_, _, _ = f.call(t, http.MethodPost, "", "Attempt", "ended-"+strconv.Itoa(i))
-		}
-		f.stop = test.stop
-		response, _, _ := f.call(t, http.MethodPost, "", "Attempt", "id-2")
-		if response.StatusCode != test.status {
-			t.Errorf("%s: status %d, want %d", test.name, response.StatusCode, test.status)
-		}
-		if closes := response.Close; closes != !test.stop.EndsAt.IsZero() {
-			t.Errorf("%s: the answer closes the connection: %v", test.name, closes)
-		}
+		checkAdmission(t, test.name, once, test.stop, test.ended, test.once)
+		checkAdmission(t, test.name, repeatable, test.stop, test.ended, test.repeatable)
+	}
+}
+
+// checkAdmission checks the status of a request that follows ended ones, at a router with the
+// given stop.
+func checkAdmission(t *testing.T, name string, route kcwroute.Route, stop kcwstop.Stop, ended, status int) {
+	t.Helper()
+	f := newFixture(t, 1, route, good)
+	for i := range ended {
+		_, _, _ = f.call(t, http.MethodPost, "", "Attempt", "ended-"+strconv.Itoa(i))
+	}
+	if !stop.EndsAt.IsZero() {
+		f.stop.Store(&stop)
+	}
+	response, _, _ := f.call(t, http.MethodPost, "", "Attempt", "id-2")
+	if response.StatusCode != status {
+		t.Errorf("%s, may be repeated %v: status %d, want %d", name, route.MayRepeat(), response.StatusCode, status)
+	}
+	if closes := response.Close; closes != !stop.EndsAt.IsZero() {
+		t.Errorf("%s, may be repeated %v: the answer closes the connection: %v", name, route.MayRepeat(), closes)
 	}
 }
 
@@ -444,7 +456,7 @@
 // while a router stops and cut when its time is over.
 func TestStoppingRouterRefusesStreamsItCannotEnd(t *testing.T) {
 	longStreams := make(chan struct{})
-	f := newFixture(t, 1, stream, func(e *exchange) {
+	f := newFixture(t, 1, resumable, func(e *exchange) {
 		e.events(false, "id: 1\n\n")
 		if e.Header.Get("Length") == "long" {
 			<-longStreams
@@ -467,15 +479,15 @@
 	now := time.Now()
 	for _, test := range []struct {
 		name string
-		stop kcwforward.Stop
+		stop kcwstop.Stop
 		// wait is how long the caller waits.
 		wait   time.Duration
 		status int
 	}{
-		{"the stream may take longer", kcwforward.Stop{EndsAt: now.Add(longTime / 2)}, longTime, 503},
-		{"the caller leaves before the end", kcwforward.Stop{EndsAt: now.Add(longTime / 2)}, longTime / 4, 200},
+		{"the stream may take longer", kcwstop.Stop{EndsAt: now.Add(longTime / 2)}, longTime, 503},
+		{"the caller leaves before the end", kcwstop.Stop{EndsAt: now.Add(longTime / 2)}, longTime / 4, 200},
 	} {
-		f.stop = test.stop
+		f.stop.Store(&test.stop)
 		sends := f.arrivals()
 		response, _, err := f.call(t, http.MethodPost, "", "Attempt", test.name, "Wait", strconv.FormatInt(test.wait.Milliseconds(), 10))
 		isRefused := response.StatusCode == http.StatusServiceUnavailable
