kcwforward: begin no attempt that could outlast a stop which began meanwhile

Cause: the router read the planned stop once, when the request arrived. Nothing asked again before an attempt, a retry or a hedge. A body that was read slowly was read until the request's deadline even if the stop ends before it.

Each attempt now asks kcwstop before it is chosen and again once it has a connection, just before its first byte is sent; a hedge also before its budget is withdrawn and after its wait for a permit. Waits for bodies, tokens and permits end with the stop. A request that was not sent, or that no upstream has run, is refused with 503 and Retry-After; one that may have run ends as it would if no retries were left; one with a silent upstream waits on without a hedge. Answers ask callers to close their connections if the stop has begun by the time their head is written, not only if it had at the arrival.

--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -43,9 +43,6 @@
 	w     http.ResponseWriter
 	r     *http.Request
 	start time.Time
-	// stop is the router's planned stop, valid if stopping is set.
-	stop     kcwstop.Stop
-	stopping bool
 
 	document *kcwroute.Document
 	route    *kcwroute.Route
@@ -100,7 +97,7 @@
 	}
 	c.event.Route = c.route.Name
 	if !c.endsBeforeStop() {
-		return &refusal{status: http.StatusServiceUnavailable, outcome: "Stopping", cause: "the router stops before the request would end", retryAfter: retryAfterStopping}
+		return stoppingRefusal(stoppingCause)
 	}
 	if refusal := c.authenticate(); refusal != nil {
 		return refusal
@@ -139,10 +136,39 @@
 	return nil
 }
 
-// endsBeforeStop reports whether the request ends before the router stops.
+// stoppingCause is the cause of refusals and ends that are due to a planned stop.
+const stoppingCause = "the router stops before the request would end"
+
+func stoppingRefusal(cause string) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, outcome: "Stopping", cause: cause, retryAfter: retryAfterStopping}
+}
+
+// endsBeforeStop reports whether an attempt that begins now ends before the router stops. The
+// stop may begin at any time, so that each attempt asks again.
 func (c *call) endsBeforeStop() bool {
+	stop, stopping := c.f.cfg.Stopping()
+	if !stopping {
+		return true
+	}
 	request := kcwstop.Request{Route: c.route.Name, Deadline: c.deadline, MayRepeat: c.route.MayRepeat()}
-	return !c.stopping || c.stop.Allows(request, c.f.latency, c.start)
+	return stop.Allows(request, c.f.latency, c.f.cfg.Now())
+}
+
+// latestEnd returns the time at which the request ends at the latest: its deadline, or the end
+// of a stop that has begun.
+func (c *call) latestEnd() time.Time {
+	if stop, stopping := c.f.cfg.Stopping(); stopping && stop.EndsAt.Before(c.deadline) {
+		return stop.EndsAt
+	}
+	return c.deadline
+}
+
+// closeIfStopping asks the caller to close its connection if the router stops. It must be
+// called before the head of the answer is written.
+func (c *call) closeIfStopping() {
+	if _, stopping := c.f.cfg.Stopping(); stopping {
+		c.w.Header().Set("Connection", "close")
+	}
 }
 
 // authenticate looks up the team by the caller's key.
@@ -192,7 +218,8 @@
 	}
 	// Reading the body is bounded by the deadline of the whole request.
 	control := http.NewResponseController(c.w)
-	if err := control.SetReadDeadline(c.deadline); err != nil {
+	readDeadline := c.latestEnd()
+	if err := control.SetReadDeadline(readDeadline); err != nil {
 		return &refusal{status: http.StatusServiceUnavailable, outcome: "CallerGone", cause: "the connection is closed: " + err.Error()}
 	}
 	body, acquired, err := c.f.cfg.Memory.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit)
@@ -209,6 +236,8 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, outcome: "TooLarge", cause: "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"}
 	case memory != nil:
 		return &refusal{status: http.StatusServiceUnavailable, outcome: "MemoryFull", cause: "the requests under way hold all memory that they may", retryAfter: retryAfterBusy}
+	case errors.Is(err, os.ErrDeadlineExceeded) && readDeadline.Before(c.deadline):
+		return stoppingRefusal("the body did not come before the router stops")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &refusal{status: http.StatusRequestTimeout, outcome: "BodySlow", cause: "the body did not come within the time of the request"}
 	case err != nil:
@@ -258,7 +287,7 @@
 
 // requestTokens requests tokens from the core and reports whether it has answered.
 func (c *call) requestTokens() bool {
-	ctx, cancel := context.WithTimeout(c.r.Context(), c.f.cfg.TokenTimeout)
+	ctx, cancel := c.tokenContext()
 	defer cancel()
 	return c.f.cfg.RequestTokens(ctx)
 }
@@ -266,11 +295,20 @@
 // borrowTokens borrows tokens from other routers and reports whether there may be
 // enough now.
 func (c *call) borrowTokens(tokens int64) bool {
-	ctx, cancel := context.WithTimeout(c.r.Context(), c.f.cfg.TokenTimeout)
+	ctx, cancel := c.tokenContext()
 	defer cancel()
 	return c.f.cfg.BorrowTokens(ctx, c.team.Name, tokens)
 }
 
+// tokenContext returns the context of one wait for tokens.
+func (c *call) tokenContext() (context.Context, context.CancelFunc) {
+	end := c.f.cfg.Now().Add(c.f.cfg.TokenTimeout)
+	if latest := c.latestEnd(); latest.Before(end) {
+		end = latest
+	}
+	return context.WithDeadline(c.r.Context(), end)
+}
+
 // settleTokens replaces the reservation by the tokens that the request has used.
 func (c *call) settleTokens() {
 	if c.reservedTokens == 0 {
@@ -306,6 +344,7 @@
 func (c *call) fail(status int, text string) {
 	c.event.Status = status
 	text += "\n"
+	c.closeIfStopping()
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(text)))
--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -94,6 +94,7 @@
 	c.event.Status = h.status
 	c.event.FirstByte = c.f.cfg.Now().Sub(c.start)
 	copyHeader(c.w.Header(), h.header)
+	c.closeIfStopping()
 	if c.r.Method != http.MethodHead && h.status != http.StatusNoContent && h.status != http.StatusNotModified {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
 	}
@@ -223,6 +224,7 @@
 	RemoveHopHeaders(header)
 	header.Del("Content-Length")
 	copyHeader(a.w.Header(), header)
+	a.closeIfStopping()
 	a.w.WriteHeader(response.StatusCode)
 }
 
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -101,6 +101,9 @@
 	if err != nil {
 		return a.endUnreachable(err)
 	}
+	if !a.endsBeforeStop() {
+		return a.endStopped(conn)
+	}
 	a.conn = conn
 	// The deadline is set before the end of ctx can set an earlier one.
 	deadlineErr := conn.SetDeadline(a.deadline)
@@ -176,6 +179,15 @@
 	return notRun
 }
 
+// endStopped ends an attempt that could outlast the router's stop before anything is sent on
+// conn.
+func (a *attempt) endStopped(conn *kcwconn.Conn) result {
+	a.cause = stoppingCause
+	_ = conn.Close()
+	a.ticket.Done(kcwroster.Neutral)
+	return stopped
+}
+
 // isWritten reports whether the whole request has been written by now. It does not
 // block.
 func (a *attempt) isWritten() bool {
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -277,8 +277,7 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	c := &call{f: f, w: w, r: r, start: f.cfg.Now()}
-	c.stop, c.stopping = f.cfg.Stopping()
-	if c.stopping || f.shouldShed(c.start) {
+	if f.shouldShed(c.start) {
 		w.Header().Set("Connection", "close")
 	}
 	c.event.ListAge = c.start.Sub(f.cfg.Roster.ListedAt())
--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -18,7 +18,7 @@
 	retryBudget *kcwretry.Budget
 
 	// mu guards the fields below, also those of the attempts' resumptions. Lock order: mu
-	// before the locks of the retry budget, the guard and the roster.
+	// before the locks of the retry budget, the guard, the roster and the estimator.
 	mu sync.Mutex
 	// open holds the attempts that have not ended, at most maxOpen.
 	open []*attempt
@@ -142,6 +142,8 @@
 		return "no other attempt is allowed"
 	case c.f.cfg.Guard.Match(c.request.Parts) != nil:
 		return "the prompt has parts that crash upstreams"
+	case !c.endsBeforeStop():
+		return stoppingCause
 	case !c.retryBudget.TryWithdraw():
 		return "no retries are left"
 	}
@@ -153,22 +155,14 @@
 func (a *attempt) hedge() {
 	isAtLimit := a.choose()
 	switch {
+	case a.ticket == nil && isAtLimit:
+		a.abandonHedge("all other upstreams are at their rate limits")
 	case a.ticket == nil:
-		cause := "no other upstream may be given work"
-		if isAtLimit {
-			cause = "all other upstreams are at their rate limits"
-		}
-		a.retryBudget.Refund()
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.reportNotHedged(cause)
-		a.remove()
+		a.abandonHedge("no other upstream may be given work")
 	case a.ctx.Err() != nil:
-		a.ticket.Done(kcwroster.Neutral)
-		a.retryBudget.Refund()
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.remove()
+		a.abandonHedge("")
+	case !a.endsBeforeStop():
+		a.abandonHedge(stoppingCause)
 	default:
 		a.mu.Lock()
 		a.reportHedge(HedgeBegun, "")
@@ -181,6 +175,21 @@
 	}
 }
 
+// abandonHedge ends a hedge that was not begun. Cause is the reason to report, empty if the
+// request no longer needs one.
+func (a *attempt) abandonHedge(cause string) {
+	if a.ticket != nil {
+		a.ticket.Done(kcwroster.Neutral)
+	}
+	a.retryBudget.Refund()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if cause != "" {
+		a.reportNotHedged(cause)
+	}
+	a.remove()
+}
+
 // reportNotHedged reports why no hedge could begin, once for each reason. The caller must hold
 // mu.
 func (a *attempt) reportNotHedged(cause string) {
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -35,6 +35,8 @@
 	blocked
 	// replaced: another attempt has answered first.
 	replaced
+	// stopped: the request was not sent, because the router stops.
+	stopped
 )
 
 // maxExtraSends is the number of attempts allowed beyond the route's maximum after an
@@ -62,6 +64,14 @@
 			c.finish(blocked, blockedCause(parts))
 			return
 		}
+		if !c.endsBeforeStop() {
+			cause := stoppingCause
+			if c.sends > 0 {
+				cause += "; " + lastCause
+			}
+			c.finish(stopped, cause)
+			return
+		}
 		if c.connected > 0 && !c.retryBudget.TryWithdraw() {
 			c.finish(notRun, "no retries are left; "+lastCause)
 			return
@@ -108,7 +118,7 @@
 	a.mu.Unlock()
 	limited, hasOther := a.f.cfg.Roster.Limited(request)
 	if len(limited) > 0 {
-		ctx, cancel := context.WithDeadline(a.ctx, a.deadline)
+		ctx, cancel := context.WithDeadline(a.ctx, a.latestEnd())
 		defer cancel()
 		request.Permit = a.f.cfg.Permits.Acquire(ctx, kcwpermit.Claim{
 			RequestID: a.request.RequestID, Service: a.service.Name, Team: a.event.Team, Priority: a.enginePriority(), Size: float64(a.request.PromptTokens),
@@ -180,6 +190,8 @@
 	case c.mayHaveRun:
 		c.event.Outcome = "OutcomeUnknown"
 		c.fail(http.StatusBadGateway, cause)
+	case res == stopped:
+		c.refuse(stoppingRefusal(cause))
 	default:
 		c.refuse(c.notRunRefusal(cause))
 	}
