kcwforward, kcwrouter: end requests before the process at the end of a stop

Callers whose request still waited for its upstream when a planned stop ended saw their connection close without an answer. A team could not use what such a request or a cut stream had reserved until the router ran again: others were refused with 429 (BudgetHeld).

Cause: the router closed its servers, returned its free tokens, and left the requests in flight to the end of the process. No code ended them, so that none was answered, and their tokens were still reserved in the last report.

Forwarder.End ends the attempts of all requests in flight at the end of the stop, before the servers close.

--- a/kcw-fleet/kcwrouter/run.go
+++ b/kcw-fleet/kcwrouter/run.go
@@ -59,6 +59,7 @@
 	for r.forwarder.InFlight() > 0 && time.Now().Before(stop.EndsAt) {
 		time.Sleep(drainPollInterval)
 	}
+	r.forwarder.End()
 	klog.InfoS("Router closes", "InFlight", r.forwarder.InFlight(), "Elapsed", time.Since(now).String())
 	return nil
 }
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -108,6 +108,8 @@
 	// The deadline is set before the end of ctx can set an earlier one.
 	deadlineErr := conn.SetDeadline(a.deadline)
 	stop := context.AfterFunc(a.ctx, a.onCanceled)
+	stopEnding := context.AfterFunc(a.f.ending, a.onEnding)
+	defer stopEnding()
 	res, outcome := a.exchange(deadlineErr)
 	if stop() && a.reusable && !isHead && a.isWritten() {
 		a.ticket.Pool().Put(conn, a.keepAliveUntil)
@@ -152,6 +154,10 @@
 	a.onCallerGone()
 }
 
+// onEnding ends the attempt because End was called. SetDeadline fails only on a connection that
+// is closed already.
+func (a *attempt) onEnding() { _ = a.conn.SetDeadline(a.f.cfg.Now()) }
+
 // onCallerGone ends the attempt because the caller has disconnected. If tokens are
 // reserved for the request, it closes only the writing side and waits up to
 // callerGoneTimeout for the upstream's reaction, which shows whether the request ran:
@@ -270,6 +276,10 @@
 // its cause.
 func (a *attempt) endBroken(what string, err error) (result, kcwroster.Outcome) {
 	a.err = err
+	if a.f.ending.Err() != nil {
+		a.cause = "upstream " + a.ticket.ID() + ": " + what + " before the end of the router's stop"
+		return unknownRun, kcwroster.Neutral
+	}
 	a.cut = isClosed(err)
 	a.cause = "upstream " + a.ticket.ID() + ": " + what + ": " + err.Error()
 	if !a.f.cfg.Now().Before(a.deadline) {
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -342,7 +342,17 @@
 // reading the body.
 func (f *fixture) call(t *testing.T, method, body string, header ...string) (*http.Response, string, error) {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), method, f.url+"/a/x?q=1", strings.NewReader(body))
+	response := f.open(t, method, strings.NewReader(body), header...)
+	defer func() { _ = response.Body.Close() }()
+	got, err := io.ReadAll(response.Body)
+	return response, string(got), err
+}
+
+// open sends one request and returns the answer once its head has come. The caller closes the
+// body.
+func (f *fixture) open(t *testing.T, method string, body io.Reader, header ...string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, f.url+"/a/x?q=1", body)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -356,9 +366,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	got, err := io.ReadAll(response.Body)
-	return response, string(got), err
+	return response
 }
 
 // arrivals returns the number of requests that arrived at upstreams.
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -231,6 +231,9 @@
 	cfg      Config
 	latency  *kcwlatency.Estimator
 	inFlight atomic.Int64
+	// ending ends when End is called.
+	ending context.Context
+	end    context.CancelFunc
 
 	// mu guards cfg.Rand and the fields below.
 	mu sync.Mutex
@@ -266,9 +269,16 @@
 	if !complete || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.SilenceCheckInterval <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
 	}
-	return &Forwarder{cfg: cfg, latency: kcwlatency.New(), retryBudgets: map[string]*kcwretry.Budget{}}, nil
+	f := &Forwarder{cfg: cfg, latency: kcwlatency.New(), retryBudgets: map[string]*kcwretry.Budget{}}
+	f.ending, f.end = context.WithCancel(context.Background())
+	return f, nil
 }
 
+// End ends the attempts of the requests in flight, as if their upstreams had broken off. It is
+// called at the end of a planned stop, so that callers get an answer if none has begun, and so
+// that unused tokens become free before the process ends.
+func (f *Forwarder) End() { f.end() }
+
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
--- a/kcw/kcwforward/stop_test.go
+++ b/kcw/kcwforward/stop_test.go
@@ -158,7 +158,8 @@
 		_, _ = io.WriteString(rest, "second")
 		_ = rest.Close()
 	}()
-	response := f.post(t, body)
+	response := f.open(t, http.MethodPost, body)
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
 		t.Errorf("status %d, connection closed: %v", response.StatusCode, response.Close)
 	}
@@ -177,7 +178,8 @@
 	body, rest := io.Pipe()
 	defer func() { _ = rest.Close() }()
 	go func() { _, _ = io.WriteString(rest, "first ") }()
-	response := f.post(t, body)
+	response := f.open(t, http.MethodPost, body)
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusServiceUnavailable || !response.Close || f.arrivals() != earlier {
 		t.Errorf("status %d, connection closed: %v, sent %d times", response.StatusCode, response.Close, f.arrivals()-earlier)
 	}
@@ -203,22 +205,65 @@
 	}
 }
 
-// post sends one request with a body of unknown length and returns the head of the answer.
-func (f *fixture) post(t *testing.T, body io.Reader) *http.Response {
-	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.url+"/a/x", body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Host = "host.example"
-	request.Header.Set("Attempt", "id-1")
-	request.Header.Set("Key", "key")
-	response, err := http.DefaultTransport.RoundTrip(request)
-	if err != nil {
-		t.Fatal(err)
+// TestEndAnswersWaitingRequests guards against requests that are cut without an answer, and
+// keep their tokens, because the router ends while their upstream is silent.
+func TestEndAnswersWaitingRequests(t *testing.T) {
+	const tokens = 100
+	generating := resumable
+	generating.Generates = true
+	for _, test := range []struct {
+		name   string
+		route  kcwroute.Route
+		events []string
+		header []string
+		status int
+		// spent is the number of tokens of the request that remain spent.
+		spent int64
+	}{
+		{"not idempotent", once, nil, nil, http.StatusBadGateway, 0},
+		{"idempotent", repeatable, nil, nil, http.StatusBadGateway, 0},
+		{"stream without events", generating, nil, []string{"Prompt", "10", "Output", "90"}, http.StatusBadGateway, 10},
+		{"stream that has begun", generating, []string{"id: 1\n\n"}, []string{"Prompt", "10", "Output", "90"}, http.StatusOK, 13},
+	} {
+		arrived := make(chan struct{}, 2)
+		f := newFixture(t, 2, test.route, func(e *exchange) {
+			if test.events != nil {
+				e.events(false, test.events...)
+			}
+			arrived <- struct{}{}
+		})
+		f.grant(tokens, tokens, tokens)
+		end := func() {
+			f.beginStop(0)
+			f.forwarder.End()
+		}
+		if test.events == nil {
+			go func() {
+				<-arrived
+				end()
+			}()
+		}
+		response := f.open(t, http.MethodPost, nil, test.header...)
+		if test.events != nil {
+			end()
+		}
+		_, err := io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode != test.status || (err != nil) != (test.events != nil) {
+			t.Errorf("%s: status %d, error %v; want status %d", test.name, response.StatusCode, err, test.status)
+		}
+		for f.forwarder.InFlight() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if f.arrivals() != 1 {
+			t.Errorf("%s: sent %d times", test.name, f.arrivals())
+		}
+		for _, team := range f.balance.Teams() {
+			if team.Reserved != 0 || team.Spent != test.spent {
+				t.Errorf("%s: %d tokens are reserved and %d spent, want %d", test.name, team.Reserved, team.Spent, test.spent)
+			}
+		}
 	}
-	_ = response.Body.Close()
-	return response
 }
 
 // hasHedge reports whether a hedge with the state was reported whose cause begins with cause.
