--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -99,6 +99,7 @@
 	c.event.Status = h.status
 	c.event.FirstByte = c.f.cfg.Now().Sub(c.start)
 	copyHeader(c.w.Header(), h.header)
+	c.closeIfStopping()
 	switch {
 	case h.isCloseDelimited:
 		// The caller must not be told a length that the upstream has not stated.
@@ -231,6 +232,7 @@
 	RemoveHopHeaders(header)
 	header.Del("Content-Length")
 	copyHeader(a.w.Header(), header)
+	a.closeIfStopping()
 	if isCloseDelimited(response) || !a.r.ProtoAtLeast(1, 1) {
 		a.delimitByClose()
 	}
