kcwjournal: go on after a full disk

A compaction on a full disk did the same.

Cause: every failed write was taken as a failure of the file, although a write that found no space can be taken back.

Evidence, on the code before with the test seam and the kind: TestJournalGoesOnAfterFullDisk "kcwjournal: Append: file system: write ...: no space left on device" with room again; TestCompactionOnFullDiskChangesNothing "2 files after the failed compaction, want 1" and the same error from Append.

Both tests pass, and kcwjournal and kcwwallet with -race.

--- a/kcw/kcwjournal/error.go
+++ b/kcw/kcwjournal/error.go
@@ -15,6 +15,9 @@
 	// KindInvalid means that a record is empty or can't be encoded within the size
 	// limit.
 	KindInvalid
+	// KindFull means that the disk is full. Nothing was changed, and the call may be
+	// repeated.
+	KindFull
 )
 
 // Error is a failure of a Journal.
--- a/kcw/kcwjournal/journal.go
+++ b/kcw/kcwjournal/journal.go
@@ -4,6 +4,7 @@
 package kcwjournal
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"kingcupwick.example/kcw/kcwfolder"
 	"kingcupwick.example/kcw/kcwpb"
 )
 
@@ -30,12 +32,15 @@
 type Config struct {
 	// Folder is an existing folder that no other process writes to.
 	Folder string
+	// WriteAt writes to a file; the default is (*os.File).WriteAt.
+	WriteAt func(file *os.File, data []byte, offset int64) (int, error)
 }
 
 // Journal is a file of checksummed records. It is safe for concurrent use.
 // Concurrent appends share one sync.
 type Journal struct {
-	folder string
+	folder  string
+	writeAt func(file *os.File, data []byte, offset int64) (int, error)
 	// syncing guards synced, the size up to which the file is durable. It is locked
 	// before mu.
 	syncing sync.Mutex
@@ -59,7 +64,10 @@
 	if err != nil {
 		return nil, storageError("Open", err)
 	}
-	j := &Journal{folder: cfg.Folder, file: file, live: newLive()}
+	j := &Journal{folder: cfg.Folder, writeAt: cfg.WriteAt, file: file, live: newLive()}
+	if j.writeAt == nil {
+		j.writeAt = (*os.File).WriteAt
+	}
 	if err := j.load(); err != nil {
 		_ = file.Close()
 		return nil, err
@@ -111,9 +119,9 @@
 }
 
 // Append appends record and returns when it is durable. It returns an *Error of
-// KindInvalid if record is empty or can't be encoded within the size limit, and of
-// KindStorage if the file system fails or the journal is closed. After the latter the
-// journal accepts no more records.
+// KindInvalid if record is empty or can't be encoded within the size limit, of KindFull if
+// the disk is full, and of KindStorage if the file system fails or the journal is closed.
+// After the last the journal accepts no more records.
 func (j *Journal) Append(record *kcwpb.JournalRecord) error {
 	end, err := j.write(record)
 	if err != nil {
@@ -142,7 +150,11 @@
 		return 0, j.err
 	}
 	frame := encodeFrame(payload)
-	if _, err := j.file.WriteAt(frame, j.size); err != nil {
+	_, err = j.writeAt(j.file, frame, j.size)
+	if kcwfolder.IsFull(err) {
+		return 0, j.truncate(err)
+	}
+	if err != nil {
 		j.err = storageError("Append", err)
 		return 0, j.err
 	}
@@ -152,6 +164,16 @@
 	return j.size, nil
 }
 
+// truncate removes the part of a frame that a full disk had room for, and returns cause as
+// an *Error of KindFull. The caller must hold mu.
+func (j *Journal) truncate(cause error) error {
+	if err := j.file.Truncate(j.size); err != nil {
+		j.err = storageError("Append", err)
+		return j.err
+	}
+	return &Error{Op: "Append", Kind: KindFull, Err: eris.Wrap(cause, "file system")}
+}
+
 // sync makes the file durable up to end.
 func (j *Journal) sync(end int64) error {
 	j.syncing.Lock()
@@ -189,7 +211,8 @@
 }
 
 // Compact rewrites the file with the live records only, if the file is large and
-// most of its records are not live. It returns when the new file is durable.
+// most of its records are not live. It returns when the new file is durable. If the disk is
+// full, the error is an *Error of KindFull, and the journal stays in use.
 func (j *Journal) Compact() error {
 	j.syncing.Lock()
 	defer j.syncing.Unlock()
@@ -202,11 +225,12 @@
 	if j.size < compactBytes || j.records < compactRatio*len(records) {
 		return nil
 	}
-	if err := j.rewrite(records); err != nil {
+	err := j.rewrite(records)
+	var e *Error
+	if err != nil && !(errors.As(err, &e) && e.Kind == KindFull) {
 		j.err = err
-		return err
 	}
-	return nil
+	return err
 }
 
 // rewrite replaces the file by one that holds only records.
@@ -221,10 +245,13 @@
 	}
 	path := filepath.Join(j.folder, fileName)
 	next, err := os.OpenFile(path+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if kcwfolder.IsFull(err) {
+		return &Error{Op: "Compact", Kind: KindFull, Err: eris.Wrap(err, "file system")}
+	}
 	if err != nil {
 		return storageError("Compact", err)
 	}
-	if _, err = next.Write(data); err == nil {
+	if _, err = j.writeAt(next, data, 0); err == nil {
 		err = next.Sync()
 	}
 	if err == nil {
@@ -232,7 +259,7 @@
 	}
 	if err != nil {
 		_ = next.Close()
-		return storageError("Compact", err)
+		return j.discard(path+".new", err)
 	}
 	_ = j.file.Close()
 	j.file = next
@@ -240,6 +267,15 @@
 	return syncFolder(j.folder)
 }
 
+// discard removes the file at path, which was to replace the journal's, and returns cause as
+// an *Error.
+func (j *Journal) discard(path string, cause error) error {
+	if err := os.Remove(path); err != nil || !kcwfolder.IsFull(cause) {
+		return storageError("Compact", errors.Join(cause, err))
+	}
+	return &Error{Op: "Compact", Kind: KindFull, Err: eris.Wrap(cause, "file system")}
+}
+
 // Close closes the file. Records added by Append are durable.
 func (j *Journal) Close() error {
 	j.syncing.Lock()
