kcwkeyring: remove a key file that could not be written

What callers saw: a process whose disk was full as it created its operator key left an empty or short file, and from then on had no key at any start, although the disk had room again.

Cause: writeKey left the file that it had created; the next call found it and read it.

Evidence: TestUnwrittenKeyFileIsRemoved, before: "the next call gave a key of 0 bytes" and an error that a key needs more bytes. It passes now, and the package with -race.

--- a/kcw/kcwkeyring/keyring.go
+++ b/kcw/kcwkeyring/keyring.go
@@ -203,11 +203,13 @@
 	return parseKey(raw, path)
 }
 
-// writeKey writes a random key to file, closes the file and returns the key.
+// writeKey writes a random key to file, closes the file and returns the key. If it fails, it
+// removes the file, since a part of a key would make later calls fail.
 func writeKey(file *os.File) (string, error) {
 	key := rand.Text()
 	_, err := file.WriteString(key + "\n")
 	if err = cmp.Or(err, file.Close()); err != nil {
+		err = errors.Join(err, os.Remove(file.Name()))
 		return "", &Error{Op: "create", Kind: KindRead, Name: file.Name(), Err: eris.Wrap(err, "key file")}
 	}
 	return key, nil
--- a/kcw/kcwkeyring/keyring_test.go
+++ b/kcw/kcwkeyring/keyring_test.go
@@ -132,3 +132,22 @@
 		t.Errorf("a missing folder gave %v", err)
 	}
 }
+
+// A key file that could not be written, as on a full disk, must not be left behind: it would
+// make every later start fail.
+func TestUnwrittenKeyFileIsRemoved(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(path, nil, keyFileMode); err != nil {
+		t.Fatal(err)
+	}
+	unwritable, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := writeKey(unwritable); err == nil {
+		t.Fatal("the key was written to a file that is open for reading")
+	}
+	if key, err := ReadOrCreateKey(path); err != nil || len(key) < minKeyBytes {
+		t.Errorf("the next call gave a key of %d bytes, %v", len(key), err)
+	}
+}
