kcwgroup: a leader whose disk is full hands over leadership at once

What callers saw: as the disk of the leader became full, changes were refused or unknown for an election timeout, until the others noticed its silence. In the replica itself the former role of leader stayed, and it named itself as leader again for a moment once there was room.

Cause: the replica only fell silent while it waited for space.

Evidence: TestLeaderWithFullDiskHandsOver, before: "the full leader asked no other voter to take over". Now the replica steps down as it finds the disk full, after it has published that it does not lead, and asks the voter that has acknowledged most to start an election.

--- a/kcw/kcwgroup/full.go
+++ b/kcw/kcwgroup/full.go
@@ -129,19 +129,24 @@
 	return err
 }
 
-// enterFull logs that the disk is full, publishes a status without a leader, removes
-// older snapshots to free space and ends all waiting calls.
+// enterFull logs that the disk is full, publishes a status without a leader, hands over
+// leadership, removes older snapshots to free space and ends all waiting calls.
 func (g *Group) enterFull(cause error) {
 	klog.ErrorS(cause, "Disk is full: the replica neither votes nor leads", "Group", g.cfg.Group, "Replica", g.identity.ID)
 	if err := g.store.DropOlder(); err != nil {
 		klog.ErrorS(err, "Could not remove older snapshots", "Group", g.cfg.Group)
 	}
+	request := g.replica.Resign(g.cfg.Now())
 	status := g.replica.Status()
 	status.Role = "full"
 	status.Leader, status.LeaderAddress = 0, ""
 	g.status.Store(status)
 	g.publishContact(time.Time{})
 	g.full.Store(true)
+	if request != nil {
+		klog.InfoS("Leadership handed over because of the full disk", "Group", g.cfg.Group, "Replica", g.identity.ID, "To", request.To, "Term", request.Term)
+		g.sendAll([]*kcwpb.Message{request})
+	}
 	for _, c := range g.waiters.removeIf(func(uint64) bool { return true }) {
 		c.finish(outcome{err: fail("propose", OutcomeUnknown, nil)})
 	}
--- a/kcw/kcwgroup/full_test.go
+++ b/kcw/kcwgroup/full_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"kingcupwick.example/kcw/kcwfolder"
+	"kingcupwick.example/kcw/kcwpb"
 )
 
 // disks simulates the disks of a cluster, each of which can be full.
@@ -121,6 +122,55 @@
 	}
 }
 
+// A leader whose disk is full must ask another voter to take over at once, and not leave the
+// group without a leader for an election timeout.
+func TestLeaderWithFullDiskHandsOver(t *testing.T) {
+	d := &disks{full: map[string]bool{}}
+	asked := make(chan uint64, 100)
+	c := newCluster(t, 3, func(cfg *Config) {
+		d.configure(cfg)
+		send := cfg.Send
+		cfg.Send = func(to *kcwpb.Member, msgs []*kcwpb.Message) {
+			for _, m := range msgs {
+				if m.Kind == kcwpb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW {
+					asked <- m.From
+				}
+			}
+			send(to, msgs)
+		}
+	})
+	c.startAll()
+	old := c.leader()
+	c.proposeMany("before", 3)
+	c.eventually("entries at the others", func() bool {
+		for _, match := range old.group.Status().GetMatches() {
+			if match < old.group.Status().GetCommit() {
+				return false
+			}
+		}
+		return true
+	})
+	d.set(old.name, true)
+	if _, err := old.group.Propose(shortContext(t), []byte("sent")); kindOf(err) != OutcomeUnknown {
+		t.Errorf("propose on a full disk: %v, want outcome unknown", err)
+	}
+	c.leader(old.name)
+	select {
+	case from := <-asked:
+		if from != old.group.Status().GetId() {
+			t.Errorf("%d asked for an election, want the leader", from)
+		}
+	default:
+		t.Error("the full leader asked no other voter to take over")
+	}
+	d.set(old.name, false)
+	c.eventually("end of the wait for disk space", func() bool { return !old.group.Full() })
+	if status := old.group.Status(); status.GetLeader() == status.GetId() {
+		t.Error("the replica still names itself as the leader once its disk has room")
+	}
+	c.proposeMany("after", 3)
+}
+
 // The group continues while a follower's disk is full, and the follower catches up
 // later. It acknowledges nothing while its disk is full, so that nothing is committed
 // while the other follower is isolated.
--- a/kcw/kcwreplica/members.go
+++ b/kcw/kcwreplica/members.go
@@ -237,6 +237,21 @@
 	return best
 }
 
+// Resign makes a leader that can't go on step down. It returns the message that makes the
+// voter most likely to win an election start one at once, nil if the replica did not lead or
+// no other voter receives entries. Unlike other methods it may be called before Advance.
+func (r *Replica) Resign(now time.Time) *kcwpb.Message {
+	if r.role != leader {
+		return nil
+	}
+	id := r.successor()
+	r.becomeFollower(r.term, 0, now)
+	if id == 0 {
+		return nil
+	}
+	return &kcwpb.Message{Kind: timeoutNow, From: r.cfg.ID, To: id, Term: r.term}
+}
+
 // tryTransfer makes the transfer's target start an election once it has the whole
 // log.
 func (r *Replica) tryTransfer() {
