kcwwal: report a full disk as such when a torn segment is replaced at the start

What callers saw: a replica that was started again on a full disk, after it had ended while its log began a segment, ended at the start (kind Storage) where it could wait for room.

TestOpenOnFullDiskIsRepeated, before: "removal: Open gave ... storage ... want an error of kind Full"; it passes now.

--- a/kcw/kcwfolder/folder.go
+++ b/kcw/kcwfolder/folder.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		if err := os.Remove(filepath.Join(f.path, entry.Name())); err != nil {
-			return fail("open", Storage, entry.Name(), err)
+			return fail("open", storageKind(err), entry.Name(), err)
 		}
 	}
 	return nil
--- a/kcw/kcwsnapshot/store.go
+++ b/kcw/kcwsnapshot/store.go
@@ -93,8 +93,8 @@
 func (s *Store) scanFile(name string) error {
 	path := filepath.Join(s.path, name)
 	if strings.HasSuffix(name, temporarySuffix) {
-		if err := os.Remove(path); err != nil {
-			return fail("open", Storage, path, 0, err)
+		if err := s.remove(path); err != nil {
+			return failWrite("open", path, 0, err)
 		}
 		return nil
 	}
--- a/kcw/kcwwal/full_test.go
+++ b/kcw/kcwwal/full_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -277,3 +278,44 @@
 		t.Errorf("%d entries, want %d", len(got), saved)
 	}
 }
+
+// A log whose last segment was torn when it was created must report a full disk as such when
+// it is opened, so that the call is repeated.
+func TestOpenOnFullDiskIsRepeated(t *testing.T) {
+	path := t.TempDir()
+	l, err := Open(Config{Path: path, Owner: owner})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Save(1, 1, []*kcwpb.Entry{entry(1, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(path, segmentName(2)), []byte{1}, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	errFull := &os.PathError{Op: "remove", Path: path, Err: unix.ENOSPC}
+	for _, test := range []struct {
+		name string
+		cfg  Config
+	}{
+		{"removal", Config{Remove: func(string) error { return errFull }}},
+		{"write", Config{Write: (&limitedDisk{free: 10}).write}},
+		{"write again", Config{Write: (&limitedDisk{free: 60}).write}},
+	} {
+		test.cfg.Path, test.cfg.Owner, test.cfg.Existing = path, owner, true
+		if _, err := Open(test.cfg); !isFull(err) {
+			t.Errorf("%s: Open gave %v, want an error of kind Full", test.name, err)
+		}
+	}
+	again, err := Open(Config{Path: path, Owner: owner, Existing: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if got := again.Entries(); len(got) != 1 {
+		t.Errorf("%d entries, want 1", len(got))
+	}
+}
--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -128,7 +128,7 @@
 		return failText("open", Damaged, last.path, 0, "the only segment has no header")
 	}
 	if err := l.cfg.Remove(last.path); err != nil {
-		return fail("open", Storage, last.path, 0, err)
+		return fail("open", storageKind(err), last.path, 0, err)
 	}
 	l.segments = l.segments[:len(l.segments)-1]
 	return l.roll(last.sequence)
