kcwforward: a replaying hedge doesn't end another attempt's write

No caller was seen with this: it follows from reading, and the test shows the state that allows it. While the silent upstream goes on and its events are being written to a slow caller, a hedge that is still replaying, and so passes nothing on, cleared the mark that an attempt writes. Another hedge could then begin, and its events could be written in the middle of those of the first.

Cause: the mark was a flag of the request, and endWrite cleared it whoever had set it. The mark is now the attempt that writes, and only that one clears it.

go test -run TestReplayOfHedgeEndsNoWrite ./kcwforward, before (with the flag in place of the attempt): "another hedge may begin while the first attempt writes to the caller". After: passes, and all tests of kcwforward with the race detector.

--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -255,7 +255,7 @@
 	}
 	if len(taken) > 0 {
 		a.replaceOthers()
-		a.isWriting = true
+		a.writer = a
 	}
 	return taken, false, err
 }
--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -35,8 +35,9 @@
 	// lastFailure is the last answer with a status of 500 or above, nil if there is none.
 	lastFailure *bufferedAnswer
 	stream      streamProgress
-	// isWriting is set while an attempt passes on events, and once one has a whole answer.
-	isWriting bool
+	// writer is the attempt that is passing on events or has a whole answer, nil if there is
+	// none.
+	writer *attempt
 	// notHedged is the reason reported last why no hedge could begin.
 	notHedged string
 }
@@ -122,7 +123,7 @@
 	}
 	a.silenceCheck.Reset(a.f.cfg.SilenceCheckInterval)
 	isOver := a.ctx.Err() != nil || !a.f.cfg.Now().Before(a.deadline)
-	if isOver || len(a.open) == maxOpen || a.isWriting || !a.ticket.IsSilent() {
+	if isOver || len(a.open) == maxOpen || a.writer != nil || !a.ticket.IsSilent() {
 		return
 	}
 	if cause := a.withdrawHedge(); cause != "" {
@@ -212,7 +213,7 @@
 		return false
 	}
 	a.replaceOthers()
-	a.isWriting = true
+	a.writer = a
 	return true
 }
 
@@ -245,11 +246,13 @@
 	return a.isReplaced
 }
 
-// endWrite records that the events of takeEvents were passed on.
+// endWrite records that the events of takeEvents were passed on, if there were any.
 func (a *attempt) endWrite() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.isWriting = false
+	if a.writer == a {
+		a.writer = nil
+	}
 }
 
 // isStreamStarted reports whether the caller has got the head of a stream.
