kcwforward: hedge also when the upstream of a hedge is silent

A caller waited for its deadline, and got 504, although a third upstream was free: its first upstream refused the request after a pause, or could not be connected, while the hedge that had begun meanwhile was at a silent upstream.

Cause: only the first attempt of a round checked for silence, so that an attempt that stayed open alone and had begun as a hedge was never hedged itself. Before such an attempt was an ordinary retry and did check. Every attempt now checks; the limits are the same, in withdrawHedge. The report of a hedge that could not begin names the upstream that is silent.

go test -run TestRequestDoesNotStayAtSilentHedge ./kcwforward, before: "got 504, "upstream u0: no answer: ... i/o timeout" after 2 sends, want the answer of the third upstream" (30 s). After: passes, and all tests of kcwforward with the race detector.

--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -11,7 +11,7 @@
 )
 
 // attempts is the state that the attempts of one request share. One is open at a time, or two
-// while the upstream of the first is silent: the second one is a hedge, as in Dean and Barroso,
+// while the upstream of the first of them is silent: the second one is a hedge, as in Dean and Barroso,
 // The Tail at Scale, Communications of the ACM 56(2), 2013. The attempt that answers first
 // replaces the other one.
 type attempts struct {
@@ -74,8 +74,8 @@
 	Events int64
 }
 
-// compete makes the attempt, and hedges while its upstream is silent. It returns when all of
-// them have ended, with the one that ended last without having been replaced, and how.
+// compete makes the attempt, and hedges while the upstream of the open attempt is silent. It
+// returns when all of them have ended, with the one that ended last without having been replaced, and how.
 func (c *call) compete(first *attempt) (*attempt, result) {
 	first.watchSilence()
 	first.end(first.do())
@@ -127,7 +127,7 @@
 		return
 	}
 	if cause := a.withdrawHedge(); cause != "" {
-		a.reportNotHedged(cause)
+		a.reportNotHedged(a.ticket.ID(), cause)
 		return
 	}
 	hedge := a.newAttempt()
@@ -162,7 +162,7 @@
 		a.retryBudget.Refund()
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		a.reportNotHedged(cause)
+		a.reportNotHedged(a.silent, cause)
 		a.remove()
 	case a.ctx.Err() != nil:
 		a.ticket.Done(kcwroster.Neutral)
@@ -174,6 +174,7 @@
 		a.mu.Lock()
 		a.reportHedge(HedgeBegun, "")
 		a.mu.Unlock()
+		a.watchSilence()
 		res := a.do()
 		if a.conn == nil {
 			a.retryBudget.Refund()
@@ -182,26 +183,23 @@
 	}
 }
 
-// reportNotHedged reports why no hedge could begin, once for each reason. The caller must hold
-// mu.
-func (a *attempt) reportNotHedged(cause string) {
-	if cause != a.notHedged {
-		a.notHedged = cause
-		a.reportHedge(HedgeNotBegun, cause)
+// reportNotHedged reports why no hedge could begin beside the attempt at the upstream silent,
+// once for each reason. The caller must hold mu.
+func (c *call) reportNotHedged(silent, cause string) {
+	if cause != c.notHedged {
+		c.notHedged = cause
+		c.f.cfg.OnHedge(Hedge{
+			RequestID: c.request.RequestID, Service: c.service.Name, Silent: silent, State: HedgeNotBegun, Cause: cause, Events: c.stream.events,
+		})
 	}
 }
 
-// reportHedge calls Config.OnHedge for the hedge a, or for the first attempt if there is none.
-// The caller must hold mu.
+// reportHedge calls Config.OnHedge for the hedge a, whose upstream was chosen. The caller must
+// hold mu.
 func (a *attempt) reportHedge(state HedgeState, cause string) {
-	h := Hedge{RequestID: a.request.RequestID, Service: a.service.Name, Silent: a.silent, State: state, Cause: cause, Events: a.stream.events}
-	switch {
-	case a.silent == "":
-		h.Silent = a.ticket.ID()
-	case a.ticket != nil:
-		h.Upstream = a.ticket.ID()
-	}
-	a.f.cfg.OnHedge(h)
+	a.f.cfg.OnHedge(Hedge{
+		RequestID: a.request.RequestID, Service: a.service.Name, Silent: a.silent, Upstream: a.ticket.ID(), State: state, Cause: cause, Events: a.stream.events,
+	})
 }
 
 // claim makes a the attempt that answers the caller, to the end of the request. It returns
