--- a/kcw/kcwforward/pause_test.go
+++ b/kcw/kcwforward/pause_test.go
@@ -96,12 +96,17 @@
 // tryCall sends one request and returns the status and the body of its answer. The error is
 // that of the call or of reading the body.
 func (f *fixture) tryCall(ctx context.Context, id, begun string) (status int, body string, err error) {
+	return f.tryCallWith(ctx, map[string]string{"Attempt": id, "Key": "key", "Begun": begun})
+}
+
+// tryCallWith is like tryCall, with the given headers.
+func (f *fixture) tryCallWith(ctx context.Context, header map[string]string) (status int, body string, err error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/a/x", strings.NewReader(""))
 	if err != nil {
 		return 0, "", err
 	}
 	request.Host = "host.example"
-	for name, value := range map[string]string{"Attempt": id, "Key": "key", "Begun": begun} {
+	for name, value := range header {
 		request.Header.Set(name, value)
 	}
 	response, err := http.DefaultTransport.RoundTrip(request)
