kcwconn, kcwforward: don't close a connection because its host pauses

A request ended as 502, and a stream broke, when an upstream's host acknowledged nothing for a second, or when its process accepted no bytes of a large request for a second although its host acknowledged all: the kernel ends both with "connection timed out" after TCP_USER_TIMEOUT. What may not be repeated was lost that way, and a stream under way too.

Cause: SilenceTimeout (1 s), a suspicion, was also the time after which the connection was closed.

The connection is now closed after [Upstream] AckTimeout (5 s). A connection on which nothing was acknowledged for SilenceTimeout is silent (Conn.IsSilent, from TCP_INFO), and the attempt on it is hedged like one at a silent upstream, so that repeatable requests and streams that can be resumed leave a dead peer as early as before. The next check is set to the time from which the connection can be silent, so that it isn't late by a part of Patience. An idle connection that is silent is not reused.

--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -213,7 +213,7 @@
 			Probes: 1, ProbeTimeout: breakerProbeTimeout, InitialBackoff: breakerPauseFirst, MaxBackoff: breakerPauseMax,
 		},
 		Conn: kcwconn.Config{
-			DialTimeout: u.DialTimeout, SilenceTimeout: u.SilenceTimeout, IdleTimeout: u.IdleTimeout, MaxIdle: u.MaxIdle,
+			DialTimeout: u.DialTimeout, SilenceTimeout: u.SilenceTimeout, AckTimeout: u.AckTimeout, IdleTimeout: u.IdleTimeout, MaxIdle: u.MaxIdle,
 		},
 		SilenceTimeout: u.SilenceTimeout, DialPause: u.DialPause, HalfLife: u.LoadHalfLife, PromptWeight: u.PromptWeight,
 		Limits: quota, OnSilence: onSilence, Rand: newRand(), Now: time.Now,
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -128,8 +128,12 @@
 	// between zones.
 	DialTimeout time.Duration `default:"300ms" setting:"min=1ms,max=1m"`
 	// SilenceTimeout is how long an upstream with waiting requests may be silent on all
-	// connections, and how long sent bytes may stay unacknowledged.
+	// connections, or may acknowledge nothing on the connection of a request, before the
+	// request is sent to another one too if it may be repeated.
 	SilenceTimeout time.Duration `default:"1s" setting:"min=10ms,max=10m"`
+	// AckTimeout is how long sent bytes may stay unacknowledged, or an upstream may accept
+	// none, before the connection is closed.
+	AckTimeout time.Duration `default:"5s" setting:"min=10ms,max=10m"`
 	// Patience is the time between two checks of whether an upstream with waiting
 	// requests is silent.
 	Patience time.Duration `default:"500ms" setting:"min=10ms,max=10m"`
--- a/kcw/kcwconn/pool.go
+++ b/kcw/kcwconn/pool.go
@@ -36,10 +36,13 @@
 	Address netip.AddrPort
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
-	// SilenceTimeout is how long sent bytes may stay unacknowledged before the
-	// connection is closed. It is also the idle time before the first keep-alive probe
+	// SilenceTimeout is how long the upstream may acknowledge nothing before its
+	// connection is silent. It is also the idle time before the first keep-alive probe
 	// and the interval between two probes.
 	SilenceTimeout time.Duration
+	// AckTimeout is how long sent bytes may stay unacknowledged, or the upstream may
+	// accept none, before the connection is closed.
+	AckTimeout time.Duration
 	// IdleTimeout bounds how long a connection stays idle in the pool. Put may set a
 	// shorter time.
 	IdleTimeout time.Duration
@@ -84,6 +87,10 @@
 	// carried holds the hashes of the identities of the requests that the connection
 	// has carried.
 	carried []uint64
+	// SilentFrom is the earliest time at which the connection may be silent with the request
+	// that it carries.
+	SilentFrom     time.Time
+	silenceTimeout time.Duration
 	// idleSince is when the connection was last put into the pool, expiresAt the time
 	// from which it may no longer be reused.
 	idleSince time.Time
@@ -142,6 +149,37 @@
 	return err == nil && isQuiet
 }
 
+// unansweredProbes is the number of keep-alive probes without an answer from which on the
+// upstream doesn't acknowledge them. The answer to a single one may be on its way.
+const unansweredProbes = 2
+
+// IsSilent reports whether at now the upstream has acknowledged nothing for the silence timeout
+// although bytes or keep-alive probes were sent. It may be called concurrently with other
+// methods.
+func (c *Conn) IsSilent(now time.Time) bool {
+	if now.Before(c.SilentFrom) {
+		return false
+	}
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isSilent := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return
+		}
+		lastAck := time.Duration(info.Last_ack_recv) * time.Millisecond
+		isSilent = lastAck >= c.silenceTimeout && (info.Unacked > 0 || info.Probes >= unansweredProbes)
+	})
+	return err == nil && isSilent
+}
+
 // Pool is a pool of connections to one upstream. It is safe for concurrent use.
 type Pool struct {
 	cfg    Config
@@ -159,9 +197,10 @@
 	p.dialer = net.Dialer{
 		Timeout: cfg.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: cfg.SilenceTimeout, Interval: cfg.SilenceTimeout, Count: 2,
+			Enable: true, Idle: cfg.SilenceTimeout, Interval: cfg.SilenceTimeout, Count: unansweredProbes,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, cfg.SilenceTimeout) },
+		// It takes the place of the number of probes.
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, cfg.AckTimeout) },
 	}
 	return p
 }
@@ -187,6 +226,7 @@
 	hash := xxhash.Sum64String(identity)
 	if c := p.takeIdle(usedAfter, identity, hash); c != nil {
 		c.carried = append(c.carried, hash)
+		c.SilentFrom = p.silentFrom()
 		return c, nil
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.cfg.Address.String())
@@ -197,9 +237,19 @@
 	p.opened++
 	p.mu.Unlock()
 	reader := &headReader{conn: raw}
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(reader, readBufferBytes), head: reader, carried: []uint64{hash}}, nil
+	return &Conn{
+		Conn: raw, Reader: bufio.NewReaderSize(reader, readBufferBytes), head: reader, carried: []uint64{hash},
+		SilentFrom: p.silentFrom(), silenceTimeout: p.cfg.SilenceTimeout,
+	}, nil
 }
 
+// clockTick is the longest period of the clock by which the kernel measures the time since the
+// last acknowledgment.
+const clockTick = 10 * time.Millisecond
+
+// silentFrom returns the earliest time at which a connection that is taken now may be silent.
+func (p *Pool) silentFrom() time.Time { return p.cfg.Now().Add(p.cfg.SilenceTimeout + clockTick) }
+
 // takeIdle takes the most recently used of the idle connections that may carry the request,
 // since that is the least likely to be stale. It returns nil if there is none. It closes the
 // connections that have expired, and those that it comes upon that are not quiet.
@@ -225,7 +275,7 @@
 			continue
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
-		if !c.isQuiet() {
+		if !c.isQuiet() || c.IsSilent(now) {
 			_ = c.Close()
 			continue
 		}
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -56,6 +56,9 @@
 	ticket            *kcwroster.Attempt
 	permit, displaced string
 	conn              *kcwconn.Conn
+	// checked is the connection to check for silence, nil unless the attempt holds one. Mu
+	// guards it.
+	checked *kcwconn.Conn
 	// written is closed when a large request has been written; it is nil for a
 	// small one. writeErr is the error of writing, valid after that.
 	written  chan struct{}
@@ -102,10 +105,12 @@
 		return a.endUnreachable(err)
 	}
 	a.conn = conn
+	a.check(conn)
 	// The deadline is set before the end of ctx can set an earlier one.
 	deadlineErr := conn.SetDeadline(a.deadline)
 	stop := context.AfterFunc(a.ctx, a.onCanceled)
 	res, outcome := a.exchange(deadlineErr)
+	a.check(nil)
 	if stop() && a.reusable && !isHead && a.isWritten() {
 		a.ticket.Pool().Put(conn, a.keepAliveUntil)
 	} else {
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -270,7 +270,7 @@
 			Window: time.Second, MinCalls: 100, FailureRate: 1, SlowRate: 1, ConsecutiveFailures: 100, SlowAfter: time.Minute,
 			Probes: 1, ProbeTimeout: time.Second, InitialBackoff: time.Second, MaxBackoff: time.Second,
 		},
-		Conn:           kcwconn.Config{DialTimeout: longTime, SilenceTimeout: longTime, IdleTimeout: longTime, MaxIdle: 4},
+		Conn:           kcwconn.Config{DialTimeout: longTime, SilenceTimeout: silence, AckTimeout: longTime, IdleTimeout: longTime, MaxIdle: 4},
 		SilenceTimeout: silence, DialPause: time.Millisecond, HalfLife: time.Second,
 		Limits: limits, Rand: rand.New(rand.NewPCG(2, 2)), Now: time.Now,
 	})
--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"kingcupwick.example/kcw/kcwconn"
 	"kingcupwick.example/kcw/kcwretry"
 	"kingcupwick.example/kcw/kcwroster"
 )
@@ -114,16 +115,24 @@
 	}
 }
 
-// checkSilence begins a hedge if the upstream is silent.
+// check sets the connection to check for silence.
+func (a *attempt) check(conn *kcwconn.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.checked = conn
+}
+
+// checkSilence begins a hedge if the upstream or its connection is silent.
 func (a *attempt) checkSilence() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !slices.Contains(a.open, a) {
 		return
 	}
-	a.silenceCheck.Reset(a.f.cfg.SilenceCheckInterval)
-	isOver := a.ctx.Err() != nil || !a.f.cfg.Now().Before(a.deadline)
-	if isOver || len(a.open) == maxOpen || a.writer != nil || !a.ticket.IsSilent() {
+	now := a.f.cfg.Now()
+	a.silenceCheck.Reset(a.nextCheck(now))
+	isOver := a.ctx.Err() != nil || !now.Before(a.deadline)
+	if isOver || len(a.open) == maxOpen || a.writer != nil || !a.isSilent(now) {
 		return
 	}
 	if cause := a.withdrawHedge(); cause != "" {
@@ -135,6 +144,21 @@
 	go hedge.hedge()
 }
 
+// isSilent reports whether the upstream is silent, or only the connection to it. The caller must
+// hold mu.
+func (a *attempt) isSilent(now time.Time) bool {
+	return a.ticket.IsSilent() || a.checked != nil && a.checked.IsSilent(now)
+}
+
+// nextCheck returns the time until the next check for silence. The caller must hold mu.
+func (a *attempt) nextCheck(now time.Time) time.Duration {
+	interval := a.f.cfg.SilenceCheckInterval
+	if a.checked != nil && now.Before(a.checked.SilentFrom) {
+		interval = min(interval, a.checked.SilentFrom.Sub(now))
+	}
+	return interval
+}
+
 // withdrawHedge withdraws a hedge from the retry budget. It returns the reason if the request
 // can't be sent once more. The caller must hold mu.
 func (c *call) withdrawHedge() string {
