--- a/kcw-standin/kcwengine/engine_test.go
+++ b/kcw-standin/kcwengine/engine_test.go
@@ -163,6 +163,70 @@
 	}
 }
 
+// TestPause checks that an answer with a pause has the same bytes, that it lasts as long as the
+// pause, and that its part before the pause doesn't wait for it.
+func TestPause(t *testing.T) {
+	const pause = 50 * time.Millisecond
+	for _, test := range []struct {
+		name, body string
+		pauseAfter int
+	}{
+		{"before a stream", streamBody, 0},
+		{"in a stream", streamBody, 3},
+		{"before an answer", jsonBody, 0},
+		{"in an answer", jsonBody, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, Config{})
+			_, want, err := f.post(t.Context(), test.body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := f.faults.Set(kcwfault.Config{Pause: pause.String(), PauseAfter: test.pauseAfter}); err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			status, answer, err := f.post(t.Context(), test.body)
+			if status != http.StatusOK || answer != want || err != nil {
+				t.Errorf("got %d, %q and error %v, want %q", status, answer, err, want)
+			}
+			if elapsed := time.Since(start); elapsed < pause {
+				t.Errorf("the answer took %v, shorter than the pause", elapsed)
+			}
+			if entry := f.closedEntry(); entry.Outcome != kcwrecord.Finished || entry.AnswerDigest != kcwrecord.Digest([]byte(want)) {
+				t.Errorf("record: %+v", entry)
+			}
+		})
+	}
+}
+
+// An answer that would pause for an hour has sent its first part.
+func TestPartBeforePauseIsSent(t *testing.T) {
+	for _, body := range []string{streamBody, jsonBody} {
+		f := newFixture(t, Config{})
+		if err := f.faults.Set(kcwfault.Config{Pause: "1h", PauseAfter: 3}); err != nil {
+			t.Fatal(err)
+		}
+		ctx, disconnect := context.WithCancel(t.Context())
+		request, err := http.NewRequestWithContext(ctx, "POST", f.server.URL+"/v1/chat/completions", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := bufio.NewReader(response.Body).Peek(1); err != nil {
+			t.Error(err)
+		}
+		disconnect()
+		_ = response.Body.Close()
+		if entry := f.closedEntry(); entry.Outcome != kcwrecord.Cancelled {
+			t.Errorf("record: %+v", entry)
+		}
+	}
+}
+
 func TestCancel(t *testing.T) {
 	for _, test := range []struct {
 		name   string
--- a/kcw-standin/kcwengine/generation.go
+++ b/kcw-standin/kcwengine/generation.go
@@ -149,7 +149,15 @@
 		g.write(body[:len(body)/2])
 		panic(http.ErrAbortHandler)
 	}
-	g.setOutcome(g.write(body))
+	before, after := g.faults.SplitAtPause(body)
+	written := (len(before) == 0 || g.write(before)) && g.pause(ctx)
+	g.setOutcome(written && g.write(after))
+}
+
+// pause stops the answer for the time of the fault. It reports false if the caller
+// disconnected first.
+func (g *generation) pause(ctx context.Context) bool {
+	return sleep(ctx, kcwfault.Duration(g.faults.Pause))
 }
 
 // stream writes the answer as server-sent events, one for each token.
@@ -161,6 +169,10 @@
 		if !g.awaitToken(ctx, i) {
 			return
 		}
+		if i == int64(g.faults.PauseAfter) && !g.pause(ctx) {
+			g.entry.Outcome = kcwrecord.Cancelled
+			return
+		}
 		if i == 0 && !sleep(ctx, kcwfault.Duration(g.faults.Late)) {
 			g.entry.Outcome = kcwrecord.Cancelled
 			return
--- a/kcw-standin/kcwfault/injector.go
+++ b/kcw-standin/kcwfault/injector.go
@@ -22,6 +22,11 @@
 	Delay string `json:",omitempty"`
 	// Late is the wait between the end of processing and the response.
 	Late string `json:",omitempty"`
+	// Pause is the time for which the answer stops before it goes on. A stream stops after
+	// PauseAfter tokens, another answer in the middle of its body. If PauseAfter is zero,
+	// both stop before their first byte.
+	Pause      string `json:",omitempty"`
+	PauseAfter int    `json:",omitempty"`
 	// Silent accepts the request and never answers.
 	Silent bool `json:",omitempty"`
 	// SilentAfter stalls a stream after this many tokens and keeps the
@@ -43,6 +48,15 @@
 	Drain bool `json:",omitempty"`
 }
 
+// SplitAtPause returns the parts of the body of an answer before and after the pause. The first
+// part is empty if the answer pauses before its first byte or not at all.
+func (c Config) SplitAtPause(body []byte) (before, after []byte) {
+	if c.Pause == "" || c.PauseAfter == 0 {
+		return nil, body
+	}
+	return body[:len(body)/2], body[len(body)/2:]
+}
+
 // Kind classifies an Error.
 type Kind int
 
@@ -76,7 +90,7 @@
 
 // Set replaces the faults and restarts the count. The error is an *Error.
 func (i *Injector) Set(faults Config) error {
-	for _, text := range []string{faults.Delay, faults.Late} {
+	for _, text := range []string{faults.Delay, faults.Late, faults.Pause} {
 		if text == "" {
 			continue
 		}
--- a/kcw-standin/kcwfault/injector_test.go
+++ b/kcw-standin/kcwfault/injector_test.go
@@ -15,6 +15,8 @@
 		{`{}`, 200},
 		{`{"Delay":"1"}`, 400},
 		{`{"Late":"soon"}`, 400},
+		{`{"Pause":"1s","PauseAfter":2}`, 200},
+		{`{"Pause":"1"}`, 400},
 		{`{"Unknown":1}`, 400},
 		{`{`, 400},
 	} {
--- a/kcw-standin/kcwplain/service.go
+++ b/kcw-standin/kcwplain/service.go
@@ -128,11 +128,27 @@
 		panic(http.ErrAbortHandler)
 	}
 	result.Outcome = kcwrecord.Cancelled
-	if _, err := w.Write(answer); err == nil {
+	if writeWithPause(w, answer, faults) == nil {
 		result.Outcome = kcwrecord.Finished
 	}
 }
 
+// writeWithPause writes the body of an answer with the pause that is configured.
+func writeWithPause(w http.ResponseWriter, answer []byte, faults kcwfault.Config) error {
+	before, after := faults.SplitAtPause(answer)
+	if len(before) > 0 {
+		if _, err := w.Write(before); err != nil {
+			return err
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(kcwfault.Duration(faults.Pause))
+	_, err := w.Write(after)
+	return err
+}
+
 // refusalStatus returns the status with which the faults refuse a request, or
 // zero if they don't.
 func refusalStatus(faults kcwfault.Config) int {
--- a/kcw-standin/kcwplain/service_test.go
+++ b/kcw-standin/kcwplain/service_test.go
@@ -29,6 +29,8 @@
 		{"POST", "/bookings", `{}`, kcwfault.Config{Drain: true}, 503, "", kcwrecord.Refused},
 		{"POST", "/bookings", `{}`, kcwfault.Config{ShortBody: true}, 201, "", kcwrecord.Broken},
 		{"GET", "/bookings", "", kcwfault.Config{}, 200, `"b-1"`, kcwrecord.Finished},
+		{"POST", "/bookings", `{"Pew":1}`, kcwfault.Config{Pause: "1ms"}, 201, `"Body":{"Pew":1}}`, kcwrecord.Finished},
+		{"POST", "/bookings", `{"Pew":2}`, kcwfault.Config{Pause: "1ms", PauseAfter: 1}, 201, `"Body":{"Pew":2}}`, kcwrecord.Finished},
 	} {
 		if err := injector.Set(test.faults); err != nil {
 			t.Fatal(err)
