kcwgateway: cancel a call at a silent upstream only once it can be replaced

Callers got 504 "upstream_silent" although their upstream answered a moment later: without a load report for three silence timeouts (9 s by default), all calls there whose answer comes in one piece were cancelled if another upstream was usable. Only then it was asked whether another attempt is allowed, whether a retry is left and whether an upstream takes it.

A call is now cancelled once its replacement has an upstream and a withdrawn retry, and not at all if no attempt is left; both are released if the call has been answered meanwhile. Until then it waits, and is tried again with the next load report that fails. Unlike kcwforward, the replacement doesn't begin beside the call: if it fails too, the call is lost as before.

go test -race -run TestPauseOfUpstreamEndsNoCall ./kcwgateway, before: 14 of 32 calls ended with 504 (upstream_silent, outcome unknown) in a pause of 3 s with a silence timeout of 500 ms. After: none; all tests of kcwgateway pass.

--- a/kcw/kcwgateway/dispatch.go
+++ b/kcw/kcwgateway/dispatch.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"kingcupwick.example/kcw/kcwupstream"
@@ -60,29 +61,91 @@
 	for attempt := 1; ; attempt++ {
 		now := g.cfg.Now()
 		tried[next.upstream.Name()] = true
-		res := g.attempt(next.ctx, req, d, next, attempt)
-		if !g.mayRetry(ctx, req, d, q, &res) {
+		r := &replacement{gateway: g, ctx: ctx, req: req, queue: q, tried: tried}
+		res := g.attempt(next.ctx, req, d, next, attempt, r)
+		another, isChosen := r.close()
+		if !g.allowsRetry(ctx, d, &res) {
+			if isChosen {
+				r.release(another)
+			}
 			return res
 		}
-		if !sleepUntil(ctx, now, q.retries.BackoffUntil(now, attempt)) {
+		if !isChosen && !g.withdrawRetry(req, q, &res) {
 			return res
 		}
-		another, ok := g.pool.pick(ctx, g.cfg.Now(), req, tried)
-		if !ok {
-			return res
+		if !isChosen {
+			if !sleepUntil(ctx, now, q.retries.BackoffUntil(now, attempt)) {
+				return res
+			}
+			if another, isChosen = g.pool.pick(ctx, g.cfg.Now(), req, tried); !isChosen {
+				return res
+			}
 		}
 		another.sent = res.sent
 		next = another
 	}
 }
 
-// mayRetry reports whether another attempt of req may follow the one that ended with
-// res. A retry of a request that may have been sent is withdrawn from the retry budget.
-func (g *Gateway) mayRetry(ctx context.Context, req *request, d *delivery, q *serviceQueue, res *attemptResult) bool {
-	if !res.retryable || res.attempt >= g.cfg.MaxAttempts || d.started || ctx.Err() != nil {
+// allowsRetry reports whether another attempt may follow the one that ended with res.
+func (g *Gateway) allowsRetry(ctx context.Context, d *delivery, res *attemptResult) bool {
+	return res.retryable && res.attempt < g.cfg.MaxAttempts && !d.started && ctx.Err() == nil
+}
+
+// withdrawRetry reports whether req may be sent again. A retry of a request that may have been
+// sent is withdrawn from the retry budget.
+func (g *Gateway) withdrawRetry(req *request, q *serviceQueue, res *attemptResult) bool {
+	return !res.sent || (req.repeatable && q.retries.TryWithdraw())
+}
+
+// replacement is the attempt that replaces one whose upstream is silent. The call is cancelled
+// only once there are an upstream and a retry for it.
+type replacement struct {
+	gateway *Gateway
+	ctx     context.Context
+	req     *request
+	queue   *serviceQueue
+	tried   map[string]bool
+
+	// mu guards the fields below. It is held while the pool and the retry budget are called.
+	mu       sync.Mutex
+	isClosed bool
+	isChosen bool
+	next     selection
+}
+
+// choose chooses the upstream of the replacement and withdraws a retry. It returns true if the
+// call is to be cancelled.
+func (r *replacement) choose() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isClosed || r.isChosen {
+		return r.isChosen
+	}
+	next, ok := r.gateway.pool.pick(r.ctx, r.gateway.cfg.Now(), r.req, r.tried)
+	if !ok {
 		return false
 	}
-	return !res.sent || (req.repeatable && q.retries.TryWithdraw())
+	if !r.queue.retries.TryWithdraw() {
+		r.gateway.pool.cancelSelection(next)
+		return false
+	}
+	r.next, r.isChosen = next, true
+	return true
+}
+
+// close returns the upstream that was chosen, if there is one. None is chosen afterwards.
+func (r *replacement) close() (next selection, isChosen bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isClosed = true
+	return r.next, r.isChosen
+}
+
+// release releases an upstream that was chosen, and its retry, because the call has ended
+// otherwise.
+func (r *replacement) release(next selection) {
+	r.gateway.pool.cancelSelection(next)
+	r.queue.retries.Refund()
 }
 
 // sleepUntil sleeps from now until at. It returns false if ctx ends first.
@@ -139,10 +202,10 @@
 
 // attempt sends req to the selected upstream and reports the end of the attempt to
 // the picker.
-func (g *Gateway) attempt(ctx context.Context, req *request, d *delivery, c selection, number int) attemptResult {
+func (g *Gateway) attempt(ctx context.Context, req *request, d *delivery, c selection, number int, r *replacement) attemptResult {
 	startedAt := g.cfg.Now()
 	defer func() { g.pool.picker.Finished(g.cfg.Now(), c.upstream.Name()) }()
-	res := g.callUnlessSilent(ctx, req, d, c, number, startedAt)
+	res := g.callUnlessSilent(ctx, req, d, c, number, startedAt, r)
 	res.upstream, res.attempt = c.upstream.Name(), number
 	if c.sent && !res.sent {
 		res.sent, res.code = true, codeUpstreamFailed
@@ -153,15 +216,19 @@
 // callUnlessSilent calls one upstream. The progress of a call whose answer comes in
 // one piece can't be observed, so the call is cancelled when the upstream has sent
 // no load report for silenceTimeoutsBeforeRetry times Config.SilenceTimeout and
-// another upstream is usable. Streams, and calls
-// that must not be repeated, are not cancelled.
-func (g *Gateway) callUnlessSilent(ctx context.Context, req *request, d *delivery, c selection, number int, startedAt time.Time) attemptResult {
-	if !req.repeatable || req.wantsStream() {
+// its replacement r has an upstream and a retry. Streams, and calls that must not be
+// repeated or after which no attempt is left, are not cancelled.
+func (g *Gateway) callUnlessSilent(ctx context.Context, req *request, d *delivery, c selection, number int, startedAt time.Time, r *replacement) attemptResult {
+	if !req.repeatable || req.wantsStream() || number >= g.cfg.MaxAttempts {
 		return g.call(ctx, req, d, c, number, startedAt)
 	}
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer c.trackCall(g.pool.nextID.Add(1), cancel)()
+	defer c.trackCall(g.pool.nextID.Add(1), func() {
+		if r.choose() {
+			cancel()
+		}
+	})()
 	res := g.call(callCtx, req, d, c, number, startedAt)
 	if res.code == codeUpstreamFailed && callCtx.Err() != nil && ctx.Err() == nil {
 		res.code = codeUpstreamSilent
--- /dev/null
+++ b/kcw/kcwgateway/pause_test.go
@@ -0,0 +1,82 @@
+package kcwgateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"kingcupwick.example/kcw/kcwupstream"
+)
+
+// newPausingUpstream runs an upstream that sends nothing, also no load report, for the given
+// time from its first request on.
+func newPausingUpstream(t *testing.T, pause time.Duration, handler http.Handler) netip.AddrPort {
+	t.Helper()
+	begun, resumed := make(chan struct{}), make(chan struct{})
+	begin := sync.OnceFunc(func() {
+		close(begun)
+		time.AfterFunc(pause, func() { close(resumed) })
+	})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/load" {
+			begin()
+			<-resumed
+			handler.ServeHTTP(w, r)
+			return
+		}
+		select {
+		case <-begun:
+			<-resumed
+		default:
+		}
+		_, _ = io.WriteString(w, `{"Running":0,"Waiting":0,"Capacity":64}`)
+	}))
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// TestPauseOfUpstreamEndsNoCall checks that a call is not cancelled for the silence of its
+// upstream unless another attempt may follow.
+func TestPauseOfUpstreamEndsNoCall(t *testing.T) {
+	for _, test := range []struct {
+		name                   string
+		attempts, firstRetries int
+	}{
+		{"one attempt", 1, 10},
+		{"more calls than retries", 3, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			l := newLedger(t, "r1")
+			good := &engine{words: []string{"whole"}}
+			address := newPausingUpstream(t, 3*time.Second, good)
+			f := startGateway(t, l, "r1", map[string][]http.Handler{"engine": {good}}, func(cfg *Config) {
+				cfg.Upstreams = append(cfg.Upstreams, kcwupstream.New(kcwupstream.Config{
+					Name: "pausing", Service: "engine", Zone: "a", Address: address,
+					ProgressTimeout: time.Minute, DialTimeout: 200 * time.Millisecond,
+				}))
+				cfg.SilenceTimeout = 500 * time.Millisecond
+				cfg.MaxAttempts, cfg.FirstRetries = test.attempts, test.firstRetries
+			})
+			var calls sync.WaitGroup
+			for i := range 16 {
+				calls.Go(func() {
+					r := f.do(call{body: strings.Replace(chatBody, "hello", fmt.Sprintf("hello %d", i), 1)})
+					if r.err != nil || r.status != http.StatusOK || !strings.Contains(r.body, "whole") {
+						t.Errorf("call %d: status %d, error %v: %s", i, r.status, r.err, r.body)
+					}
+				})
+			}
+			calls.Wait()
+		})
+	}
+}
--- a/kcw/kcwgateway/pool.go
+++ b/kcw/kcwgateway/pool.go
@@ -37,8 +37,8 @@
 	prefixMargin       = 0.5
 	pickMaxUtilization = 0.95
 	// silenceTimeoutsBeforeRetry is the number of silence timeouts without a load
-	// report after which a call whose answer comes in one piece is cancelled and
-	// tried on another upstream.
+	// report after which a call whose answer comes in one piece is tried on another
+	// upstream instead.
 	silenceTimeoutsBeforeRetry = 3
 	retryRatio                 = 0.1
 	retryBurst                 = 10
@@ -124,7 +124,7 @@
 		return err
 	}
 	p.availability.Add(u.Name())
-	p.targets[u.Name()] = &target{upstream: u, breaker: breaker, lastReportAt: p.now(), cancelCalls: map[uint64]func(){}}
+	p.targets[u.Name()] = &target{upstream: u, breaker: breaker, lastReportAt: p.now(), replaceCalls: map[uint64]func(){}}
 	if p.services[u.Service()] != nil {
 		return nil
 	}
@@ -184,7 +184,7 @@
 	if err != nil {
 		p.availability.Suspect(p.now(), u.Name())
 		if p.hasAlternative(u) {
-			p.targets[u.Name()].cancelIfSilent(p.now(), silenceTimeoutsBeforeRetry*p.silenceTimeout)
+			p.targets[u.Name()].replaceIfSilent(p.now(), silenceTimeoutsBeforeRetry*p.silenceTimeout)
 		}
 	} else {
 		p.targets[u.Name()].recordReport(p.now())
--- a/kcw/kcwgateway/target.go
+++ b/kcw/kcwgateway/target.go
@@ -1,6 +1,8 @@
 package kcwgateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,21 +19,21 @@
 	mu sync.Mutex
 	// lastReportAt is the time of the last load report.
 	lastReportAt time.Time
-	// cancelCalls holds the cancel function of each registered call.
-	cancelCalls map[uint64]func()
+	// replaceCalls holds the function of each registered call that replaces it.
+	replaceCalls map[uint64]func()
 }
 
 // trackCall registers a call whose answer arrives in one piece, with the function
-// that cancels it if the upstream becomes silent. The caller must call forget when
-// the call has returned.
-func (t *target) trackCall(id uint64, cancel func()) (forget func()) {
+// that replaces it if it can while the upstream is silent. It may be called several times, and
+// also after forget. The caller must call forget when the call has returned.
+func (t *target) trackCall(id uint64, replace func()) (forget func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.cancelCalls[id] = cancel
+	t.replaceCalls[id] = replace
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		delete(t.cancelCalls, id)
+		delete(t.replaceCalls, id)
 	}
 }
 
@@ -42,15 +44,21 @@
 	t.lastReportAt = now
 }
 
-// cancelIfSilent cancels the registered calls if the last load report is older than
-// limit at now.
-func (t *target) cancelIfSilent(now time.Time, limit time.Duration) {
+// replaceIfSilent replaces the registered calls, as far as that is possible, if the last load
+// report is older than limit at now.
+func (t *target) replaceIfSilent(now time.Time, limit time.Duration) {
+	for _, replace := range t.callsIfSilent(now, limit) {
+		replace()
+	}
+}
+
+// callsIfSilent returns the functions of the registered calls if the last load report is older
+// than limit at now.
+func (t *target) callsIfSilent(now time.Time, limit time.Duration) []func() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.lastReportAt) <= limit {
-		return
-	}
-	for _, cancel := range t.cancelCalls {
-		cancel()
+		return nil
 	}
+	return slices.Collect(maps.Values(t.replaceCalls))
 }
