--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -6,12 +6,13 @@
 	"sync"
 	"time"
 
+	"kingcupwick.example/kcw/kcwconn"
 	"kingcupwick.example/kcw/kcwretry"
 	"kingcupwick.example/kcw/kcwroster"
 )
 
 // attempts is the state that the attempts of one request share. One is open at a time, or two
-// while the upstream of the first is silent: the second one is a hedge, as in Dean and Barroso,
+// while the upstream of the first of them is silent: the second one is a hedge, as in Dean and Barroso,
 // The Tail at Scale, Communications of the ACM 56(2), 2013. The attempt that answers first
 // replaces the other one.
 type attempts struct {
@@ -35,8 +36,9 @@
 	// lastFailure is the last answer with a status of 500 or above, nil if there is none.
 	lastFailure *bufferedAnswer
 	stream      streamProgress
-	// isWriting is set while an attempt passes on events, and once one has a whole answer.
-	isWriting bool
+	// writer is the attempt that is passing on events or has a whole answer, nil if there is
+	// none.
+	writer *attempt
 	// notHedged is the reason reported last why no hedge could begin.
 	notHedged string
 }
@@ -73,8 +75,9 @@
 	Events int64
 }
 
-// compete makes the attempt, and hedges while its upstream is silent. It returns when all of
-// them have ended, with the one that ended last without having been replaced, and how.
+// compete makes the attempt, and hedges while the upstream of the open attempt is silent. It
+// returns when all of them have ended, with the one that ended last without having been replaced,
+// and how.
 func (c *call) compete(first *attempt) (*attempt, result) {
 	first.watchSilence()
 	first.end(first.do())
@@ -113,20 +116,28 @@
 	}
 }
 
-// checkSilence begins a hedge if the upstream is silent.
+// check sets the connection to check for silence.
+func (a *attempt) check(conn *kcwconn.Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.checked = conn
+}
+
+// checkSilence begins a hedge if the upstream or its connection is silent.
 func (a *attempt) checkSilence() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !slices.Contains(a.open, a) {
 		return
 	}
-	a.silenceCheck.Reset(a.f.cfg.SilenceCheckInterval)
-	isOver := a.ctx.Err() != nil || !a.f.cfg.Now().Before(a.deadline)
-	if isOver || len(a.open) == maxOpen || a.isWriting || !a.ticket.IsSilent() {
+	now := a.f.cfg.Now()
+	a.silenceCheck.Reset(a.nextCheck(now))
+	isOver := a.ctx.Err() != nil || !now.Before(a.deadline)
+	if isOver || len(a.open) == maxOpen || a.writer != nil || !a.isSilent(now) {
 		return
 	}
 	if cause := a.withdrawHedge(); cause != "" {
-		a.reportNotHedged(cause)
+		a.reportNotHedged(a.ticket.ID(), cause)
 		return
 	}
 	hedge := a.newAttempt()
@@ -134,6 +145,21 @@
 	go hedge.hedge()
 }
 
+// isSilent reports whether the upstream is silent, or only the connection to it. The caller must
+// hold mu.
+func (a *attempt) isSilent(now time.Time) bool {
+	return a.ticket.IsSilent() || a.checked != nil && a.checked.IsSilent(now)
+}
+
+// nextCheck returns the time until the next check for silence. The caller must hold mu.
+func (a *attempt) nextCheck(now time.Time) time.Duration {
+	interval := a.f.cfg.SilenceCheckInterval
+	if a.checked != nil && now.Before(a.checked.SilentFrom) {
+		interval = min(interval, a.checked.SilentFrom.Sub(now))
+	}
+	return interval
+}
+
 // withdrawHedge withdraws a hedge from the retry budget. It returns the reason if the request
 // can't be sent once more. The caller must hold mu.
 func (c *call) withdrawHedge() string {
@@ -186,31 +212,28 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if cause != "" {
-		a.reportNotHedged(cause)
+		a.reportNotHedged(a.silent, cause)
 	}
 	a.remove()
 }
 
-// reportNotHedged reports why no hedge could begin, once for each reason. The caller must hold
-// mu.
-func (a *attempt) reportNotHedged(cause string) {
-	if cause != a.notHedged {
-		a.notHedged = cause
-		a.reportHedge(HedgeNotBegun, cause)
+// reportNotHedged reports why no hedge could begin beside the attempt at the upstream silent,
+// once for each reason. The caller must hold mu.
+func (c *call) reportNotHedged(silent, cause string) {
+	if cause != c.notHedged {
+		c.notHedged = cause
+		c.f.cfg.OnHedge(Hedge{
+			RequestID: c.request.RequestID, Service: c.service.Name, Silent: silent, State: HedgeNotBegun, Cause: cause, Events: c.stream.events,
+		})
 	}
 }
 
-// reportHedge calls Config.OnHedge for the hedge a, or for the first attempt if there is none.
-// The caller must hold mu.
+// reportHedge calls Config.OnHedge for the hedge a, whose upstream was chosen. The caller must
+// hold mu.
 func (a *attempt) reportHedge(state HedgeState, cause string) {
-	h := Hedge{RequestID: a.request.RequestID, Service: a.service.Name, Silent: a.silent, State: state, Cause: cause, Events: a.stream.events}
-	switch {
-	case a.silent == "":
-		h.Silent = a.ticket.ID()
-	case a.ticket != nil:
-		h.Upstream = a.ticket.ID()
-	}
-	a.f.cfg.OnHedge(h)
+	a.f.cfg.OnHedge(Hedge{
+		RequestID: a.request.RequestID, Service: a.service.Name, Silent: a.silent, Upstream: a.ticket.ID(), State: state, Cause: cause, Events: a.stream.events,
+	})
 }
 
 // claim makes a the attempt that answers the caller, to the end of the request. It returns
@@ -222,7 +245,7 @@
 		return false
 	}
 	a.replaceOthers()
-	a.isWriting = true
+	a.writer = a
 	return true
 }
 
@@ -255,11 +278,13 @@
 	return a.isReplaced
 }
 
-// endWrite records that events were passed on.
+// endWrite records that the events of takeEvents were passed on, if there were any.
 func (a *attempt) endWrite() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.isWriting = false
+	if a.writer == a {
+		a.writer = nil
+	}
 }
 
 // isStreamStarted reports whether the caller has got the head of a stream.
