kcwforward: an answer with HTTP/1.0 and a transfer coding is no answer

Callers got the text of the chunks, with their sizes, as a body that looks whole if an upstream answered in chunks with HTTP/1.0; and the status of one answer with the body of another if a head with HTTP/1.0 broke off in that field and the answer followed.

Cause: http.ReadResponse ignores the field in answers with HTTP/1.0 and removes it, so that the body extends to the end of the connection. RFC 9112, section 6.1, says that the framing of such an answer is faulty.

The head of an answer with HTTP/1.0 is looked through in the read buffer before it is read. Answers with HTTP/1.1 are not looked through. Of a head that is larger than the buffer, 4 KiB, only the beginning is.

go test -run 'TestLenientHeads|TestPartOfHeadDoesNotJoinAnswer' ./kcwforward.

--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -7,8 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"regexp"
-	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -363,13 +361,10 @@
 	defer a.conn.LiftHeadLimit()
 	remaining := int64(maxDiscardBytes)
 	for surplus, interim := 0, 0; ; {
-		response, err := http.ReadResponse(a.conn.Reader, request)
+		response, err := readHead(a.conn.Reader, request)
 		if err != nil {
 			return nil, ResponseInfo{}, err
 		}
-		if hasStatusLine(response) {
-			return nil, ResponseInfo{}, errors.New("an answer follows a part of a head")
-		}
 		info := a.f.cfg.Dialect.ParseResponse(response.StatusCode, response.Header, a.f.cfg.Now())
 		// On a connection that has carried no other request, an answer without an
 		// identity can only be to this one.
@@ -401,29 +396,6 @@
 	}
 }
 
-// statusLine matches the beginning of a status line (RFC 9112, section 4).
-var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
-
-// hasStatusLine reports whether the reason phrase, a field or the name of a trailer field
-// contains a status line. The head is then that of two answers, of which the first one broke
-// off there.
-func hasStatusLine(response *http.Response) bool {
-	if statusLine.MatchString(response.Status) {
-		return true
-	}
-	for _, values := range response.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
-	}
-	for name := range response.Trailer {
-		if statusLine.MatchString(name) {
-			return true
-		}
-	}
-	return false
-}
-
 // skipBody reads the body of a surplus answer, of at most limit bytes, and returns how much
 // of the limit is left. The error is not nil if no other answer can follow.
 func skipBody(response *http.Response, limit int64) (int64, error) {
--- a/kcw/kcwforward/joined_test.go
+++ b/kcw/kcwforward/joined_test.go
@@ -15,6 +15,7 @@
 		"HTTP/1.1 503 Some reason\r\nOther: value\r\nSeal: lead\r\nNot-Run: 1\r\nContent-Type: text/plain\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n",
 		"HTTP/1.1 200 OK\r\n" + attempt + "Seal: lead\r\nTrailer: Name\r\nTransfer-Encoding: chunked\r\nContent-Type: text/plain\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + attempt + "Trailer: Name\r\n",
+		"HTTP/1.0 200 OK\r\n" + attempt + "Transfer-Encoding: chunked\r\n",
 		"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n",
 	} {
 		for _, answer := range []struct {
