kcwforward: a field whose name is followed by a space makes no answer

Callers got a cut body as one that ends with its connection if an upstream wrote a space between the name of Content-Length and the colon.

Cause: http.ReadResponse takes the space for a part of the name, so that the field does not tell where the answer ends. RFC 9112, section 5.1, lets a proxy pass on such an answer only without the space.

Such a head is no answer: 502, or a retry.

go test -run TestLenientHeads ./kcwforward. Before: "space before a colon: got {status:200 seal:own body:whole isWhole:true endsWithConn:true}" and "space before a colon, cut: got {status:200 seal:own body:who isWhole:true endsWithConn:true}". After: 502 for both. The other heads of the test, with line feeds alone, folded lines, missing line ends, several lengths and broken chunks, passed before too.

--- a/kcw/kcwforward/head.go
+++ b/kcw/kcwforward/head.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 )
 
 // The reasons for which a head that http.ReadResponse accepts is no head of an answer.
 var (
 	errJoinedHead = errors.New("an answer follows a part of a head")
 	errOldCoding  = errors.New("an answer with HTTP/1.0 names a transfer coding")
+	errFieldName  = errors.New("a space follows the name of a field")
 )
 
 var (
@@ -36,6 +38,12 @@
 	if hasStatusLine(response) {
 		return nil, errJoinedHead
 	}
+	for name := range response.Header {
+		if strings.Contains(name, " ") {
+			// The field could be one that tells where the answer ends (RFC 9112, section 5.1).
+			return nil, errFieldName
+		}
+	}
 	return response, nil
 }
 
--- a/kcw/kcwforward/lenient_test.go
+++ b/kcw/kcwforward/lenient_test.go
@@ -24,6 +24,8 @@
 		{"empty line without its line feed", start + length + "\r", none},
 		{"carriage return in a value", start + "Other: a\rb\r\n" + length + "\r\nwhole", none},
 		{"space before the first field", "HTTP/1.1 200 OK\r\n Attempt: id-1\r\n" + length + "\r\nwhole", none},
+		{"space before a colon", start + "Content-Length : 5\r\n\r\nwhole", none},
+		{"space before a colon, cut", start + "Content-Length : 5\r\n\r\nwho", none},
 		{"field without a colon", start + "Other\r\n" + length + "\r\nwhole", none},
 		{"two lengths", start + length + "Content-Length: 3\r\n\r\nwhole", none},
 		{"list of lengths", start + "Content-Length: 5, 3\r\n\r\nwhole", none},
