--- a/kcw/kcwforward/delimited_test.go
+++ b/kcw/kcwforward/delimited_test.go
@@ -119,7 +119,7 @@
 // whole if that was reset, also where the kernel reports the reset to the one who writes the
 // request and an end to the one who reads the answer.
 func TestResetSeenByWriterEndsNoAnswer(t *testing.T) {
-	const calls = 40
+	const calls = 15
 	for range calls {
 		t.Run("call", func(t *testing.T) {
 			f := newFixture(t, 1, once, func(e *exchange) {
