kcwwal: keep the term and the vote when the creation of a segment was torn

What callers could see: a replica that crashed while its log began a segment, so that the header reached the disk and the state record after it did not, went on in that segment. Once the former segments were compacted, the next start read term 0 and no vote, so that the replica could vote twice in one term and two leaders could be elected in it.

Cause: only a segment without a header counted as torn; the first state record was not required.

Evidence: TestStateSurvivesTornSegmentAndCompact, before: "term 0 and vote 0 after a restart, want 7 and 3". Such a segment is created anew, with the state, as one without a header is.

--- a/kcw/kcwwal/full_test.go
+++ b/kcw/kcwwal/full_test.go
@@ -319,3 +319,46 @@
 		t.Errorf("%d entries, want 1", len(got))
 	}
 }
+
+// The term and the vote must survive a crash that tore the creation of a segment after its
+// header, once the former segment is compacted: a lost vote lets two leaders win one term.
+func TestStateSurvivesTornSegmentAndCompact(t *testing.T) {
+	path := t.TempDir()
+	l, err := Open(Config{Path: path, Owner: owner})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Save(7, 3, []*kcwpb.Entry{entry(1, 7)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	torn := appendHeader(nil, header{owner: owner, sequence: 2})
+	if err := os.WriteFile(filepath.Join(path, segmentName(2)), torn, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	if l, err = Open(Config{Path: path, Owner: owner, Existing: true}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Save(7, 3, []*kcwpb.Entry{entry(2, 7)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Compact(1); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if len(segments(t, path)) != 1 {
+		t.Fatal("the first segment was not removed")
+	}
+	l, err = Open(Config{Path: path, Owner: owner, Existing: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if term, vote := l.State(); term != 7 || vote != 3 {
+		t.Errorf("term %d and vote %d after a restart, want 7 and 3", term, vote)
+	}
+}
--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -115,17 +115,18 @@
 		next := filepath.Join(l.cfg.Path, segmentName(last.sequence+1))
 		return failText("open", Missing, next, 0, "the previous segment is closed, but this one does not exist")
 	}
-	if l.size == 0 {
+	if l.size <= headerSize {
 		return l.replaceLast(last)
 	}
 	return l.reopen(last)
 }
 
-// replaceLast replaces the last segment, whose header was torn when the segment was
-// created.
+// replaceLast replaces the last segment, whose header or first state record was torn when the
+// segment was created. A segment without that record would lose the term and the vote once
+// the former ones are removed.
 func (l *Log) replaceLast(last *segment) error {
 	if len(l.segments) == 1 && l.cfg.Existing {
-		return failText("open", Damaged, last.path, 0, "the only segment has no header")
+		return failText("open", Damaged, last.path, 0, "the only segment has no term and vote")
 	}
 	if err := l.cfg.Remove(last.path); err != nil {
 		return fail("open", storageKind(err), last.path, 0, err)
--- a/kcw/kcwwal/record.go
+++ b/kcw/kcwwal/record.go
@@ -68,6 +68,9 @@
 	return buf
 }
 
+// headerSize is the size of the header record, in bytes.
+var headerSize = int64(len(appendHeader(nil, header{})))
+
 func appendHeader(buf []byte, h header) []byte {
 	return appendRecord(buf, 0, kindHeader, func(b []byte) []byte {
 		b = append(b, magic...)
