--- a/kcw/kcwgroup/full_random_test.go
+++ b/kcw/kcwgroup/full_random_test.go
@@ -253,15 +253,31 @@
 		default:
 		}
 	}
-	f.eventually("same state at all hosts", func() bool {
-		hosts := f.running()
+	f.awaitSameState()
+}
+
+// awaitSameState waits until all hosts have applied the same index, and compares their states.
+func (f *fullDisks) awaitSameState() {
+	hosts := f.running()
+	f.eventually("same index at all hosts", func() bool {
 		for _, h := range hosts[1:] {
-			if !slices.Equal(h.machine.list(), hosts[0].machine.list()) {
+			if h.group.Status().GetApplied() != hosts[0].group.Status().GetApplied() {
 				return false
 			}
 		}
 		return true
 	})
+	want := hosts[0].machine.list()
+	for _, h := range hosts[1:] {
+		got := h.machine.list()
+		for i := range max(len(got), len(want)) {
+			if i >= len(got) || i >= len(want) || got[i] != want[i] {
+				f.t.Errorf("%s applied %d commands, %s %d; they differ from the one at %d on: %.100q, %.100q",
+					h.name, len(got), hosts[0].name, len(want), i, got[min(i, len(got)):min(i+3, len(got))], want[min(i, len(want)):min(i+3, len(want))])
+				break
+			}
+		}
+	}
 }
 
 // playFullDisks plays the sequence of the given seed.
--- a/kcw/kcwgroup/full_test.go
+++ b/kcw/kcwgroup/full_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -329,3 +331,37 @@
 		t.Errorf("start gave %v, want an error of kind Full", err)
 	}
 }
+
+// A replica that ended after it had stored a received snapshot and before it reset its log,
+// as while it waits for disk space, must reset the log at its next start: later entries would
+// leave a gap in it, or follow entries that conflict with the snapshot.
+func TestLogIsResetToSnapshotAtStart(t *testing.T) {
+	c := newCluster(t, 3, func(cfg *Config) { cfg.SnapshotEntries, cfg.KeepEntries = 20, 2 })
+	c.startAll()
+	leader := c.leader()
+	commands := c.proposeMany("a", 5)
+	var behind *host
+	for _, h := range c.hosts {
+		if h != leader {
+			behind = h
+		}
+	}
+	c.awaitCommands(behind, commands)
+	c.stop(behind.name, true)
+	commands = append(commands, c.proposeMany("b", 60)...)
+	c.eventually("a snapshot", func() bool { return leader.group.Status().GetSnapshot() > 40 })
+	name := strconv.FormatUint(leader.group.Status().GetSnapshot(), 10) + ".snapshot"
+	snapshot, err := os.ReadFile(filepath.Join(leader.path, snapshotFolder, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(behind.path, snapshotFolder, name), snapshot, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		h := c.start(behind.name, false)
+		commands = append(commands, c.proposeMany(fmt.Sprintf("c%d-", i), 5)...)
+		c.awaitCommands(h, commands)
+		c.stop(h.name, true)
+	}
+}
--- a/kcw/kcwgroup/open.go
+++ b/kcw/kcwgroup/open.go
@@ -4,6 +4,8 @@
 	"errors"
 	"math/rand"
 
+	"k8s.io/klog/v2"
+
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwreplica"
 	"kingcupwick.example/kcw/kcwsnapshot"
@@ -107,6 +109,13 @@
 	if latest != nil && len(entries) == 0 && term < latest.Term {
 		return fail("open", Storage, errors.New("the log is older than the snapshot"))
 	}
+	if latest != nil && !continues(entries, latest) {
+		if err := g.wal.Reset(latest.Index, latest.Term); err != nil {
+			return fail("open", Storage, err)
+		}
+		klog.InfoS("Log reset to the snapshot", "Group", g.cfg.Group, "Replica", g.identity.ID, "Index", latest.Index, "Entries", len(entries))
+		entries = nil
+	}
 	replica, err := kcwreplica.New(kcwreplica.Config{
 		ID: g.identity.ID, Term: term, Vote: vote,
 		Snapshot: latest, Entries: entries,
@@ -119,3 +128,17 @@
 	g.replica = replica
 	return nil
 }
+
+// continues reports whether the entry after the snapshot can follow entries, the content of
+// the log. It can't if the replica ended after it had stored a received snapshot and before
+// it reset the log.
+func continues(entries []*kcwpb.Entry, snapshot *kcwpb.SnapshotChunk) bool {
+	if len(entries) == 0 {
+		return false
+	}
+	first, last := entries[0].Index, entries[len(entries)-1].Index
+	if last < snapshot.Index {
+		return false
+	}
+	return first > snapshot.Index || entries[snapshot.Index-first].Term == snapshot.Term
+}
