--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -88,6 +88,9 @@
 		return nil, failText("open", Missing, cfg.Path, 0, "the log existed before and has no segments now")
 	}
 	if err := l.load(); err != nil {
+		if l.file != nil {
+			_ = l.file.Close()
+		}
 		return nil, err
 	}
 	return l, nil
