kcwrouter: cut streams 400 ms before the end of a stop, and pass on nothing while closing

Cause: 1.1 s of the grace period were kept free: 400 ms for closing the servers, 500 ms for the report that returns tokens, which came only after that, and 200 ms for the end of the process.

If requests are in flight half a second before the cut, tokens are returned then, while they go on; what the last requests reserved follows in a short report after the cut. Requests end at once when they are told to, so that 100 ms are enough for closing and 100 ms for that report; 200 ms stay for the end of the process. Streams are cut 400 ms before the end of the grace period, 7.6 s after SIGTERM with the settings of deploy/.

A router that is idle before that closes early. A request that came while its servers closed was passed on and had only the time of closing: from now on such requests are refused, those that were passed on before keep the time until the cut, and connections that are still open are closed before the last report. This window has no test of its own.

--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -48,17 +48,23 @@
 	// reloadInterval is the time between two reads of the settings file, which may
 	// change without a signal.
 	reloadInterval = 2 * time.Second
-	// finalReportTimeout bounds the report that returns tokens at a stop.
-	finalReportTimeout = 500 * time.Millisecond
+	// returnTimeout bounds a report that returns tokens at a stop. If requests are in
+	// flight, the first such report begins that long before they are cut.
+	returnTimeout = 500 * time.Millisecond
 	// drainPollInterval is the time between two checks of whether a draining router is
 	// idle.
 	drainPollInterval = 50 * time.Millisecond
+	// closePollInterval is that time once the requests in flight have been cut.
+	closePollInterval = 5 * time.Millisecond
 	// closeTimeout bounds how long the servers wait for the last answers when they
 	// close.
-	closeTimeout = 400 * time.Millisecond
-	// stopMargin is the part of the grace period that is kept free of requests, to
-	// close the servers and return tokens.
-	stopMargin = closeTimeout + finalReportTimeout + 200*time.Millisecond
+	closeTimeout = 100 * time.Millisecond
+	// finalReportTimeout is the time for requests that were cut to end and for the report
+	// that returns their tokens, and exitMargin the time for the process to end.
+	finalReportTimeout = 100 * time.Millisecond
+	exitMargin         = 200 * time.Millisecond
+	// stopMargin is the part of the grace period that is kept free of requests.
+	stopMargin = closeTimeout + finalReportTimeout + exitMargin
 	// linkAveragingTime is the time over which the load of the link is averaged. A link
 	// that is nearly full carries some dozens of requests in it.
 	linkAveragingTime = time.Second
@@ -116,7 +122,10 @@
 	public      *kcwserve.Server
 	peerServer  *kcwserve.Server
 	admin       *kcwadmin.Server
+	// stop is nil until the router is told to stop. GraceEndsAt is when the process must have
+	// ended then; drain sets it, and Run reads it once the servers have closed.
 	stop        atomic.Pointer[kcwstop.Stop]
+	graceEndsAt time.Time
 	ctx         context.Context
 	cancel      context.CancelFunc
 }
--- a/kcw-fleet/kcwrouter/run.go
+++ b/kcw-fleet/kcwrouter/run.go
@@ -32,12 +32,15 @@
 		kratos.StopTimeout(closeTimeout), kratos.BeforeStop(r.drain),
 	)
 	err := app.Run()
-	if r.stop.Load() != nil && errors.Is(err, context.DeadlineExceeded) {
-		// The grace period of a planned stop ended with requests in flight.
-		klog.InfoS("Stop aborted requests in flight", "InFlight", r.forwarder.InFlight())
-		err = nil
+	returnBy := time.Now().Add(returnTimeout)
+	if r.stop.Load() != nil {
+		returnBy = r.graceEndsAt.Add(-exitMargin)
+		if errors.Is(err, context.DeadlineExceeded) {
+			// Requests or new connections were left when the servers had to be closed.
+			err = r.closeConnections()
+		}
 	}
-	r.returnTokens()
+	r.returnTokens(returnBy)
 	r.cancel()
 	r.client.Close()
 	r.lending.Close()
@@ -48,22 +51,49 @@
 
 // drain makes the router unready and keeps serving, because the balancer may send
 // callers to the last routers of a zone even if they are not ready. It returns when
-// no request is in flight, or when the grace period less stopMargin is over.
+// no request is in flight, or when the grace period less stopMargin is over. In the second
+// case it returns tokens before that, and ends the requests that are left.
 func (r *Router) drain(context.Context) error {
 	s := r.cfg.Settings.Stop
 	now := time.Now()
-	stop := &kcwstop.Stop{EndsAt: now.Add(s.Grace - stopMargin)}
-	r.stop.Store(stop)
+	r.graceEndsAt = now.Add(s.Grace)
+	cutAt := r.graceEndsAt.Add(-stopMargin)
+	r.stop.Store(&kcwstop.Stop{EndsAt: cutAt})
 	klog.InfoS("Router drains", "Grace", s.Grace.String(), "InFlight", r.forwarder.InFlight())
 	time.Sleep(s.Notice)
-	for r.forwarder.InFlight() > 0 && time.Now().Before(stop.EndsAt) {
-		time.Sleep(drainPollInterval)
+	r.awaitIdle(cutAt.Add(-returnTimeout), drainPollInterval)
+	if r.forwarder.InFlight() > 0 {
+		r.returnTokens(cutAt)
+		r.awaitIdle(cutAt, drainPollInterval)
 	}
-	r.forwarder.End()
 	klog.InfoS("Router closes", "InFlight", r.forwarder.InFlight(), "Elapsed", time.Since(now).String())
+	// From here on, no request is passed on, since it would be cut.
+	r.stop.Store(&kcwstop.Stop{EndsAt: time.Now()})
+	r.endRequests(cutAt)
 	return nil
 }
 
+// endRequests ends the requests that are in flight at cutAt. It returns at once if there is
+// none or cutAt has not come.
+func (r *Router) endRequests(cutAt time.Time) {
+	if n := r.forwarder.InFlight(); n > 0 && !time.Now().Before(cutAt) {
+		klog.InfoS("Stop aborted requests in flight", "InFlight", n)
+		r.forwarder.End()
+	}
+}
+
+// closeConnections closes the connections that are left after the servers have closed, once
+// no request is in flight on them or the time of such requests is over.
+func (r *Router) closeConnections() error {
+	cutAt := r.graceEndsAt.Add(-stopMargin)
+	r.awaitIdle(cutAt, drainPollInterval)
+	r.endRequests(cutAt)
+	r.awaitIdle(cutAt.Add(closeTimeout), closePollInterval)
+	err := r.public.Close()
+	r.awaitIdle(cutAt.Add(closeTimeout+finalReportTimeout/2), closePollInterval)
+	return err
+}
+
 // stopping returns the planned stop that is in progress, if any.
 func (r *Router) stopping() (kcwstop.Stop, bool) {
 	if stop := r.stop.Load(); stop != nil {
@@ -72,13 +102,23 @@
 	return kcwstop.Stop{}, false
 }
 
-// returnTokens returns the tokens that are left to the core.
-func (r *Router) returnTokens() {
+// awaitIdle returns when no request is in flight, or at deadline.
+func (r *Router) awaitIdle(deadline time.Time, pollInterval time.Duration) {
+	for r.forwarder.InFlight() > 0 && time.Now().Before(deadline) {
+		time.Sleep(min(pollInterval, time.Until(deadline)))
+	}
+}
+
+// returnTokens returns the tokens that are free to the core. It gives up at deadline, or
+// after returnTimeout.
+func (r *Router) returnTokens(deadline time.Time) {
 	r.balance.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), finalReportTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	ctx, cancelReturn := context.WithTimeout(ctx, returnTimeout)
+	defer cancelReturn()
 	if !r.reporter.requestReport(ctx) {
-		klog.InfoS("Tokens not returned", "Cause", "the core did not answer")
+		klog.InfoS("Tokens not returned", "Cause", "the core did not answer", "InFlight", r.forwarder.InFlight())
 	}
 }
 
