kcwforward: refuse a request whose body is not complete at the end of a stop

Callers that were still sending a body when their router's planned stop ended saw the connection close without an answer.

Cause: a body whose reading began before the stop is read until the request's deadline, which may be after the end of the stop. Forwarder.End now ends the reading too, and the request is refused with 503 and Retry-After; nothing was sent.

--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -222,6 +222,9 @@
 	if err := control.SetReadDeadline(readDeadline); err != nil {
 		return &refusal{status: http.StatusServiceUnavailable, outcome: "CallerGone", cause: "the connection is closed: " + err.Error()}
 	}
+	// SetReadDeadline fails only on a connection that is closed already.
+	stopEnding := context.AfterFunc(c.f.ending, func() { _ = control.SetReadDeadline(c.f.cfg.Now()) })
+	defer stopEnding()
 	body, acquired, err := c.f.cfg.Memory.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit)
 	c.memoryHeld += acquired
 	if err == nil {
@@ -236,7 +239,7 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, outcome: "TooLarge", cause: "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"}
 	case memory != nil:
 		return &refusal{status: http.StatusServiceUnavailable, outcome: "MemoryFull", cause: "the requests under way hold all memory that they may", retryAfter: retryAfterBusy}
-	case errors.Is(err, os.ErrDeadlineExceeded) && readDeadline.Before(c.deadline):
+	case errors.Is(err, os.ErrDeadlineExceeded) && (readDeadline.Before(c.deadline) || c.f.ending.Err() != nil):
 		return stoppingRefusal("the body did not come before the router stops")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &refusal{status: http.StatusRequestTimeout, outcome: "BodySlow", cause: "the body did not come within the time of the request"}
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -274,9 +274,10 @@
 	return f, nil
 }
 
-// End ends the attempts of the requests in flight, as if their upstreams had broken off. It is
-// called at the end of a planned stop, so that callers get an answer if none has begun, and so
-// that unused tokens become free before the process ends.
+// End ends the requests in flight: those whose body is being read are refused, and attempts end
+// as if their upstreams had broken off. It is called at the end of a planned stop, so that
+// callers get an answer if none has begun, and so that unused tokens become free before the
+// process ends.
 func (f *Forwarder) End() { f.end() }
 
 // InFlight returns the number of requests in flight.
--- a/kcw/kcwforward/stop_test.go
+++ b/kcw/kcwforward/stop_test.go
@@ -205,6 +205,28 @@
 	}
 }
 
+// TestEndAnswersRequestWithSlowBody guards against a request that is cut without an answer
+// because its body, which was read already when the stop began, is still not complete.
+func TestEndAnswersRequestWithSlowBody(t *testing.T) {
+	f := newFixture(t, 1, once, good)
+	body, rest := io.Pipe()
+	defer func() { _ = rest.Close() }()
+	go func() {
+		_, _ = io.WriteString(rest, "first ")
+		for f.forwarder.InFlight() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.beginStop(0)
+		f.forwarder.End()
+	}()
+	response := f.open(t, http.MethodPost, body)
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+		t.Errorf("status %d, connection closed: %v", response.StatusCode, response.Close)
+	}
+	f.checkStopped(t, "body", response, 0)
+}
+
 // TestEndAnswersWaitingRequests guards against requests that are cut without an answer, and
 // keep their tokens, because the router ends while their upstream is silent.
 func TestEndAnswersWaitingRequests(t *testing.T) {
