kcwrouter: the routers of tests get ports that nothing else is given

TestNotAllowedIsLogged failed once in a run of the package (2026-12-05, load average about 20):

reporter_test.go:164: kcwserve: new: listen: listen tcp 127.0.0.1:40643: bind: address already in use

Cause: the test asks the kernel for a free port, closes it, and listens at it a few milliseconds later. By then the kernel may have given it to any connection or listener on 127.0.0.1.

Each router now has a port below those that the kernel gives out, on a loopback address derived from the process ID. What the tests assert is unchanged.

--- a/kcw-fleet/kcwrouter/reporter_test.go
+++ b/kcw-fleet/kcwrouter/reporter_test.go
@@ -5,7 +5,7 @@
 	"compress/gzip"
 	"context"
 	"errors"
-	"net"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"connectrpc.com/connect"
@@ -63,15 +64,18 @@
 	return c, netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 }
 
-// freeAddress returns an address at which nothing listens.
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+// firstLendPort is the port at which the first router of these tests serves other routers. It
+// and the next ones are none of those that the kernel gives to connections. A router that is
+// not run keeps its ports.
+const firstLendPort = 7104
+
+// testRouters is the number of routers that were created.
+var testRouters atomic.Uint32
+
+// ownHost returns a loopback address that no other test process uses.
+func ownHost() string {
+	const firstNet, nets = 192, 60
+	return fmt.Sprintf("127.%d.%d.1", firstNet+os.Getpid()/256%nets, os.Getpid()%256)
 }
 
 // unusedDialect is the dialect of a router that gets no requests.
@@ -80,10 +84,10 @@
 // newTestRouter returns a router that is not run, with the given seeds.
 func newTestRouter(t *testing.T, decode func([]byte) (*kcwroute.Document, error), seeds ...netip.AddrPort) *Router {
 	t.Helper()
-	lend := freeAddress(t)
+	lendPort := uint16(firstLendPort + testRouters.Add(1) - 1)
 	path := filepath.Join(t.TempDir(), "router.ini")
-	text := "[Host]\nName = r\nZone = z\nAddress = 127.0.0.1:0\nAdminAddress = 127.0.0.1:0\n" +
-		"[Core]\nSeeds = 127.0.0.1:1\nPort = " + lend.String()[strings.LastIndex(lend.String(), ":")+1:] + "\n[List]\nAddress = 127.0.0.1:1\n"
+	text := fmt.Sprintf("[Host]\nName = r\nZone = z\nAddress = %[1]s:0\nAdminAddress = %[1]s:0\n"+
+		"[Core]\nSeeds = 127.0.0.1:1\nPort = %[2]d\n[List]\nAddress = 127.0.0.1:1\n", ownHost(), lendPort)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -91,7 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Host.LendPort = lend.Port()
+	s.Host.LendPort = lendPort
 	r, err := New(Config{Settings: s, SettingsPath: path, Decode: decode, Dialect: unusedDialect{}, Dropped: func() int64 { return 0 }})
 	if err != nil {
 		t.Fatal(err)
