kcwforward: report a reason against a hedge once

The log repeated for one request, with each check for silence, why it was not hedged: only the last reason was kept, and it alternated between "no retries are left" and "no other upstream may be given work" while requests competed for the last retries. A hedge whose request was answered or abandoned while it chose an upstream was reported as not begun for want of an upstream.

--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -39,8 +39,8 @@
 	// writer is the attempt that is passing on events or has a whole answer, nil if there is
 	// none.
 	writer *attempt
-	// notHedged is the reason reported last why no hedge could begin.
-	notHedged string
+	// notHedged holds the reasons reported why no hedge could begin.
+	notHedged []string
 }
 
 // maxOpen bounds the open attempts of one request.
@@ -178,6 +178,14 @@
 func (a *attempt) hedge() {
 	isAtLimit := a.choose()
 	switch {
+	case a.ctx.Err() != nil:
+		if a.ticket != nil {
+			a.ticket.Done(kcwroster.Neutral)
+		}
+		a.retryBudget.Refund()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.remove()
 	case a.ticket == nil:
 		cause := "no other upstream may be given work"
 		if isAtLimit {
@@ -188,12 +196,6 @@
 		defer a.mu.Unlock()
 		a.reportNotHedged(a.silent, cause)
 		a.remove()
-	case a.ctx.Err() != nil:
-		a.ticket.Done(kcwroster.Neutral)
-		a.retryBudget.Refund()
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.remove()
 	default:
 		a.mu.Lock()
 		a.reportHedge(HedgeBegun, "")
@@ -210,12 +212,13 @@
 // reportNotHedged reports why no hedge could begin beside the attempt at the upstream silent,
 // once for each reason. The caller must hold mu.
 func (c *call) reportNotHedged(silent, cause string) {
-	if cause != c.notHedged {
-		c.notHedged = cause
-		c.f.cfg.OnHedge(Hedge{
-			RequestID: c.request.RequestID, Service: c.service.Name, Silent: silent, State: HedgeNotBegun, Cause: cause, Events: c.stream.events,
-		})
+	if slices.Contains(c.notHedged, cause) {
+		return
 	}
+	c.notHedged = append(c.notHedged, cause)
+	c.f.cfg.OnHedge(Hedge{
+		RequestID: c.request.RequestID, Service: c.service.Name, Silent: silent, State: HedgeNotBegun, Cause: cause, Events: c.stream.events,
+	})
 }
 
 // reportHedge calls Config.OnHedge for the hedge a, whose upstream was chosen. The caller must
--- a/kcw/kcwforward/hedge_test.go
+++ b/kcw/kcwforward/hedge_test.go
@@ -20,6 +20,7 @@
 	"github.com/leanovate/gopter/prop"
 	"golang.org/x/sys/unix"
 
+	"kingcupwick.example/kcw/kcwforward"
 	"kingcupwick.example/kcw/kcwroute"
 )
 
@@ -474,3 +475,23 @@
 		t.Errorf("the slow caller got %d bytes, with error %v, that differ from those sent", len(body), err)
 	}
 }
+
+// Many requests whose upstreams pause compete for the last retries.
+func TestReasonAgainstHedgeIsReportedOnce(t *testing.T) {
+	p := pause{upstreams: 2, route: repeatable, waiting: 60}
+	_, f := p.run(t)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reports := map[string]int{}
+	for _, h := range f.hedges {
+		if h.State != kcwforward.HedgeNotBegun {
+			continue
+		}
+		if reports[h.RequestID+": "+h.Cause]++; reports[h.RequestID+": "+h.Cause] == 2 {
+			t.Errorf("%s: %s is reported again", h.RequestID, h.Cause)
+		}
+	}
+	if len(reports) == 0 {
+		t.Error("no reason was reported")
+	}
+}
