kcwgateway: an answer isn't gone because the router that keeps it pauses

A caller that came back through another router got 409 "answer_gone", which says that no retry can succeed, although its request had run and been billed and its answer was kept: the router that kept it sent nothing for two seconds, or closed the connection.

The router that doesn't respond and the one that refuses are now told apart. The first leads to 503 "answer_unreachable" with the outcome ran and a time to return, after which the caller gets the answer; the second to "answer_gone" as before. A stream of an answer that another router ends early no longer yields an error without a cause.

go test -race -run TestAnswerOfSilentRouterIsNotGone ./kcwgateway, before (with answer_gone as the code expected): "the caller isn't told to come back" in both cases. After: passes, with all tests of kcwgateway. A router that never comes back leaves such callers with 503 for as long as the ledger names it as the owner.

--- a/kcw/kcwgateway/answers.go
+++ b/kcw/kcwgateway/answers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -147,7 +148,7 @@
 	call.Header().Set("Authorization", "Bearer "+g.peers.key)
 	stream, err := g.peers.clientFor(address).Fetch(ctx, call)
 	if err != nil {
-		return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.Wrap(err, "call")}
+		return nil, peerError(err, "call")
 	}
 	defer func() { _ = stream.Close() }()
 	answer, err := g.assemble(stream, silenceTimer)
@@ -182,5 +183,17 @@
 			return answer, nil
 		}
 	}
-	return nil, &Error{Op: "fetch", Kind: KindPeer, Err: eris.Wrap(stream.Err(), "the answer is incomplete")}
+	return nil, peerError(stream.Err(), "the answer is incomplete")
+}
+
+// peerError returns the error of a call to another router that failed with err, nil if the other
+// router ended it.
+func peerError(err error, text string) *Error {
+	kind := KindPeer
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	} else if !connect.IsWireError(err) {
+		kind = KindPeerSilent
+	}
+	return &Error{Op: "fetch", Kind: kind, Err: eris.Wrap(err, text)}
 }
--- a/kcw/kcwgateway/error.go
+++ b/kcw/kcwgateway/error.go
@@ -9,6 +9,9 @@
 	KindConfig Kind = iota + 1
 	// KindPeer is another router's failure to return an answer.
 	KindPeer
+	// KindPeerSilent means that another router did not answer, or not to the end. It may
+	// later.
+	KindPeerSilent
 )
 
 // Error is the error type of this package.
--- a/kcw/kcwgateway/pause_test.go
+++ b/kcw/kcwgateway/pause_test.go
@@ -8,9 +8,12 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"kingcupwick.example/kcw/kcwkeyring"
+	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwupstream"
 )
 
@@ -80,3 +83,60 @@
 		})
 	}
 }
+
+// TestAnswerOfSilentRouterIsNotGone checks that a caller whose answer is kept by a router that
+// pauses, or can't be reached, may come back and then gets it.
+func TestAnswerOfSilentRouterIsNotGone(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// fail makes the other router fail a call.
+		fail func(w http.ResponseWriter, r *http.Request)
+	}{
+		{"silent", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }},
+		{"closes the connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			l := newLedger(t, "r1", "r2")
+			upstreams := map[string][]http.Handler{"engine": {&engine{words: []string{"ab", "cd"}}}}
+			const processKey = "key-of-the-processes"
+			ring, err := kcwkeyring.New(kcwkeyring.Config{Keys: map[string]string{"processes": processKey}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			f1 := startGateway(t, l, "r1", upstreams, func(c *Config) { c.Peers = ring })
+			f2 := startGateway(t, l, "r2", upstreams, func(c *Config) { c.PeerKey = processKey })
+			mux := http.NewServeMux()
+			mux.Handle(f1.gateway.Answers())
+			var isFailing atomic.Bool
+			isFailing.Store(true)
+			internal := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if isFailing.Load() {
+					_, _ = io.Copy(io.Discard, r.Body)
+					test.fail(w, r)
+					return
+				}
+				mux.ServeHTTP(w, r)
+			}))
+			t.Cleanup(internal.Close)
+			l.setHooks(func(claim *kcwpb.OpenClaim) (*kcwpb.Result, error) {
+				result := l.apply(&kcwpb.Command{Op: &kcwpb.Command_OpenClaim{OpenClaim: claim}})
+				if result.GetCode() != kcwpb.Code_CODE_OK {
+					result.OwnerAddress = internal.Listener.Addr().String()
+				}
+				return result, nil
+			}, nil)
+			first := f1.do(call{body: chatBody, identity: "i"})
+			refused := f2.do(call{body: chatBody, identity: "i"})
+			checkRefusal(t, refused, codeAnswerUnreachable, ran)
+			if refused.header.Get("Retry-After") == "" {
+				t.Error("the caller isn't told to come back")
+			}
+			isFailing.Store(false)
+			if second := f2.do(call{body: chatBody, identity: "i"}); second.err != nil || second.status != http.StatusOK || second.body != first.body {
+				t.Errorf("first %+v, second %+v", first, second)
+			}
+			l.checkBudget(t, "pew", 5, 0)
+		})
+	}
+}
--- a/kcw/kcwgateway/refusal.go
+++ b/kcw/kcwgateway/refusal.go
@@ -56,6 +56,7 @@
 	codeIdentityReused       code = "identity_reused"
 	codeOutcomeUnknown       code = "outcome_unknown"
 	codeAnswerGone           code = "answer_gone"
+	codeAnswerUnreachable    code = "answer_unreachable"
 	codeUpstreamFailed       code = "upstream_failed"
 	codeUpstreamSilent       code = "upstream_silent"
 	codeAnswerTooLarge       code = "answer_too_large"
@@ -111,6 +112,7 @@
 	{codeIdentityReused, http.StatusUnprocessableEntity, typeInvalidRequest, notRun, "The Idempotency-Key belongs to another request.", 0},
 	{codeOutcomeUnknown, http.StatusConflict, typeServer, unknown, "Whether the request ran is not known; it is not repeated.", 0},
 	{codeAnswerGone, http.StatusConflict, typeServer, ran, "The request ran and its answer is no longer kept.", 0},
+	{codeAnswerUnreachable, http.StatusServiceUnavailable, typeServer, ran, "The request ran; the router that keeps its answer does not respond.", longWait},
 	{codeUpstreamFailed, http.StatusBadGateway, typeServer, unknown, "The upstream gave no whole answer.", longWait},
 	{codeUpstreamSilent, http.StatusGatewayTimeout, typeServer, unknown, "The upstream made no progress.", longWait},
 	{codeAnswerTooLarge, http.StatusBadGateway, typeServer, ran, "The answer is too large.", 0},
--- a/kcw/kcwgateway/run.go
+++ b/kcw/kcwgateway/run.go
@@ -168,7 +168,12 @@
 		if err == nil {
 			return requestResult{peerAnswer: answer}
 		}
-		return requestResult{refusal: openRefusal(reply, g.cfg.Now()), result: attemptResult{err: err}}
+		refused := openRefusal(reply, g.cfg.Now())
+		var failure *Error
+		if refused.code == codeAnswerGone && errors.As(err, &failure) && failure.Kind == KindPeerSilent {
+			refused = refuse(codeAnswerUnreachable, g.cfg.Now(), "")
+		}
+		return requestResult{refusal: refused, result: attemptResult{err: err}}
 	}
 	return requestResult{refusal: openRefusal(reply, g.cfg.Now())}
 }
