--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -12,9 +12,9 @@
 )
 
 // attempts is the state that the attempts of one request share. One is open at a time, or two
-// while the upstream of the first of them is silent: the second one is a hedge, as in Dean and Barroso,
-// The Tail at Scale, Communications of the ACM 56(2), 2013. The attempt that answers first
-// replaces the other one.
+// while the upstream of the first of them is silent: the second one is a hedge, as in Dean and
+// Barroso, The Tail at Scale, Communications of the ACM 56(2), 2013. The attempt that answers
+// first replaces the other one.
 type attempts struct {
 	retryBudget *kcwretry.Budget
 
@@ -76,7 +76,8 @@
 }
 
 // compete makes the attempt, and hedges while the upstream of the open attempt is silent. It
-// returns when all of them have ended, with the one that ended last without having been replaced, and how.
+// returns when all of them have ended, with the one that ended last without having been
+// replaced, and how.
 func (c *call) compete(first *attempt) (*attempt, result) {
 	first.watchSilence()
 	first.end(first.do())
--- a/kcw/kcwgateway/pause_test.go
+++ b/kcw/kcwgateway/pause_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"kingcupwick.example/kcw/kcwkeyring"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwupstream"
@@ -140,3 +142,19 @@
 		})
 	}
 }
+
+// Another router ends its answer before the last part.
+func TestPeerErrorHasCause(t *testing.T) {
+	for _, test := range []struct {
+		err  error
+		kind Kind
+	}{
+		{nil, KindPeer},
+		{io.ErrUnexpectedEOF, KindPeerSilent},
+		{connect.NewWireError(connect.CodeNotFound, io.EOF), KindPeer},
+	} {
+		if err := peerError(test.err, "call"); err.Kind != test.kind || err.Err == nil {
+			t.Errorf("%v: got kind %d and cause %v, want kind %d", test.err, err.Kind, err.Err, test.kind)
+		}
+	}
+}
