--- a/kcw/kcwconn/pause_test.go
+++ b/kcw/kcwconn/pause_test.go
@@ -183,6 +183,40 @@
 	}
 }
 
+// A system that counts keep-alive probes closes no connection before AckTimeout.
+func TestKeepAliveLastsForAckTimeout(t *testing.T) {
+	for _, test := range []struct {
+		silence, ack time.Duration
+	}{{time.Second, 5 * time.Second}, {2 * time.Second, 5 * time.Second}, {time.Second, time.Second}} {
+		_, listener := newPausePool(t)
+		pool := kcwconn.New(kcwconn.Config{
+			Address: listener.Addr().(*net.TCPAddr).AddrPort(), DialTimeout: 5 * time.Second, SilenceTimeout: test.silence,
+			AckTimeout: test.ack, IdleTimeout: time.Minute, MaxIdle: 2, Now: time.Now,
+		})
+		c := take(t, pool, time.Time{})
+		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var idle, interval, count int
+		err = raw.Control(func(fd uintptr) {
+			for option, value := range map[int]*int{unix.TCP_KEEPIDLE: &idle, unix.TCP_KEEPINTVL: &interval, unix.TCP_KEEPCNT: &count} {
+				if *value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if lasts := time.Duration(idle+interval*count) * time.Second; lasts < test.ack {
+			t.Errorf("%v: a connection is closed %v after its last byte, want %v at least", test, lasts, test.ack)
+		}
+		_ = c.Close()
+		pool.Close()
+	}
+}
+
 // TestSoundConnectionIsNotSilent checks a connection that carries no byte for longer than the
 // silence timeout while its request is answered.
 func TestSoundConnectionIsNotSilent(t *testing.T) {
--- a/kcw/kcwconn/pool.go
+++ b/kcw/kcwconn/pool.go
@@ -197,14 +197,22 @@
 	p.dialer = net.Dialer{
 		Timeout: cfg.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: cfg.SilenceTimeout, Interval: cfg.SilenceTimeout, Count: unansweredProbes,
+			Enable: true, Idle: cfg.SilenceTimeout, Interval: cfg.SilenceTimeout, Count: maxProbes(cfg),
 		},
-		// It takes the place of the number of probes.
 		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, cfg.AckTimeout) },
 	}
 	return p
 }
 
+// maxProbes returns the number of keep-alive probes without an answer after which a connection
+// is closed. Linux lets the user timeout decide instead (tcp(7)).
+func maxProbes(cfg Config) int {
+	if cfg.SilenceTimeout <= 0 {
+		return unansweredProbes
+	}
+	return max(unansweredProbes, int(cfg.AckTimeout/cfg.SilenceTimeout))
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT, after which the kernel closes a connection whose
 // peer does not acknowledge sent bytes.
 func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
