--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -12,9 +12,9 @@
 )
 
 // attempts is the state that the attempts of one request share. One is open at a time, or two
-// while the upstream of the first of them is silent: the second one is a hedge, as in Dean and Barroso,
-// The Tail at Scale, Communications of the ACM 56(2), 2013. The attempt that answers first
-// replaces the other one.
+// while the upstream of the first of them is silent: the second one is a hedge, as in Dean and
+// Barroso, The Tail at Scale, Communications of the ACM 56(2), 2013. The attempt that answers
+// first replaces the other one.
 type attempts struct {
 	retryBudget *kcwretry.Budget
 
@@ -39,8 +39,8 @@
 	// writer is the attempt that is passing on events or has a whole answer, nil if there is
 	// none.
 	writer *attempt
-	// notHedged is the reason reported last why no hedge could begin.
-	notHedged string
+	// notHedged holds the reasons reported why no hedge could begin.
+	notHedged []string
 }
 
 // maxOpen bounds the open attempts of one request.
@@ -76,8 +76,8 @@
 }
 
 // compete makes the attempt, and hedges while the upstream of the open attempt is silent. It
-// returns when all of them have ended, with the one that ended last without having been replaced,
-// and how.
+// returns when all of them have ended, with the one that ended last without having been
+// replaced, and how.
 func (c *call) compete(first *attempt) (*attempt, result) {
 	first.watchSilence()
 	first.end(first.do())
@@ -181,12 +181,12 @@
 func (a *attempt) hedge() {
 	isAtLimit := a.choose()
 	switch {
+	case a.ctx.Err() != nil:
+		a.abandonHedge("")
 	case a.ticket == nil && isAtLimit:
 		a.abandonHedge("all other upstreams are at their rate limits")
 	case a.ticket == nil:
 		a.abandonHedge("no other upstream may be given work")
-	case a.ctx.Err() != nil:
-		a.abandonHedge("")
 	case !a.endsBeforeStop():
 		a.abandonHedge(stoppingCause)
 	default:
@@ -220,12 +220,13 @@
 // reportNotHedged reports why no hedge could begin beside the attempt at the upstream silent,
 // once for each reason. The caller must hold mu.
 func (c *call) reportNotHedged(silent, cause string) {
-	if cause != c.notHedged {
-		c.notHedged = cause
-		c.f.cfg.OnHedge(Hedge{
-			RequestID: c.request.RequestID, Service: c.service.Name, Silent: silent, State: HedgeNotBegun, Cause: cause, Events: c.stream.events,
-		})
+	if slices.Contains(c.notHedged, cause) {
+		return
 	}
+	c.notHedged = append(c.notHedged, cause)
+	c.f.cfg.OnHedge(Hedge{
+		RequestID: c.request.RequestID, Service: c.service.Name, Silent: silent, State: HedgeNotBegun, Cause: cause, Events: c.stream.events,
+	})
 }
 
 // reportHedge calls Config.OnHedge for the hedge a, whose upstream was chosen. The caller must
