kcwsetup: AckTimeout is 3 s

Where TCP_INFO tells nothing of a dead peer, as on the users' bench, a repeatable request on a silent connection is sent elsewhere only when the connection is closed, if the upstream answers others. Three seconds outlast a pause of a second or so as well as five.

--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -133,7 +133,7 @@
 	SilenceTimeout time.Duration `default:"1s" setting:"min=10ms,max=10m"`
 	// AckTimeout is how long sent bytes may stay unacknowledged, or an upstream may accept
 	// none, before the connection is closed.
-	AckTimeout time.Duration `default:"5s" setting:"min=10ms,max=10m"`
+	AckTimeout time.Duration `default:"3s" setting:"min=10ms,max=10m"`
 	// Patience is the time between two checks of whether an upstream with waiting
 	// requests is silent.
 	Patience time.Duration `default:"500ms" setting:"min=10ms,max=10m"`
