kcw-proof: one fleet for both pauses of upstreams

In a run of the whole package (load average 25) TestPlannedStopCutsNoStream ended once with three streams refused as ledger_unavailable, which had got no upstream; it passed twice alone. The checks are the same: both pauses, the same requests, one audit.

TestPauseOfUpstreamBreaksNoAnswer passed twice in this form.

--- a/kcw-proof/upstream_test.go
+++ b/kcw-proof/upstream_test.go
@@ -160,37 +160,35 @@
 
 func TestPauseOfUpstreamBreaksNoAnswer(t *testing.T) {
 	t.Parallel()
+	f := newFleetWith(t, true, "10m")
+	c := &caller{fleet: f}
 	for _, test := range []struct{ name, faults string }{
 		{"before the first byte", `{"Pause":"1s"}`},
 		{"in the middle", `{"Pause":"1s","PauseAfter":20}`},
 	} {
-		t.Run(test.name, func(t *testing.T) {
-			t.Parallel()
-			f := newFleetWith(t, true, "10m")
-			c := &caller{fleet: f}
-			for _, standin := range f.standins() {
-				setFaults(t, standin, test.faults)
-			}
-			const streams, requests = 8, 6
-			var work sync.WaitGroup
-			send := func(i int, request string, spec requestSpec) {
-				work.Go(func() {
-					if call := c.send(t, i%routers, request, spec, nil); call.Outcome != kcwaudit.Whole {
-						t.Errorf("%s ended %s", request, call.Outcome)
-					}
-				})
-			}
-			for i := range streams {
-				send(i, fmt.Sprintf("stream-%d", i), stream(60))
-			}
-			for i := range requests {
-				send(i, fmt.Sprintf("ask-%d", i), completion(3+i))
-				send(i, fmt.Sprintf("receipt-%d", i), receipt("Mets"))
-			}
-			work.Wait()
-			f.audit(t, c.calls, 0)
-		})
+		for _, standin := range f.standins() {
+			setFaults(t, standin, test.faults)
+		}
+		const streams, requests = 8, 6
+		var work sync.WaitGroup
+		send := func(i int, kind string, spec requestSpec) {
+			request := fmt.Sprintf("%s-%d-%s", kind, i, strings.ReplaceAll(test.name, " ", "-"))
+			work.Go(func() {
+				if call := c.send(t, i%routers, request, spec, nil); call.Outcome != kcwaudit.Whole {
+					t.Errorf("%s ended %s", request, call.Outcome)
+				}
+			})
+		}
+		for i := range streams {
+			send(i, "stream", stream(60))
+		}
+		for i := range requests {
+			send(i, "ask", completion(3+i))
+			send(i, "receipt", receipt("Mets"))
+		}
+		work.Wait()
 	}
+	f.audit(t, c.calls, 0)
 }
 
 func TestSilentUpstreamNotRepeated(t *testing.T) {
