kcwgateway: a status that promises "not run" is stated for no other request

They take 503 for "not run" and send the request again, also one that must not be repeated.

The statuses are now 504 and 502, which promise nothing; outcome and Retry-After are unchanged. TestStatusesThatPromiseNotRunAreTrue checks all refusals. Before: "answer_unreachable: status 503 for a request with outcome ran", "bill_not_durable: status 503 for a request with outcome unknown".

--- a/kcw/kcwgateway/refusal.go
+++ b/kcw/kcwgateway/refusal.go
@@ -112,12 +112,12 @@
 	{codeIdentityReused, http.StatusUnprocessableEntity, typeInvalidRequest, notRun, "The Idempotency-Key belongs to another request.", 0},
 	{codeOutcomeUnknown, http.StatusConflict, typeServer, unknown, "Whether the request ran is not known; it is not repeated.", 0},
 	{codeAnswerGone, http.StatusConflict, typeServer, ran, "The request ran and its answer is no longer kept.", 0},
-	{codeAnswerUnreachable, http.StatusServiceUnavailable, typeServer, ran, "The request ran; the router that keeps its answer does not respond.", longWait},
+	{codeAnswerUnreachable, http.StatusGatewayTimeout, typeServer, ran, "The request ran; the router that keeps its answer does not respond.", longWait},
 	{codeUpstreamFailed, http.StatusBadGateway, typeServer, unknown, "The upstream gave no whole answer.", longWait},
 	{codeUpstreamSilent, http.StatusGatewayTimeout, typeServer, unknown, "The upstream made no progress.", longWait},
 	{codeAnswerTooLarge, http.StatusBadGateway, typeServer, ran, "The answer is too large.", 0},
 	{codeBoundPassed, http.StatusBadGateway, typeServer, ran, "The upstream passed the bound on tokens.", 0},
-	{codeNotDurable, http.StatusServiceUnavailable, typeServer, unknown, "The bill could not be made durable.", longWait},
+	{codeNotDurable, http.StatusBadGateway, typeServer, unknown, "The bill could not be made durable.", longWait},
 	{codeCallerGone, 499, typeServer, unknown, "The caller went away.", longWait},
 }
 
--- a/kcw/kcwgateway/refusal_test.go
+++ b/kcw/kcwgateway/refusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -161,3 +162,14 @@
 		eventually(t, "a quarter of the capacity", hasSlots(16))
 	}
 }
+
+// TestStatusesThatPromiseNotRunAreTrue checks that a status by which callers know that a request
+// has not run is stated for no other request.
+func TestStatusesThatPromiseNotRunAreTrue(t *testing.T) {
+	promises := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+	for _, spec := range refusalSpecs {
+		if slices.Contains(promises, spec.status) && spec.outcome != notRun {
+			t.Errorf("%s: status %d for a request with outcome %v", spec.code, spec.status, spec.outcome)
+		}
+	}
+}
