kcwforward: each part of an answer shows that its upstream is not silent

No caller was seen with this. An upstream that sends a long answer counts as silent for a request that waits there for its first byte: both are hedged, which spends retries, and the upstream gets no new work.

Cause: the roster was told of the head of an answer and of whole events, but not of the body of an answer that is read whole, nor of a part of an event, although the silence is defined by data on any connection.

Each read of a body now reports the data.

go test -run TestPartOfAnswerEndsSilence ./kcwforward, before (30 s): body: the upstream counts as silent while it sends event: the upstream counts as silent while it sends After: passes three times with the race detector, as do all tests of kcwforward and kcwroster (once).

--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -76,10 +76,25 @@
 	return delivered, kcwroster.Succeeded
 }
 
+// receivedBody is the body of an answer that reports the data that arrives to the roster.
+type receivedBody struct {
+	body   io.Reader
+	ticket *kcwroster.Attempt
+}
+
+// Read implements io.Reader.
+func (b receivedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if n > 0 {
+		b.ticket.DataReceived()
+	}
+	return n, err
+}
+
 // bufferAnswer reads a whole answer into memory.
 func (a *attempt) bufferAnswer(response *http.Response) (*bufferedAnswer, error) {
 	a.bodyStarted = true
-	body, acquired, err := a.f.cfg.Memory.ReadAll(response.Body, response.ContentLength, a.f.cfg.MaxAnswerBytes)
+	body, acquired, err := a.f.cfg.Memory.ReadAll(receivedBody{response.Body, a.ticket}, response.ContentLength, a.f.cfg.MaxAnswerBytes)
 	a.memoryHeld += acquired
 	if err == nil {
 		err = a.checkEnd(response)
@@ -147,6 +162,7 @@
 	}
 	a.memoryHeld += initialBufferBytes
 	buffer := make([]byte, 0, initialBufferBytes)
+	body := receivedBody{response.Body, a.ticket}
 	for {
 		if err := a.r.Context().Err(); err != nil && a.bodyStarted {
 			return a.endBrokenStream(err)
@@ -157,7 +173,7 @@
 				return a.endBrokenStream(err)
 			}
 		}
-		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		if err == io.EOF {
 			if endErr := a.checkEnd(response); endErr != nil {
 				err = endErr
@@ -171,9 +187,6 @@
 		}
 		if size := completeEventsSize(buffer); size > 0 {
 			a.begin()
-			if n > 0 {
-				a.ticket.DataReceived()
-			}
 			events, isReplaced, orderErr := a.takeEvents(buffer[:size])
 			if isReplaced {
 				return replaced, kcwroster.Replaced
--- a/kcw/kcwforward/hedge_test.go
+++ b/kcw/kcwforward/hedge_test.go
@@ -495,3 +495,41 @@
 		t.Error("no reason was reported")
 	}
 }
+
+// An upstream is silent until it sends a part of an answer, without the end of an event.
+func TestPartOfAnswerEndsSilence(t *testing.T) {
+	for _, test := range []struct{ name, header string }{{"body", ""}, {"event", eventStream}} {
+		var f *fixture
+		isSilent := func() bool { return f.roster.Upstreams()[0].State == "Silent" }
+		hasEnded := make(chan bool, 1)
+		waiting := make(chan struct{})
+		f = newSilenceFixture(t, 1, resumable, shortSilence, func(e *exchange) {
+			if e.Header.Get("Attempt") == "waiting" {
+				close(waiting)
+				return
+			}
+			const size = 1 << 20
+			fmt.Fprintf(e.conn, "HTTP/1.1 200 X\r\nAttempt: %s\r\n%sContent-Length: %d\r\n\r\nid: 1\ndata: ", e.Header.Get("Attempt"), test.header, size)
+			<-waiting
+			for !isSilent() {
+				time.Sleep(time.Millisecond)
+			}
+			end := time.Now().Add(longTime / 2)
+			for isSilent() && time.Now().Before(end) {
+				_, _ = io.WriteString(e.conn, "x")
+				time.Sleep(time.Millisecond)
+			}
+			hasEnded <- time.Now().Before(end)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var calls sync.WaitGroup
+		for _, id := range []string{"sending", "waiting"} {
+			calls.Go(func() { _, _, _ = f.tryCall(ctx, id, "") })
+		}
+		if !<-hasEnded {
+			t.Errorf("%s: the upstream counts as silent while it sends", test.name)
+		}
+		cancel()
+		calls.Wait()
+	}
+}
