kcwforward, kcwretry: a hedge that waits for a permit withholds no retry

No caller was seen with this. While hedges wait for permits of upstreams with rate limits (up to half a second for each, and again at the next check), a request whose upstream has cut it gets 502, "no retries are left", although none was sent. On many hosts a router has one or two retries in hand.

Cause: a hedge withdrew its retry before it chose an upstream, and kept it while it waited. The attempt beside it goes on without it; the other request has none.

A hedge now reserves a retry, so that no more hedges choose than there are retries, and withdraws it once it has an upstream and just before it begins. A reservation doesn't keep an ordinary retry from being withdrawn. A hedge that is abandoned with its upstream chosen no longer counts as sent there.

go test -run TestHedgeWaitingForPermitWithholdsNoRetry ./kcwforward, before: the request that was cut got 502, "no retries are left; upstream u1: no answer: unexpected EOF\n" and error <nil> After: passes; kcwforward, kcwroster, kcwretry and kcwgateway pass with the race detector (once).

--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -61,6 +61,7 @@
 	}
 	h.Set("Wait", strconv.FormatInt(a.Deadline.Sub(now).Milliseconds(), 10))
 	h.Set("Team", a.Team)
+	h.Set("Upstream", a.Upstream)
 	h.Set("Last", a.LastEventID)
 	return h
 }
@@ -437,6 +438,8 @@
 	claims  []kcwpermit.Claim
 	// onAcquire is called before a permit is acquired, unless it is nil.
 	onAcquire func()
+	// acquire is called instead of Acquire, unless it is nil.
+	acquire func(ctx context.Context, claim kcwpermit.Claim) string
 }
 
 func (l *limits) Observe(notice kcwroster.LimitNotice) {
@@ -460,7 +463,10 @@
 	return l.limited[upstream]
 }
 
-func (l *limits) Acquire(_ context.Context, claim kcwpermit.Claim) string {
+func (l *limits) Acquire(ctx context.Context, claim kcwpermit.Claim) string {
+	if l.acquire != nil {
+		return l.acquire(ctx, claim)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.claims = append(l.claims, claim)
--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -136,7 +136,7 @@
 	if isOver || len(a.open) == maxOpen || a.writer != nil || !a.isSilent(now) {
 		return
 	}
-	if cause := a.withdrawHedge(); cause != "" {
+	if cause := a.reserveHedge(); cause != "" {
 		a.reportNotHedged(a.ticket.ID(), cause)
 		return
 	}
@@ -160,9 +160,12 @@
 	return interval
 }
 
-// withdrawHedge withdraws a hedge from the retry budget. It returns the reason if the request
-// can't be sent once more. The caller must hold mu.
-func (c *call) withdrawHedge() string {
+// noRetriesCause is the cause of ends and of hedges not begun for want of a retry.
+const noRetriesCause = "no retries are left"
+
+// reserveHedge reserves a hedge in the retry budget. It returns the reason if the request can't
+// be sent once more. The caller must hold mu.
+func (c *call) reserveHedge() string {
 	switch {
 	case !c.mayRepeat(c.possibleRuns + 1), !c.maySend():
 		return "no other attempt is allowed"
@@ -170,26 +173,23 @@
 		return "the prompt has parts that crash upstreams"
 	case !c.endsBeforeStop():
 		return stoppingCause
-	case !c.retryBudget.TryWithdraw():
-		return "no retries are left"
+	case !c.retryBudget.TryReserve():
+		return noRetriesCause
 	}
 	return ""
 }
 
-// hedge chooses an upstream for a hedge and makes the attempt. The retry budget is refunded
-// if the request is not sent.
+// hedge chooses an upstream for a hedge and makes the attempt. The retry is withdrawn only then:
+// choosing can wait for a permit, while other requests need retries. The retry budget is
+// refunded if the request is not sent.
 func (a *attempt) hedge() {
 	isAtLimit := a.choose()
+	isNeeded := a.ticket != nil && a.ctx.Err() == nil && a.endsBeforeStop()
+	if !isNeeded {
+		a.retryBudget.Release()
+	}
 	switch {
-	case a.ctx.Err() != nil:
-		a.abandonHedge("")
-	case a.ticket == nil && isAtLimit:
-		a.abandonHedge("all other upstreams are at their rate limits")
-	case a.ticket == nil:
-		a.abandonHedge("no other upstream may be given work")
-	case !a.endsBeforeStop():
-		a.abandonHedge(stoppingCause)
-	default:
+	case isNeeded && a.retryBudget.WithdrawReserved():
 		a.mu.Lock()
 		a.reportHedge(HedgeBegun, "")
 		a.mu.Unlock()
@@ -199,18 +199,29 @@
 			a.retryBudget.Refund()
 		}
 		a.end(res)
+	case a.ctx.Err() != nil:
+		a.abandonHedge("")
+	case a.ticket == nil && isAtLimit:
+		a.abandonHedge("all other upstreams are at their rate limits")
+	case a.ticket == nil:
+		a.abandonHedge("no other upstream may be given work")
+	case isNeeded:
+		a.abandonHedge(noRetriesCause)
+	default:
+		a.abandonHedge(stoppingCause)
 	}
 }
 
 // abandonHedge ends a hedge that was not begun. Cause is the reason to report, empty if the
 // request no longer needs one.
 func (a *attempt) abandonHedge(cause string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.ticket != nil {
 		a.ticket.Done(kcwroster.Neutral)
+		a.sends--
+		a.tried = slices.DeleteFunc(a.tried, func(id string) bool { return id == a.ticket.ID() })
 	}
-	a.retryBudget.Refund()
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	if cause != "" {
 		a.reportNotHedged(a.silent, cause)
 	}
--- a/kcw/kcwforward/hedge_test.go
+++ b/kcw/kcwforward/hedge_test.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"kingcupwick.example/kcw/kcwforward"
+	"kingcupwick.example/kcw/kcwpermit"
 	"kingcupwick.example/kcw/kcwroute"
 )
 
@@ -533,3 +534,48 @@
 		calls.Wait()
 	}
 }
+
+// Hedges that wait for permits, as many as there are retries, leave one to a request that is cut.
+func TestHedgeWaitingForPermitWithholdsNoRetry(t *testing.T) {
+	const retries = 10
+	resumed := make(chan struct{})
+	f := newSilenceFixture(t, 2, repeatable, shortSilence, func(e *exchange) {
+		switch {
+		case e.Header.Get("Attempt") != "cut":
+			<-resumed
+		case e.Header.Get("Upstream") == "u1":
+			e.closeConn()
+			return
+		}
+		good(e)
+	})
+	f.limits.limited["u1"] = true
+	waiting := make(chan struct{}, 100)
+	f.limits.acquire = func(ctx context.Context, claim kcwpermit.Claim) string {
+		if claim.RequestID == "cut" {
+			return "u1"
+		}
+		if f.arrivals() < retries {
+			return ""
+		}
+		waiting <- struct{}{}
+		<-ctx.Done()
+		return ""
+	}
+	var calls sync.WaitGroup
+	for i := range retries {
+		calls.Go(func() {
+			if status, _, err := f.tryCall(t.Context(), strconv.Itoa(i), ""); status != http.StatusOK || err != nil {
+				t.Errorf("request %d, whose upstream pauses, got %d and error %v", i, status, err)
+			}
+		})
+	}
+	for range retries {
+		<-waiting
+	}
+	if status, body, err := f.tryCall(t.Context(), "cut", ""); status != http.StatusOK || err != nil {
+		t.Errorf("the request that was cut got %d, %q and error %v", status, body, err)
+	}
+	close(resumed)
+	calls.Wait()
+}
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -72,7 +72,7 @@
 			return
 		}
 		if c.connected > 0 && !c.retryBudget.TryWithdraw() {
-			c.finish(notRun, "no retries are left; "+lastCause)
+			c.finish(notRun, noRetriesCause+"; "+lastCause)
 			return
 		}
 		c.mu.Lock()
--- a/kcw/kcwretry/budget.go
+++ b/kcw/kcwretry/budget.go
@@ -39,6 +39,7 @@
 
 	mu         sync.Mutex
 	balance    float64 // retries
+	reserved   int
 	firstTries uint64
 	retries    uint64
 	denied     uint64
@@ -78,9 +79,16 @@
 // TryWithdraw reports whether the balance allows a retry and, if so, withdraws it.
 // The caller must check whether the request may be repeated at all.
 func (b *Budget) TryWithdraw() bool {
-	const rounding = 1e-9 // ten additions of 0.1 add up to less than 1
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.withdraw()
+}
+
+// rounding is the error of a balance: ten additions of 0.1 add up to less than 1.
+const rounding = 1e-9
+
+// withdraw is TryWithdraw for callers that hold mu.
+func (b *Budget) withdraw() bool {
 	if b.balance < 1-rounding {
 		b.denied++
 		return false
@@ -90,6 +98,36 @@
 	return true
 }
 
+// TryReserve reports whether the balance allows a retry beside those that are reserved and, if
+// so, reserves it. A reservation does not keep TryWithdraw from withdrawing the retry. It ends
+// with one call of WithdrawReserved or Release.
+func (b *Budget) TryReserve() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.balance-float64(b.reserved) < 1-rounding {
+		b.denied++
+		return false
+	}
+	b.reserved++
+	return true
+}
+
+// WithdrawReserved ends a reservation and reports whether the balance still allows the retry.
+// If so, it withdraws it.
+func (b *Budget) WithdrawReserved() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+	return b.withdraw()
+}
+
+// Release ends a reservation without a retry.
+func (b *Budget) Release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved--
+}
+
 // Refund returns a retry that was withdrawn and not sent.
 func (b *Budget) Refund() {
 	b.mu.Lock()
--- a/kcw/kcwretry/budget_test.go
+++ b/kcw/kcwretry/budget_test.go
@@ -114,6 +114,51 @@
 	}
 }
 
+func TestReservations(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// calls are TryReserve (r), WithdrawReserved (w), Release (x) and TryWithdraw (t), and
+		// want holds the result of each: y, n, or a dash for Release.
+		calls, want string
+	}{
+		{"as many as there are retries", "rrr", "yyn"},
+		{"reserved ones are withdrawn", "rrwwr", "yyyyn"},
+		{"released", "rrxr", "yy-y"},
+		{"a withdrawal takes a reserved one", "rrttww", "yyyynn"},
+		{"one left to a reservation", "rrtwwt", "yyyynn"},
+		{"none after withdrawals", "ttr", "yyn"},
+	} {
+		b := newBudget(t, 2)
+		for range 20 {
+			b.Deposit()
+		}
+		got := ""
+		for _, call := range test.calls {
+			isAllowed := false
+			switch call {
+			case 'r':
+				isAllowed = b.TryReserve()
+			case 'w':
+				isAllowed = b.WithdrawReserved()
+			case 't':
+				isAllowed = b.TryWithdraw()
+			case 'x':
+				b.Release()
+				got += "-"
+				continue
+			}
+			if isAllowed {
+				got += "y"
+			} else {
+				got += "n"
+			}
+		}
+		if got != test.want {
+			t.Errorf("%s: %s returned %s, want %s", test.name, test.calls, got, test.want)
+		}
+	}
+}
+
 func TestProperties(t *testing.T) {
 	seed := int64(1)
 	if text := os.Getenv("KCW_SEED"); text != "" {
