--- a/kcw/kcwforward/hedge_test.go
+++ b/kcw/kcwforward/hedge_test.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"kingcupwick.example/kcw/kcwforward"
+	"kingcupwick.example/kcw/kcwpermit"
 	"kingcupwick.example/kcw/kcwroute"
 )
 
@@ -495,3 +496,86 @@
 		t.Error("no reason was reported")
 	}
 }
+
+// An upstream is silent until it sends a part of an answer, without the end of an event.
+func TestPartOfAnswerEndsSilence(t *testing.T) {
+	for _, test := range []struct{ name, header string }{{"body", ""}, {"event", eventStream}} {
+		var f *fixture
+		isSilent := func() bool { return f.roster.Upstreams()[0].State == "Silent" }
+		hasEnded := make(chan bool, 1)
+		waiting := make(chan struct{})
+		f = newSilenceFixture(t, 1, resumable, shortSilence, func(e *exchange) {
+			if e.Header.Get("Attempt") == "waiting" {
+				close(waiting)
+				return
+			}
+			const size = 1 << 20
+			fmt.Fprintf(e.conn, "HTTP/1.1 200 X\r\nAttempt: %s\r\n%sContent-Length: %d\r\n\r\nid: 1\ndata: ", e.Header.Get("Attempt"), test.header, size)
+			<-waiting
+			for !isSilent() {
+				time.Sleep(time.Millisecond)
+			}
+			end := time.Now().Add(longTime / 2)
+			for isSilent() && time.Now().Before(end) {
+				_, _ = io.WriteString(e.conn, "x")
+				time.Sleep(time.Millisecond)
+			}
+			hasEnded <- time.Now().Before(end)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var calls sync.WaitGroup
+		for _, id := range []string{"sending", "waiting"} {
+			calls.Go(func() { _, _, _ = f.tryCall(ctx, id, "") })
+		}
+		if !<-hasEnded {
+			t.Errorf("%s: the upstream counts as silent while it sends", test.name)
+		}
+		cancel()
+		calls.Wait()
+	}
+}
+
+// Hedges that wait for permits, as many as there are retries, leave one to a request that is cut.
+func TestHedgeWaitingForPermitWithholdsNoRetry(t *testing.T) {
+	const retries = 10
+	resumed := make(chan struct{})
+	f := newSilenceFixture(t, 2, repeatable, shortSilence, func(e *exchange) {
+		switch {
+		case e.Header.Get("Attempt") != "cut":
+			<-resumed
+		case e.Header.Get("Upstream") == "u1":
+			e.closeConn()
+			return
+		}
+		good(e)
+	})
+	f.limits.limited["u1"] = true
+	waiting := make(chan struct{}, 100)
+	f.limits.acquire = func(ctx context.Context, claim kcwpermit.Claim) string {
+		if claim.RequestID == "cut" {
+			return "u1"
+		}
+		if f.arrivals() < retries {
+			return ""
+		}
+		waiting <- struct{}{}
+		<-ctx.Done()
+		return ""
+	}
+	var calls sync.WaitGroup
+	for i := range retries {
+		calls.Go(func() {
+			if status, _, err := f.tryCall(t.Context(), strconv.Itoa(i), ""); status != http.StatusOK || err != nil {
+				t.Errorf("request %d, whose upstream pauses, got %d and error %v", i, status, err)
+			}
+		})
+	}
+	for range retries {
+		<-waiting
+	}
+	if status, body, err := f.tryCall(t.Context(), "cut", ""); status != http.StatusOK || err != nil {
+		t.Errorf("the request that was cut got %d, %q and error %v", status, body, err)
+	}
+	close(resumed)
+	calls.Wait()
+}
