--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -73,7 +73,7 @@
 		"Route", e.Route, "Team", e.Team, "Service", e.Service, "Upstream", e.Upstream, "Sends", e.Sends,
 		"Permit", e.Permit, "Displaced", e.Displaced,
 		"Elapsed", e.Elapsed.String(), "FirstByte", e.FirstByte.String(), "RetryAfter", e.RetryAfter.String(),
-		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used, "Cut", e.Cut, "Surplus", e.Surplus, "Parts", loggedParts(e))
+		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used, "Cut", e.Cut, "CloseDelimited", e.CloseDelimited, "Surplus", e.Surplus, "Parts", loggedParts(e))
 }
 
 // loggedParts returns the parts of the prompt of a request whose upstream closed the
@@ -116,6 +116,6 @@
 	hedges := m.Counter("kcw_router_hedges", "Hedges of requests whose upstream is silent, by service and what happened to them.")
 	return func(h kcwforward.Hedge) {
 		hedges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", h.Service), attribute.String("state", string(h.State))))
-		klog.InfoS("Hedge of a request", "State", h.State, "Request", h.RequestID, "Service", h.Service, "Silent", h.Silent, "Upstream", h.Upstream, "Cause", h.Cause, "Events", h.Events)
+		klog.InfoS("Hedge of a request", "State", h.State, "Request", h.RequestID, "Service", h.Service, "SilentUpstream", h.Silent, "Upstream", h.Upstream, "Cause", h.Cause, "Events", h.Events)
 	}
 }
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -37,6 +37,7 @@
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
 	"kingcupwick.example/kcw/kcwrunrecord"
+	"kingcupwick.example/kcw/kcwstop"
 	"kingcupwick.example/kcw/kcwuptime"
 )
 
@@ -115,7 +116,7 @@
 	public      *kcwserve.Server
 	peerServer  *kcwserve.Server
 	admin       *kcwadmin.Server
-	stop        atomic.Pointer[kcwforward.Stop]
+	stop        atomic.Pointer[kcwstop.Stop]
 	ctx         context.Context
 	cancel      context.CancelFunc
 }
@@ -243,6 +244,7 @@
 	if err != nil {
 		return err
 	}
+	r.public.ConnContext = r.forwarder.ConnContext
 	limits := kcwserve.Config{HeaderTimeout: s.Limits.HeaderTimeout, MaxHeaderBytes: s.Limits.MaxHeaderBytes}
 	peers := http.NewServeMux()
 	peers.Handle(r.lending.Handler())
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -101,10 +103,15 @@
 	if err != nil {
 		return a.endUnreachable(err)
 	}
+	if !a.endsBeforeStop() {
+		return a.endStopped(conn)
+	}
 	a.conn = conn
 	// The deadline is set before the end of ctx can set an earlier one.
 	deadlineErr := conn.SetDeadline(a.deadline)
 	stop := context.AfterFunc(a.ctx, a.onCanceled)
+	stopEnding := context.AfterFunc(a.f.ending, a.onEnding)
+	defer stopEnding()
 	res, outcome := a.exchange(deadlineErr)
 	if stop() && a.reusable && !isHead && a.isWritten() {
 		a.ticket.Pool().Put(conn, a.keepAliveUntil)
@@ -149,6 +156,10 @@
 	a.onCallerGone()
 }
 
+// onEnding ends the attempt because End was called. SetDeadline fails only on a connection that
+// is closed already.
+func (a *attempt) onEnding() { _ = a.conn.SetDeadline(a.f.cfg.Now()) }
+
 // onCallerGone ends the attempt because the caller has disconnected. If tokens are
 // reserved for the request, it closes only the writing side and waits up to
 // callerGoneTimeout for the upstream's reaction, which shows whether the request ran:
@@ -176,6 +187,15 @@
 	return notRun
 }
 
+// endStopped ends an attempt that could outlast the router's stop before anything is sent on
+// conn.
+func (a *attempt) endStopped(conn *kcwconn.Conn) result {
+	a.cause = stoppingCause
+	_ = conn.Close()
+	a.ticket.Done(kcwroster.Neutral)
+	return stopped
+}
+
 // isWritten reports whether the whole request has been written by now. It does not
 // block.
 func (a *attempt) isWritten() bool {
@@ -258,6 +278,10 @@
 // its cause.
 func (a *attempt) endBroken(what string, err error) (result, kcwroster.Outcome) {
 	a.err = err
+	if a.f.ending.Err() != nil {
+		a.cause = "upstream " + a.ticket.ID() + ": " + what + " before the end of the router's stop"
+		return unknownRun, kcwroster.Neutral
+	}
 	a.cut = isClosed(err)
 	a.cause = "upstream " + a.ticket.ID() + ": " + what + ": " + err.Error()
 	if !a.f.cfg.Now().Before(a.deadline) {
@@ -365,6 +389,9 @@
 		if err != nil {
 			return nil, ResponseInfo{}, err
 		}
+		if hasStatusLine(response) {
+			return nil, ResponseInfo{}, errors.New("an answer follows a part of a head")
+		}
 		info := a.f.cfg.Dialect.ParseResponse(response.StatusCode, response.Header, a.f.cfg.Now())
 		// On a connection that has carried no other request, an answer without an
 		// identity can only be to this one.
@@ -396,6 +423,29 @@
 	}
 }
 
+// statusLine matches the beginning of a status line (RFC 9112, section 4).
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
+
+// hasStatusLine reports whether the reason phrase, a field or the name of a trailer field
+// contains a status line. The head is then that of two answers, of which the first one broke
+// off there.
+func hasStatusLine(response *http.Response) bool {
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	for name := range response.Trailer {
+		if statusLine.MatchString(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // skipBody reads the body of a surplus answer, of at most limit bytes, and returns how much
 // of the limit is left. The error is not nil if no other answer can follow.
 func skipBody(response *http.Response, limit int64) (int64, error) {
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -24,6 +24,7 @@
 	"kingcupwick.example/kcw/kcwretry"
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwstop"
 )
 
 // RequestInfo holds the values that a caller's request headers carry.
@@ -131,6 +132,8 @@
 	// Cut is set if the upstream closed the connection of the last attempt before its
 	// answer was whole, and Begun if a part of an answer had been passed on by then.
 	Cut, Begun bool
+	// CloseDelimited is set if the end of the caller's connection is the end of the answer.
+	CloseDelimited bool
 	// Surplus is the number of answers to other requests that came before those to this
 	// one, in all attempts.
 	Surplus int
@@ -202,7 +205,7 @@
 	SilenceCheckInterval time.Duration
 	// Stopping returns the planned stop and whether the router is stopping. While
 	// it is, answers ask callers to close their connections.
-	Stopping func() (Stop, bool)
+	Stopping func() (kcwstop.Stop, bool)
 	// OnEnd is called when a request has ended, OnRetry when an attempt has failed
 	// and another may follow, and OnWithdrawal when an answer states that its upstream
 	// accepts no requests. OnHedge is called when a second attempt begins beside one whose
@@ -225,16 +228,14 @@
 	ReturnAfter(service string) time.Duration
 }
 
-// Stop is a planned stop. Only requests that are known to end before EndsAt are admitted.
-type Stop struct {
-	EndsAt time.Time
-}
-
 // Forwarder is the handler of callers' requests.
 type Forwarder struct {
 	cfg      Config
 	latency  *kcwlatency.Estimator
 	inFlight atomic.Int64
+	// ending ends when End is called.
+	ending context.Context
+	end    context.CancelFunc
 
 	// mu guards cfg.Rand and the fields below.
 	mu sync.Mutex
@@ -270,9 +271,16 @@
 	if !complete || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.SilenceCheckInterval <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
 	}
-	return &Forwarder{cfg: cfg, latency: kcwlatency.New(), retryBudgets: map[string]*kcwretry.Budget{}}, nil
+	f := &Forwarder{cfg: cfg, latency: kcwlatency.New(), retryBudgets: map[string]*kcwretry.Budget{}}
+	f.ending, f.end = context.WithCancel(context.Background())
+	return f, nil
 }
 
+// End ends the attempts of the requests in flight, as if their upstreams had broken off. It is
+// called at the end of a planned stop, so that callers get an answer if none has begun, and so
+// that unused tokens become free before the process ends.
+func (f *Forwarder) End() { f.end() }
+
 // InFlight returns the number of requests in flight.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
@@ -281,8 +289,7 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	c := &call{f: f, w: w, r: r, start: f.cfg.Now()}
-	c.stop, c.stopping = f.cfg.Stopping()
-	if c.stopping || f.shouldShed(c.start) {
+	if f.shouldShed(c.start) {
 		w.Header().Set("Connection", "close")
 	}
 	c.event.ListAge = c.start.Sub(f.cfg.Roster.ListedAt())
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -35,6 +34,8 @@
 	blocked
 	// replaced: another attempt has answered first.
 	replaced
+	// stopped: the request was not sent, because the router stops.
+	stopped
 )
 
 // maxExtraSends is the number of attempts allowed beyond the route's maximum after an
@@ -62,6 +63,14 @@
 			c.finish(blocked, blockedCause(parts))
 			return
 		}
+		if !c.endsBeforeStop() {
+			cause := stoppingCause
+			if c.sends > 0 {
+				cause += "; " + lastCause
+			}
+			c.finish(stopped, cause)
+			return
+		}
 		if c.connected > 0 && !c.retryBudget.TryWithdraw() {
 			c.finish(notRun, "no retries are left; "+lastCause)
 			return
@@ -108,7 +117,7 @@
 	a.mu.Unlock()
 	limited, hasOther := a.f.cfg.Roster.Limited(request)
 	if len(limited) > 0 {
-		ctx, cancel := context.WithDeadline(a.ctx, a.deadline)
+		ctx, cancel := context.WithDeadline(a.ctx, a.latestEnd())
 		defer cancel()
 		request.Permit = a.f.cfg.Permits.Acquire(ctx, kcwpermit.Claim{
 			RequestID: a.request.RequestID, Service: a.service.Name, Team: a.event.Team, Priority: a.enginePriority(), Size: float64(a.request.PromptTokens),
@@ -162,12 +171,11 @@
 		c.isComplete = true
 	case res == callerGone:
 		c.event.Outcome = "CallerGone"
+		// The caller may have closed only its sending side.
+		c.abort()
 	case c.stream.started:
 		c.event.Outcome = "StreamBroken"
-		// Closing the connection without the end of the stream shows the caller that
-		// the answer is incomplete.
-		c.resetOldCaller()
-		panic(http.ErrAbortHandler)
+		c.abort()
 	case c.lastFailure != nil:
 		c.event.Outcome, c.isComplete = "UpstreamFailed", true
 		c.lastFailure.write(c)
@@ -180,28 +188,13 @@
 	case c.mayHaveRun:
 		c.event.Outcome = "OutcomeUnknown"
 		c.fail(http.StatusBadGateway, cause)
+	case res == stopped:
+		c.refuse(stoppingRefusal(cause))
 	default:
 		c.refuse(c.notRunRefusal(cause))
 	}
 }
 
-// resetOldCaller resets the connection of an HTTP/1.0 caller, to which the end of a
-// connection is the end of an answer.
-func (c *call) resetOldCaller() {
-	if c.r.ProtoAtLeast(1, 1) {
-		return
-	}
-	conn, _, err := http.NewResponseController(c.w).Hijack()
-	if err != nil {
-		return // The connection is closed already.
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// Linger fails only on a connection that is closed already.
-		_ = tcp.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // notRunRefusal returns the refusal of a request that no upstream has run. If all
 // upstreams have declined requests for a time, Retry-After is the time until the first
 // of them accepts requests again, and if they are at their rate limits, until there may be
--- a/kcw/kcwwal/log.go
+++ b/kcw/kcwwal/log.go
@@ -34,6 +34,8 @@
 	Existing bool
 	// Write writes to a segment; the default is (*os.File).Write.
 	Write func(*os.File, []byte) (int, error)
+	// Remove removes a segment; the default is os.Remove.
+	Remove func(path string) error
 }
 
 // Log is an open log. It must be used by one goroutine at a time.
@@ -48,11 +50,17 @@
 	file *os.File
 	size int64
 	buf  []byte
+	// abandoned is the path of a segment that undoRoll still has to remove, empty if there
+	// is none. unflushed means that the last removal of a segment is not durable yet.
+	abandoned string
+	unflushed bool
 	// failure is the error that every later call of Save and Reset returns, nil if there
 	// is none.
 	failure error
-	// sync flushes the data written to a file to the disk.
-	sync func(*os.File) error
+	// sync flushes the data written to a file to the disk, and syncFolder the names in the
+	// log's folder.
+	sync       func(*os.File) error
+	syncFolder func(path string) error
 }
 
 // Open reads the log and opens it for writing. The error is an *Error that holds the
@@ -64,10 +72,13 @@
 	if cfg.Write == nil {
 		cfg.Write = (*os.File).Write
 	}
+	if cfg.Remove == nil {
+		cfg.Remove = os.Remove
+	}
 	if cfg.Path == "" || cfg.Owner == 0 {
 		return nil, failText("open", Invalid, cfg.Path, 0, "Path and Owner must be set")
 	}
-	l := &Log{cfg: cfg, sync: syncFile}
+	l := &Log{cfg: cfg, sync: syncFile, syncFolder: syncFolder}
 	var err error
 	l.segments, err = listSegments(cfg.Path)
 	if err != nil {
@@ -116,7 +127,7 @@
 	if len(l.segments) == 1 && l.cfg.Existing {
 		return failText("open", Damaged, last.path, 0, "the only segment has no header")
 	}
-	if err := os.Remove(last.path); err != nil {
+	if err := l.cfg.Remove(last.path); err != nil {
 		return fail("open", Storage, last.path, 0, err)
 	}
 	l.segments = l.segments[:len(l.segments)-1]
@@ -148,6 +159,9 @@
 // one, so that a closed segment always has a successor on disk. If the disk is full,
 // the current segment stays in use.
 func (l *Log) roll(sequence uint64) error {
+	if err := l.finishRemoval(); err != nil {
+		return err
+	}
 	old, oldSize := l.file, l.size
 	path := filepath.Join(l.cfg.Path, segmentName(sequence))
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_EXCL, fileMode)
@@ -165,7 +179,7 @@
 		}
 		return l.undoRoll(old, oldSize, err)
 	}
-	if err := syncFolder(l.cfg.Path); err != nil {
+	if err := l.syncFolder(l.cfg.Path); err != nil {
 		return fail("roll", Storage, path, 0, err)
 	}
 	if old == nil {
@@ -174,20 +188,21 @@
 	return l.closeSegment(old, oldSize)
 }
 
-// undoRoll removes the segment that roll started to create on a full disk, and returns
-// cause.
+// undoRoll returns to the former segment and removes the one that roll started to create on
+// a full disk, at the latest before the next record is written. It returns cause.
 func (l *Log) undoRoll(old *os.File, oldSize int64, cause error) error {
 	path := l.file.Name()
-	err := l.file.Close()
-	if removeErr := os.Remove(path); err == nil {
-		err = removeErr
-	}
-	if err != nil {
+	if err := l.file.Close(); err != nil {
 		l.failure = fail("roll", Storage, path, 0, err)
 		return l.failure
 	}
 	l.file, l.size = old, oldSize
 	l.segments = l.segments[:len(l.segments)-1]
+	l.abandoned = path
+	if err := l.finishRemoval(); err != nil && !isFull(err) {
+		l.failure = err
+		return err
+	}
 	return cause
 }
 
@@ -274,7 +289,8 @@
 }
 
 // Reset removes all entries. The next entry saved must follow the entry at index, which
-// has the given term. The error's Kind is Storage or Full.
+// has the given term. The error's Kind is Storage, or Full if nothing was changed. Segments
+// that can't be removed because the disk is full are left to a later Compact.
 func (l *Log) Reset(index, term uint64) error {
 	if l.failure != nil {
 		return l.failure
@@ -283,10 +299,14 @@
 	if err := l.append(buf); err != nil {
 		return err
 	}
-	return l.removeBefore(len(l.segments) - 1)
+	if err := l.removeBefore(len(l.segments) - 1); err != nil && !isFull(err) {
+		return err
+	}
+	return nil
 }
 
-// Compact removes the segments whose entries all have an index of at most index.
+// Compact removes the segments whose entries all have an index of at most index. If the
+// error's Kind is Full, some may be left, and a later call removes them.
 func (l *Log) Compact(index uint64) error {
 	keep := 0
 	for keep < len(l.segments)-1 && l.segments[keep].last <= index {
@@ -295,21 +315,42 @@
 	return l.removeBefore(keep)
 }
 
-// removeBefore removes the segments before l.segments[keep], oldest first, so that a
-// crash leaves no gap in the sequence.
+// removeBefore removes the segments before l.segments[keep], oldest first, each durably
+// before the next one, so that a crash leaves no gap in the sequence.
 func (l *Log) removeBefore(keep int) error {
-	if keep == 0 {
-		return nil
+	if err := l.finishRemoval(); err != nil {
+		return err
 	}
-	for _, s := range l.segments[:keep] {
-		if err := os.Remove(s.path); err != nil {
-			return fail("compact", Storage, s.path, 0, err)
+	for range keep {
+		path := l.segments[0].path
+		if err := l.cfg.Remove(path); err != nil {
+			return fail("compact", storageKind(err), path, 0, err)
+		}
+		l.segments = append([]*segment(nil), l.segments[1:]...)
+		l.unflushed = true
+		if err := l.finishRemoval(); err != nil {
+			return err
 		}
-		if err := syncFolder(l.cfg.Path); err != nil {
-			return fail("compact", Storage, s.path, 0, err)
+	}
+	return nil
+}
+
+// finishRemoval removes the abandoned segment, if there is one, and makes the last removal
+// durable. The error's Kind is Full if that is to be repeated.
+func (l *Log) finishRemoval() error {
+	if l.abandoned != "" {
+		if err := l.cfg.Remove(l.abandoned); err != nil {
+			return fail("remove", storageKind(err), l.abandoned, 0, err)
 		}
+		l.abandoned, l.unflushed = "", true
+	}
+	if !l.unflushed {
+		return nil
 	}
-	l.segments = append([]*segment(nil), l.segments[keep:]...)
+	if err := l.syncFolder(l.cfg.Path); err != nil {
+		return fail("remove", storageKind(err), l.cfg.Path, 0, err)
+	}
+	l.unflushed = false
 	return nil
 }
 
@@ -322,8 +363,12 @@
 }
 
 // append writes buf at the end of the current segment and syncs it. If the disk is full,
-// it truncates the part that was written.
+// it truncates the part that was written. No segment that was removed may follow what is
+// written now, not even after a crash, so append makes its removal durable first.
 func (l *Log) append(buf []byte) error {
+	if err := l.finishRemoval(); err != nil {
+		return err
+	}
 	_, err := l.cfg.Write(l.file, buf)
 	if storageKind(err) == Full {
 		if truncateErr := l.truncateTail(); truncateErr != nil {
