--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -338,7 +338,7 @@
 		a.lastFailure = a.failedAnswer
 	}
 	a.last, a.lastResult = a, res
-	if len(a.open) == 0 || !a.isHedgeOf(a.open[0]) || res == delivered {
+	if len(a.open) == 0 || !a.isHedgeOf(a.open[0]) || res == delivered || res == callerGone {
 		return
 	}
 	a.reportHedge(HedgeFailed, a.cause)
