kcwforward: a failure of a hedge doesn't end the attempt beside it

No caller was seen with this. A caller gets 500 at once although its first upstream only pauses and would answer: with two attempts allowed, the hedge's upstream fails the request, and the first attempt is cancelled for that. Its upstream's work is also broken off.

The first attempt now stays open, and the failure is the answer if that ends without one. What it costs: if the first upstream is lost and the hedge's fails the request, the caller gets the failure when the first attempt ends, at the latest at its deadline, no longer after the silence timeout. No test of kcwforward needed the former rule: all passed without it.

go test -run TestFailureOfHedgeEndsNoPausedAttempt ./kcwforward, before: got 500, "failed" and error <nil>, want the answer of the upstream that paused After: passes with the race detector, with the tests of hedges, pauses and silence; all tests of kcwforward passed without the race detector.

--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -313,8 +313,8 @@
 	return c.stream.events
 }
 
-// end records how the attempt ended. If it is a hedge with a failure of its upstream and no
-// other attempt may follow, that is the answer: the silent upstream is not waited for.
+// end records how the attempt ended. A hedge that fails does not end the attempt beside it, whose
+// upstream may only be late.
 func (a *attempt) end(res result) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -338,12 +338,8 @@
 		a.lastFailure = a.failedAnswer
 	}
 	a.last, a.lastResult = a, res
-	if len(a.open) == 0 || !a.isHedgeOf(a.open[0]) || res == delivered {
-		return
-	}
-	a.reportHedge(HedgeFailed, a.cause)
-	if res == failedRun && !a.mayRepeat(a.possibleRuns+len(a.open)) {
-		a.replaceOthers()
+	if len(a.open) > 0 && a.isHedgeOf(a.open[0]) && res != delivered {
+		a.reportHedge(HedgeFailed, a.cause)
 	}
 }
 
--- a/kcw/kcwforward/hedge_test.go
+++ b/kcw/kcwforward/hedge_test.go
@@ -579,3 +579,21 @@
 	close(resumed)
 	calls.Wait()
 }
+
+// The upstream of the first attempt pauses and goes on, that of the hedge fails the request.
+func TestFailureOfHedgeEndsNoPausedAttempt(t *testing.T) {
+	failed := make(chan struct{})
+	f := newSilenceFixture(t, 2, repeatable, shortSilence, func(e *exchange) {
+		if e.number == 1 {
+			<-failed
+			time.Sleep(shortSilence)
+			good(e)
+			return
+		}
+		e.answer(http.StatusInternalServerError, "", "failed")
+		close(failed)
+	})
+	if status, body, err := f.tryCall(t.Context(), "a", ""); status != http.StatusOK || body != "whole" || err != nil {
+		t.Errorf("got %d, %q and error %v, want the answer of the upstream that paused", status, body, err)
+	}
+}
