kcwforward: refund a retry that was not sent

No caller was seen with this. A request that its upstream cut got 502, "no retries are left", although another upstream could take it and no retry had been sent: earlier requests had withdrawn theirs and then found no upstream.

Cause: a retry was withdrawn before its upstream was chosen, and not refunded if there was none or no connection could be opened. Hedges are refunded already.

--- a/kcw/kcwforward/hedge_test.go
+++ b/kcw/kcwforward/hedge_test.go
@@ -597,3 +597,31 @@
 		t.Errorf("got %d, %q and error %v, want the answer of the upstream that paused", status, body, err)
 	}
 }
+
+// Retries that find no upstream leave the budget to a request that is cut later.
+func TestRetryThatIsNotSentIsRefunded(t *testing.T) {
+	// More than the retries of a new budget and those that the requests add.
+	const cut = 12
+	f := newFixture(t, 2, repeatable, func(e *exchange) {
+		if e.Header.Get("Upstream") == "u0" {
+			e.closeConn()
+			return
+		}
+		good(e)
+	})
+	f.limits.limited["u1"] = true
+	f.limits.acquire = func(context.Context, kcwpermit.Claim) string {
+		if f.arrivals() <= cut {
+			return ""
+		}
+		return "u1"
+	}
+	for i := range cut {
+		if status, _, err := f.tryCall(t.Context(), strconv.Itoa(i), ""); status != http.StatusBadGateway || err != nil {
+			t.Errorf("request %d, for which there is no other upstream, got %d and error %v", i, status, err)
+		}
+	}
+	if status, body, err := f.tryCall(t.Context(), "last", ""); status != http.StatusOK || err != nil {
+		t.Errorf("the request that can be sent again got %d, %q and error %v", status, body, err)
+	}
+}
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -71,7 +71,8 @@
 			c.finish(stopped, cause)
 			return
 		}
-		if c.connected > 0 && !c.retryBudget.TryWithdraw() {
+		isRetry := c.connected > 0
+		if isRetry && !c.retryBudget.TryWithdraw() {
 			c.finish(notRun, noRetriesCause+"; "+lastCause)
 			return
 		}
@@ -84,6 +85,9 @@
 			c.mu.Lock()
 			a.remove()
 			c.mu.Unlock()
+			if isRetry {
+				c.retryBudget.Refund()
+			}
 			if isAtLimit {
 				lastCause = "all upstreams are at their rate limits; " + lastCause
 			}
@@ -92,6 +96,9 @@
 			return
 		}
 		last, res := c.compete(a)
+		if isRetry && a.conn == nil {
+			c.retryBudget.Refund()
+		}
 		c.event.Sends, c.event.Upstream = c.sends, last.ticket.ID()
 		c.event.Permit, c.event.Displaced = last.permit, last.displaced
 		c.event.Cut, c.event.Begun = last.cut, c.stream.started
