kcwforward, kcwconn: the start of a hedge in one switch, plainer comments

Read as a newcomer: what withholds a hedge was decided twice, once for the retry budget and once for the report. Behaviour is unchanged; the tests of hedges, pauses, retries and stops pass with the race detector.

--- a/kcw/kcwconn/pool.go
+++ b/kcw/kcwconn/pool.go
@@ -179,8 +179,8 @@
 	return lastAck >= c.silenceTimeout && (info.Unacked > 0 || info.Probes >= unansweredProbes)
 }
 
-// tcpInfo returns what the kernel knows of the connection. The error is that of the system
-// call, or syscall.EINVAL if the connection is not one of the kernel's.
+// tcpInfo returns the state of the connection in the kernel (TCP_INFO). The error is that of the
+// system call, or syscall.EINVAL if the connection has no socket.
 func (c *Conn) tcpInfo() (*unix.TCPInfo, error) {
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -184,12 +184,18 @@
 // refunded if the request is not sent.
 func (a *attempt) hedge() {
 	isAtLimit := a.choose()
-	isNeeded := a.ticket != nil && a.ctx.Err() == nil && a.endsBeforeStop()
-	if !isNeeded {
-		a.retryBudget.Release()
-	}
 	switch {
-	case isNeeded && a.retryBudget.WithdrawReserved():
+	case a.ctx.Err() != nil:
+		a.releaseHedge("")
+	case a.ticket == nil && isAtLimit:
+		a.releaseHedge("all other upstreams are at their rate limits")
+	case a.ticket == nil:
+		a.releaseHedge("no other upstream may be given work")
+	case !a.endsBeforeStop():
+		a.releaseHedge(stoppingCause)
+	case !a.retryBudget.WithdrawReserved():
+		a.abandonHedge(noRetriesCause)
+	default:
 		a.mu.Lock()
 		a.reportHedge(HedgeBegun, "")
 		a.mu.Unlock()
@@ -199,19 +205,15 @@
 			a.retryBudget.Refund()
 		}
 		a.end(res)
-	case a.ctx.Err() != nil:
-		a.abandonHedge("")
-	case a.ticket == nil && isAtLimit:
-		a.abandonHedge("all other upstreams are at their rate limits")
-	case a.ticket == nil:
-		a.abandonHedge("no other upstream may be given work")
-	case isNeeded:
-		a.abandonHedge(noRetriesCause)
-	default:
-		a.abandonHedge(stoppingCause)
 	}
 }
 
+// releaseHedge releases the retry that was reserved for a hedge and abandons the hedge.
+func (a *attempt) releaseHedge(cause string) {
+	a.retryBudget.Release()
+	a.abandonHedge(cause)
+}
+
 // abandonHedge ends a hedge that was not begun. Cause is the reason to report, empty if the
 // request no longer needs one.
 func (a *attempt) abandonHedge(cause string) {
--- a/kcw/kcwgateway/refusal_test.go
+++ b/kcw/kcwgateway/refusal_test.go
@@ -163,8 +163,8 @@
 	}
 }
 
-// TestStatusesThatPromiseNotRunAreTrue checks that a status by which callers know that a request
-// has not run is stated for no other request.
+// TestStatusesThatPromiseNotRunAreTrue checks that statuses that state that a request has not run
+// are used for no other request.
 func TestStatusesThatPromiseNotRunAreTrue(t *testing.T) {
 	promises := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 	for _, spec := range refusalSpecs {
