--- /dev/null
+++ b/review/standin/worker.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// worker is a stand-in of a plain, sound worker.
+type worker struct {
+	id       string
+	record   *record
+	listener net.Listener
+	// serve answers a request that is run; a plain answer if nil.
+	serve http.HandlerFunc
+	// isFull is called for each request and reports whether the worker has no room for it. If it
+	// is nil, there is always room.
+	isFull func(id string) bool
+
+	mu   sync.Mutex
+	runs []string
+}
+
+func newWorker(rec *record, id, ip string, serve http.HandlerFunc) (*worker, error) {
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	w := &worker{id: id, record: rec, listener: listener, serve: serve}
+	go func() { _ = http.Serve(listener, w) }()
+	return w, nil
+}
+
+func (w *worker) address() string { return w.listener.Addr().String() }
+
+func (w *worker) close() { _ = w.listener.Close() }
+
+// instance returns the worker's entry in the platform's list.
+func (w *worker) instance(service, zone string) instance {
+	return instance{ID: w.id, Service: service, Address: w.address(), Zone: zone, Version: "v1", Slots: 64, State: "ready"}
+}
+
+// ServeHTTP runs a request that expects this worker.
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	rw.Header().Set("X-Attempt-Id", id)
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
+		rw.Header().Set("X-Instance-Id", w.id)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if w.isFull != nil && w.isFull(id) {
+		w.record.add("worker %s: is full and does not run %s", w.id, id)
+		rw.Header().Set("X-Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	// The end of the channel is noticed only once the body has been read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.mu.Lock()
+	w.runs = append(w.runs, id)
+	w.mu.Unlock()
+	w.record.add("worker %s: runs %s for tenant %q", w.id, id, r.Header.Get("X-Tenant"))
+	rw.Header().Set("X-Response-Seal", "seal-"+id)
+	if w.serve != nil {
+		w.serve(rw, r)
+		return
+	}
+	_, _ = fmt.Fprintf(rw, "answer to %s\n", id)
+}
+
+// ran returns how often the worker ran a request.
+func (w *worker) ran(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, run := range w.runs {
+		if run == id {
+			n++
+		}
+	}
+	return n
+}
