--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 		"founder":  founderCase,
 		"give-up":  giveUpCase,
 		"last-key": lastKeyCase,
+		"pause":    pauseCase,
 		"retries":  retriesCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
