--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -14,8 +14,6 @@
 	status int
 	seal   string
 	body   string
-	// retryAfter is the header Retry-After.
-	retryAfter string
 }
 
 // request sends one request to the router of the n-th machine on a new channel and records the
@@ -40,7 +38,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	a := answer{response.StatusCode, response.Header.Get("X-Response-Seal"), string(data), response.Header.Get("Retry-After")}
+	a := answer{response.StatusCode, response.Header.Get("X-Response-Seal"), string(data)}
 	if err != nil {
 		a.status = 0
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,7 +25,7 @@
 		"give-up":  giveUpCase,
 		"last-key": lastKeyCase,
 		"pause":    pauseCase,
-		"retries":  retriesCase,
+		"stop":     stopCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "standin: give a case and its folder")
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -15,10 +15,6 @@
 	listener net.Listener
 	// serve answers a request that is run; a plain answer if nil.
 	serve http.HandlerFunc
-	// isFull is called for each request and reports whether the worker has no room for it. If it
-	// is nil, there is always room.
-	isFull func(id string) bool
-
 	mu   sync.Mutex
 	runs []string
 }
@@ -51,12 +47,6 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if w.isFull != nil && w.isFull(id) {
-		w.record.add("worker %s: is full and does not run %s", w.id, id)
-		rw.Header().Set("X-Not-Executed", "1")
-		rw.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	// The end of the channel is noticed only once the body has been read.
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
