--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -15,8 +15,8 @@
 	listener net.Listener
 	// serve answers a request that is run; a plain answer if nil.
 	serve http.HandlerFunc
-	mu   sync.Mutex
-	runs []string
+	mu    sync.Mutex
+	runs  []string
 }
 
 func newWorker(rec *record, id, ip string, serve http.HandlerFunc) (*worker, error) {
