--- a/review/standin/giveup.go
+++ b/review/standin/giveup.go
@@ -68,7 +68,11 @@
 		c.input += promptTokens
 		c.mu.Unlock()
 		rec.add("worker %s: makes the first token of %s, whose %d prompt tokens it has read", name, id, promptTokens)
+		// The head of the answer tells the router that the request runs.
 		w.Header().Set("Content-Type", "text/event-stream")
+		if http.NewResponseController(w).Flush() != nil {
+			drop("while it works on it")
+		}
 		for event := 1; event <= numEvents; event++ {
 			tokens := eventTokens
 			if event == 1 {
