--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,11 +21,11 @@
 
 func main() {
 	cases := map[string]func(rec *record, trouble bool) (int, error){
-		"founder": founderCase,
-		"give-up": giveUpCase,
-		"pause":   pauseCase,
-		"taint":   taintCase,
-		"stop":    stopCase,
+		"founder":  founderCase,
+		"give-up":  giveUpCase,
+		"taint":    taintCase,
+		"odd-list": oddListCase,
+		"stop":     stopCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "standin: give a case and its folder")
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 )
 
@@ -25,6 +27,8 @@
 
 	mu        sync.Mutex
 	instances []instance
+	// odd is the text of an entry of another writer, empty if there is none.
+	odd string
 }
 
 func newListServer(ip string) (*listServer, error) {
@@ -48,10 +52,28 @@
 	l.instances = instances
 }
 
+// setOdd adds the entry of another writer.
+func (l *listServer) setOdd(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.odd = text
+}
+
 // ServeHTTP answers with the list, which fits on one page.
 func (l *listServer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"instances": l.instances, "next": nil})
+	entries := make([]string, 0, len(l.instances)+1)
+	for _, i := range l.instances {
+		data, err := json.Marshal(i)
+		if err != nil {
+			panic(err)
+		}
+		entries = append(entries, string(data))
+	}
+	if l.odd != "" {
+		entries = append([]string{l.odd}, entries...)
+	}
+	_, _ = fmt.Fprintf(w, `{"instances":[%s],"next":null}`, strings.Join(entries, ","))
 }
