--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -29,37 +28,25 @@
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
-	f.record.add("client: %s %s %s at machine %d, %v", header["X-Attempt-Id"], method, path, n, header)
+	f.record.add("client: %s %s %s at machine %d, %v", header[wire.RequestID], method, path, n, header)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(r)
 	if err != nil {
-		f.record.add("client: %s: no answer: %v", header["X-Attempt-Id"], err)
+		f.record.add("client: %s: no answer: %v", header[wire.RequestID], err)
 		return answer{body: err.Error()}
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	a := answer{response.StatusCode, response.Header.Get("X-Response-Seal"), string(data)}
+	a := answer{response.StatusCode, response.Header.Get(wire.Seal), string(data)}
 	if err != nil {
 		a.status = 0
 	}
-	f.record.add("client: %s: status %d, seal %q, body %.200q, error %v", header["X-Attempt-Id"], response.StatusCode, a.seal, a.body, err)
+	f.record.add("client: %s: status %d, seal %q, body %.200q, error %v", header[wire.RequestID], response.StatusCode, a.seal, a.body, err)
 	return a
 }
 
 const host = "parish.example"
 
-// plainRoute returns a route of the configuration to the service desk.
-func plainRoute(name, prefix, kind string) string {
-	return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":%q,"route_type":%q,"timeout_ms":2000,"target_latency_ms":150,"priority":2,"service":"desk","max_attempts":2,"public":false,"sticky":false,"resumable":false}`, name, host, prefix, kind)
-}
-
-// configuration returns a configuration with two routes to the service desk.
-func configuration(version int, tenants string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s],"services":[{"name":"desk","health_path":"/healthz","max_conns":120,"protocol":"h1","tls":false}],`+
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":%s}`,
-		version, plainRoute("book", "/book/", "non_idempotent"), plainRoute("look", "/look/", "idempotent"), tenants)
-}
-
 // readStatus reads an answer to its end and returns its status. The error is not nil if there was
 // no whole answer.
 func readStatus(response *http.Response, err error) (int, error) {
--- a/review/standin/founder.go
+++ b/review/standin/founder.go
@@ -44,13 +44,13 @@
 	var acknowledgedAt time.Duration
 	var wait sync.WaitGroup
 	wait.Go(func() {
-		status = newOperator(f, 1, 2, 3).put(configuration(1, `[{"name":"t","api_keys":["key-t"],"prepaid":1000}]`), founderCaseEnds)
+		status = newOperator(f, 1, 2, 3).put(plainDocument(1), founderCaseEnds)
 		acknowledgedAt = rec.elapsed()
 	})
 	f.sleepUntil(clientsBeginAt)
 	sent, served := 0, 0
 	for ; rec.elapsed() < founderCaseEnds && served < 3; sent++ {
-		header := map[string]string{"X-Attempt-Id": fmt.Sprintf("a-%d", sent), "X-Deadline-Ms": "1000", "Authorization": "Token key-t"}
+		header := map[string]string{wire.RequestID: fmt.Sprintf("a-%d", sent), wire.Deadline: "1000", "Authorization": "Token key-shop"}
 		if f.request(1+sent%3, http.MethodGet, "/look/1", "", header).status == http.StatusOK {
 			served++
 		}
--- a/review/standin/giveup.go
+++ b/review/standin/giveup.go
@@ -22,11 +22,10 @@
 	prepaid      = 40_000
 
 	// numRequests are sent, one each pause. Three of ten clients leave after patience, which is
-	// less than half of the objective.
+	// less than half of the objective of 500 ms.
 	numRequests   = 100
 	requestPause  = 50 * time.Millisecond
 	patience      = 240 * time.Millisecond
-	objective     = 500 * time.Millisecond
 	leavingOfTen  = 3
 	generateRoute = "/draft/"
 )
@@ -44,7 +43,7 @@
 // When its channel closes, it drops the request.
 func (c *consumption) engine(rec *record, name string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get("X-Attempt-Id")
+		id := r.Header.Get(wire.RequestID)
 		drop := func(what string) {
 			c.mu.Lock()
 			c.dropped++
@@ -91,11 +90,8 @@
 	}
 }
 
-func giveUpConfiguration() string {
-	return fmt.Sprintf(`{"version":1,"routes":[{"name":"draft","host":%q,"path_prefix":%q,"route_type":"stream","timeout_ms":6000,"target_latency_ms":%d,"priority":1,"service":"model","max_attempts":1,"public":false,"sticky":true,"resumable":false,"gap_target_ms":500}],`+
-		`"services":[{"name":"model","health_path":"/healthz","max_conns":380,"protocol":"h1","tls":false,"engine":{"slots":64,"kv_tokens":352969,"kv_token_bytes":163840,"link_mbps":260000.0,"moves":true,"backups":true,"stride":%d,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],`+
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},`+
-		`"tenants":[{"name":"shop","api_keys":["key-shop"],"prepaid":%d}]}`, host, generateRoute, objective.Milliseconds(), eventTokens, prepaid)
+func giveUpDocument() string {
+	return document(1, prepaid, engineService(eventTokens), streamRoute("draft", generateRoute, 6*time.Second, 1, false))
 }
 
 // giveUpCase lets clients of one tenant send generations for five seconds, through all machines.
@@ -122,7 +118,7 @@
 	if err := f.startAll(3); err != nil {
 		return failed, err
 	}
-	if status := newOperator(f, 1, 2, 3).put(giveUpConfiguration(), 20*time.Second); status != http.StatusOK {
+	if status := newOperator(f, 1, 2, 3).put(giveUpDocument(), 20*time.Second); status != http.StatusOK {
 		return failed, fmt.Errorf("the configuration got status %d", status)
 	}
 	if err := f.awaitReady(3); err != nil {
@@ -162,8 +158,8 @@
 	}
 	r.Host = host
 	for name, value := range map[string]string{
-		"X-Attempt-Id": id, "X-Model": "m", "X-Token-Counts": fmt.Sprintf("%d,%d", promptTokens, outputTokens), "X-Prompt-Prefix": fmt.Sprintf("%s:%d", strings.TrimPrefix(id, "g-"), promptTokens),
-		"X-Deadline-Ms": "6000", "Authorization": "Token key-shop",
+		wire.RequestID: id, wire.Model: "m", wire.TokenCounts: fmt.Sprintf("%d,%d", promptTokens, outputTokens), wire.Prompt: fmt.Sprintf("%s:%d", strings.TrimPrefix(id, "g-"), promptTokens),
+		wire.Deadline: "6000", "Authorization": "Token key-shop",
 	} {
 		r.Header.Set(name, value)
 	}
--- a/review/standin/oddlist.go
+++ b/review/standin/oddlist.go
@@ -42,7 +42,7 @@
 		reached.mu.Lock()
 		reached.times = append(reached.times, rec.elapsed())
 		reached.mu.Unlock()
-		_, _ = fmt.Fprintf(w, "answer to %s\n", r.Header.Get("X-Attempt-Id"))
+		_, _ = fmt.Fprintf(w, "answer to %s\n", r.Header.Get(wire.RequestID))
 	})
 	if err != nil {
 		return failed, err
@@ -57,7 +57,7 @@
 	if err := f.startAll(3); err != nil {
 		return failed, err
 	}
-	if status := newOperator(f, 1, 2, 3).put(configuration(1, `[{"name":"shop","api_keys":["key-shop"],"priority":1,"prepaid":100000}]`), 20*time.Second); status != http.StatusOK {
+	if status := newOperator(f, 1, 2, 3).put(plainDocument(1), 20*time.Second); status != http.StatusOK {
 		return failed, fmt.Errorf("the configuration got status %d", status)
 	}
 	if err := f.awaitReady(3); err != nil {
@@ -70,12 +70,12 @@
 		time.Sleep(time.Second)
 	}
 	leaving := old.instance("desk", "zone-a")
-	leaving.State = "draining"
+	leaving.state = "draining"
 	f.list.set(leaving, successor.instance("desk", "zone-b"))
 	shownAt := rec.elapsed()
 	rec.add("platform: the list shows that %s is draining, and its successor %s", old.id, successor.id)
 	for i := 0; rec.elapsed() < shownAt+drainTraffic; i++ {
-		header := map[string]string{"X-Attempt-Id": fmt.Sprintf("d-%d", i), "X-Deadline-Ms": "1000", "Authorization": "Token key-shop"}
+		header := map[string]string{wire.RequestID: fmt.Sprintf("d-%d", i), wire.Deadline: "1000", "Authorization": "Token key-shop"}
 		f.request(1+i%3, http.MethodPost, "/book/1", "a booking", header)
 		time.Sleep(200 * time.Millisecond)
 	}
@@ -84,7 +84,7 @@
 	rec.add("worker %s: has ended", old.id)
 	served, sent := 0, 15
 	for i := range sent {
-		header := map[string]string{"X-Attempt-Id": fmt.Sprintf("e-%d", i), "X-Deadline-Ms": "1000", "Authorization": "Token key-shop"}
+		header := map[string]string{wire.RequestID: fmt.Sprintf("e-%d", i), wire.Deadline: "1000", "Authorization": "Token key-shop"}
 		if f.request(1+i%3, http.MethodPost, "/book/1", "a booking", header).status == http.StatusOK {
 			served++
 		}
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,14 +10,12 @@
 
 // instance is one entry of the platform's list.
 type instance struct {
-	ID      string `json:"id"`
-	Service string `json:"service"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	Version string `json:"version"`
-	Slots   int    `json:"slots"`
-	State   string `json:"state"`
-	Cold    int    `json:"cold_left_ms"`
+	id, service, address, zone, state string
+}
+
+// String returns the entry as the platform writes it.
+func (i instance) String() string {
+	return fmt.Sprintf(form("upstream.json"), i.id, i.service, i.address, i.zone, i.state)
 }
 
 // listServer is a stand-in of the platform's list of workers.
@@ -66,11 +63,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	entries := make([]string, 0, len(l.instances)+1)
 	for _, i := range l.instances {
-		data, err := json.Marshal(i)
-		if err != nil {
-			panic(err)
-		}
-		entries = append(entries, string(data))
+		entries = append(entries, i.String())
 	}
 	if l.odd != "" {
 		entries = append([]string{l.odd}, entries...)
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -31,9 +31,9 @@
 // sized answers with as many events as the request's token count allows, at a steady pace.
 func sized(rec *record, name string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get("X-Attempt-Id")
+		id := r.Header.Get(wire.RequestID)
 		var prompt, output int
-		_, _ = fmt.Sscanf(r.Header.Get("X-Token-Counts"), "%d,%d", &prompt, &output)
+		_, _ = fmt.Sscanf(r.Header.Get(wire.TokenCounts), "%d,%d", &prompt, &output)
 		w.Header().Set("Content-Type", "text/event-stream")
 		for event := 1; event <= output/stopTokenRatio; event++ {
 			select {
@@ -51,14 +51,10 @@
 	}
 }
 
-func stopConfiguration() string {
-	route := func(name, prefix string, priority int) string {
-		return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":%q,"route_type":"stream","timeout_ms":15000,"target_latency_ms":500,"priority":%d,"service":"model","max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_target_ms":500}`, name, host, prefix, priority)
-	}
-	return fmt.Sprintf(`{"version":1,"routes":[%s,%s],`, route("draft", generateRoute, 1), route("chat", "/chat/", 2)) +
-		fmt.Sprintf(`"services":[{"name":"model","health_path":"/healthz","max_conns":380,"protocol":"h1","tls":false,"engine":{"slots":64,"kv_tokens":352969,"kv_token_bytes":163840,"link_mbps":260000.0,"moves":true,"backups":true,"stride":%d,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],`, stopTokenRatio) +
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},` +
-		`"tenants":[{"name":"shop","api_keys":["key-shop"],"prepaid":10000000}]}`
+func stopDocument() string {
+	const timeout = 15 * time.Second
+	return document(1, 10_000_000, engineService(stopTokenRatio),
+		streamRoute("draft", generateRoute, timeout, 2, true), streamRoute("chat", "/chat/", timeout, 2, true))
 }
 
 // stopCase sends SIGTERM to a router. Its clients have sent short streams; one that has kept its
@@ -83,7 +79,7 @@
 	if err := f.startAll(3); err != nil {
 		return failed, err
 	}
-	if status := newOperator(f, 1, 2, 3).put(stopConfiguration(), 20*time.Second); status != http.StatusOK {
+	if status := newOperator(f, 1, 2, 3).put(stopDocument(), 20*time.Second); status != http.StatusOK {
 		return failed, fmt.Errorf("the configuration got status %d", status)
 	}
 	if err := f.awaitReady(3); err != nil {
@@ -144,8 +140,8 @@
 	}
 	r.Host = host
 	for name, value := range map[string]string{
-		"X-Attempt-Id": id, "X-Model": "m", "X-Token-Counts": fmt.Sprintf("%d,%d", promptTokens, stopTokenRatio*events), "X-Prompt-Prefix": id + ":1000",
-		"X-Deadline-Ms": "15000", "Authorization": "Token key-shop",
+		wire.RequestID: id, wire.Model: "m", wire.TokenCounts: fmt.Sprintf("%d,%d", promptTokens, stopTokenRatio*events), wire.Prompt: id + ":1000",
+		wire.Deadline: "15000", "Authorization": "Token key-shop",
 	} {
 		r.Header.Set(name, value)
 	}
--- a/review/standin/taint.go
+++ b/review/standin/taint.go
@@ -67,7 +67,7 @@
 }
 
 func (w *fragileWorker) instance(service, zone string) instance {
-	return instance{ID: w.id, Service: service, Address: w.ip + ":" + w.port, Zone: zone, Version: "v1", Slots: 64, State: "ready"}
+	return instance{id: w.id, service: service, address: w.ip + ":" + w.port, zone: zone, state: "ready"}
 }
 
 func (w *fragileWorker) close() {
@@ -92,8 +92,8 @@
 
 // ServeHTTP runs a generation.
 func (w *fragileWorker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Attempt-Id")
-	isTainted := strings.Contains(r.Header.Get("X-Prompt-Prefix"), taintedPart+":")
+	id := r.Header.Get(wire.RequestID)
+	isTainted := strings.Contains(r.Header.Get(wire.Prompt), taintedPart+":")
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -101,15 +101,15 @@
 		w.crashes.mu.Lock()
 		w.crashes.arrivals = append(w.crashes.arrivals, w.crashes.record.elapsed())
 		w.crashes.mu.Unlock()
-		w.crashes.record.add("worker %s: has got %s, prompt %s", w.id, id, r.Header.Get("X-Prompt-Prefix"))
+		w.crashes.record.add("worker %s: has got %s, prompt %s", w.id, id, r.Header.Get(wire.Prompt))
 	}
 	time.Sleep(30 * time.Millisecond)
 	if isTainted {
 		w.crash(id)
 		panic(http.ErrAbortHandler)
 	}
-	rw.Header().Set("X-Attempt-Id", id)
-	rw.Header().Set("X-Response-Seal", "seal-"+id)
+	rw.Header().Set(wire.RequestID, id)
+	rw.Header().Set(wire.Seal, "seal-"+id)
 	rw.Header().Set("Content-Type", "text/event-stream")
 	for event := 1; event <= 4; event++ {
 		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d\n\n", event, event); err != nil || http.NewResponseController(rw).Flush() != nil {
@@ -122,11 +122,9 @@
 	w.crashes.sound++
 }
 
-func taintConfiguration() string {
-	return fmt.Sprintf(`{"version":1,"routes":[{"name":"draft","host":%q,"path_prefix":%q,"route_type":"stream","timeout_ms":4000,"target_latency_ms":600,"priority":0,"service":"model","max_attempts":1,"public":false,"sticky":true,"resumable":false,"gap_target_ms":500}],`, host, generateRoute) +
-		`"services":[{"name":"model","health_path":"/healthz","max_conns":380,"protocol":"h1","tls":false,"engine":{"slots":64,"kv_tokens":352969,"kv_token_bytes":163840,"link_mbps":260000.0,"moves":true,"backups":true,"stride":3,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],` +
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},` +
-		`"tenants":[{"name":"shop","api_keys":["key-shop"],"prepaid":100000000}]}`
+func taintDocument() string {
+	const eventTokens = 3
+	return document(1, 100_000_000, engineService(eventTokens), streamRoute("draft", generateRoute, 4*time.Second, 1, false))
 }
 
 // taintCase sends sound requests to a service, and one with the tainted part every three seconds.
@@ -151,7 +149,7 @@
 	if err := f.startAll(3); err != nil {
 		return failed, err
 	}
-	if status := newOperator(f, 1, 2, 3).put(taintConfiguration(), 20*time.Second); status != http.StatusOK {
+	if status := newOperator(f, 1, 2, 3).put(taintDocument(), 20*time.Second); status != http.StatusOK {
 		return failed, fmt.Errorf("the configuration got status %d", status)
 	}
 	if err := f.awaitReady(3); err != nil {
@@ -205,7 +203,7 @@
 	}
 	r.Host = host
 	for name, value := range map[string]string{
-		"X-Attempt-Id": id, "X-Model": "m", "X-Token-Counts": "1300,12", "X-Prompt-Prefix": parts, "X-Deadline-Ms": "4000", "Authorization": "Token key-shop",
+		wire.RequestID: id, wire.Model: "m", wire.TokenCounts: "1300,12", wire.Prompt: parts, wire.Deadline: "4000", "Authorization": "Token key-shop",
 	} {
 		r.Header.Set(name, value)
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -35,15 +35,15 @@
 
 // instance returns the worker's entry in the platform's list.
 func (w *worker) instance(service, zone string) instance {
-	return instance{ID: w.id, Service: service, Address: w.address(), Zone: zone, Version: "v1", Slots: 64, State: "ready"}
+	return instance{id: w.id, service: service, address: w.address(), zone: zone, state: "ready"}
 }
 
 // ServeHTTP runs a request that expects this worker.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Attempt-Id")
-	rw.Header().Set("X-Attempt-Id", id)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
-		rw.Header().Set("X-Instance-Id", w.id)
+	id := r.Header.Get(wire.RequestID)
+	rw.Header().Set(wire.RequestID, id)
+	if expected := r.Header.Get(wire.ExpectedUpstream); expected != "" && expected != w.id {
+		rw.Header().Set(wire.Upstream, w.id)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -54,8 +54,8 @@
 	w.mu.Lock()
 	w.runs = append(w.runs, id)
 	w.mu.Unlock()
-	w.record.add("worker %s: runs %s for tenant %q", w.id, id, r.Header.Get("X-Tenant"))
-	rw.Header().Set("X-Response-Seal", "seal-"+id)
+	w.record.add("worker %s: runs %s for tenant %q", w.id, id, r.Header.Get(wire.Team))
+	rw.Header().Set(wire.Seal, "seal-"+id)
 	if w.serve != nil {
 		w.serve(rw, r)
 		return
