--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,11 +1,11 @@
 // Command standin runs the cases of the review: it starts the daemons of a small deployment,
 // with stand-ins of the operator, the platform, clients and workers around them.
 //
-//	standin CASE FOLDER
+//	standin CASE FOLDER with|without
 //
-// It is run in the root of the repository and writes record.txt into the folder of the case. It
-// exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
-// TROUBLE=0 in the environment, it leaves the disruption out.
+// It is run in the root of the repository, with the disruption of the case or without it, and
+// writes record.txt into the folder of the case. It exits with 1 if the rule was broken, 0 if it
+// held, and 2 if the case could not run.
 package main
 
 import (
@@ -27,12 +27,14 @@
 		"odd-list": oddListCase,
 		"stop":     stopCase,
 	}
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "standin: give a case and its folder")
+	const numArgs = 4
+	if len(os.Args) != numArgs || cases[os.Args[1]] == nil || os.Args[3] != "with" && os.Args[3] != "without" {
+		fmt.Fprintln(os.Stderr, "standin: give a case, its folder, and with or without")
 		os.Exit(failed)
 	}
 	rec := newRecord(os.Args[2])
-	code, err := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
+	rec.add("case %s, %s its disruption", os.Args[1], os.Args[3])
+	code, err := cases[os.Args[1]](rec, os.Args[3] == "with")
 	if err != nil {
 		rec.add("the case could not run: %v", err)
 		code = failed
