kcwstop: a stopping router passes on only what its deadline bounds

Cause: kcwstop.Allows relied on kcwlatency for what may be repeated: if earlier requests of the route ended in time with 99 in 100, the next one was passed on. The estimate knew neither how much the request asked for nor that an upstream may pause, and one in 100 was cut by design.

Change: a request without an answer is passed on only if its deadline is not after the end of the stop; otherwise it is refused with 503 and the time to return, which costs a try at another host and not the answer. The same decision holds for retries, hedges and after waits for the body, tokens, a permit and a connection; after the body it is now taken before tokens are asked for.

TestStopping demanded that a request which may be repeated is passed on by the estimate; that is the fault. It now demands 503.

--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -61,8 +61,6 @@
 	isTrial bool
 	// isAtLimit is set if the request ends because all upstreams are at their rate limits.
 	isAtLimit bool
-	// isComplete is set if the caller has got a whole answer of an upstream.
-	isComplete bool
 	attempts
 	// isUnmeasured is set if an answer on a stream route had a body without events, so that
 	// the number of its tokens isn't known.
@@ -110,6 +108,9 @@
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
 	}
+	if !c.endsBeforeStop() {
+		return stoppingRefusal(stoppingCause)
+	}
 	return c.reserveTokens()
 }
 
@@ -143,15 +144,22 @@
 	return &refusal{status: http.StatusServiceUnavailable, outcome: "Stopping", cause: cause, retryAfter: retryAfterStopping}
 }
 
-// endsBeforeStop reports whether an attempt that begins now ends before the router stops. The
-// stop may begin at any time, so that each attempt asks again.
+// endsBeforeStop reports whether the stop of the router, if there is one, allows an attempt that
+// begins now. The stop may begin at any time, so that each attempt asks again.
 func (c *call) endsBeforeStop() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isAllowedByStop()
+}
+
+// isAllowedByStop is endsBeforeStop for a caller that holds mu.
+func (c *call) isAllowedByStop() bool {
 	stop, stopping := c.f.cfg.Stopping()
 	if !stopping {
 		return true
 	}
-	request := kcwstop.Request{Route: c.route.Name, Deadline: c.deadline, MayRepeat: c.route.MayRepeat()}
-	return stop.Allows(request, c.f.latency, c.f.cfg.Now())
+	request := kcwstop.Request{Deadline: c.deadline, AnswerBegun: c.stream.started}
+	return stop.Allows(request, c.f.cfg.Now())
 }
 
 // latestEnd returns the time at which the request ends at the latest: its deadline, or the end
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -17,7 +17,6 @@
 
 	"kingcupwick.example/kcw/kcwbalance"
 	"kingcupwick.example/kcw/kcwdetector"
-	"kingcupwick.example/kcw/kcwlatency"
 	"kingcupwick.example/kcw/kcwlink"
 	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwpermit"
@@ -231,7 +230,6 @@
 // Forwarder is the handler of callers' requests.
 type Forwarder struct {
 	cfg      Config
-	latency  *kcwlatency.Estimator
 	inFlight atomic.Int64
 	// ending ends when End is called.
 	ending context.Context
@@ -271,7 +269,7 @@
 	if !complete || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.SilenceCheckInterval <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
 	}
-	f := &Forwarder{cfg: cfg, latency: kcwlatency.New(), retryBudgets: map[string]*kcwretry.Budget{}}
+	f := &Forwarder{cfg: cfg, retryBudgets: map[string]*kcwretry.Budget{}}
 	f.ending, f.end = context.WithCancel(context.Background())
 	return f, nil
 }
@@ -301,8 +299,6 @@
 		return
 	}
 	defer c.settleTokens()
-	number := f.latency.Begin(c.route.Name, c.start)
-	defer func() { f.latency.End(c.route.Name, number, f.cfg.Now(), c.isComplete) }()
 	c.run()
 }
 
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -406,29 +406,25 @@
 	}
 }
 
-// TestStopping checks which requests a stopping router admits.
+// TestStopping checks which requests a stopping router admits. How quick earlier ones were makes
+// no difference.
 func TestStopping(t *testing.T) {
-	// enough is a number of requests that show how long those of a route take.
-	const enough = 200
+	const earlier = 200
 	now := time.Now()
 	for _, test := range []struct {
 		name string
 		stop kcwstop.Stop
 		// ended is the number of requests of the route that have ended before.
-		ended int
-		// once and repeatable are the statuses of a request that must not be repeated and of
-		// one that may.
-		once, repeatable int
+		ended, status int
 	}{
-		{"not stopping", kcwstop.Stop{}, 0, 200, 200},
-		{"deadline before the end", kcwstop.Stop{EndsAt: now.Add(2 * longTime)}, 0, 200, 200},
-		{"with enough time", kcwstop.Stop{EndsAt: now.Add(longTime / 2)}, enough, 503, 200},
-		{"with too few earlier requests", kcwstop.Stop{EndsAt: now.Add(longTime / 2)}, 1, 503, 503},
-		{"with unknown duration", kcwstop.Stop{EndsAt: now.Add(longTime / 2)}, 0, 503, 503},
-		{"with too little time", kcwstop.Stop{EndsAt: now}, enough, 503, 503},
+		{"not stopping", kcwstop.Stop{}, 0, 200},
+		{"deadline before the end", kcwstop.Stop{EndsAt: now.Add(2 * longTime)}, 0, 200},
+		{"deadline after the end", kcwstop.Stop{EndsAt: now.Add(longTime / 2)}, 0, 503},
+		{"deadline after the end, quick requests before", kcwstop.Stop{EndsAt: now.Add(longTime / 2)}, earlier, 503},
+		{"at the end", kcwstop.Stop{EndsAt: now}, earlier, 503},
 	} {
-		checkAdmission(t, test.name, once, test.stop, test.ended, test.once)
-		checkAdmission(t, test.name, repeatable, test.stop, test.ended, test.repeatable)
+		checkAdmission(t, test.name, once, test.stop, test.ended, test.status)
+		checkAdmission(t, test.name, repeatable, test.stop, test.ended, test.status)
 	}
 }
 
--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -19,7 +19,7 @@
 	retryBudget *kcwretry.Budget
 
 	// mu guards the fields below, also those of the attempts' resumptions. Lock order: mu
-	// before the locks of the retry budget, the guard, the roster and the estimator.
+	// before the locks of the retry budget, the guard and the roster.
 	mu sync.Mutex
 	// open holds the attempts that have not ended, at most maxOpen.
 	open []*attempt
@@ -171,7 +171,7 @@
 		return "no other attempt is allowed"
 	case c.f.cfg.Guard.Match(c.request.Parts) != nil:
 		return "the prompt has parts that crash upstreams"
-	case !c.endsBeforeStop():
+	case !c.isAllowedByStop():
 		return stoppingCause
 	case !c.retryBudget.TryReserve():
 		return noRetriesCause
--- a/kcw/kcwforward/run.go
+++ b/kcw/kcwforward/run.go
@@ -175,7 +175,6 @@
 	switch {
 	case res == delivered:
 		c.event.Outcome, c.event.Cause = "Delivered", ""
-		c.isComplete = true
 	case res == callerGone:
 		c.event.Outcome = "CallerGone"
 		// The caller may have closed only its sending side.
@@ -184,7 +183,7 @@
 		c.event.Outcome = "StreamBroken"
 		c.abort()
 	case c.lastFailure != nil:
-		c.event.Outcome, c.isComplete = "UpstreamFailed", true
+		c.event.Outcome = "UpstreamFailed"
 		c.lastFailure.write(c)
 	case res == blocked:
 		c.event.Outcome = blockedOutcome
--- a/kcw/kcwforward/stop_test.go
+++ b/kcw/kcwforward/stop_test.go
@@ -12,8 +12,8 @@
 	"kingcupwick.example/kcw/kcwroute"
 )
 
-// TestStoppingRouterPassesOnNothingItMayCut guards against requests that must not be
-// repeated and are passed on late in a stop, because earlier ones were quick.
+// TestStoppingRouterPassesOnNothingItMayCut guards against requests that are passed on late in a
+// stop, because earlier ones were quick, and are cut at its end.
 func TestStoppingRouterPassesOnNothingItMayCut(t *testing.T) {
 	const (
 		quickAnswers = 60
@@ -28,6 +28,8 @@
 	}{
 		{"not idempotent", once, 700 * time.Millisecond, 3 * time.Second, http.StatusServiceUnavailable},
 		{"stream that can't be resumed", stream, 700 * time.Millisecond, 3 * time.Second, http.StatusServiceUnavailable},
+		{"stream that can be resumed", resumable, 700 * time.Millisecond, 3 * time.Second, http.StatusServiceUnavailable},
+		{"idempotent", repeatable, 700 * time.Millisecond, 3 * time.Second, http.StatusServiceUnavailable},
 		{"not idempotent, with a deadline before the end", once, longTime, pause / 2, http.StatusGatewayTimeout},
 	} {
 		f := newFixture(t, 1, test.route, func(e *exchange) {
@@ -123,6 +125,21 @@
 	}
 }
 
+// TestBegunStreamGoesOnDuringStop guards against a stream that is cut because its upstream breaks
+// off during a stop, although another one can go on with it.
+func TestBegunStreamGoesOnDuringStop(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, 2, resumable, first(func(e *exchange) {
+		e.events(false, "id: 1\n\n")
+		f.beginStop(longTime / 2)
+		e.closeConn()
+	}, func(e *exchange) { e.events(true, "id: 2\n\n") }))
+	_, body, err := f.call(t, http.MethodPost, "")
+	if want := "id: 1\n\nid: 2\n\n"; err != nil || body != want || f.arrivals() != 2 {
+		t.Errorf("body %q, error %v, sent %d times; want %q", body, err, f.arrivals(), want)
+	}
+}
+
 // checkStopped checks that an attempt was not begun because of a stop, after the given number
 // of attempts.
 func (f *fixture) checkStopped(t *testing.T, name string, response *http.Response, sends int) {
--- a/kcw/kcwstop/stop_test.go
+++ b/kcw/kcwstop/stop_test.go
@@ -4,50 +4,52 @@
 	"testing"
 	"time"
 
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
 	"kingcupwick.example/kcw/kcwstop"
 )
 
-// estimate is what the requests of all routes take at the longest, zero if that isn't known.
-type estimate time.Duration
-
-func (e estimate) EndsWithin(_ string, d time.Duration, _ time.Time) bool {
-	return e != 0 && time.Duration(e) <= d
-}
-
 func TestAllows(t *testing.T) {
-	const (
-		quick = estimate(time.Millisecond)
-		slow  = estimate(2 * time.Second)
-	)
 	now := time.Unix(1e9, 0)
 	for _, test := range []struct {
 		name string
 		// untilDeadline and untilEnd are the times left to the request and to the stop.
 		untilDeadline, untilEnd time.Duration
-		estimate                estimate
-		// wantOnce and wantRepeatable are the results for a request that must not be repeated
-		// and for one that may.
-		wantOnce, wantRepeatable bool
+		// wantNew and wantBegun are the results for a request without an answer and for one
+		// whose answer has begun.
+		wantNew, wantBegun bool
 	}{
-		{"deadline before the end", time.Second, time.Minute, 0, true, true},
-		{"deadline at the end", time.Second, time.Second, 0, true, true},
-		{"deadline after the end, duration unknown", time.Second + 1, time.Second, 0, false, false},
-		{"deadline after the end, quick", time.Minute, time.Second, quick, false, true},
-		{"deadline after the end, slow", time.Minute, time.Second, slow, false, false},
-		{"at the end", time.Minute, 0, quick, false, false},
-		{"after the end", time.Minute, -time.Second, quick, false, false},
-		{"after the end and the deadline", -2 * time.Second, -time.Second, quick, true, true},
+		{"deadline before the end", time.Second, time.Minute, true, true},
+		{"deadline at the end", time.Second, time.Second, true, true},
+		{"deadline after the end", time.Second + 1, time.Second, false, true},
+		{"at the end", time.Minute, 0, false, false},
+		{"after the end", time.Minute, -time.Second, false, false},
+		{"after the end and the deadline", -2 * time.Second, -time.Second, true, true},
 	} {
 		stop := kcwstop.Stop{EndsAt: now.Add(test.untilEnd)}
-		for _, mayRepeat := range []bool{false, true} {
-			request := kcwstop.Request{Route: "r", Deadline: now.Add(test.untilDeadline), MayRepeat: mayRepeat}
-			want := test.wantOnce
-			if mayRepeat {
-				want = test.wantRepeatable
+		for _, begun := range []bool{false, true} {
+			want := test.wantNew
+			if begun {
+				want = test.wantBegun
 			}
-			if got := stop.Allows(request, test.estimate, now); got != want {
-				t.Errorf("%s, may be repeated %v: allowed %v, want %v", test.name, mayRepeat, got, want)
+			if got := stop.Allows(kcwstop.Request{Deadline: now.Add(test.untilDeadline), AnswerBegun: begun}, now); got != want {
+				t.Errorf("%s, answer begun %v: allowed %v, want %v", test.name, begun, got, want)
 			}
 		}
 	}
 }
+
+// TestAllowedRequestsAreOverBeforeTheEnd checks that a request without an answer is passed on
+// only if its time is over by the end of the stop, whatever it takes.
+func TestAllowedRequestsAreOverBeforeTheEnd(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	properties := gopter.NewProperties(nil)
+	milliseconds := gen.Int64Range(-10_000, 20_000)
+	properties.Property("no request is cut", prop.ForAll(func(untilDeadline, untilEnd int64) bool {
+		deadline, end := now.Add(time.Duration(untilDeadline)*time.Millisecond), now.Add(time.Duration(untilEnd)*time.Millisecond)
+		return kcwstop.Stop{EndsAt: end}.Allows(kcwstop.Request{Deadline: deadline}, now) == !deadline.After(end)
+	}, milliseconds, milliseconds))
+	properties.TestingRun(t)
+}
