kcwforward: what may have run is charged

Cause: when a caller left, the router closed its sending side and took the end of the upstream's connection without a byte of a body as the statement that the request was not run. An upstream that has begun, and has sent the head of its answer or nothing yet, ends its connection in the same way. Only the header that says so, or 421, states it.

Change: an attempt is charged (isCharged) if the upstream may have run the request and either got it whole or answered it. Its prompt counts once for all attempts, and the events that were passed on. Not charged: no connection, a request of which a part was not written and that got no answer, a statement that it was not run. After the caller has left, the router still waits 50 ms for such a statement. Related: an answer without events on a route that generates and is no stream was charged no output; it is charged its most now, as on a route of streams.

TestLeavingCosts demanded that a dropped request is free; that is the fault. It demands the tokens of the prompt now, and has three rows more.

--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -62,8 +62,8 @@
 	// isAtLimit is set if the request ends because all upstreams are at their rate limits.
 	isAtLimit bool
 	attempts
-	// isUnmeasured is set if an answer on a stream route had a body without events, so that
-	// the number of its tokens isn't known.
+	// isUnmeasured is set if an answer had a body without events, so that the number of its
+	// tokens isn't known.
 	isUnmeasured bool
 	event        Event
 }
@@ -320,13 +320,15 @@
 	return context.WithDeadline(c.r.Context(), end)
 }
 
-// settleTokens replaces the reservation by the tokens that the request has used.
+// settleTokens replaces the reservation by the tokens that the request is charged: those of its
+// prompt, once for all attempts, and of the output that was passed on, if any upstream may have
+// run it.
 func (c *call) settleTokens() {
 	if c.reservedTokens == 0 {
 		return
 	}
 	used := int64(0)
-	if c.mayHaveRun {
+	if c.isCharged {
 		out := min(c.stream.events*max(c.service.EventTokens, 1), c.request.OutputTokens)
 		if c.isUnmeasured {
 			out = c.request.OutputTokens
--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -70,7 +70,7 @@
 	}
 	if isSuccess {
 		a.begin()
-		a.isUnmeasured = a.route.Kind == kcwroute.Stream && len(answer.body) > 0
+		a.isUnmeasured = len(answer.body) > 0
 	}
 	answer.write(a.call)
 	return delivered, kcwroster.Succeeded
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -21,9 +21,9 @@
 	// maxSurplusAnswers bounds the answers to other requests that are skipped before
 	// the answer to this one, and maxDiscardBytes the size of their bodies together.
 	maxSurplusAnswers = 16
-	// callerGoneTimeout bounds the wait for the end of a request whose caller has
-	// disconnected. It covers several round trips, and is short because the upstream's
-	// further work is wasted.
+	// callerGoneTimeout bounds the wait for the statement that a request was not run whose
+	// caller has disconnected. It covers several round trips, and is short because the
+	// upstream's further work is wasted.
 	callerGoneTimeout = 50 * time.Millisecond
 	// maxDiscardBytes bounds the body of an answer that is read and discarded, so
 	// that its connection can be used further.
@@ -69,8 +69,11 @@
 	// the event with lastEventID.
 	resumed     *resumption
 	lastEventID string
-	// mayHaveRun is set if the upstream may have run the request.
-	mayHaveRun bool
+	// mayHaveRun is set if the upstream may have run the request. IsCharged is set if the tokens
+	// of that are charged, which they are not if the upstream neither got the whole request nor
+	// answered it. IsAnswered is set once the head of an answer to the request has come, unless
+	// it states that the request was not run.
+	mayHaveRun, isCharged, isAnswered bool
 	// memoryHeld is the memory acquired for the answer, in bytes.
 	memoryHeld int64
 	// surplus is the number of answers to other requests that came before the one to this.
@@ -84,10 +87,8 @@
 	// keeps the connection open.
 	keepAliveUntil time.Time
 	reusable       bool
-	// bodyStarted is set when bytes of an answer's body may have arrived. Err is the
-	// error that ended the attempt.
+	// bodyStarted is set when bytes of an answer's body may have arrived.
 	bodyStarted bool
-	err         error
 	// cut is set if the upstream closed the connection before the answer was whole, and
 	// begun once an event of the answer, or all of another answer, has arrived.
 	cut, begun bool
@@ -128,13 +129,10 @@
 		res, outcome = replaced, kcwroster.Replaced
 	case a.r.Context().Err() != nil && res != delivered:
 		res, outcome = callerGone, kcwroster.Neutral
-		isEOF := errors.Is(a.err, io.EOF) || errors.Is(a.err, io.ErrUnexpectedEOF)
-		if !a.bodyStarted && (isEOF || !a.waitWritten()) {
-			// The upstream dropped the request before the first token, or never
-			// received all of it. A generation counts as run from its first token.
-			a.mayHaveRun = false
-		}
 	}
+	// The end of a connection does not state that the request was not run: an upstream that has
+	// begun to work on it also ends in this way when its caller leaves.
+	a.isCharged = a.mayHaveRun && (a.isAnswered || a.waitWritten())
 	a.ticket.Done(outcome)
 	if res == unknownRun && a.cut && !a.begun && a.waitWritten() {
 		a.f.cfg.Guard.Cut(kcwdetector.Cut{
@@ -165,11 +163,9 @@
 // is closed already.
 func (a *attempt) onEnding() { _ = a.conn.SetDeadline(a.f.cfg.Now()) }
 
-// onCallerGone ends the attempt because the caller has disconnected. If tokens are
-// reserved for the request, it closes only the writing side and waits up to
-// callerGoneTimeout for the upstream's reaction, which shows whether the request ran:
-// an upstream that drops a request closes the connection, one that ran it has sent an
-// event.
+// onCallerGone ends the attempt because the caller has disconnected. If tokens are reserved for
+// the request, it closes only the writing side and waits up to callerGoneTimeout for a statement
+// of the upstream that the request was not run.
 func (a *attempt) onCallerGone() {
 	writer, ok := a.conn.Conn.(interface{ CloseWrite() error })
 	if !ok || a.reservedTokens == 0 || writer.CloseWrite() != nil || a.conn.SetReadDeadline(a.f.cfg.Now().Add(callerGoneTimeout)) != nil {
@@ -249,6 +245,7 @@
 		a.mayHaveRun = false
 		return a.endNotRun(response, info)
 	}
+	a.isAnswered = true
 	return a.forwardAnswer(response)
 }
 
@@ -282,7 +279,6 @@
 // endBroken ends an attempt that got no whole answer. What describes the failure, err is
 // its cause.
 func (a *attempt) endBroken(what string, err error) (result, kcwroster.Outcome) {
-	a.err = err
 	if a.f.ending.Err() != nil {
 		a.cause = "upstream " + a.ticket.ID() + ": " + what + " before the end of the router's stop"
 		return unknownRun, kcwroster.Neutral
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -273,9 +273,9 @@
 	}
 }
 
-// TestLeavingCosts checks the tokens that a team spends on a request whose caller
-// disconnects before the first event: none if the upstream dropped the request, those of
-// the prompt if it may have run.
+// TestLeavingCosts guards against requests that run and are not charged because their callers
+// disconnect before the first event. Only a statement of the upstream, or a request that it has
+// not got whole, shows that the request was not run; the end of the connection does not.
 func TestLeavingCosts(t *testing.T) {
 	route := stream
 	route.Generates = true
@@ -285,9 +285,12 @@
 		react func(e *exchange)
 		used  int64
 	}{
-		{"dropped", func(e *exchange) { e.closeConn() }, 0},
-		{"dropped after the header", func(e *exchange) { e.events(false); e.closeConn() }, 0},
+		{"dropped", func(e *exchange) { e.closeConn() }, 500},
+		{"dropped after the header", func(e *exchange) { e.events(false); e.closeConn() }, 500},
+		{"dropped within the first event", func(e *exchange) { e.events(false, "data:"); e.closeConn() }, 500},
 		{"states that it did not run", func(e *exchange) { e.answer(503, "Not-Run: 1\r\n", "") }, 0},
+		{"misdirected", func(e *exchange) { e.answer(421, "", "") }, 0},
+		{"refused without a statement", func(e *exchange) { e.answer(503, "", "") }, 500},
 		{"answered meanwhile", func(e *exchange) { e.events(true, "data: a\n\n") }, 500},
 		{"silent", func(*exchange) {}, 500},
 	} {
@@ -327,6 +330,58 @@
 	}
 }
 
+// TestPartlySentCosts checks the tokens of a request of which the upstream reads only the head. Its
+// body is larger than the buffers of a connection.
+func TestPartlySentCosts(t *testing.T) {
+	route := stream
+	route.Generates = true
+	for _, test := range []struct {
+		name  string
+		react func(e *exchange)
+		used  int64
+	}{
+		{"closed", func(e *exchange) { e.closeConn() }, 0},
+		{"answered", func(e *exchange) { e.events(true, "data: a\n\n") }, 503},
+	} {
+		f := newFixture(t, 1, route, test.react)
+		f.grant(1000, 0, 1000)
+		_, _, _ = f.call(t, http.MethodPost, strings.Repeat("x", maxBodyBytes), "Leave-Body", "1", "Prompt", "500", "Output", "100")
+		for f.forwarder.InFlight() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
+			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
+		}
+	}
+}
+
+// TestUncountedAnswersCost checks that the output of a generation whose events can't be counted is
+// charged at its most.
+func TestUncountedAnswersCost(t *testing.T) {
+	whole := func(e *exchange) { good(e) }
+	for _, test := range []struct {
+		name  string
+		route kcwroute.Route
+		react func(e *exchange)
+		used  int64
+	}{
+		{"stream", stream, func(e *exchange) { e.answer(http.StatusOK, "Content-Type: text/plain\r\n", "whole") }, 600},
+		{"idempotent", repeatable, whole, 600},
+		{"not idempotent", once, whole, 600},
+		{"empty", once, func(e *exchange) { e.answer(http.StatusNoContent, "", "") }, 500},
+		{"rejected", once, func(e *exchange) { e.answer(http.StatusBadRequest, "", "too long") }, 500},
+		{"failed", once, func(e *exchange) { e.answer(http.StatusInternalServerError, "", "failed") }, 500},
+	} {
+		test.route.Generates = true
+		f := newFixture(t, 1, test.route, test.react)
+		f.grant(1000, 0, 1000)
+		_, _, _ = f.call(t, http.MethodPost, "", "Prompt", "500", "Output", "100")
+		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
+			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
+		}
+	}
+}
+
 // TestSilentUpstream checks that a repeatable request is sent to another upstream if the
 // first is silent on all connections, and that other requests wait until their deadline.
 func TestSilentUpstream(t *testing.T) {
--- a/kcw/kcwforward/hedge.go
+++ b/kcw/kcwforward/hedge.go
@@ -28,8 +28,9 @@
 	// sends counts the attempts made. Of those that have ended, possibleRuns counts the ones
 	// that may have run the request, and connected the ones that had a connection.
 	sends, possibleRuns, connected int
-	// mayHaveRun is set if an upstream may have run the request, in an attempt that has ended.
-	mayHaveRun bool
+	// mayHaveRun is set if an upstream may have run the request, in an attempt that has ended,
+	// and isCharged if the tokens of that are charged.
+	mayHaveRun, isCharged bool
 	// last is the attempt that ended last without having been replaced, and lastResult how.
 	last       *attempt
 	lastResult result
@@ -325,6 +326,7 @@
 		a.connected++
 	}
 	a.call.mayHaveRun = a.call.mayHaveRun || a.mayHaveRun
+	a.call.isCharged = a.call.isCharged || a.isCharged
 	a.call.memoryHeld += a.memoryHeld
 	a.event.Surplus += a.surplus
 	if a.isReplaced {
