kcwforward: refuse generations that state no number of tokens

It is refused with 400 now, at services that count tokens. TestGenerationStatesItsTokens fails before (status 200).

--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -263,7 +263,13 @@
 // the router holds too few, it requests more from the core, and then from other routers.
 func (c *call) reserveTokens() *refusal {
 	tokens := c.request.PromptTokens + c.request.OutputTokens
-	if c.team == nil || !c.route.Generates || tokens == 0 {
+	if c.team == nil || !c.route.Generates {
+		return nil
+	}
+	if tokens == 0 {
+		if c.service.EventTokens > 0 {
+			return &refusal{status: http.StatusBadRequest, outcome: "NoTokenCounts", cause: "a generation states no number of tokens, so that it can't be charged"}
+		}
 		return nil
 	}
 	balance := c.f.cfg.Balance
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -330,6 +330,32 @@
 	}
 }
 
+// TestGenerationStatesItsTokens guards against generations that are free because they state no
+// number of tokens. Services that generate nothing have none.
+func TestGenerationStatesItsTokens(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		eventTokens int64
+		generates   bool
+		status      int
+	}{
+		{"generation", 3, true, http.StatusBadRequest},
+		{"service without events", 0, true, http.StatusOK},
+		{"plain route", 3, false, http.StatusOK},
+	} {
+		route := repeatable
+		route.Generates = test.generates
+		f := newFixture(t, 1, route, good)
+		document := newDocument(t, route)
+		document.Services[0].EventTokens = test.eventTokens
+		f.document.Store(document)
+		response, _, _ := f.call(t, http.MethodPost, "")
+		if response.StatusCode != test.status || f.arrivals() != map[bool]int{true: 1}[test.status == http.StatusOK] {
+			t.Errorf("%s: status %d after %d sends, want %d", test.name, response.StatusCode, f.arrivals(), test.status)
+		}
+	}
+}
+
 // TestPartlySentCosts checks the tokens of a request of which the upstream reads only the head. Its
 // body is larger than the buffers of a connection.
 func TestPartlySentCosts(t *testing.T) {
