kcwforward: disconnect callers that take nothing of their answer

A caller that reads nothing of a stream kept its request in flight for as long as it stayed connected, long after its deadline, with the upstream's connection and up to an event of memory: writes to callers had no deadline. TestStalledCallerIsDisconnected fails before (a request in flight after 15 s). Now a write fails once the caller has taken nothing for WriteTimeout, the time for which idle connections are kept (75 s); one that reads slowly gets all of its answer (TestSlowCallerGetsWholeAnswer).

--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -236,7 +236,7 @@
 		Dialect: r.cfg.Dialect, Document: r.reporter.document.Load, Roster: r.roster, Balance: r.balance, Link: r.link,
 		RequestTokens: r.reporter.requestReport, BorrowTokens: r.lending.Acquire, Guard: r.guard, Permits: r.quota, TokenTimeout: s.Grants.AskTimeout,
 		RetryRatio: retryFraction * s.Retry.Ratio, RetrySlack: int(retryFraction * s.Retry.Slack), Routers: func() int { return int(r.reporter.routers.Load()) },
-		Memory: r.memory, MaxHeadBytes: int64(s.Limits.MaxHeaderBytes),
+		WriteTimeout: s.Limits.IdleTimeout, Memory: r.memory, MaxHeadBytes: int64(s.Limits.MaxHeaderBytes),
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		UsedWithin: s.Upstream.UsedWithin, SilenceCheckInterval: s.Upstream.Patience,
 		Stopping: r.stopping, OnEnd: newObserver(r.meter, r.reporter.documentStatus), OnRetry: logRetry, OnHedge: newHedgeObserver(r.meter), OnWithdrawal: logWithdrawal, Rand: newRand(), Now: time.Now,
--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -123,8 +123,8 @@
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
 	}
 	c.w.WriteHeader(h.status)
-	// A write fails only if the caller has disconnected.
-	_, _ = c.w.Write(h.body)
+	// A write fails only if the caller has disconnected or takes nothing.
+	_ = c.write(h.body)
 	c.endAnswer()
 }
 
@@ -292,12 +292,36 @@
 	}
 	defer a.endWrite()
 	a.startStream(response)
-	if _, err := a.w.Write(events); err != nil {
+	if err := a.write(events); err != nil {
 		return err
 	}
 	return http.NewResponseController(a.w).Flush()
 }
 
+// writePieceBytes is the size in bytes of the pieces of an answer that are written one by one, so
+// that a slow caller that takes some of it is told from one that takes nothing.
+const writePieceBytes = 32 << 10
+
+// write writes data to the caller. It fails if the caller has disconnected or takes nothing for
+// Config.WriteTimeout.
+func (c *call) write(data []byte) error {
+	for len(data) > 0 {
+		piece := data[:min(len(data), writePieceBytes)]
+		data = data[len(piece):]
+		c.extendWriteDeadline()
+		if _, err := c.w.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// extendWriteDeadline starts the time anew within which the caller must take the next bytes.
+// SetWriteDeadline fails only on a connection that is closed already.
+func (c *call) extendWriteDeadline() {
+	_ = http.NewResponseController(c.w).SetWriteDeadline(c.f.cfg.Now().Add(c.f.cfg.WriteTimeout))
+}
+
 // eventSize returns the size in bytes of the first event of data, including the empty
 // line that ends it, or zero if the event is incomplete.
 func eventSize(data []byte) int {
--- a/kcw/kcwforward/endless_test.go
+++ b/kcw/kcwforward/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -96,6 +97,86 @@
 	}
 }
 
+// TestStalledCallerIsDisconnected guards against a caller that reads nothing and keeps its request,
+// its upstream and their memory for as long as it stays connected.
+func TestStalledCallerIsDisconnected(t *testing.T) {
+	const timeout = 300 * time.Millisecond
+	block := strings.Repeat("data: "+strings.Repeat("x", 1000)+"\n\n", 64)
+	large := strings.Repeat("x", 1<<20)
+	for _, test := range []struct {
+		name   string
+		route  kcwroute.Route
+		script func(e *exchange)
+	}{
+		{"stream", stream, func(e *exchange) {
+			_, err := io.WriteString(e.conn, "HTTP/1.1 200 OK\r\nAttempt: id-1\r\n"+eventStream+"\r\n")
+			for err == nil {
+				_, err = io.WriteString(e.conn, block)
+			}
+		}},
+		{"pipelined answers", once, func(e *exchange) { e.answer(200, "", large) }},
+	} {
+		f := newTimedFixture(t, 1, test.route, longTime, timeout, test.script)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		go func() {
+			request := "POST /a/x HTTP/1.1\r\nHost: host.example\r\nKey: key\r\nAttempt: id-1\r\nContent-Length: 0\r\n\r\n"
+			_, _ = io.WriteString(conn, strings.Repeat(request, 64))
+		}()
+		for f.arrivals() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		end := time.Now().Add(longTime / 2)
+		for quiet := 0; quiet < 50 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			quiet++
+			if f.forwarder.InFlight() > 0 {
+				quiet = 0
+			}
+		}
+		if n := f.forwarder.InFlight(); n > 0 {
+			t.Errorf("%s: %d requests are in flight", test.name, n)
+		}
+		if held := f.memory.Held(); held != 0 {
+			t.Errorf("%s: %d bytes are held", test.name, held)
+		}
+	}
+}
+
+// TestSlowCallerGetsWholeAnswer checks that a caller that reads slowly, for longer than the time
+// for which it may take nothing, is not disconnected.
+func TestSlowCallerGetsWholeAnswer(t *testing.T) {
+	const size = 8 << 20
+	event := "data: " + strings.Repeat("x", 16<<10) + "\n\n"
+	f := newTimedFixture(t, 1, stream, longTime, 400*time.Millisecond, func(e *exchange) {
+		e.events(false)
+		for range size / len(event) {
+			fmt.Fprintf(e.conn, "%x\r\n%s\r\n", len(event), event)
+		}
+		fmt.Fprint(e.conn, "0\r\n\r\n")
+	})
+	response := f.open(t, http.MethodPost, nil)
+	defer func() { _ = response.Body.Close() }()
+	got, buffer := 0, make([]byte, 256<<10)
+	begin := time.Now()
+	for {
+		n, err := io.ReadFull(response.Body, buffer)
+		got += n
+		if err != nil {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Errorf("after %d bytes: %v", got, err)
+			}
+			break
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	if want := size / len(event) * len(event); got != want {
+		t.Errorf("got %d bytes in %v, want %d", got, time.Since(begin), want)
+	}
+}
+
 // TestMemoryTogether checks that the memory of all requests is bounded: a request that
 // would exceed the bound fails, and all memory is released when the requests end.
 func TestMemoryTogether(t *testing.T) {
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -220,6 +220,12 @@
 // newSilenceFixture is like newFixture, with the time after which an upstream that sends
 // nothing is silent.
 func newSilenceFixture(t *testing.T, upstreams int, route kcwroute.Route, silence time.Duration, script func(e *exchange)) *fixture {
+	t.Helper()
+	return newTimedFixture(t, upstreams, route, silence, longTime, script)
+}
+
+// newTimedFixture is like newSilenceFixture, with the time for which a caller may take nothing.
+func newTimedFixture(t *testing.T, upstreams int, route kcwroute.Route, silence, writeTimeout time.Duration, script func(e *exchange)) *fixture {
 	t.Helper()
 	f := &fixture{memory: kcwmemory.New(4 * maxBodyBytes), guard: &guard{}, limits: &limits{limited: map[string]bool{}, permits: map[string]int{}}}
 	roster := newRoster(f.limits, silence)
@@ -252,7 +258,7 @@
 		RequestTokens: func(context.Context) bool { return f.onTokenRequest != nil && f.onTokenRequest() }, TokenTimeout: time.Second,
 		RetryRatio: 0.1, RetrySlack: 10, Routers: func() int { return 1 },
 		MaxBodyBytes: maxBodyBytes, MaxAnswerBytes: 1 << 20, MaxEventBytes: 1 << 16,
-		UsedWithin: time.Second, SilenceCheckInterval: 20 * time.Millisecond, Stopping: f.stopping,
+		WriteTimeout: writeTimeout, UsedWithin: time.Second, SilenceCheckInterval: 20 * time.Millisecond, Stopping: f.stopping,
 		OnEnd: func(e kcwforward.Event) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -205,6 +205,10 @@
 	// UsedWithin is the longest time that a pooled connection may have been idle to be
 	// reused for a request that must not run twice.
 	UsedWithin time.Duration
+	// WriteTimeout is how long a caller may take no byte of its answer before it is
+	// disconnected. It must not be shorter than the time for which the server keeps idle
+	// connections, since it goes on after the end of an answer.
+	WriteTimeout time.Duration
 	// SilenceCheckInterval is how often an attempt checks whether its upstream is silent on
 	// all connections.
 	SilenceCheckInterval time.Duration
@@ -272,7 +276,7 @@
 func New(cfg Config) (*Forwarder, error) {
 	complete := cfg.Dialect != nil && cfg.Document != nil && cfg.Roster != nil && cfg.Balance != nil && cfg.Link != nil && cfg.Guard != nil && cfg.Permits != nil && cfg.Memory != nil && cfg.MaxHeadBytes > 0 &&
 		cfg.RequestTokens != nil && cfg.BorrowTokens != nil && cfg.Routers != nil && cfg.Stopping != nil && cfg.OnEnd != nil && cfg.OnRetry != nil && cfg.OnHedge != nil && cfg.OnWithdrawal != nil && cfg.Rand != nil && cfg.Now != nil
-	if !complete || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.SilenceCheckInterval <= 0 {
+	if !complete || cfg.MaxBodyBytes <= 0 || cfg.MaxAnswerBytes <= 0 || cfg.MaxEventBytes <= 0 || cfg.WriteTimeout <= 0 || cfg.SilenceCheckInterval <= 0 {
 		return nil, &Error{Op: "new", Kind: Incomplete}
 	}
 	f := &Forwarder{cfg: cfg, retryBudgets: map[string]*kcwretry.Budget{}}
@@ -294,6 +298,9 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	c := &call{f: f, w: w, r: r, start: f.cfg.Now()}
+	c.extendWriteDeadline()
+	// The server writes buffered data after ServeHTTP has returned.
+	defer c.extendWriteDeadline()
 	if f.shouldShed(c.start) {
 		w.Header().Set("Connection", "close")
 	}
