--- a/kcw/kcwdetector/detector_test.go
+++ b/kcw/kcwdetector/detector_test.go
@@ -248,8 +248,12 @@
 	const limit = 2
 	d := newDetector(t)
 	play(d, []step{
-		{0, "u1", "p1", "class a"}, {time.Second, "u2", "p2", "class b"}, {1500 * time.Millisecond, "", "", "class"}, {2 * time.Second, "u3", "p3", "class c"},
-		{1750 * time.Millisecond, "u4", "p4", "d"}, {1800 * time.Millisecond, "", "", "d"},
+		{0, "u1", "p1", "class a"},
+		{time.Second, "u2", "p2", "class b"},
+		{1500 * time.Millisecond, "", "", "class"},
+		{2 * time.Second, "u3", "p3", "class c"},
+		{1750 * time.Millisecond, "u4", "p4", "d"},
+		{1800 * time.Millisecond, "", "", "d"},
 	})
 	for _, test := range []struct {
 		version uint64
