--- a/kcw/kcwroster/roster.go
+++ b/kcw/kcwroster/roster.go
@@ -265,8 +265,9 @@
 }
 
 // usable returns the upstreams of the service that may receive the request, without the
-// suspected ones and without those to avoid if there are others. If all are suspected, it returns them all unless the request is a hedge,
-// since the suspicion then doesn't distinguish between them.
+// suspected ones and without those to avoid. If all others are suspected, it returns those to
+// avoid, and if all are, it returns them all unless the request is a hedge, since the suspicion
+// then doesn't distinguish between them.
 func (r *Roster) usable(request Request, now time.Time) []*upstream {
 	var healthy, avoided, suspected []*upstream
 	for _, u := range r.services[request.Service] {
