--- a/kcw/kcwforward/charge_property_test.go
+++ b/kcw/kcwforward/charge_property_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -137,14 +136,7 @@
 		unit         = 5 * time.Millisecond
 		granted      = 400
 	)
-	seed := int64(45)
-	if text := os.Getenv("KCW_SEED"); text != "" {
-		var err error
-		if seed, err = strconv.ParseInt(text, 10, 64); err != nil {
-			t.Fatal(err)
-		}
-	}
-	parameters := gopter.DefaultTestParametersWithSeed(seed)
+	parameters := gopter.DefaultTestParametersWithSeed(testSeed(t, 45))
 	parameters.MinSuccessfulTests, parameters.Workers = 100, 8
 	properties := gopter.NewProperties(parameters)
 	properties.Property("what may have run is charged once, and nothing else", prop.ForAll(
--- a/kcw/kcwforward/cut_test.go
+++ b/kcw/kcwforward/cut_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -261,14 +260,7 @@
 
 // Answers cut at random bytes: none looks whole to the caller unless it is.
 func TestCutAnswerNeverLooksWhole(t *testing.T) {
-	seed := int64(38)
-	if text := os.Getenv("KCW_SEED"); text != "" {
-		var err error
-		if seed, err = strconv.ParseInt(text, 10, 64); err != nil {
-			t.Fatal(err)
-		}
-	}
-	parameters := gopter.DefaultTestParametersWithSeed(seed)
+	parameters := gopter.DefaultTestParametersWithSeed(testSeed(t, 38))
 	parameters.MinSuccessfulTests = 1000
 	properties := gopter.NewProperties(parameters)
 	large := gen.IntRange(0, 1<<20)
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -390,6 +391,20 @@
 	return response
 }
 
+// testSeed returns the seed of a random test: KCW_SEED if that is set.
+func testSeed(t *testing.T, seed int64) int64 {
+	t.Helper()
+	text := os.Getenv("KCW_SEED")
+	if text == "" {
+		return seed
+	}
+	seed, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return seed
+}
+
 // arrivals returns the number of requests that arrived at upstreams.
 func (f *fixture) arrivals() int {
 	f.mu.Lock()
--- a/kcw/kcwforward/hedge_property_test.go
+++ b/kcw/kcwforward/hedge_property_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -136,14 +135,7 @@
 
 // Random upstreams pause, are cut, refuse and replay while several requests are hedged.
 func TestHedgedStreamHasEachEventOnce(t *testing.T) {
-	seed := int64(38)
-	if text := os.Getenv("KCW_SEED"); text != "" {
-		var err error
-		if seed, err = strconv.ParseInt(text, 10, 64); err != nil {
-			t.Fatal(err)
-		}
-	}
-	parameters := gopter.DefaultTestParametersWithSeed(seed)
+	parameters := gopter.DefaultTestParametersWithSeed(testSeed(t, 38))
 	parameters.MinSuccessfulTests, parameters.Workers = 80, 8
 	properties := gopter.NewProperties(parameters)
 	var mu sync.Mutex
--- a/kcw/kcwforward/resume_property_test.go
+++ b/kcw/kcwforward/resume_property_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -93,14 +92,7 @@
 		events = append(events, fmt.Sprintf("id: %d\ndata: %d\n\n", i+1, i*i))
 	}
 	right := strings.Join(events, "")
-	seed := int64(35)
-	if text := os.Getenv("KCW_SEED"); text != "" {
-		var err error
-		if seed, err = strconv.ParseInt(text, 10, 64); err != nil {
-			t.Fatal(err)
-		}
-	}
-	parameters := gopter.DefaultTestParametersWithSeed(seed)
+	parameters := gopter.DefaultTestParametersWithSeed(testSeed(t, 35))
 	parameters.MinSuccessfulTests = 400
 	properties := gopter.NewProperties(parameters)
 	const attempts = 4
--- a/kcw/kcwforward/stop_property_test.go
+++ b/kcw/kcwforward/stop_property_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -73,14 +72,7 @@
 		earlier = 12
 		unit    = 10 * time.Millisecond
 	)
-	seed := int64(45)
-	if text := os.Getenv("KCW_SEED"); text != "" {
-		var err error
-		if seed, err = strconv.ParseInt(text, 10, 64); err != nil {
-			t.Fatal(err)
-		}
-	}
-	parameters := gopter.DefaultTestParametersWithSeed(seed)
+	parameters := gopter.DefaultTestParametersWithSeed(testSeed(t, 45))
 	parameters.MinSuccessfulTests, parameters.Workers = 100, 8
 	properties := gopter.NewProperties(parameters)
 	routes := []kcwroute.Route{once, repeatable, stream, resumable}
