--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -391,6 +391,14 @@
 	return response
 }
 
+// checkSpent checks the number of tokens that the team has spent, and that none are reserved.
+func (f *fixture) checkSpent(t *testing.T, name string, want int64) {
+	t.Helper()
+	if team := f.balance.Teams()[0]; team.Spent != want || team.Reserved != 0 {
+		t.Errorf("%s: spent %d and reserved %d, want %d and 0", name, team.Spent, team.Reserved, want)
+	}
+}
+
 // testSeed returns the seed of a random test: KCW_SEED if that is set.
 func testSeed(t *testing.T, seed int64) int64 {
 	t.Helper()
--- a/kcw/kcwforward/forwarder_test.go
+++ b/kcw/kcwforward/forwarder_test.go
@@ -324,9 +324,7 @@
 		for f.forwarder.InFlight() > 0 {
 			time.Sleep(time.Millisecond)
 		}
-		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
-			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
-		}
+		f.checkSpent(t, test.name, test.used)
 	}
 }
 
@@ -375,9 +373,7 @@
 		for f.forwarder.InFlight() > 0 {
 			time.Sleep(time.Millisecond)
 		}
-		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
-			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
-		}
+		f.checkSpent(t, test.name, test.used)
 	}
 }
 
@@ -402,9 +398,7 @@
 		f := newFixture(t, 1, test.route, test.react)
 		f.grant(1000, 0, 1000)
 		_, _, _ = f.call(t, http.MethodPost, "", "Prompt", "500", "Output", "100")
-		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
-			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
-		}
+		f.checkSpent(t, test.name, test.used)
 	}
 }
 
@@ -448,9 +442,7 @@
 		if wait := response.Header.Get("Retry-After"); (wait != "") != (test.status == 429 || test.status == 503) {
 			t.Errorf("%s: Retry-After is %q", test.name, wait)
 		}
-		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
-			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
-		}
+		f.checkSpent(t, test.name, test.used)
 	}
 }
 
--- a/kcw/kcwforward/hedge_test.go
+++ b/kcw/kcwforward/hedge_test.go
@@ -109,9 +109,7 @@
 		for f.forwarder.InFlight() > 0 {
 			time.Sleep(time.Millisecond)
 		}
-		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
-			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
-		}
+		f.checkSpent(t, test.name, test.used)
 	}
 }
 
@@ -162,9 +160,7 @@
 		if status != test.status {
 			t.Errorf("%s: got status %d, want %d", test.name, status, test.status)
 		}
-		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
-			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
-		}
+		f.checkSpent(t, test.name, test.used)
 	}
 }
 
--- a/kcw/kcwforward/resume_test.go
+++ b/kcw/kcwforward/resume_test.go
@@ -257,9 +257,7 @@
 		for f.forwarder.InFlight() > 0 {
 			time.Sleep(time.Millisecond)
 		}
-		if team := f.balance.Teams()[0]; team.Spent != test.used || team.Reserved != 0 {
-			t.Errorf("%s: spent %d and reserved %d, want %d and 0", test.name, team.Spent, team.Reserved, test.used)
-		}
+		f.checkSpent(t, test.name, test.used)
 	}
 }
 
