kcwcontrol: log and count how documents and reports reach the core

The leader logs when all routers that report have the newest document, and when some lack it 1.5 s after it was applied. New metrics count the routers behind, and the bytes of reports and of the evidence in them. No decision depends on them.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -287,6 +287,9 @@
 		return int64(countVoters(group.Status().GetMembership()))
 	})
 	gauge("kcw_control_silent_voters", "Members with a vote that this member, if it leads, takes to be silent.", m.service.silentVoters)
+	gauge("kcw_control_report_bytes", "Bytes of reports received since the start.", m.service.received.reports.Load)
+	gauge("kcw_control_evidence_bytes", "Bytes of evidence on prompt parts in the reports received since the start.", m.service.received.evidence.Load)
+	gauge("kcw_control_routers_behind", "Routers that lack the newest document, as this member, if it leads, knows from their reports.", m.service.routersBehind)
 	gauge("kcw_control_leads", "Whether this member leads, 0 or 1.", func() int64 {
 		if status := group.Status(); status.GetLeader() == status.GetId() {
 			return 1
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -33,32 +34,39 @@
 // service answers routers and replicas that ask to be admitted. It is safe for
 // concurrent use.
 type service struct {
-	group   *kcwgroup.Group
-	table   *kcwallowance.Table
-	list    *listReader
-	planner *kcwmembership.Planner
-	client  *kcwcore.Client
-	stamper *stamper
-	pacer   *sendPacer
-	blocks  *blockKeeper
-	limits  *limitKeeper
+	group    *kcwgroup.Group
+	table    *kcwallowance.Table
+	list     *listReader
+	planner  *kcwmembership.Planner
+	client   *kcwcore.Client
+	stamper  *stamper
+	pacer    *sendPacer
+	blocks   *blockKeeper
+	limits   *limitKeeper
+	received byteCounts
 
-	// mu guards routers, the planner and watch.
-	mu    sync.Mutex
-	watch *memberWatch
+	// mu guards routers, rollout, the planner and watch.
+	mu      sync.Mutex
+	watch   *memberWatch
+	rollout rollout
 	// changeTimeout bounds the wait for a membership change.
 	changeTimeout time.Duration
 	// routers holds the last contact of each active router, by name.
 	routers map[string]contact
 }
 
-// contact is the time of a router's last report and the address at which it lends
-// tokens.
+// contact is the time of a router's last report, the address at which it lends tokens, and
+// the version of the document that it had.
 type contact struct {
 	at      time.Time
 	address string
+	version uint64
 }
 
+// byteCounts counts the bytes of the reports received, and of the evidence on prompt parts in
+// them.
+type byteCounts struct{ reports, evidence atomic.Int64 }
+
 // maxLenders bounds the lenders named to a router. For one request, a router asks a few of
 // them, and some may be unreachable.
 const maxLenders = 8
@@ -66,6 +74,8 @@
 // Sync commits the report of a router and answers with its allowances and, if the router
 // does not have them yet, the newest document and list.
 func (s *service) Sync(ctx context.Context, req *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+	s.received.reports.Add(int64(proto.Size(req.Msg)))
+	s.received.evidence.Add(int64(proto.Size(req.Msg.GetEvidence())))
 	report := req.Msg.GetAllowances()
 	if report == nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the call has no report"))
@@ -94,7 +104,7 @@
 	}
 	response := &kcwpb.FleetSyncResponse{Allowances: result.GetAllowances(), Incarnation: result.GetIncarnation()}
 	now := time.Now()
-	response.Routers, response.Lenders = s.recordContact(report.GetRouter(), contact{now, req.Msg.GetAddress()})
+	response.Routers, response.Lenders = s.recordContact(report.GetRouter(), contact{now, req.Msg.GetAddress(), req.Msg.GetDocumentVersion()})
 	if document := s.table.Document(); document.GetVersion() > req.Msg.GetDocumentVersion() && s.pacer.allow(len(document.GetDocument()), now) {
 		response.Document = document
 	}
@@ -153,6 +163,21 @@
 	maps.DeleteFunc(s.routers, func(_ string, c contact) bool { return now.Sub(c.at) > routerActiveWindow })
 }
 
+// observeRollout records which routers have the newest document.
+func (s *service) observeRollout(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rollout.observe(s.table.Version(), s.routers, now)
+}
+
+// routersBehind returns the number of routers that lack the newest document, as this member, if
+// it leads, knows from their reports.
+func (s *service) routersBehind() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.rollout.behind)
+}
+
 // Admit records that a replica requests admission, or that it is about to stop.
 func (s *service) Admit(_ context.Context, req *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error) {
 	status := s.group.Status()
@@ -248,6 +273,7 @@
 // change.
 func (s *service) maintain(ctx context.Context) {
 	s.dropSilentRouters(time.Now())
+	s.observeRollout(time.Now())
 	status := s.group.Status()
 	change := s.nextChange(status, time.Now())
 	if change == nil {
