--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -34,6 +34,8 @@
 // service answers routers and replicas that ask to be admitted. It is safe for
 // concurrent use.
 type service struct {
+	// Follow is not implemented yet.
+	kcwpbconnect.UnimplementedFleetHandler
 	group    *kcwgroup.Group
 	table    *kcwallowance.Table
 	list     *listReader
--- a/kcw-fleet/kcwrouter/reporter_test.go
+++ b/kcw-fleet/kcwrouter/reporter_test.go
@@ -81,6 +81,12 @@
 // unusedDialect is the dialect of a router that gets no requests.
 type unusedDialect struct{ kcwforward.Dialect }
 
+// noLister is a platform without a list of upstreams.
+type noLister struct{}
+
+// Read implements kcwcontrol.Lister.
+func (noLister) Read(context.Context) ([]*kcwpb.UpstreamRecord, int, error) { return nil, 0, nil }
+
 // newTestRouter returns a router that is not run, with the given seeds.
 func newTestRouter(t *testing.T, decode func([]byte) (*kcwroute.Document, error), seeds ...netip.AddrPort) *Router {
 	t.Helper()
@@ -96,7 +102,7 @@
 		t.Fatal(err)
 	}
 	s.Host.LendPort = lendPort
-	r, err := New(Config{Settings: s, SettingsPath: path, Decode: decode, Dialect: unusedDialect{}, Dropped: func() int64 { return 0 }})
+	r, err := New(Config{Settings: s, SettingsPath: path, Decode: decode, Dialect: unusedDialect{}, Lister: noLister{}, Dropped: func() int64 { return 0 }})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/kcw/kcwpb/kcwpbconnect/kcw.connect.go
+++ b/kcw/kcwpb/kcwpbconnect/kcw.connect.go
@@ -76,6 +76,8 @@
 	FleetSyncProcedure = "/kcw.v1.Fleet/Sync"
 	// FleetAdmitProcedure is the fully-qualified name of the Fleet's Admit RPC.
 	FleetAdmitProcedure = "/kcw.v1.Fleet/Admit"
+	// FleetFollowProcedure is the fully-qualified name of the Fleet's Follow RPC.
+	FleetFollowProcedure = "/kcw.v1.Fleet/Follow"
 	// FleetPermitProcedure is the fully-qualified name of the Fleet's Permit RPC.
 	FleetPermitProcedure = "/kcw.v1.Fleet/Permit"
 	// FleetAnnounceProcedure is the fully-qualified name of the Fleet's Announce RPC.
@@ -662,6 +664,9 @@
 type FleetClient interface {
 	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
 	Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error)
+	// Follow is answered by every member with a disk: when it has a newer document than the
+	// router, or after the wait that the router states.
+	Follow(context.Context, *connect.Request[kcwpb.FleetFollowRequest]) (*connect.Response[kcwpb.FleetFollowResponse], error)
 	// Permit is answered by the leader only.
 	Permit(context.Context, *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error)
 	// Announce is answered by every host that serves the core, also one that is
@@ -692,6 +697,12 @@
 			connect.WithSchema(fleetMethods.ByName("Admit")),
 			connect.WithClientOptions(opts...),
 		),
+		follow: connect.NewClient[kcwpb.FleetFollowRequest, kcwpb.FleetFollowResponse](
+			httpClient,
+			baseURL+FleetFollowProcedure,
+			connect.WithSchema(fleetMethods.ByName("Follow")),
+			connect.WithClientOptions(opts...),
+		),
 		permit: connect.NewClient[kcwpb.FleetPermitRequest, kcwpb.FleetPermitResponse](
 			httpClient,
 			baseURL+FleetPermitProcedure,
@@ -711,6 +722,7 @@
 type fleetClient struct {
 	sync     *connect.Client[kcwpb.FleetSyncRequest, kcwpb.FleetSyncResponse]
 	admit    *connect.Client[kcwpb.FleetAdmitRequest, kcwpb.FleetAdmitResponse]
+	follow   *connect.Client[kcwpb.FleetFollowRequest, kcwpb.FleetFollowResponse]
 	permit   *connect.Client[kcwpb.FleetPermitRequest, kcwpb.FleetPermitResponse]
 	announce *connect.Client[kcwpb.FleetAnnounceRequest, kcwpb.FleetAnnounceResponse]
 }
@@ -725,6 +737,11 @@
 	return c.admit.CallUnary(ctx, req)
 }
 
+// Follow calls kcw.v1.Fleet.Follow.
+func (c *fleetClient) Follow(ctx context.Context, req *connect.Request[kcwpb.FleetFollowRequest]) (*connect.Response[kcwpb.FleetFollowResponse], error) {
+	return c.follow.CallUnary(ctx, req)
+}
+
 // Permit calls kcw.v1.Fleet.Permit.
 func (c *fleetClient) Permit(ctx context.Context, req *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error) {
 	return c.permit.CallUnary(ctx, req)
@@ -739,6 +756,9 @@
 type FleetHandler interface {
 	Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error)
 	Admit(context.Context, *connect.Request[kcwpb.FleetAdmitRequest]) (*connect.Response[kcwpb.FleetAdmitResponse], error)
+	// Follow is answered by every member with a disk: when it has a newer document than the
+	// router, or after the wait that the router states.
+	Follow(context.Context, *connect.Request[kcwpb.FleetFollowRequest]) (*connect.Response[kcwpb.FleetFollowResponse], error)
 	// Permit is answered by the leader only.
 	Permit(context.Context, *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error)
 	// Announce is answered by every host that serves the core, also one that is
@@ -765,6 +785,12 @@
 		connect.WithSchema(fleetMethods.ByName("Admit")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetFollowHandler := connect.NewUnaryHandler(
+		FleetFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(fleetMethods.ByName("Follow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetPermitHandler := connect.NewUnaryHandler(
 		FleetPermitProcedure,
 		svc.Permit,
@@ -783,6 +809,8 @@
 			fleetSyncHandler.ServeHTTP(w, r)
 		case FleetAdmitProcedure:
 			fleetAdmitHandler.ServeHTTP(w, r)
+		case FleetFollowProcedure:
+			fleetFollowHandler.ServeHTTP(w, r)
 		case FleetPermitProcedure:
 			fleetPermitHandler.ServeHTTP(w, r)
 		case FleetAnnounceProcedure:
@@ -804,6 +832,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Admit is not implemented"))
 }
 
+func (UnimplementedFleetHandler) Follow(context.Context, *connect.Request[kcwpb.FleetFollowRequest]) (*connect.Response[kcwpb.FleetFollowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Follow is not implemented"))
+}
+
 func (UnimplementedFleetHandler) Permit(context.Context, *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("kcw.v1.Fleet.Permit is not implemented"))
 }
