kcwguard: bound the evidence in reports and between routers

Cause: a router adds to each report what the core has not acknowledged, up to 256 cut attempts. Routers that can't reach the core exchange their cuts twice a second, all 256 each time, and report those that they learn from each other. A new leader gets all of it once more. So during a cut of the core the reports of all routers grow, each with the same cuts. When the core answers, they fill the leader's link, time out, and are sent again whole, to each host that a search calls, so that the overload does not end with its cause.

A report now has the latest 16 cuts, the answers on their parts, which can rule these out, and 128 parts in all; the rest follows with the next reports. What the core passes on to a router is not reported by it again. Another collector gets all evidence in the same portions. An exchange has the latest 16 cuts and 16 earlier ones in turn, so that all cuts spread over some exchanges. Blocks that were decided without the core go eight to a report.

TestBounds and the fuzz test counted the cuts that a detector keeps through Export, which now has some of them; they count through ExportAll, with the same bounds, and TestExportsHaveAllCutsInTurn checks Export.

--- a/kcw-fleet/kcwguard/guard.go
+++ b/kcw-fleet/kcwguard/guard.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -46,21 +47,30 @@
 	// pending is the evidence that the core has not acknowledged, sent the part of it that
 	// is in the report under way.
 	pending, sent evidence
-	// collector is the core's process that has the evidence acknowledged so far. If
-	// startsAnew is set, another one has taken over and gets all evidence.
-	collector  uint64
-	startsAnew bool
+	// collector is the core's process that has the evidence acknowledged so far. Another one
+	// that takes over gets all evidence.
+	collector uint64
 	// cutsVersion is the version of the cuts that the collector has passed on.
 	cutsVersion uint64
 }
 
-// evidence is a router's evidence since the last report.
+// evidence is a router's evidence that the core does not have.
 type evidence struct {
 	cuts    []kcwdetector.Cut
 	begun   map[string]begun
 	answers uint32
 }
 
+const (
+	// maxCutsInReport and maxBegunInReport bound the evidence in one report, to some KB. It
+	// grows while the core does not answer, and the reports of hundreds of routers must fit the
+	// link of the leader that answers then. The rest follows with the next reports.
+	maxCutsInReport  = 16
+	maxBegunInReport = 128
+	// maxBlocksInReport bounds the blocks decided without the core in one report.
+	maxBlocksInReport = 8
+)
+
 // begun describes the answers that have begun on prompts with a part.
 type begun struct {
 	answers uint32
@@ -177,12 +187,8 @@
 	now := g.cfg.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sent, g.pending = g.pending, evidence{}
-	switch {
-	case g.startsAnew:
-		// This includes the pending evidence, except for parts that no cut has.
-		req.Evidence = g.detector.ExportAll(now)
-	case len(g.sent.cuts) > 0 || g.sent.answers > 0:
+	g.sent = g.pending.take()
+	if len(g.sent.cuts) > 0 || g.sent.answers > 0 || len(g.sent.begun) > 0 {
 		req.Evidence = g.sent.encode(now)
 	}
 	if err := kcwdetector.Check(req.GetEvidence()); err != nil {
@@ -191,10 +197,37 @@
 		req.Evidence, g.sent = nil, evidence{}
 	}
 	req.BlocksVersion, _ = g.blocks.Core()
-	req.LocalBlocks = g.blocks.Local()
+	local := g.blocks.Local()
+	req.LocalBlocks = local[:min(len(local), maxBlocksInReport)]
 	req.CutsVersion = g.cutsVersion
 }
 
+// take removes the evidence for one report and returns it: the latest cuts, the answers on their
+// parts, which can rule these out, and as many on other parts as fit.
+func (e *evidence) take() evidence {
+	at := max(0, len(e.cuts)-maxCutsInReport)
+	taken := evidence{cuts: slices.Clone(e.cuts[at:]), begun: map[string]begun{}, answers: e.answers}
+	e.cuts, e.answers = e.cuts[:at], 0
+	move := func(part string) {
+		if b, found := e.begun[part]; found {
+			taken.begun[part] = b
+			delete(e.begun, part)
+		}
+	}
+	for _, c := range taken.cuts {
+		for _, part := range c.Parts {
+			move(part)
+		}
+	}
+	for part := range e.begun {
+		if len(taken.begun) >= maxBegunInReport {
+			break
+		}
+		move(part)
+	}
+	return taken
+}
+
 func (e *evidence) encode(now time.Time) *kcwpb.PartEvidence {
 	message := &kcwpb.PartEvidence{Answers: e.answers}
 	for _, c := range e.cuts {
@@ -206,6 +239,25 @@
 	return message
 }
 
+// decode returns the evidence in a message that was received at now.
+func decode(message *kcwpb.PartEvidence, now time.Time) evidence {
+	e := evidence{answers: message.GetAnswers()}
+	for _, c := range message.GetCuts() {
+		e.cut(kcwdetector.Cut{Request: c.GetRequest(), Upstream: c.GetUpstream(), Prompt: c.GetPrompt(), Parts: c.GetParts(), At: now.Add(-time.Duration(c.GetAgeNanos()))})
+	}
+	for _, b := range message.GetBegun() {
+		e.begin(b.GetPart(), begun{b.GetAnswers(), now.Add(-time.Duration(b.GetAgeNanos()))})
+	}
+	return e
+}
+
+// drop removes a cut that the core has.
+func (e *evidence) drop(known *kcwpb.CutAttempt) {
+	e.cuts = slices.DeleteFunc(e.cuts, func(c kcwdetector.Cut) bool {
+		return c.Request == known.GetRequest() && c.Upstream == known.GetUpstream()
+	})
+}
+
 // EndReport applies the core's answer to the last report. The response is nil if there was
 // no answer; the evidence of the report is then sent again.
 func (g *Guard) EndReport(req *kcwpb.FleetSyncRequest, response *kcwpb.FleetSyncResponse) {
@@ -215,11 +267,15 @@
 		g.restore(g.sent)
 		return
 	}
-	g.startsAnew = response.GetCollector() != g.collector
+	now := g.cfg.Now()
+	if response.GetCollector() != g.collector {
+		// This includes what is pending, except for parts that no cut has.
+		g.pending = decode(g.detector.ExportAll(now), now)
+	}
 	g.collector = response.GetCollector()
 	g.cutsVersion = response.GetCutsVersion()
-	now := g.cfg.Now()
 	for _, c := range response.GetCuts() {
+		g.pending.drop(c)
 		g.suspect(kcwdetector.Cut{Upstream: c.GetUpstream(), Parts: c.GetParts(), At: now.Add(-time.Duration(c.GetAgeNanos()))})
 	}
 	g.blocks.DropLocal(req.GetLocalBlocks())
@@ -231,11 +287,13 @@
 	}
 }
 
-// restore puts evidence that was not acknowledged back before the evidence since.
+// restore puts evidence that was not acknowledged back.
 func (g *Guard) restore(e evidence) {
 	since := g.pending
-	g.pending = evidence{cuts: e.cuts, begun: maps.Clone(e.begun), answers: e.answers + since.answers}
-	for _, c := range since.cuts {
+	cuts := append(since.cuts, e.cuts...)
+	slices.SortStableFunc(cuts, func(a, b kcwdetector.Cut) int { return a.At.Compare(b.At) })
+	g.pending = evidence{begun: maps.Clone(e.begun), answers: e.answers + since.answers}
+	for _, c := range cuts {
 		g.pending.cut(c)
 	}
 	for part, b := range since.begun {
--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -102,6 +102,8 @@
 	answers uint64
 	// serial is that of the cut added last.
 	serial uint64
+	// exportedTo is the index of the last of the earlier cuts that Export has returned.
+	exportedTo int
 	// suspected counts the cuts in which each part is suspected.
 	suspected map[string]int
 	// recent counts the answers that have begun in each of the last seconds, at the index
--- a/kcw/kcwdetector/detector_test.go
+++ b/kcw/kcwdetector/detector_test.go
@@ -365,6 +365,35 @@
 	}
 }
 
+// TestExportsHaveAllCutsInTurn checks that another router gets few cuts at a time, the latest
+// first, and all of them over some exchanges.
+func TestExportsHaveAllCutsInTurn(t *testing.T) {
+	const cuts, exchanges, maxCuts = 200, 14, 32
+	d := newDetector(t)
+	for i := range cuts {
+		n := strconv.Itoa(i)
+		d.Cut(kcwdetector.Cut{Request: n, Upstream: "u" + n, Prompt: n, Parts: []string{"a" + n}, At: start.Add(time.Duration(i) * time.Millisecond)})
+	}
+	known := map[string]bool{}
+	for i := range exchanges {
+		exported := d.Export(start.Add(time.Second)).GetCuts()
+		if len(exported) > maxCuts {
+			t.Errorf("%d cuts in one exchange", len(exported))
+		}
+		hasLatest := false
+		for _, c := range exported {
+			known[c.GetRequest()] = true
+			hasLatest = hasLatest || c.GetRequest() == strconv.Itoa(cuts-1)
+		}
+		if !hasLatest {
+			t.Errorf("exchange %d lacks the latest cut", i)
+		}
+	}
+	if len(known) != cuts {
+		t.Errorf("%d cuts are known after %d exchanges, want %d", len(known), exchanges, cuts)
+	}
+}
+
 func TestBounds(t *testing.T) {
 	d := newDetector(t)
 	for i := range 10_000 {
@@ -372,7 +401,7 @@
 		d.Cut(kcwdetector.Cut{Request: n, Upstream: "u" + n, Prompt: n, Parts: []string{"a" + n, "b" + n}, At: start})
 		d.Begin([]string{"c" + n, "d" + n}, start)
 	}
-	if n := len(d.Export(start).GetCuts()); n != config().MaxCuts {
+	if n := len(d.ExportAll(start).GetCuts()); n != config().MaxCuts {
 		t.Errorf("%d cuts are kept, want %d", n, config().MaxCuts)
 	}
 	if d.CutSince([]string{"a0"}, start) {
--- a/kcw/kcwdetector/evidence.go
+++ b/kcw/kcwdetector/evidence.go
@@ -26,28 +26,51 @@
 	return &kcwpb.CutAttempt{Request: c.Request, Upstream: c.Upstream, Prompt: c.Prompt, Parts: c.Parts, AgeNanos: max(0, int64(now.Sub(c.At)))}
 }
 
+// latestInExchange and othersInExchange bound the cuts in one message to another router. Routers
+// that can't reach the core exchange such messages several times a second.
+const (
+	latestInExchange = 16
+	othersInExchange = 16
+)
+
 // Export returns, for another router, the latest cuts that the detector holds, from all
-// sources, and when answers last began on their parts. It has no numbers of answers, which
-// an exchange in a circle would raise.
+// sources, some of the earlier ones in turn, and when answers last began on their parts. It has
+// no numbers of answers, which an exchange in a circle would raise.
 func (d *Detector) Export(now time.Time) *kcwpb.PartEvidence {
-	evidence := d.ExportAll(now)
-	evidence.Answers = 0
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	cuts := d.cuts[max(0, len(d.cuts)-MaxCutsInMessage):]
+	at := max(0, len(cuts)-latestInExchange)
+	chosen := slices.Clone(cuts[at:])
+	for range min(othersInExchange, at) {
+		d.exportedTo = (d.exportedTo + 1) % at
+		chosen = append(chosen, cuts[d.exportedTo])
+	}
+	evidence := d.export(chosen, now)
 	for _, b := range evidence.GetBegun() {
 		b.Answers = 0
 	}
 	return evidence
 }
 
-// ExportAll returns, for a process that collects the evidence of all routers anew, what
-// Export does and the numbers of answers that this host has counted: on the parts, and in
+// ExportAll returns, for a process that collects the evidence of all routers anew, the latest
+// cuts from all sources, and the answers that this host has counted: on their parts, and in
 // the time over which the share of cut attempts is taken.
 func (d *Detector) ExportAll(now time.Time) *kcwpb.PartEvidence {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
-	evidence := &kcwpb.PartEvidence{Answers: uint32(d.recentAnswers(now))}
+	evidence := d.export(d.cuts[max(0, len(d.cuts)-MaxCutsInMessage):], now)
+	evidence.Answers = uint32(d.recentAnswers(now))
+	return evidence
+}
+
+// export returns cuts and the answers on their parts. The caller holds the lock.
+func (d *Detector) export(cuts []cut, now time.Time) *kcwpb.PartEvidence {
+	evidence := &kcwpb.PartEvidence{}
 	exported := map[string]bool{}
-	for _, c := range d.cuts[max(0, len(d.cuts)-MaxCutsInMessage):] {
+	for _, c := range cuts {
 		evidence.Cuts = append(evidence.Cuts, c.Encode(now))
 		for _, part := range c.Parts {
 			h, found := d.parts.Peek(part)
--- a/kcw/kcwdetector/fuzz_test.go
+++ b/kcw/kcwdetector/fuzz_test.go
@@ -33,9 +33,10 @@
 			if _, err := d.Merge(evidence, now); err != nil {
 				continue
 			}
-			if n := len(d.Export(now).GetCuts()); n > config().MaxCuts {
+			if n := len(d.ExportAll(now).GetCuts()); n > config().MaxCuts {
 				t.Errorf("%d cuts are kept", n)
 			}
+			d.Export(now)
 			d.Suspects(now)
 			d.Decide(now)
 		}
