kcwrouter: follow the documents of any member, apart from reports

Cause: a router got a document only in the answer to its report, which the leader alone gives, once the report is committed. Whatever made reports late made documents late; nothing bounded the time from the acknowledgement to the routers. A router that was refused the bytes because others filled the link asked again by chance.

A router now keeps a call open at a member (Fleet.Follow), which answers when it has applied a newer document: one in its availability zone if possible, and another if that fails or has lost contact with the leader (kcwsource). Applied documents are committed, and a router only takes higher versions, so that a member that is behind can't take it back. A router that starts gets its first document with a report, since a member may have an older one than the router had before.

--- /dev/null
+++ b/kcw-fleet/kcwcontrol/core_test.go
@@ -0,0 +1,204 @@
+package kcwcontrol
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwsetup"
+	"kingcupwick.example/kcw/kcwallowance"
+	"kingcupwick.example/kcw/kcwfolder"
+	"kingcupwick.example/kcw/kcwgroup"
+	"kingcupwick.example/kcw/kcwmembership"
+	"kingcupwick.example/kcw/kcwnotifier"
+	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+)
+
+// testCore is a core whose members exchange messages in memory.
+type testCore struct {
+	members []*testMember
+	started atomic.Bool
+}
+
+// testMember is a member of a testCore. Messages to and from it are lost while it is cut off.
+type testMember struct {
+	*service
+	address string
+	isCut   atomic.Bool
+	// writes is held by the test while the member's disk stalls.
+	writes sync.RWMutex
+	client kcwpbconnect.FleetClient
+}
+
+func (m *testMember) write(file *os.File, data []byte) (int, error) {
+	m.writes.RLock()
+	defer m.writes.RUnlock()
+	return file.Write(data)
+}
+
+func newTestCore(t *testing.T, size int) *testCore {
+	t.Helper()
+	const election = 200 * time.Millisecond
+	c := &testCore{}
+	var founders []*kcwpb.Member
+	for i := range size {
+		address := "10.0.0." + strconv.Itoa(i+1) + ":7000"
+		c.members = append(c.members, &testMember{address: address})
+		founders = append(founders, &kcwpb.Member{Name: address, Address: address, Zone: "z" + strconv.Itoa(i)})
+	}
+	for i, m := range c.members {
+		folder, err := kcwfolder.Open(kcwfolder.Config{Path: t.TempDir(), Write: m.write})
+		if err != nil {
+			t.Fatal(err)
+		}
+		table := kcwallowance.New()
+		notifier := kcwnotifier.New(kcwnotifier.Config{Machine: table, Revision: table.Version})
+		group, err := kcwgroup.New(kcwgroup.Config{
+			Folder: folder, Group: groupName, Name: m.address, Zone: founders[i].Zone, Address: netip.MustParseAddrPort(m.address), Bootstrap: true,
+			Founders: founders, Machine: notifier, Send: func(to *kcwpb.Member, msgs []*kcwpb.Message) { c.send(m, to, msgs) },
+			Heartbeat: election / 8, Election: election, Write: m.write,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		stamper, err := newStamper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		blocks, err := newBlockKeeper(m.address, kcwsetup.Parts{MinMoments: 3, MinPrompts: 3, Window: time.Minute, TrialAfter: time.Minute}, table)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.service = &service{
+			group: group, table: table, notifier: notifier, stamper: stamper, blocks: blocks, limits: newLimitKeeper(time.Now), pacer: &sendPacer{},
+			list:    &listReader{cfg: listConfig{Lister: &lister{}, Name: m.address}},
+			planner: kcwmembership.New(kcwmembership.Config{Losses: 1, SilentAfter: time.Minute, RemoveAfter: time.Hour, MaxRequestAge: time.Minute, MaxPause: time.Minute}),
+			watch:   newMemberWatch(), routers: map[string]contact{}, client: kcwcore.New(kcwcore.Config{}),
+		}
+		blocks.propose = m.propose
+		server := httptest.NewServer(m.handler())
+		m.client = kcwpbconnect.NewFleetClient(server.Client(), server.URL)
+		t.Cleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+			_ = group.Close()
+			_ = folder.Close()
+			m.service.client.Close()
+		})
+	}
+	c.started.Store(true)
+	return c
+}
+
+func (c *testCore) send(from *testMember, to *kcwpb.Member, msgs []*kcwpb.Message) {
+	if !c.started.Load() || from.isCut.Load() {
+		return
+	}
+	for _, m := range c.members {
+		if m.address == to.GetAddress() && !m.isCut.Load() {
+			m.group.Step(msgs)
+		}
+	}
+}
+
+// leader waits for a leader among the members that are not cut off, and returns it.
+func (c *testCore) leader(t *testing.T) (leader *testMember) {
+	t.Helper()
+	await(t, func() bool {
+		for _, m := range c.members {
+			if !m.isCut.Load() && m.group.Status().GetId() != 0 && m.group.Status().GetId() == m.group.Status().GetLeader() && m.group.Fresh() {
+				leader = m
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// put commits a document of the given version.
+func (c *testCore) put(t *testing.T, version uint64) {
+	t.Helper()
+	await(t, func() bool {
+		put := &kcwpb.PutDocument{Version: version, Document: []byte("document")}
+		_, err := c.leader(t).propose(t.Context(), &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_PutDocument{PutDocument: put}})
+		return err == nil
+	})
+}
+
+func (m *testMember) follow(ctx context.Context, version uint64, wait time.Duration) (*kcwpb.FleetFollowResponse, error) {
+	response, err := m.client.Follow(ctx, connect.NewRequest(&kcwpb.FleetFollowRequest{DocumentVersion: version, WaitNanos: int64(wait)}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// TestEveryMemberIsFollowed checks that members answer followers as soon as they have a newer
+// document, whether they lead or not, and that one without contact to the others says so.
+func TestEveryMemberIsFollowed(t *testing.T) {
+	c := newTestCore(t, 3)
+	c.put(t, 1)
+	for version := uint64(2); version < 5; version++ {
+		var calls sync.WaitGroup
+		for _, m := range c.members {
+			calls.Go(func() {
+				// A member that has not applied the former version yet answers with that.
+				await(t, func() bool {
+					response, err := m.follow(t.Context(), version-1, maxFollowWait)
+					return err == nil && response.GetDocument().GetVersion() == version
+				})
+			})
+		}
+		c.put(t, version)
+		calls.Wait()
+	}
+	leader := c.leader(t)
+	leader.isCut.Store(true)
+	c.put(t, 5)
+	await(t, func() bool { return !leader.group.Fresh() })
+	response, err := leader.follow(t.Context(), 4, time.Millisecond)
+	if err != nil || response.GetDocument() != nil || time.Duration(response.GetContactAgeNanos()) < 200*time.Millisecond {
+		t.Errorf("a member that is cut off answers %v, %v", response, err)
+	}
+	if _, err := leader.follow(t.Context(), 9, 0); err != nil {
+		t.Errorf("a router with a newer document gets %v", err)
+	}
+}
+
+// TestDocumentIsReported checks to which routers the answer to a report has the document: those
+// that have none, and those that did not get it from the member that they follow.
+func TestDocumentIsReported(t *testing.T) {
+	c := newTestCore(t, 1)
+	leader := c.leader(t)
+	c.put(t, 1)
+	c.put(t, 2)
+	start := time.Now()
+	document := leader.table.Document()
+	leader.observeRollout(start)
+	for _, test := range []struct {
+		name    string
+		version uint64
+		after   time.Duration
+		want    bool
+	}{
+		{"no document", 0, 0, true},
+		{"the newest", 2, time.Minute, false},
+		{"the former one", 1, 0, false},
+		{"the former one for long", 1, reportDelay, true},
+	} {
+		if got := leader.isDueInReport(document, test.version, start.Add(test.after)); got != test.want {
+			t.Errorf("%s: the answer has the document: %v", test.name, got)
+		}
+	}
+}
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -23,6 +23,7 @@
 	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwmembership"
 	"kingcupwick.example/kcw/kcwmeter"
+	"kingcupwick.example/kcw/kcwnotifier"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpeer"
 	"kingcupwick.example/kcw/kcwreplica"
@@ -132,7 +133,8 @@
 		return err
 	}
 	table := kcwallowance.New()
-	group, err := m.openGroup(table)
+	notifier := kcwnotifier.New(kcwnotifier.Config{Machine: table, Revision: table.Version})
+	group, err := m.openGroup(notifier)
 	if err != nil {
 		return err
 	}
@@ -149,7 +151,7 @@
 		return err
 	}
 	m.service = &service{
-		group: group, table: table, stamper: stamper, blocks: blocks, limits: newLimitKeeper(uptime.Time),
+		group: group, table: table, notifier: notifier, stamper: stamper, blocks: blocks, limits: newLimitKeeper(uptime.Time),
 		pacer: &sendPacer{bytesPerSecond: kcwsetup.BytesPerSecond(s.Host.LinkMbps)},
 		list: &listReader{cfg: listConfig{
 			Lister: m.cfg.Lister, Name: s.Host.Name + "/" + time.Now().String(), Interval: s.List.Interval,
@@ -186,7 +188,7 @@
 
 // openGroup starts the replica. Members are named by their addresses, because the
 // settings of the founders hold nothing else about each other.
-func (m *Member) openGroup(table *kcwallowance.Table) (*kcwgroup.Group, error) {
+func (m *Member) openGroup(machine *kcwnotifier.Notifier) (*kcwgroup.Group, error) {
 	s := m.cfg.Settings
 	own := s.Host.PeerAddress
 	var founders []*kcwpb.Member
@@ -196,7 +198,7 @@
 	return kcwgroup.NewWhenRoom(m.ctx, kcwgroup.Config{
 		Folder: m.folder, Group: groupName, Name: own.String(), Zone: s.Host.Zone, Address: own,
 		Founders: founders, Bootstrap: s.Group.Bootstrap && slices.Contains(s.PeerAddresses(), own),
-		Machine: table, Send: m.sender.Send,
+		Machine: machine, Send: m.sender.Send,
 		Heartbeat: s.Group.Heartbeat, Election: s.Group.Election,
 		SnapshotEntries: s.Group.SnapshotEntries, SnapshotBytes: s.Group.SnapshotBytes,
 		KeepEntries: s.Group.KeepEntries, SegmentBytes: s.Group.SegmentBytes, Now: time.Now,
@@ -289,6 +291,8 @@
 	gauge("kcw_control_silent_voters", "Members with a vote that this member, if it leads, takes to be silent.", m.service.silentVoters)
 	gauge("kcw_control_report_bytes", "Bytes of reports received since the start.", m.service.received.reports.Load)
 	gauge("kcw_control_evidence_bytes", "Bytes of evidence on prompt parts in the reports received since the start.", m.service.received.evidence.Load)
+	gauge("kcw_control_documents_followed", "Documents sent to routers that follow this member.", m.service.sent.followed.Load)
+	gauge("kcw_control_documents_reported", "Documents sent to routers in answers to their reports.", m.service.sent.reported.Load)
 	gauge("kcw_control_routers_behind", "Routers that lack the newest document, as this member, if it leads, knows from their reports.", m.service.routersBehind)
 	gauge("kcw_control_leads", "Whether this member leads, 0 or 1.", func() int64 {
 		if status := group.Status(); status.GetLeader() == status.GetId() {
--- a/kcw-fleet/kcwcontrol/pace.go
+++ b/kcw-fleet/kcwcontrol/pace.go
@@ -30,17 +30,30 @@
 // allow reports whether the given number of bytes may be sent at now, and if so counts
 // them. A router that is denied the bytes asks again with its next report.
 func (p *sendPacer) allow(bytes int, now time.Time) bool {
+	_, ok := p.reserve(bytes, now, documentBurst)
+	return ok
+}
+
+// reserve returns when the given number of bytes may be sent, in the order of the calls, and
+// counts them. It counts nothing and returns false if their turn comes later than maxDelay
+// after now.
+func (p *sendPacer) reserve(bytes int, now time.Time, maxDelay time.Duration) (at time.Time, ok bool) {
 	if p.bytesPerSecond <= 0 {
-		return true
+		return now, true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.freeAt.Before(now) {
 		p.freeAt = now
 	}
-	if p.freeAt.Sub(now) > documentBurst {
-		return false
+	if p.freeAt.Sub(now) > maxDelay {
+		return time.Time{}, false
+	}
+	// The burst is sent without a delay.
+	at = p.freeAt.Add(-documentBurst)
+	if at.Before(now) {
+		at = now
 	}
 	p.freeAt = p.freeAt.Add(time.Duration(float64(bytes) / (documentLinkFraction * p.bytesPerSecond) * float64(time.Second)))
-	return true
+	return at, true
 }
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -22,6 +22,7 @@
 	"kingcupwick.example/kcw/kcwallowance"
 	"kingcupwick.example/kcw/kcwgroup"
 	"kingcupwick.example/kcw/kcwmembership"
+	"kingcupwick.example/kcw/kcwnotifier"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
 	"kingcupwick.example/kcw/kcwpermit"
@@ -34,10 +35,10 @@
 // service answers routers and replicas that ask to be admitted. It is safe for
 // concurrent use.
 type service struct {
-	// Follow is not implemented yet.
-	kcwpbconnect.UnimplementedFleetHandler
-	group    *kcwgroup.Group
-	table    *kcwallowance.Table
+	group *kcwgroup.Group
+	table *kcwallowance.Table
+	// notifier tells the calls of Follow of a newer document.
+	notifier *kcwnotifier.Notifier
 	list     *listReader
 	planner  *kcwmembership.Planner
 	client   *kcwcore.Client
@@ -45,6 +46,7 @@
 	pacer    *sendPacer
 	blocks   *blockKeeper
 	limits   *limitKeeper
+	sent     documentCounts
 	received byteCounts
 
 	// mu guards routers, rollout, the planner and watch.
@@ -69,6 +71,9 @@
 // them.
 type byteCounts struct{ reports, evidence atomic.Int64 }
 
+// documentCounts counts the documents sent to routers, in answers to Follow and to Sync.
+type documentCounts struct{ followed, reported atomic.Int64 }
+
 // maxLenders bounds the lenders named to a router. For one request, a router asks a few of
 // them, and some may be unreachable.
 const maxLenders = 8
@@ -107,8 +112,9 @@
 	response := &kcwpb.FleetSyncResponse{Allowances: result.GetAllowances(), Incarnation: result.GetIncarnation()}
 	now := time.Now()
 	response.Routers, response.Lenders = s.recordContact(report.GetRouter(), contact{now, req.Msg.GetAddress(), req.Msg.GetDocumentVersion()})
-	if document := s.table.Document(); document.GetVersion() > req.Msg.GetDocumentVersion() && s.pacer.allow(len(document.GetDocument()), now) {
+	if document := s.table.Document(); s.isDueInReport(document, req.Msg.GetDocumentVersion(), now) && s.pacer.allow(len(document.GetDocument()), now) {
 		response.Document = document
+		s.sent.reported.Add(1)
 	}
 	list, age := s.list.latest(now)
 	differs := list != nil && (list.GetVersion() != req.Msg.GetListVersion() || list.GetReader() != req.Msg.GetListReader())
@@ -121,13 +127,26 @@
 	}
 	allow := func(bytes int) bool { return s.pacer.allow(bytes, now) }
 	s.limits.sync(req.Msg, limits, response, list, allow, s.limits.now())
-	response.Core = memberAddresses(s.group.Status())
+	status := s.group.Status()
+	response.Core, response.CoreZones = memberAddresses(status), memberZones(status)
 	if err := s.blocks.sync(ctx, req.Msg, response, now); err != nil {
 		return nil, s.refusal(err)
 	}
 	return connect.NewResponse(response), nil
 }
 
+// isDueInReport reports whether an answer to a report should have the document, which is newer
+// than version. A router that has a document gets the next one from the member that it follows,
+// unless that takes long.
+func (s *service) isDueInReport(document *kcwpb.PutDocument, version uint64, now time.Time) bool {
+	if document.GetVersion() <= version {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return version == 0 || s.rollout.version == document.GetVersion() && now.Sub(s.rollout.appliedAt) >= reportDelay
+}
+
 // Permit issues a permit to a router. A member that may have lost the lead refuses, since
 // another may issue the same permits.
 func (s *service) Permit(_ context.Context, req *connect.Request[kcwpb.FleetPermitRequest]) (*connect.Response[kcwpb.FleetPermitResponse], error) {
@@ -226,6 +245,15 @@
 	return status.GetId() != 0 && status.GetLeader() == status.GetId()
 }
 
+// memberZones returns the availability zones of the members, in the order of their addresses.
+func memberZones(status *kcwpb.GroupStatus) []string {
+	var zones []string
+	for _, m := range status.GetMembership().GetMembers() {
+		zones = append(zones, m.GetZone())
+	}
+	return zones
+}
+
 // memberAddresses returns the addresses of the members.
 func memberAddresses(status *kcwpb.GroupStatus) []string {
 	var core []string
--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -196,6 +196,16 @@
 	return response.Msg.GetUpstream(), nil
 }
 
+// Follow asks the member at address for a document newer than the one in req, and waits as long
+// as req allows. The error is an *Error.
+func (c *Client) Follow(ctx context.Context, address netip.AddrPort, req *kcwpb.FleetFollowRequest) (*kcwpb.FleetFollowResponse, error) {
+	response, err := c.fleetClient(address).Follow(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, &Error{Op: "follow", Kind: Unanswered, Member: address, Err: eris.Wrap(err, "call")}
+	}
+	return response.Msg, nil
+}
+
 // callLeader calls up to maxTries hosts until one answers as leader, and returns its
 // address. It stops at an error other than Unavailable.
 func (c *Client) callLeader(ctx context.Context, op string, call func(kcwpbconnect.FleetClient) error) (netip.AddrPort, error) {
--- a/kcw-fleet/kcwrouter/follow_test.go
+++ b/kcw-fleet/kcwrouter/follow_test.go
@@ -122,7 +122,7 @@
 	c := serveLateCore(t)
 	c.set(1, false)
 	r := newTestRouter(t, decodeVersion, netip.MustParseAddrPort(c.address))
-	go r.reporter.run(t.Context())
+	r.start()
 	awaitVersion(t, r, 1)
 	for version := uint64(2); version < 6; version++ {
 		c.set(version, true)
--- a/kcw-fleet/kcwrouter/reporter.go
+++ b/kcw-fleet/kcwrouter/reporter.go
@@ -41,12 +41,18 @@
 	// record is nil on a host without a disk.
 	record *recordKeeper
 
+	follower *follower
+
 	document atomic.Pointer[kcwroute.Document]
 	// routers is the number of routers in the core's last answer.
 	routers atomic.Int64
 	// peers are the addresses of some other routers.
 	peers atomic.Pointer[[]netip.AddrPort]
 
+	// applying is held while a document is put in force, since answers to reports and to the
+	// follower's calls arrive at the same time. Lock order: applying before mu.
+	applying sync.Mutex
+
 	// mu guards the fields below. Lock order: mu before the locks of balance and
 	// roster.
 	mu sync.Mutex
@@ -181,6 +187,7 @@
 	}
 	if err == nil {
 		p.applyResponse(response, report)
+		p.follower.setMembers(response)
 		p.applyDocument(response.GetDocument(), host, gap)
 	}
 	current.answered = err == nil
@@ -291,8 +298,10 @@
 }
 
 // applyDocument puts a document that host sent in force if it is newer than the current one.
-// Gap is the time between its report and the report before that was answered.
+// Gap is the time between the call that it answers and the call before that was answered.
 func (p *reporter) applyDocument(put *kcwpb.PutDocument, host netip.AddrPort, gap time.Duration) {
+	p.applying.Lock()
+	defer p.applying.Unlock()
 	before := p.version()
 	if put.GetVersion() <= before {
 		return
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -22,6 +22,7 @@
 	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw-fleet/kcwsharing"
+	"kingcupwick.example/kcw-fleet/kcwsource"
 	"kingcupwick.example/kcw/kcwadmin"
 	"kingcupwick.example/kcw/kcwbalance"
 	"kingcupwick.example/kcw/kcwbreaker"
@@ -166,6 +167,10 @@
 		uptime: uptime, record: r.record, incarnation: uint64(time.Now().UnixNano()),
 		round: newRound(), wake: make(chan struct{}, 1), answeredAt: time.Now(),
 	}
+	r.reporter.follower = &follower{
+		source: kcwsource.New(kcwsource.Config{Zone: s.Host.Zone, Rand: newRand()}),
+		call:   r.client, version: r.reporter.version, apply: r.reporter.applyDocument, answeredAt: time.Now(),
+	}
 	r.listCalls = r.meter.Counter("kcw_router_list_readings", "Readings of the list of upstreams by this router itself.")
 	if r.forwarder, err = r.newForwarder(); err != nil {
 		return nil, err
--- a/kcw-fleet/kcwrouter/run.go
+++ b/kcw-fleet/kcwrouter/run.go
@@ -21,11 +21,7 @@
 	s := r.cfg.Settings
 	klog.InfoS("Router starts", "Address", s.Host.Address, "Zone", s.Host.Zone, "Incarnation", r.reporter.currentIncarnation(), "Seeds", s.Core.Seeds,
 		"Boot", r.reporter.uptime.Boot(), "Uptime", r.reporter.uptime.Started().String())
-	if r.record != nil {
-		go r.record.run(r.ctx)
-	}
-	go r.reporter.run(r.ctx)
-	go r.refreshList()
+	r.start()
 	go kcwreload.New(kcwreload.Config{Interval: reloadInterval, Reload: r.reload}).Run(r.ctx)
 	app := kratos.New(
 		kratos.Name("kcw-router"), kratos.Logger(r.cfg.Logger), kratos.Server(r.public, r.peerServer, r.admin),
@@ -49,6 +45,16 @@
 	return err
 }
 
+// start starts what keeps the router's state up to date.
+func (r *Router) start() {
+	if r.record != nil {
+		go r.record.run(r.ctx)
+	}
+	go r.reporter.run(r.ctx)
+	go r.reporter.follower.run(r.ctx)
+	go r.refreshList()
+}
+
 // drain makes the router unready and keeps serving, because the balancer may send
 // callers to the last routers of a zone even if they are not ready. It returns when
 // no request is in flight, or when the grace period less stopMargin is over. In the second
