kcwcontrol: compress lists once for all routers, and answers not at all

Cause: the RPC library compressed each answer, with the list in it once for each of 300 routers, and documents, which are compressed already, once more.

The leader compresses the list when it changes. Answers to routers that state that they read it so (ReadsPackedList) have it in that form, and others the list as before, so that leaders and routers of both versions work together. Members and the handler of the log send answers uncompressed. TestListIsCompressedOnce covers both forms and damaged ones.

--- a/kcw-fleet/kcwcontrol/core_test.go
+++ b/kcw-fleet/kcwcontrol/core_test.go
@@ -144,6 +144,16 @@
 	return response.Msg, nil
 }
 
+func (m *testMember) report(ctx context.Context, router string, version uint64) (*kcwpb.FleetSyncResponse, error) {
+	response, err := m.client.Sync(ctx, connect.NewRequest(&kcwpb.FleetSyncRequest{
+		Allowances: &kcwpb.SyncAllowances{Router: router, Incarnation: 1, Serial: uint64(time.Now().UnixNano())}, DocumentVersion: version, ReadsPackedList: true,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
 // TestEveryMemberIsFollowed checks that members answer followers as soon as they have a newer
 // document, whether they lead or not, and that one without contact to the others says so.
 func TestEveryMemberIsFollowed(t *testing.T) {
@@ -202,3 +212,30 @@
 		}
 	}
 }
+
+// TestListIsCompressedOnce checks that a router gets the list as it was compressed for all.
+func TestListIsCompressedOnce(t *testing.T) {
+	c := newTestCore(t, 1)
+	leader := c.leader(t)
+	leader.list.read(t.Context(), time.Now())
+	first, err := leader.report(t.Context(), "a", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := UnpackList(first.GetPackedList())
+	if err != nil || len(list.GetUpstreams()) != 1 || list.GetVersion() != 1 || first.GetList() != nil {
+		t.Errorf("the router gets %v, %v, and %v", list, err, first.GetList())
+	}
+	older, err := leader.client.Sync(t.Context(), connect.NewRequest(&kcwpb.FleetSyncRequest{Allowances: &kcwpb.SyncAllowances{Router: "b", Incarnation: 1, Serial: 1}}))
+	if err != nil || len(older.Msg.GetList().GetUpstreams()) != 1 || len(older.Msg.GetPackedList()) > 0 {
+		t.Errorf("a router that reads no compressed list gets %v, %v", older, err)
+	}
+	if older.Header().Get("Content-Encoding") != "" {
+		t.Error("the answer is compressed once more")
+	}
+	for _, damaged := range [][]byte{nil, []byte("x"), first.GetPackedList()[:len(first.GetPackedList())/2]} {
+		if list, err := UnpackList(damaged); err == nil {
+			t.Errorf("a damaged list is read as %v", list)
+		}
+	}
+}
--- a/kcw-fleet/kcwcontrol/list.go
+++ b/kcw-fleet/kcwcontrol/list.go
@@ -1,7 +1,10 @@
 package kcwcontrol
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -43,8 +46,10 @@
 type listReader struct {
 	cfg listConfig
 
-	mu     sync.Mutex
-	list   *kcwpb.UpstreamList
+	mu   sync.Mutex
+	list *kcwpb.UpstreamList
+	// packed is list compressed for all routers.
+	packed []byte
 	readAt time.Time
 	failed bool
 	// skipped is the number of entries that the last reading left out.
@@ -90,8 +95,13 @@
 	next := &kcwpb.UpstreamList{Version: l.list.GetVersion(), Reader: l.cfg.Name, Upstreams: upstreams}
 	if l.list == nil || !proto.Equal(l.list, next) {
 		next.Version++
-		klog.InfoS("List of upstreams changed", "Version", next.Version, "Upstreams", len(upstreams), "Skipped", skipped)
-		l.list = next
+		packed, err := packList(next)
+		if err != nil {
+			klog.ErrorS(err, "Failed to compress the list of upstreams", "Upstreams", len(upstreams))
+			return
+		}
+		klog.InfoS("List of upstreams changed", "Version", next.Version, "Upstreams", len(upstreams), "Skipped", skipped, "Bytes", len(packed))
+		l.list, l.packed = next, packed
 		l.changingUntil = began.Add(changeWindow)
 	}
 	l.readAt = began
@@ -104,9 +114,37 @@
 	return l.skipped
 }
 
-// latest returns the newest list and its age at now. The list is nil if there is none.
-func (l *listReader) latest(now time.Time) (*kcwpb.UpstreamList, time.Duration) {
+// latest returns the newest list, the compressed form of it, and its age at now. The list is
+// nil if there is none.
+func (l *listReader) latest(now time.Time) (list *kcwpb.UpstreamList, packed []byte, age time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.list, now.Sub(l.readAt)
+	return l.list, l.packed, now.Sub(l.readAt)
 }
+
+// packList returns the list compressed with gzip.
+func packList(list *kcwpb.UpstreamList) ([]byte, error) {
+	data, err := proto.Marshal(list)
+	if err != nil {
+		return nil, err
+	}
+	return compress(data)
+}
+
+// UnpackList returns the list that packed holds in compressed form. It reads at most
+// maxListBytes.
+func UnpackList(packed []byte) (*kcwpb.UpstreamList, error) {
+	z, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	data, err := io.ReadAll(io.LimitReader(z, maxListBytes))
+	if err != nil {
+		return nil, err
+	}
+	list := &kcwpb.UpstreamList{}
+	return list, proto.Unmarshal(data, list)
+}
+
+// maxListBytes bounds a decompressed list.
+const maxListBytes = 16 << 20
--- a/kcw-fleet/kcwcontrol/operator.go
+++ b/kcw-fleet/kcwcontrol/operator.go
@@ -105,19 +105,28 @@
 
 // pack returns the command that commits the document, with body compressed.
 func pack(document *kcwroute.Document, body []byte) (*kcwpb.PutDocument, error) {
+	compressed, err := compress(body)
+	if err != nil {
+		return nil, err
+	}
+	put := &kcwpb.PutDocument{Version: document.Version, Document: compressed}
+	for _, team := range document.Teams {
+		put.Budgets = append(put.Budgets, &kcwpb.TeamBudget{Team: team.Name, Prepaid: team.Prepaid})
+	}
+	return put, nil
+}
+
+// compress returns data compressed with gzip.
+func compress(data []byte) ([]byte, error) {
 	var compressed bytes.Buffer
 	z := gzip.NewWriter(&compressed)
-	if _, err := z.Write(body); err != nil {
+	if _, err := z.Write(data); err != nil {
 		return nil, err
 	}
 	if err := z.Close(); err != nil {
 		return nil, err
 	}
-	put := &kcwpb.PutDocument{Version: document.Version, Document: compressed.Bytes()}
-	for _, team := range document.Teams {
-		put.Budgets = append(put.Budgets, &kcwpb.TeamBudget{Team: team.Name, Prepaid: team.Prepaid})
-	}
-	return put, nil
+	return compressed.Bytes(), nil
 }
 
 // Unpack returns the decompressed document of put, byte for byte as the operator sent it.
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -116,13 +116,15 @@
 		response.Document = document
 		s.sent.reported.Add(1)
 	}
-	list, age := s.list.latest(now)
+	list, packed, age := s.list.latest(now)
 	differs := list != nil && (list.GetVersion() != req.Msg.GetListVersion() || list.GetReader() != req.Msg.GetListReader())
 	switch {
 	case list == nil:
 	case !differs:
 		response.ListAgeNanos = max(1, int64(age))
-	case s.pacer.allow(proto.Size(list), now):
+	case req.Msg.GetReadsPackedList() && s.pacer.allow(len(packed), now):
+		response.PackedList, response.ListAgeNanos = packed, max(1, int64(age))
+	case !req.Msg.GetReadsPackedList() && s.pacer.allow(proto.Size(list), now):
 		response.List, response.ListAgeNanos = list, max(1, int64(age))
 	}
 	allow := func(bytes int) bool { return s.pacer.allow(bytes, now) }
@@ -362,10 +364,15 @@
 	s.planner.AnnounceStop(m, time.Now())
 }
 
+// withoutCompression makes a handler send answers as they are. What is large in them is
+// compressed already, once for all routers.
+var withoutCompression = connect.WithCompression("gzip", nil, nil)
+
 // handler returns the handler for routers and other members.
 func (s *service) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(kcwpbconnect.NewFleetHandler(s, connect.WithReadMaxBytes(maxMessageBytes)))
-	mux.Handle(kcwpbconnect.NewPeerHandler(s.group, connect.WithReadMaxBytes(maxMessageBytes)))
+	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes), withoutCompression}
+	mux.Handle(kcwpbconnect.NewFleetHandler(s, options...))
+	mux.Handle(kcwpbconnect.NewPeerHandler(s.group, options...))
 	return mux
 }
--- a/kcw-fleet/kcwrouter/reporter.go
+++ b/kcw-fleet/kcwrouter/reporter.go
@@ -166,7 +166,7 @@
 			Activation: int64(report.Accrual.End), Span: int64(report.Accrual.End - report.Accrual.Start),
 			Wall: sentAt.UnixNano(),
 		},
-		ListVersion: p.listVersion, ListReader: p.listReader, Address: p.settings.LendAddress().String(),
+		ListVersion: p.listVersion, ListReader: p.listReader, Address: p.settings.LendAddress().String(), ReadsPackedList: true,
 	}
 	p.mu.Unlock()
 	if p.record != nil {
@@ -328,6 +328,13 @@
 func (p *reporter) applyCoreList(response *kcwpb.FleetSyncResponse, sentAt time.Time) {
 	readAt := sentAt.Add(-time.Duration(response.GetListAgeNanos()))
 	list := response.GetList()
+	if packed := response.GetPackedList(); len(packed) > 0 {
+		var err error
+		if list, err = kcwcontrol.UnpackList(packed); err != nil {
+			klog.ErrorS(err, "Failed to decompress the list of upstreams", "Bytes", len(packed))
+			return
+		}
+	}
 	if list == nil {
 		p.roster.ConfirmList(readAt)
 		p.sharing.Confirm(readAt)
