kcwcontrol, kcwrouter: bound the reports in progress, and slow down while they fail

Cause: a leader took on every report, at once and whatever its own state, so that with hundreds of them in progress its heartbeats waited behind them. A router repeated a report that failed at the usual rate, and whenever a request lacked tokens: the later the leader, the more work came.

Evidence: e leads with all members connected from 31.9 s, has 835 connections at 33 s and 1,028 at 35 s, 232 to 254 before the cut, and loses its lead at 34.4; c then has the same and loses it at 36.7. TestReportsBeyondTheBoundAreRefused fails without the bound: 0 of 300 reports are refused within 10 s while the disk stalls, want 236.

A member that does not lead refuses a report at once. The leader works on 64 at a time (kcwgate); further ones wait for their turn in order for 150 ms at most and are refused then, and those whose callers have gone are dropped. A router takes such a refusal for what it is: it does not search for another leader. After the second report in a row without an answer the pause doubles, up to 2.5 ms times the number of routers, so that a fleet of any size sends 400 reports a second at most to a core that is behind; in fleets of up to 100 nothing changes. Requests that lack tokens then start no report.

--- a/kcw-fleet/kcwcontrol/core_test.go
+++ b/kcw-fleet/kcwcontrol/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http/httptest"
 	"net/netip"
 	"os"
@@ -14,6 +15,7 @@
 	"connectrpc.com/connect"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwgate"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwallowance"
 	"kingcupwick.example/kcw/kcwfolder"
@@ -81,7 +83,7 @@
 		}
 		m.service = &service{
 			group: group, table: table, notifier: notifier, stamper: stamper, blocks: blocks, limits: newLimitKeeper(time.Now), pacer: &sendPacer{},
-			list:    &listReader{cfg: listConfig{Lister: &lister{}, Name: m.address}},
+			gate: kcwgate.New(kcwgate.Config{Limit: maxReports, MaxWait: maxReportWait}), list: &listReader{cfg: listConfig{Lister: &lister{}, Name: m.address}},
 			planner: kcwmembership.New(kcwmembership.Config{Losses: 1, SilentAfter: time.Minute, RemoveAfter: time.Hour, MaxRequestAge: time.Minute, MaxPause: time.Minute}),
 			watch:   newMemberWatch(), routers: map[string]contact{}, client: kcwcore.New(kcwcore.Config{}),
 		}
@@ -116,7 +118,7 @@
 	t.Helper()
 	await(t, func() bool {
 		for _, m := range c.members {
-			if !m.isCut.Load() && m.group.Status().GetId() != 0 && m.group.Status().GetId() == m.group.Status().GetLeader() && m.group.Fresh() {
+			if !m.isCut.Load() && m.leads() && m.group.Fresh() {
 				leader = m
 				return true
 			}
@@ -186,6 +188,44 @@
 	}
 }
 
+// TestReportsBeyondTheBoundAreRefused guards against a leader that takes on more reports than
+// it can answer, and so delays all of them until their routers give up.
+func TestReportsBeyondTheBoundAreRefused(t *testing.T) {
+	const routers, bound = 300, 64
+	c := newTestCore(t, 1)
+	leader := c.leader(t)
+	c.put(t, 1)
+	leader.writes.Lock()
+	ctx, cancel := context.WithCancel(t.Context())
+	var refused atomic.Int64
+	var calls sync.WaitGroup
+	for i := range routers {
+		calls.Go(func() {
+			_, err := leader.report(ctx, "router-"+strconv.Itoa(i), 1)
+			var e *connect.Error
+			if errors.As(err, &e) && e.Code() == connect.CodeResourceExhausted {
+				refused.Add(1)
+			}
+		})
+	}
+	awaitRefusals := time.Now().Add(10 * time.Second)
+	for refused.Load() < routers-bound && time.Now().Before(awaitRefusals) {
+		time.Sleep(time.Millisecond)
+	}
+	if n := refused.Load(); n != routers-bound {
+		t.Errorf("%d of %d reports are refused while the disk stalls, want %d", n, routers, routers-bound)
+	}
+	cancel()
+	leader.writes.Unlock()
+	calls.Wait()
+	for i := range routers {
+		await(t, func() bool {
+			_, err := leader.report(t.Context(), "router-"+strconv.Itoa(i), 1)
+			return err == nil
+		})
+	}
+}
+
 // TestDocumentIsReported checks to which routers the answer to a report has the document: those
 // that have none, and those that did not get it from the member that they follow.
 func TestDocumentIsReported(t *testing.T) {
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwgate"
 	"kingcupwick.example/kcw-fleet/kcwreload"
 	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
@@ -151,7 +152,7 @@
 		return err
 	}
 	m.service = &service{
-		group: group, table: table, notifier: notifier, stamper: stamper, blocks: blocks, limits: newLimitKeeper(uptime.Time),
+		group: group, table: table, notifier: notifier, gate: kcwgate.New(kcwgate.Config{Limit: maxReports, MaxWait: maxReportWait}), stamper: stamper, blocks: blocks, limits: newLimitKeeper(uptime.Time),
 		pacer: &sendPacer{bytesPerSecond: kcwsetup.BytesPerSecond(s.Host.LinkMbps)},
 		list: &listReader{cfg: listConfig{
 			Lister: m.cfg.Lister, Name: s.Host.Name + "/" + time.Now().String(), Interval: s.List.Interval,
@@ -289,6 +290,10 @@
 		return int64(countVoters(group.Status().GetMembership()))
 	})
 	gauge("kcw_control_silent_voters", "Members with a vote that this member, if it leads, takes to be silent.", m.service.silentVoters)
+	gauge("kcw_control_reports_active", "Reports of routers in progress.", func() int64 { return int64(m.service.gate.Stats().Active) })
+	gauge("kcw_control_reports_waiting", "Reports of routers that wait for others to end.", func() int64 { return int64(m.service.gate.Stats().Waiting) })
+	gauge("kcw_control_reports_admitted", "Reports of routers admitted since the start.", func() int64 { return m.service.gate.Stats().Admitted })
+	gauge("kcw_control_reports_refused", "Reports of routers refused since the start because too many were in progress.", func() int64 { return m.service.gate.Stats().Refused })
 	gauge("kcw_control_report_bytes", "Bytes of reports received since the start.", m.service.received.reports.Load)
 	gauge("kcw_control_evidence_bytes", "Bytes of evidence on prompt parts in the reports received since the start.", m.service.received.evidence.Load)
 	gauge("kcw_control_documents_followed", "Documents sent to routers that follow this member.", m.service.sent.followed.Load)
--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -19,6 +19,7 @@
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
 	"kingcupwick.example/kcw-fleet/kcwdirectory"
+	"kingcupwick.example/kcw-fleet/kcwgate"
 	"kingcupwick.example/kcw/kcwallowance"
 	"kingcupwick.example/kcw/kcwgroup"
 	"kingcupwick.example/kcw/kcwmembership"
@@ -26,6 +27,7 @@
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
 	"kingcupwick.example/kcw/kcwpermit"
+	"kingcupwick.example/kcw/kcwratelimit"
 )
 
 // routerActiveWindow is how long after its last report a router still counts among
@@ -46,6 +48,8 @@
 	pacer    *sendPacer
 	blocks   *blockKeeper
 	limits   *limitKeeper
+	// gate bounds the reports in progress.
+	gate     *kcwgate.Gate
 	sent     documentCounts
 	received byteCounts
 
@@ -74,6 +78,18 @@
 // documentCounts counts the documents sent to routers, in answers to Follow and to Sync.
 type documentCounts struct{ followed, reported atomic.Int64 }
 
+const (
+	// maxReports bounds the reports in progress. All of them together take less than a tenth
+	// of a second of a host with half a core.
+	maxReports = 64
+	// maxReportWait is a quarter of the time after which routers give up.
+	maxReportWait = 150 * time.Millisecond
+)
+
+// errBusy is the refusal of a member that has more reports in progress than it can answer in
+// time.
+var errBusy = errors.New("too many reports are in progress")
+
 // maxLenders bounds the lenders named to a router. For one request, a router asks a few of
 // them, and some may be unreachable.
 const maxLenders = 8
@@ -94,6 +110,25 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	if !s.leads() {
+		return nil, s.refusal(errNotLeader)
+	}
+	if err := s.gate.Enter(ctx); err != nil {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errBusy)
+	}
+	defer s.gate.Leave()
+	return s.commitReport(ctx, req.Msg, limits)
+}
+
+// leads reports whether this member takes itself for the leader.
+func (s *service) leads() bool {
+	status := s.group.Status()
+	return status.GetId() != 0 && status.GetId() == status.GetLeader()
+}
+
+// commitReport commits a report with the given limits, and answers it.
+func (s *service) commitReport(ctx context.Context, req *kcwpb.FleetSyncRequest, limits []kcwratelimit.Limit) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+	report := req.GetAllowances()
 	stamp, steps := s.stamper.stamp()
 	report.Stamp = stamp
 	result, err := s.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_SyncAllowances{SyncAllowances: report}})
@@ -111,27 +146,27 @@
 	}
 	response := &kcwpb.FleetSyncResponse{Allowances: result.GetAllowances(), Incarnation: result.GetIncarnation()}
 	now := time.Now()
-	response.Routers, response.Lenders = s.recordContact(report.GetRouter(), contact{now, req.Msg.GetAddress(), req.Msg.GetDocumentVersion()})
-	if document := s.table.Document(); s.isDueInReport(document, req.Msg.GetDocumentVersion(), now) && s.pacer.allow(len(document.GetDocument()), now) {
+	response.Routers, response.Lenders = s.recordContact(report.GetRouter(), contact{now, req.GetAddress(), req.GetDocumentVersion()})
+	if document := s.table.Document(); s.isDueInReport(document, req.GetDocumentVersion(), now) && s.pacer.allow(len(document.GetDocument()), now) {
 		response.Document = document
 		s.sent.reported.Add(1)
 	}
 	list, packed, age := s.list.latest(now)
-	differs := list != nil && (list.GetVersion() != req.Msg.GetListVersion() || list.GetReader() != req.Msg.GetListReader())
+	differs := list != nil && (list.GetVersion() != req.GetListVersion() || list.GetReader() != req.GetListReader())
 	switch {
 	case list == nil:
 	case !differs:
 		response.ListAgeNanos = max(1, int64(age))
-	case req.Msg.GetReadsPackedList() && s.pacer.allow(len(packed), now):
+	case req.GetReadsPackedList() && s.pacer.allow(len(packed), now):
 		response.PackedList, response.ListAgeNanos = packed, max(1, int64(age))
-	case !req.Msg.GetReadsPackedList() && s.pacer.allow(proto.Size(list), now):
+	case !req.GetReadsPackedList() && s.pacer.allow(proto.Size(list), now):
 		response.List, response.ListAgeNanos = list, max(1, int64(age))
 	}
 	allow := func(bytes int) bool { return s.pacer.allow(bytes, now) }
-	s.limits.sync(req.Msg, limits, response, list, allow, s.limits.now())
+	s.limits.sync(req, limits, response, list, allow, s.limits.now())
 	status := s.group.Status()
 	response.Core, response.CoreZones = memberAddresses(status), memberZones(status)
-	if err := s.blocks.sync(ctx, req.Msg, response, now); err != nil {
+	if err := s.blocks.sync(ctx, req, response, now); err != nil {
 		return nil, s.refusal(err)
 	}
 	return connect.NewResponse(response), nil
@@ -155,7 +190,7 @@
 	if len(req.Msg.GetUpstreams()) > kcwpermit.MaxUpstreams {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errTooMuchDemand)
 	}
-	if status := s.group.Status(); status.GetId() == 0 || status.GetId() != status.GetLeader() || !s.group.Fresh() {
+	if !s.leads() || !s.group.Fresh() {
 		return nil, s.refusal(errNotLeader)
 	}
 	return connect.NewResponse(&kcwpb.FleetPermitResponse{Upstream: s.limits.grant(req.Msg)}), nil
--- a/kcw-fleet/kcwcore/client.go
+++ b/kcw-fleet/kcwcore/client.go
@@ -55,8 +55,12 @@
 // Kind classifies an Error.
 type Kind int
 
-// Unanswered means that the called host did not answer, or not as leader.
-const Unanswered Kind = 1
+// Kinds of errors: the called host did not answer, or not as leader; or it leads and refused the
+// call because it has too many in progress.
+const (
+	Unanswered Kind = iota + 1
+	Busy
+)
 
 // Error is the error of this package.
 type Error struct {
@@ -267,7 +271,11 @@
 	now := time.Now()
 	var refused *connect.Error
 	isRefused := errors.As(err, &refused) && connect.IsWireError(err)
-	if !isRefused {
+	kind := Unanswered
+	if isRefused && refused.Code() == connect.CodeResourceExhausted {
+		kind = Busy
+		c.directory.RecordContact(host, now)
+	} else if !isRefused {
 		c.recordNoAnswer(host, startedAt, now)
 	} else {
 		c.directory.RecordFailure(host, now)
@@ -283,7 +291,7 @@
 		}
 		c.directory.Merge(view, now)
 	}
-	failure := &Error{Op: op, Kind: Unanswered, Member: host, Err: eris.Wrap(err, "call")}
+	failure := &Error{Op: op, Kind: kind, Member: host, Err: eris.Wrap(err, "call")}
 	c.failure = failure.Error()
 	return failure
 }
--- a/kcw-fleet/kcwcore/client_test.go
+++ b/kcw-fleet/kcwcore/client_test.go
@@ -149,3 +149,47 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+// TestBusyLeaderStaysTheLeader checks that a leader that refuses a call because it has too many
+// ends the search, and is called first the next time.
+func TestBusyLeaderStaysTheLeader(t *testing.T) {
+	leader := &busyMember{}
+	_, handler := kcwpbconnect.NewFleetHandler(leader)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	leaderAt := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	other := &member{leader: leaderAt.String()}
+	c := kcwcore.New(kcwcore.Config{Seeds: []netip.AddrPort{serve(t, other), leaderAt}})
+	if _, host, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err != nil || host != leaderAt {
+		t.Fatalf("got %v from %v", err, host)
+	}
+	calls := other.calls
+	for range 3 {
+		leader.isBusy = true
+		_, _, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{})
+		var e *kcwcore.Error
+		if !errors.As(err, &e) || e.Kind != kcwcore.Busy || e.Member != leaderAt {
+			t.Errorf("a busy leader: got %v", err)
+		}
+	}
+	leader.isBusy = false
+	if _, host, err := c.Sync(t.Context(), &kcwpb.FleetSyncRequest{}); err != nil || host != leaderAt {
+		t.Errorf("got %v from %v", err, host)
+	}
+	if other.calls != calls {
+		t.Errorf("another member got %d calls", other.calls-calls)
+	}
+}
+
+// busyMember leads, and refuses calls while it is busy.
+type busyMember struct {
+	kcwpbconnect.UnimplementedFleetHandler
+	isBusy bool
+}
+
+func (m *busyMember) Sync(context.Context, *connect.Request[kcwpb.FleetSyncRequest]) (*connect.Response[kcwpb.FleetSyncResponse], error) {
+	if m.isBusy {
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("busy"))
+	}
+	return connect.NewResponse(&kcwpb.FleetSyncResponse{Routers: 1}), nil
+}
--- a/kcw-fleet/kcwrouter/follow_test.go
+++ b/kcw-fleet/kcwrouter/follow_test.go
@@ -129,3 +129,38 @@
 		awaitVersion(t, r, version)
 	}
 }
+
+// TestLateCoreGetsFewerReports guards against a core that stays behind because routers go on to
+// report to it at the usual rate, and at once when a request lacks tokens.
+func TestLateCoreGetsFewerReports(t *testing.T) {
+	c := serveLateCore(t)
+	c.set(1, false)
+	r := newTestRouter(t, decodeVersion, netip.MustParseAddrPort(c.address))
+	p := r.reporter
+	p.report(t.Context())
+	p.routers.Store(300)
+	p.settings.Core.Timeout = 10 * time.Millisecond
+	c.set(1, true)
+	interval := p.settings.Core.Interval
+	for i, test := range []struct {
+		want     time.Duration
+		isPaused bool
+	}{{interval, false}, {2 * interval, true}, {3 * interval, true}, {3 * interval, true}} {
+		p.report(t.Context())
+		if got := p.nextPause(); i > 0 && got != test.want {
+			t.Errorf("after %d reports without an answer the pause is %v, want %v", i+1, got, test.want)
+		}
+		if !test.isPaused {
+			continue
+		}
+		if p.requestReport(t.Context()) || len(p.wake) > 0 {
+			t.Errorf("after %d reports without an answer a request that lacks tokens starts one at once", i+1)
+		}
+	}
+	p.settings.Core.Timeout = time.Minute
+	c.set(2, false)
+	p.report(t.Context())
+	if got := p.nextPause(); got > interval || p.paused {
+		t.Errorf("after an answer the pause is %v", got)
+	}
+}
--- a/kcw-fleet/kcwrouter/reporter.go
+++ b/kcw-fleet/kcwrouter/reporter.go
@@ -72,6 +72,10 @@
 	answeredAt time.Time
 	host       netip.AddrPort
 	coreLost   bool
+	// failures is the number of reports since the last one that the core answered. paused is
+	// set while the pause between reports is longer than usual because of them.
+	failures int
+	paused   bool
 	// documentFrom is the host that sent the document in force, and documentAt when it came.
 	documentFrom netip.AddrPort
 	documentAt   time.Time
@@ -110,10 +114,7 @@
 	defer timer.Stop()
 	for {
 		p.report(ctx)
-		interval := p.settings.Core.Interval
-		if p.document.Load() == nil || p.roster.ListedAt().IsZero() {
-			interval /= unreadyRateFactor
-		}
+		interval := p.nextPause()
 		// The pause varies between 0.5 and 1.5 intervals, so that routers don't report
 		// in step.
 		timer.Reset(interval/2 + rand.N(interval))
@@ -126,13 +127,30 @@
 	}
 }
 
+// nextPause returns the mean pause before the next report.
+func (p *reporter) nextPause() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	interval := p.settings.Core.Interval
+	pause := reportPause(interval, p.failures, int(p.routers.Load()))
+	p.paused = pause > interval
+	if p.failures <= freeFailures && (p.document.Load() == nil || p.roster.ListedAt().IsZero()) {
+		pause /= unreadyRateFactor
+	}
+	return pause
+}
+
 // requestReport starts a report at once and waits until it or ctx ends. It returns
 // whether the core answered.
 func (p *reporter) requestReport(ctx context.Context) bool {
 	p.mu.Lock()
 	r := p.round
-	lost := p.coreLost
+	lost, paused := p.coreLost, p.paused
 	p.mu.Unlock()
+	if paused {
+		// The core is behind. Reports of all requests that lack tokens would keep it there.
+		return false
+	}
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -212,10 +230,11 @@
 		if p.coreLost {
 			klog.InfoS("Core regained", "Silent", gap.String(), "Member", host, "Version", p.version(), "Before", p.host)
 		}
-		p.coreLost = false
+		p.coreLost, p.failures, p.paused = false, 0, false
 		p.answeredAt, p.host = sentAt, host
 		return gap, false
 	}
+	p.failures++
 	if !p.coreLost && gap > coreLostAfter {
 		p.coreLost = true
 		klog.InfoS("Core lost", "Cause", err.Error(), "LastHeardAt", p.answeredAt, "Member", p.host, "Version", p.version(), "From", p.documentFrom)
