kcwcontrol: leave routers without a document out of the log of rollouts

A trial logged a rollout of version zero, and each router that starts as one that lacks the newest document. Such a router serves no requests.

--- a/kcw-fleet/kcwcontrol/rollout.go
+++ b/kcw-fleet/kcwcontrol/rollout.go
@@ -23,16 +23,20 @@
 	behind int
 }
 
-// observe records that version is the newest at now, and which versions the active routers
-// stated in their last reports.
+// observe records that version is the newest at now, zero if there is none, and which versions
+// the active routers stated in their last reports. Routers without a document serve no requests
+// and don't count.
 func (r *rollout) observe(version uint64, routers map[string]contact, now time.Time) {
 	if version != r.version {
 		*r = rollout{version: version, appliedAt: now}
 	}
+	if version == 0 {
+		return
+	}
 	r.behind = 0
 	example := ""
 	for name, c := range routers {
-		if c.version < version {
+		if c.version > 0 && c.version < version {
 			r.behind++
 			example = name
 		}
