--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -5,17 +5,31 @@
 # TestName ..." at the start of a line) are passed over and printed.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-skip=()
+names=""
 if [ -s KNOWN-RED.txt ]; then
 	echo "passed over, known red:"
 	cat KNOWN-RED.txt
 	names=$(sed -n 's/^red: \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|')
-	[ -n "$names" ] && skip=(-skip "^(${names})\$")
 fi
+# On arm64 the race detector itself crashes in these tests ("ThreadSanitizer: CHECK failed:
+# tsan_rtl.cpp:346"). They run without it there.
+unraced_module=kcw-fleet
+unraced=""
+case $(uname -m) in
+aarch64 | arm64) unraced="TestOverloadOfTheCoreEndsWithItsCause" ;;
+esac
+skipped=${names}${unraced:+${names:+|}${unraced}}
+skip=()
+[ -n "$skipped" ] && skip=(-skip "^(${skipped})\$")
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 status=0
-test_module() { (cd "$1" && go test -race -count=1 -timeout 20m "${skip[@]}" ./...); }
+test_module() {
+	(cd "$1" && go test -race -count=1 -timeout 20m "${skip[@]}" ./...) || return 1
+	if [ -n "$unraced" ] && [ "$1" = "$unraced_module" ]; then
+		(cd "$1" && go test -count=1 -timeout 20m -v -run "^(${unraced})\$" ./kcwrouter) || return 1
+	fi
+}
 test_module "$1" || status=1
 shift
 pids=()
