kcwrouter, kcwcontrol: log members that are not followed once, rollouts at the leader only

A router in a cut would have logged each call that failed, several a second. It logs the first failure of a member and the first answer after it. A member that no longer leads compared routers by their former reports.

--- a/kcw-fleet/kcwcontrol/service.go
+++ b/kcw-fleet/kcwcontrol/service.go
@@ -225,7 +225,12 @@
 func (s *service) observeRollout(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rollout.observe(s.table.Version(), s.routers, now)
+	routers := s.routers
+	if !s.leads() {
+		// Routers report to another member.
+		routers = nil
+	}
+	s.rollout.observe(s.table.Version(), routers, now)
 }
 
 // routersBehind returns the number of routers that lack the newest document, as this member, if
--- a/kcw-fleet/kcwrouter/follow.go
+++ b/kcw-fleet/kcwrouter/follow.go
@@ -92,14 +92,17 @@
 	contactAge := time.Duration(response.GetContactAgeNanos())
 	isBehind := response.GetDocument() == nil && contactAge > maxContactAge
 	if err != nil || isBehind {
-		f.source.RecordFailure(member, time.Now())
-		klog.InfoS("Member not followed", "Member", member, "Cause", err, "ContactAge", contactAge.String(), "Version", f.version())
+		if f.source.RecordFailure(member, time.Now()) {
+			klog.InfoS("Member not followed", "Member", member, "Cause", err, "ContactAge", contactAge.String(), "Version", f.version())
+		}
 		if f.source.AllAvoided(time.Now()) {
 			return followPause
 		}
 		return 0
 	}
-	f.source.RecordAnswer(member)
+	if f.source.RecordAnswer(member) {
+		klog.InfoS("Member followed again", "Member", member, "Version", f.version())
+	}
 	gap := sentAt.Sub(f.answeredAt)
 	f.answeredAt = sentAt
 	if response.GetDocument() == nil {
--- a/kcw-fleet/kcwsource/source.go
+++ b/kcw-fleet/kcwsource/source.go
@@ -93,23 +93,28 @@
 	return a.rank < b.rank
 }
 
-// RecordAnswer records that the member at address answered and is in contact with the core.
-func (s *Source) RecordAnswer(address netip.AddrPort) {
+// RecordAnswer records that the member at address answered and is in contact with the core. It
+// reports whether the member had failed before.
+func (s *Source) RecordAnswer(address netip.AddrPort) (hadFailed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m := s.members[address]; m != nil {
-		m.failures, m.avoidUntil = 0, time.Time{}
+	m := s.members[address]
+	if m == nil {
+		return false
 	}
+	hadFailed = m.failures > 0
+	m.failures, m.avoidUntil = 0, time.Time{}
+	return hadFailed
 }
 
 // RecordFailure records that the member at address did not answer, or may lack the newest
-// document.
-func (s *Source) RecordFailure(address netip.AddrPort, now time.Time) {
+// document. It reports whether this is its first failure since it answered.
+func (s *Source) RecordFailure(address netip.AddrPort, now time.Time) (isFirst bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.members[address]
 	if m == nil {
-		return
+		return false
 	}
 	pause := pauseMax
 	const maxDoublings = 3
@@ -118,6 +123,7 @@
 	}
 	m.failures++
 	m.avoidUntil = now.Add(pause/2 + time.Duration(s.cfg.Rand.Int64N(int64(pause))))
+	return m.failures == 1
 }
 
 // AllAvoided reports whether every member has failed lately, or there is none.
--- a/kcw-fleet/kcwsource/source_test.go
+++ b/kcw-fleet/kcwsource/source_test.go
@@ -76,6 +76,9 @@
 	if s.AllAvoided(start) {
 		t.Error("all are avoided at the start")
 	}
+	if !s.RecordFailure(at(1), start) || s.RecordFailure(at(1), start) || !s.RecordAnswer(at(1)) || s.RecordAnswer(at(1)) {
+		t.Error("only the first failure and the first answer are changes")
+	}
 	s.RecordFailure(at(1), start)
 	s.SetMembers([]netip.AddrPort{at(1), at(4)}, nil)
 	if got := s.Next(start); got != at(4) {
