kcwrouter: return tokens at a planned stop also while the core is behind

A router that stopped while its reports failed started none for the tokens that it held, as for requests that lack some, so that these were lost to their teams until its successor reported.

--- a/kcw-fleet/kcwrouter/follow_test.go
+++ b/kcw-fleet/kcwrouter/follow_test.go
@@ -157,6 +157,11 @@
 			t.Errorf("after %d reports without an answer a request that lacks tokens starts one at once", i+1)
 		}
 	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if p.startReport(ctx); len(p.wake) != 1 {
+		t.Error("a router that stops does not report its tokens while the core is behind")
+	}
 	p.settings.Core.Timeout = time.Minute
 	c.set(2, false)
 	p.report(t.Context())
--- a/kcw-fleet/kcwrouter/reporter.go
+++ b/kcw-fleet/kcwrouter/reporter.go
@@ -140,17 +140,23 @@
 	return pause
 }
 
-// requestReport starts a report at once and waits until it or ctx ends. It returns
-// whether the core answered.
+// requestReport starts a report at once for a request that lacks tokens, and waits until it or
+// ctx ends. It returns whether the core answered. While the core is behind it starts none, since
+// the reports of all such requests would keep it there.
 func (p *reporter) requestReport(ctx context.Context) bool {
+	p.mu.Lock()
+	paused := p.paused
+	p.mu.Unlock()
+	return !paused && p.startReport(ctx)
+}
+
+// startReport starts a report at once and waits until it or ctx ends. It returns whether the
+// core answered.
+func (p *reporter) startReport(ctx context.Context) bool {
 	p.mu.Lock()
 	r := p.round
-	lost, paused := p.coreLost, p.paused
+	lost := p.coreLost
 	p.mu.Unlock()
-	if paused {
-		// The core is behind. Reports of all requests that lack tokens would keep it there.
-		return false
-	}
 	select {
 	case p.wake <- struct{}{}:
 	default:
--- a/kcw-fleet/kcwrouter/run.go
+++ b/kcw-fleet/kcwrouter/run.go
@@ -123,7 +123,7 @@
 	defer cancel()
 	ctx, cancelReturn := context.WithTimeout(ctx, returnTimeout)
 	defer cancelReturn()
-	if !r.reporter.requestReport(ctx) {
+	if !r.reporter.startReport(ctx) {
 		klog.InfoS("Tokens not returned", "Cause", "the core did not answer", "InFlight", r.forwarder.InFlight())
 	}
 }
