--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,8 +21,10 @@
 func main() {
 	cases := map[string]func(*fleet) bool{
 		"retention": playRetention,
-		"founding":  playFounding,
+		"refused":   playRefused,
 		"hedge":     playHedge,
+		"seeds":     playSeeds,
+		"keys":      playKeys,
 	}
 	if len(os.Args) != numArgs || cases[os.Args[1]] == nil {
 		fmt.Printf(usageFormat, cases)
