--- a/kcw-proof/fleet_test.go
+++ b/kcw-proof/fleet_test.go
@@ -42,9 +42,8 @@
 // ledgerLinks. Each router reaches the engine through its own link of
 // engineLinks. The desk and the spare engine are reached directly.
 type fleet struct {
+	fleetConfig
 	folder string
-	// answerTimeout is the routers' deadline for answers without streaming.
-	answerTimeout string
 	// network is the second and third byte of the fleet's loopback addresses.
 	network [2]byte
 	ledgers [ledgers]*process
@@ -58,20 +57,42 @@
 	operator    *kcwledger.Client
 }
 
+// fleetConfig is what differs between fleets.
+type fleetConfig struct {
+	// hasSpare adds the second engine.
+	hasSpare bool
+	// answerTimeout is the routers' deadline for answers without streaming, and work the
+	// time that a call of the desk takes.
+	answerTimeout, work string
+	// prepaid and maxPrompt are the customer's prepaid tokens and the most tokens of a prompt.
+	prepaid, maxPrompt int64
+	// host has further settings of the hosts of ledgers and routers, and limits further sections
+	// of routers.
+	host, limits string
+	// descriptors bounds the open files of each process, zero for no bound of its own.
+	descriptors int
+}
+
 func newFleet(t *testing.T) *fleet { return newFleetWith(t, false, "10m") }
 
-// newFleetWith starts a fleet and waits until it is ready and its routers have
-// the customer's contract. hasSpare adds the second engine.
+// newFleetWith starts a fleet with or without the second engine.
 func newFleetWith(t *testing.T, hasSpare bool, answerTimeout string) *fleet {
+	t.Helper()
+	return startFleet(t, fleetConfig{hasSpare: hasSpare, answerTimeout: answerTimeout, work: "300ms", prepaid: prepaid, maxPrompt: 8000})
+}
+
+// startFleet starts a fleet and waits until it is ready and its routers have
+// the customer's contract.
+func startFleet(t *testing.T, cfg fleetConfig) *fleet {
 	t.Helper()
 	const firstNetwork, networks = 64, 128
-	f := &fleet{folder: t.TempDir(), answerTimeout: answerTimeout, network: [2]byte{byte(firstNetwork + os.Getpid()%networks), byte(fleetCount.Add(1))}}
+	f := &fleet{fleetConfig: cfg, folder: t.TempDir(), network: [2]byte{byte(firstNetwork + os.Getpid()%networks), byte(fleetCount.Add(1))}}
 	for _, name := range []string{"peer", "router", "operator"} {
 		f.write(t, name, name+keySuffix)
 	}
 	f.engine = f.process(t, "engine", "kcw-standin", f.address(30, 1), f.standinSettings("engine", 30)+engineSettings)
-	f.desk = f.process(t, "desk", "kcw-standin", f.address(31, 1), f.standinSettings("plain", 31)+"[Plain]\nWork = 300ms\n")
-	if hasSpare {
+	f.desk = f.process(t, "desk", "kcw-standin", f.address(31, 1), f.standinSettings("plain", 31)+"[Plain]\nWork = "+cfg.work+"\n")
+	if cfg.hasSpare {
 		f.spare = f.process(t, "spare", "kcw-standin", f.address(32, 1), f.standinSettings("engine", 32)+engineSettings)
 	}
 	for i := range ledgers {
@@ -149,7 +170,7 @@
 	t.Helper()
 	settings = strings.ReplaceAll(settings, "FOLDER", f.folder)
 	return &process{
-		name: name, program: program, adminAddress: adminAddress.String(), log: filepath.Join(f.folder, name+".log"),
+		name: name, program: program, descriptors: f.descriptors, adminAddress: adminAddress.String(), log: filepath.Join(f.folder, name+".log"),
 		settings: f.write(t, name+".ini", settings),
 	}
 }
@@ -165,6 +186,7 @@
 Address = %s
 AdminAddress = %s
 Folder = FOLDER/ledger-%d
+%s
 [Group]
 Bootstrap = true
 [Keys]
@@ -174,7 +196,7 @@
 [Service]
 Beat = 200ms
 SilentAfter = 2s
-`, i, i, f.address(10+i, 0), f.address(10+i, 1), i)
+`, i, i, f.address(10+i, 0), f.address(10+i, 1), i, f.host)
 	for j := range ledgers {
 		text += fmt.Sprintf("[Founder \"ledger-%d\"]\nZone = zone-%d\nAddress = %s\n", j, j, f.address(50+j, 0))
 	}
@@ -195,6 +217,7 @@
 Folder = FOLDER/router-%d
 DrainTime = 500ms
 StopTimeout = 30s
+%s
 [Ledger]
 Addresses = %s, %s, %s
 [Keys]
@@ -212,7 +235,7 @@
 Service = parish-desk
 Zone = zone-0
 Address = %s
-`, i, i, f.address(20+i, 0), f.address(20+i, 2), f.address(20+i, 1), i, f.address(50, 0), f.address(51, 0), f.address(52, 0), f.answerTimeout, f.address(60+i, 0), f.address(31, 0)) + spare
+`, i, i, f.address(20+i, 0), f.address(20+i, 2), f.address(20+i, 1), i, f.host, f.address(50, 0), f.address(51, 0), f.address(52, 0), f.answerTimeout, f.address(60+i, 0), f.address(31, 0)) + spare + f.limits
 }
 
 // putContract stores the customer's contract and waits until every router has it.
@@ -220,13 +243,13 @@
 	t.Helper()
 	contract, err := kcwcontract.Decode([]byte(fmt.Sprintf(`{
 		"Customer": %q, "PrepaidTokens": %d,
-		"Limits": {"OpenRequests": 0, "RequestsPerMinute": 0, "TokensPerMinute": 0, "MaxPromptTokens": 8000,
+		"Limits": {"OpenRequests": 0, "RequestsPerMinute": 0, "TokensPerMinute": 0, "MaxPromptTokens": %d,
 			"MaxCompletionTokens": 4000, "DefaultCompletionTokens": 500, "QueueDeadline": "5s"},
 		"Keys": [{"Name": "bench", "Hash": "%x"}],
 		"Models": [{"Name": "kcw-model", "Upstream": "kcw-model"}],
 		"Services": [{"Name": "parish-desk", "PathPrefix": "/services/parish-desk", "Methods": ["GET", "POST"],
 			"CostTokens": %d, "NotRepeatable": ["/services/parish-desk/receipts"]}]
-	}`, customer, prepaid, kcwkeyring.Hash(key), cost)))
+	}`, customer, f.prepaid, f.maxPrompt, kcwkeyring.Hash(key), cost)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/kcw-proof/process_test.go
+++ b/kcw-proof/process_test.go
@@ -29,23 +29,33 @@
 	}
 	defer os.RemoveAll(folder)
 	programFolder = folder
+	if err := buildPrograms("-race"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// buildPrograms builds the programs into programFolder.
+func buildPrograms(flags ...string) error {
 	for _, name := range []string{"kcw-ledger", "kcw-router", "kcw-standin"} {
-		build := exec.Command("go", "build", "-race", "-o", folder, ".")
+		build := exec.Command("go", append(append([]string{"build"}, flags...), "-o", programFolder, ".")...)
 		build.Dir = filepath.Join("..", name)
 		if out, err := build.CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", name, err, out)
-			return 1
+			return fmt.Errorf("build %s: %w\n%s", name, err, out)
 		}
 	}
-	return m.Run()
+	return nil
 }
 
 // process is a program under test. Its cmd is nil while it isn't running.
 type process struct {
 	name, program, settings, log string
 	adminAddress                 string
-	cmd                          *exec.Cmd
-	done                         chan error
+	// descriptors bounds the open files, zero for no bound of its own.
+	descriptors int
+	cmd         *exec.Cmd
+	done        chan error
 }
 
 // launch starts the process. Its log is appended to the log file.
@@ -56,7 +66,12 @@
 		t.Fatal(err)
 	}
 	defer log.Close()
-	p.cmd = exec.Command(filepath.Join(programFolder, p.program), "-settings", p.settings)
+	path := filepath.Join(programFolder, p.program)
+	p.cmd = exec.Command(path, "-settings", p.settings)
+	if p.descriptors > 0 {
+		limit := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, p.descriptors)
+		p.cmd = exec.Command("sh", "-c", limit, path, "-settings", p.settings)
+	}
 	p.cmd.Stderr = log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -22,7 +22,7 @@
 esac
 # Tests of clients that send much, which check the memory of processes. They run one at a time, when
 # all others have ended.
-alone_module=platform
+alone_modules="kcw-proof platform"
 alone="TestClientsOf.*|TestOrdinaryCrowdIsKept"
 skipped="${names}${names:+|}${apart}|${alone}"
 skip=(-skip "^(${skipped})\$")
@@ -48,5 +48,7 @@
 	cat "$out/$module"
 	i=$((i + 1))
 done
-(cd "$alone_module" && go test -race -count=1 -timeout 20m -v -run "^(${alone})\$" .) || status=1
+for module in $alone_modules; do
+	(cd "$module" && go test -race -count=1 -timeout 20m -v -run "^(${alone})\$" ${names:+-skip "^(${names})\$"} .) || status=1
+done
 exit $status
