kcwserve: one package for the servers of the fleet and of the own interface

kcwserve moves from kcw-fleet to kcw, where kcw-router and kcw-ledger reach it. What the fleet's router and core had twice or alone moves into it: the bounds of several servers with their state and metrics (Bounds), the garbage collector's limit (Host.LimitMemory), and the discarding of a body before a refusal (SkipBody, from kcwforward).

Two changes of behaviour. kcwadmin answers without waiting for a body: net/http holds an answer back until up to 256 kB of a body have come, so that a client that sends slowly got its answer late and kept its connection. A body that its client announces with Expect is not asked for before a refusal.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -15,7 +15,6 @@
 	"kingcupwick.example/kcw-fleet/kcwcore"
 	"kingcupwick.example/kcw-fleet/kcwgate"
 	"kingcupwick.example/kcw-fleet/kcwreload"
-	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw/kcwadmin"
 	"kingcupwick.example/kcw/kcwallowance"
@@ -30,6 +29,7 @@
 	"kingcupwick.example/kcw/kcwpeer"
 	"kingcupwick.example/kcw/kcwreplica"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwserve"
 	"kingcupwick.example/kcw/kcwspeed"
 	"kingcupwick.example/kcw/kcwuptime"
 )
@@ -111,7 +111,7 @@
 // the member.
 func New(cfg Config) (*Member, error) {
 	s := cfg.Settings
-	kcwsetup.LimitMemory(s.Host.MemoryMB)
+	kcwserve.Host{MemoryMB: s.Host.MemoryMB}.LimitMemory()
 	m := &Member{cfg: cfg}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.client = kcwcore.New(kcwcore.Config{Seeds: s.PeerAddresses(), Self: s.Host.PeerAddress})
@@ -225,11 +225,11 @@
 		return err
 	}
 	m.registerConnections()
-	limits := kcwserve.Config{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, Bound: m.bounds.operators}
+	limits := kcwserve.Config{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, Bound: m.bounds.Bounds[operatorsServer]}
 	if m.operator, err = kcwserve.New(s.Host.Address, operator, limits); err != nil {
 		return err
 	}
-	limits.Bound = m.bounds.peers
+	limits.Bound = m.bounds.Bounds[peersServer]
 	if m.peers, err = kcwserve.New(s.Host.PeerAddress, m.bounds.receive(peers), limits); err != nil {
 		return err
 	}
@@ -237,7 +237,7 @@
 		Address: s.Host.AdminAddress, Ready: ready, Metrics: m.meter.Handler(),
 		OperatorKey: kcwsetup.LoadOperatorKey(s.Host.OperatorKeyFile),
 		Dump:        func(context.Context) any { return m.dump() },
-		Bound:       m.bounds.admin, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Bound:       m.bounds.Bounds[adminServer], HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
 	return err
 }
@@ -269,7 +269,7 @@
 
 // dump returns the state of the member.
 func (m *Member) dump() dump {
-	d := dump{Member: m.cfg.Settings.Host.Name, Connections: m.bounds.stats()}
+	d := dump{Member: m.cfg.Settings.Host.Name, Connections: m.bounds.Stats()}
 	if m.service != nil {
 		status := m.service.group.Status()
 		d.Leader, d.Term, d.Commit, d.RateLimits = status.GetLeaderAddress(), status.GetTerm(), status.GetCommit(), m.service.limits.dump()
--- a/kcw-fleet/kcwrouter/bounds.go
+++ b/kcw-fleet/kcwrouter/bounds.go
@@ -3,13 +3,10 @@
 import (
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-
-	"kingcupwick.example/kcw-fleet/kcwserve"
-	"kingcupwick.example/kcw/kcwconnlimit"
 	"kingcupwick.example/kcw/kcwlisten"
 	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwmeter"
+	"kingcupwick.example/kcw/kcwserve"
 )
 
 // Shares of the resources of the process that clients of its servers may use. On the smallest
@@ -26,18 +23,24 @@
 // routers. Their answers are small.
 const adminWriteTimeout = 10 * time.Second
 
+// Names of the servers.
+const (
+	callersServer = "Callers"
+	routersServer = "Routers"
+	adminServer   = "Admin"
+)
+
 const (
 	// messageMemory is the fraction of the memory that messages of other routers may hold,
 	// and maxMessageBytes the size of one. Most have some kB; the evidence on parts
 	// that crash upstreams can take a MB.
 	messageMemory   = 0.04
 	maxMessageBytes = 4 << 20
-	megabyte        = 1 << 20
 )
 
 // bounds are the bounds of the clients of each server.
 type bounds struct {
-	callers, routers, admin *kcwlisten.Bound
+	kcwserve.Bounds
 	// messages is the memory that messages of other routers hold.
 	messages *kcwmemory.Account
 }
@@ -46,21 +49,15 @@
 func (r *Router) newBounds() error {
 	s := r.cfg.Settings
 	host := kcwserve.Host{MemoryMB: s.Host.MemoryMB, MaxDescriptors: s.Host.MaxDescriptors}
-	callers := host.Bound("callers", callerShare, s.Limits.HeaderTimeout)
+	callers := host.Bound(callerShare, s.Limits.HeaderTimeout)
 	callers.Limits = r.documentLimits
-	routers := host.Bound("routers", routerShare, s.Limits.HeaderTimeout)
+	routers := host.Bound(routerShare, s.Limits.HeaderTimeout)
 	routers.WriteTimeout = adminWriteTimeout
-	r.bounds.messages = kcwmemory.New(int64(messageMemory * s.Host.MemoryMB * megabyte))
-	admin := host.Bound("admin", adminShare, s.Limits.HeaderTimeout)
+	admin := host.Bound(adminShare, s.Limits.HeaderTimeout)
 	admin.WriteTimeout = adminWriteTimeout
+	r.bounds.messages = kcwmemory.New(host.Bytes(messageMemory))
 	var err error
-	if r.bounds.callers, err = kcwlisten.New(callers); err != nil {
-		return err
-	}
-	if r.bounds.routers, err = kcwlisten.New(routers); err != nil {
-		return err
-	}
-	r.bounds.admin, err = kcwlisten.New(admin)
+	r.bounds.Bounds, err = kcwserve.NewBounds(map[string]kcwlisten.Config{callersServer: callers, routersServer: routers, adminServer: admin})
 	return err
 }
 
@@ -74,22 +71,10 @@
 	return kcwlisten.Limits{HeadBytes: l.MaxHeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
 
-// stats returns the state of the connections of each server.
-func (b *bounds) stats() map[string]kcwconnlimit.Stats {
-	return map[string]kcwconnlimit.Stats{"Callers": b.callers.Stats(), "Routers": b.routers.Stats(), "Admin": b.admin.Stats()}
-}
-
 // register registers the metrics of the connections.
 func (b *bounds) register(meter *kcwmeter.Meter) {
-	gauge := func(name, help string, read func(kcwconnlimit.Stats) int64) {
-		meter.Gauge(name, help, func(observe func(int64, ...attribute.KeyValue)) {
-			for server, stats := range b.stats() {
-				observe(read(stats), attribute.String("server", server))
-			}
-		})
-	}
-	gauge("kcw_router_connections", "Open connections of clients, by server.", func(s kcwconnlimit.Stats) int64 { return int64(s.Open) })
-	gauge("kcw_router_connection_bytes", "Memory of requests that are being received or held, by server.", func(s kcwconnlimit.Stats) int64 { return s.HeldBytes })
-	gauge("kcw_router_connections_refused", "Connections refused since the start because there were too many, by server.", func(s kcwconnlimit.Stats) int64 { return s.Refused })
-	gauge("kcw_router_connections_closed", "Connections closed since the start in favor of others or for what they held, by server.", func(s kcwconnlimit.Stats) int64 { return s.Closed })
+	meter.Gauge("kcw_router_connections", "Open connections of clients, by server.", b.Observe(kcwserve.Open))
+	meter.Gauge("kcw_router_connection_bytes", "Memory of requests that are being received or held, by server.", b.Observe(kcwserve.Held))
+	meter.Gauge("kcw_router_connections_refused", "Connections refused since the start because there were too many, by server.", b.Observe(kcwserve.Refused))
+	meter.Gauge("kcw_router_connections_closed", "Connections closed since the start in favor of others or for what they held, by server.", b.Observe(kcwserve.Closed))
 }
--- a/kcw-fleet/kcwrouter/dump.go
+++ b/kcw-fleet/kcwrouter/dump.go
@@ -63,7 +63,7 @@
 		Document: b.Version, DocumentFrom: b.From, CoreHost: b.Host, ContactAge: time.Since(b.ContactAt).String(), CoreLost: b.IsLost,
 		ListedAt: r.roster.ListedAt(), InFlight: r.forwarder.InFlight(), Draining: r.stop.Load() != nil,
 		Core: r.client.Leader(), Teams: r.balance.Teams(), Upstreams: r.roster.Upstreams(), Blocks: kcwblocklist.Summarize(r.guard.Blocks()), Suspects: r.guard.Suspects(),
-		RateLimits: r.quota.Limits(), ColdUpstreams: r.quota.Cold(), SpeedsVersion: r.speeds.version.Load(), Overload: r.overload.State(), Connections: r.bounds.stats(),
+		RateLimits: r.quota.Limits(), ColdUpstreams: r.quota.Cold(), SpeedsVersion: r.speeds.version.Load(), Overload: r.overload.State(), Connections: r.bounds.Stats(),
 	}
 	d.EvacuatedZones, d.EvacuationsVersion = r.roster.Evacuated(), r.reporter.currentEvacuations()
 	if b.Version != 0 {
--- a/kcw-fleet/kcwrouter/router.go
+++ b/kcw-fleet/kcwrouter/router.go
@@ -19,7 +19,6 @@
 	"kingcupwick.example/kcw-fleet/kcwguard"
 	"kingcupwick.example/kcw-fleet/kcwlending"
 	"kingcupwick.example/kcw-fleet/kcwquota"
-	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
 	"kingcupwick.example/kcw-fleet/kcwsharing"
 	"kingcupwick.example/kcw-fleet/kcwsource"
@@ -39,6 +38,7 @@
 	"kingcupwick.example/kcw/kcwroster"
 	"kingcupwick.example/kcw/kcwroute"
 	"kingcupwick.example/kcw/kcwrunrecord"
+	"kingcupwick.example/kcw/kcwserve"
 	"kingcupwick.example/kcw/kcwspeed"
 	"kingcupwick.example/kcw/kcwstop"
 	"kingcupwick.example/kcw/kcwuptime"
@@ -140,7 +140,7 @@
 // New builds a router and listens at its addresses. The caller runs the router.
 func New(cfg Config) (*Router, error) {
 	s := cfg.Settings
-	kcwsetup.LimitMemory(s.Host.MemoryMB)
+	kcwserve.Host{MemoryMB: s.Host.MemoryMB}.LimitMemory()
 	r := &Router{cfg: cfg}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.client = kcwcore.New(kcwcore.Config{Seeds: s.Core.Addresses()})
@@ -274,12 +274,12 @@
 	}
 	r.public, err = kcwserve.New(s.Host.Address, r.forwarder, kcwserve.Config{
 		HeaderTimeout: s.Limits.HeaderTimeout, IdleTimeout: s.Limits.IdleTimeout, MaxHeaderBytes: s.Limits.MaxHeaderBytes,
-		Bound: r.bounds.callers, ConnContext: r.forwarder.ConnContext,
+		Bound: r.bounds.Bounds[callersServer], ConnContext: r.forwarder.ConnContext,
 	})
 	if err != nil {
 		return err
 	}
-	limits := kcwserve.Config{HeaderTimeout: s.Limits.HeaderTimeout, MaxHeaderBytes: s.Limits.MaxHeaderBytes, Bound: r.bounds.routers}
+	limits := kcwserve.Config{HeaderTimeout: s.Limits.HeaderTimeout, MaxHeaderBytes: s.Limits.MaxHeaderBytes, Bound: r.bounds.Bounds[routersServer]}
 	peers := http.NewServeMux()
 	peers.Handle(r.lending.Handler())
 	peers.Handle(r.sharing.Handler())
@@ -292,7 +292,7 @@
 		Address: s.Host.AdminAddress, Ready: r.ready, Metrics: r.meter.Handler(),
 		OperatorKey: kcwsetup.LoadOperatorKey(s.Host.OperatorKeyFile),
 		Dump:        func(context.Context) any { return r.dump() },
-		Bound:       r.bounds.admin, HeaderTimeout: s.Limits.HeaderTimeout, IdleTimeout: s.Limits.IdleTimeout, MaxHeaderBytes: s.Limits.MaxHeaderBytes,
+		Bound:       r.bounds.Bounds[adminServer], HeaderTimeout: s.Limits.HeaderTimeout, IdleTimeout: s.Limits.IdleTimeout, MaxHeaderBytes: s.Limits.MaxHeaderBytes,
 	})
 	return err
 }
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -4,7 +4,6 @@
 
 import (
 	"net/netip"
-	"runtime/debug"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -374,20 +373,3 @@
 	const bytesPerMbit = 1e6 / 8
 	return mbps * bytesPerMbit
 }
-
-// The garbage collector's memory limit is memoryFraction of the memory that the process may use,
-// and leaves at least reservedMB, unless that is more than half of the memory: about 15 MiB of
-// the program are resident, which the limit does not count, and the heap passes the limit for a
-// moment while clients make garbage faster than it is collected.
-const (
-	memoryFraction = 0.9
-	reservedMB     = 32
-)
-
-// LimitMemory sets the garbage collector's memory limit for a process that may use the
-// given memory in MiB.
-func LimitMemory(megabytes float64) {
-	const megabyte = 1 << 20
-	limit := min(memoryFraction*megabytes, max(megabytes-reservedMB, megabytes/2))
-	debug.SetMemoryLimit(int64(limit * megabyte))
-}
--- a/kcw/kcwadmin/server.go
+++ b/kcw/kcwadmin/server.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"kingcupwick.example/kcw/kcwlisten"
+	"kingcupwick.example/kcw/kcwserve"
 )
 
 // Paths that a Server answers.
@@ -111,6 +112,12 @@
 	if cfg.Metrics != nil {
 		s.server.Handle(MetricsPath, cfg.Metrics)
 	}
+	handler := s.server.Handler
+	s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// No request here has a body that matters.
+		kcwserve.SkipBody(w, r)
+		handler.ServeHTTP(w, r)
+	})
 	s.server.ReadHeaderTimeout, s.server.IdleTimeout, s.server.MaxHeaderBytes = cfg.HeaderTimeout, cfg.IdleTimeout, cfg.MaxHeaderBytes
 	if cfg.Bound != nil {
 		cfg.Bound.Apply(s.server.Server)
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -13,6 +13,7 @@
 	"kingcupwick.example/kcw/kcwbalance"
 	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwserve"
 	"kingcupwick.example/kcw/kcwstop"
 )
 
@@ -226,33 +227,12 @@
 	return "requests with these parts of the prompt crash upstreams: " + strings.Join(parts, ", ")
 }
 
-const (
-	// maxSkippedBytes and maxSkipTime bound the body of a refused request that is read before the
-	// refusal, so that the caller can use its connection further.
-	maxSkippedBytes = 256 << 10
-	maxSkipTime     = 20 * time.Millisecond
-)
-
-// skipBody discards the body of a request that is refused before it is read. If that takes too
-// long, the connection is closed after the answer; the server would otherwise hold the answer
-// back until the body has come. EnableFullDuplex is no remedy: in Go 1.26 the server panics if a
-// handler with it leaves a body unread.
+// skipBody discards the body of a request that is refused before it is read.
 func (c *call) skipBody() {
 	if c.r.ContentLength == 0 {
 		return
 	}
-	control := http.NewResponseController(c.w)
-	err := control.SetReadDeadline(c.f.cfg.Now().Add(maxSkipTime))
-	if err == nil {
-		var n int64
-		n, err = io.CopyN(io.Discard, c.r.Body, maxSkippedBytes)
-		c.f.recordBytes(requestHeadBytes+int(n), 0)
-	}
-	// Otherwise the read deadline stays, since the server reads on when it closes the body.
-	if errors.Is(err, io.EOF) && control.SetReadDeadline(time.Time{}) == nil {
-		return
-	}
-	c.w.Header().Set("Connection", "close")
+	c.f.recordBytes(requestHeadBytes+int(kcwserve.SkipBody(c.w, c.r)), 0)
 }
 
 // readBody reads the whole body into memory, so that it can be sent again.
--- a/kcw-fleet/kcwserve/receive.go
+++ b/kcw/kcwserve/receive.go
@@ -26,7 +26,7 @@
 		}
 		if r.Header.Get("Content-Encoding") != "" {
 			// A few kB may decompress to any size. No process of the fleet compresses requests.
-			refuse(w, http.StatusUnsupportedMediaType, "compressed requests are not accepted")
+			refuse(w, r, http.StatusUnsupportedMediaType, "compressed requests are not accepted")
 			return
 		}
 		control := http.NewResponseController(w)
@@ -35,7 +35,7 @@
 			most = min(limit, r.ContentLength)
 		}
 		if r.ContentLength > limit {
-			refuse(w, http.StatusRequestEntityTooLarge, "the body is too large")
+			refuse(w, r, http.StatusRequestEntityTooLarge, "the body is too large")
 			return
 		}
 		// The deadline can't be set on a connection that is closed already.
@@ -53,12 +53,12 @@
 		var large *http.MaxBytesError
 		switch {
 		case errors.As(err, &large):
-			refuse(w, http.StatusRequestEntityTooLarge, "the body is too large")
+			refuse(w, r, http.StatusRequestEntityTooLarge, "the body is too large")
 		case errors.As(err, &memory) && memory.Kind == kcwmemory.Full:
 			w.Header().Set("Retry-After", unavailableSeconds)
-			refuse(w, http.StatusServiceUnavailable, "other requests hold all memory that they may")
+			refuse(w, r, http.StatusServiceUnavailable, "other requests hold all memory that they may")
 		case err != nil:
-			refuse(w, http.StatusBadRequest, "the body can't be read: "+err.Error())
+			refuse(w, r, http.StatusBadRequest, "the body can't be read: "+err.Error())
 		default:
 			r.Body = io.NopCloser(bytes.NewReader(body))
 			next.ServeHTTP(w, r)
@@ -67,7 +67,7 @@
 }
 
 // refuse answers a request whose body was not received whole.
-func refuse(w http.ResponseWriter, status int, text string) {
-	w.Header().Set("Connection", "close")
+func refuse(w http.ResponseWriter, r *http.Request, status int, text string) {
+	closeAfterRefusal(w, r)
 	http.Error(w, text, status)
 }
--- a/kcw-fleet/kcwserve/receive_test.go
+++ b/kcw/kcwserve/receive_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"kingcupwick.example/kcw-fleet/kcwserve"
 	"kingcupwick.example/kcw/kcwmemory"
+	"kingcupwick.example/kcw/kcwserve"
 )
 
 // TestReceive guards against handlers that get a body which is not whole, and against messages
@@ -73,11 +73,11 @@
 // and descriptors left for connections to upstreams.
 func TestBound(t *testing.T) {
 	host := kcwserve.Host{MemoryMB: 144, MaxDescriptors: 3075}
-	got := host.Bound("callers", kcwserve.Share{Descriptors: 0.55, ConnsPerMB: 11, Memory: 0.1}, 1)
+	got := host.Bound(kcwserve.Share{Descriptors: 0.55, ConnsPerMB: 11, Memory: 0.1}, 1)
 	if got.MaxConns < 1500 || got.MaxConns > (3075-200)*3/5 || got.MaxHeldBytes != 144<<20/10 {
 		t.Errorf("got %d connections and %d bytes", got.MaxConns, got.MaxHeldBytes)
 	}
-	if got := (kcwserve.Host{MemoryMB: 16}).Bound("admin", kcwserve.Share{Descriptors: 0.01, ConnsPerMB: 0.1, Memory: 0.1}, 1); got.MaxConns < 32 {
+	if got := (kcwserve.Host{MemoryMB: 16}).Bound(kcwserve.Share{Descriptors: 0.01, ConnsPerMB: 0.1, Memory: 0.1}, 1); got.MaxConns < 32 {
 		t.Errorf("got %d connections", got.MaxConns)
 	}
 }
--- a/kcw-fleet/kcwserve/server.go
+++ b/kcw/kcwserve/server.go
@@ -25,8 +25,20 @@
 	Bound *kcwlisten.Bound
 	// ConnContext is that of http.Server.
 	ConnContext func(ctx context.Context, conn net.Conn) context.Context
+	// HTTP2 adds HTTP/2 without TLS, for calls between processes.
+	HTTP2 bool
+	// Listener replaces a listener at the address.
+	Listener net.Listener
 }
 
+// Bounds of a connection over HTTP/2, in bytes. A frame and what handlers have not read of bodies are
+// held for each connection.
+const (
+	maxFrameBytes       = 16 << 10
+	maxStreamUnread     = 64 << 10
+	maxConnectionUnread = 128 << 10
+)
+
 // Server is a kratos transport.Server.
 type Server = khttp.Server
 
@@ -52,9 +64,12 @@
 // New listens at address and returns a server that sets no deadline for answers. The
 // error is an *Error.
 func New(address netip.AddrPort, handler http.Handler, cfg Config) (*Server, error) {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, &Error{Op: "new", Kind: Listen, Err: eris.Wrap(err, "listen")}
+	listener := cfg.Listener
+	if listener == nil {
+		var err error
+		if listener, err = net.Listen("tcp", address.String()); err != nil {
+			return nil, &Error{Op: "new", Kind: Listen, Err: eris.Wrap(err, "listen")}
+		}
 	}
 	if cfg.Bound != nil {
 		listener = cfg.Bound.Listener(listener)
@@ -68,6 +83,14 @@
 	server.IdleTimeout = cfg.IdleTimeout
 	server.MaxHeaderBytes = cfg.MaxHeaderBytes
 	server.ConnContext = cfg.ConnContext
+	if cfg.HTTP2 {
+		server.Protocols = &http.Protocols{}
+		server.Protocols.SetHTTP1(true)
+		server.Protocols.SetUnencryptedHTTP2(true)
+		server.HTTP2 = &http.HTTP2Config{
+			MaxReadFrameSize: maxFrameBytes, MaxReceiveBufferPerStream: maxStreamUnread, MaxReceiveBufferPerConnection: maxConnectionUnread,
+		}
+	}
 	if cfg.Bound != nil {
 		cfg.Bound.Apply(server.Server)
 	}
