kcwlisten: bound connections over HTTP/2

A connection over HTTP/2 carries many requests, which the counts of a head, of a body and of requests ahead do not describe. Its frames are counted instead: 24 kB for a frame that begins a request (its fields, its goroutine and its buffers; compressed, such a frame has some dozens of bytes), 256 bytes for another one, as the answers to pings wait until the client reads. They are charged like heads until the connection has no request open, or for good once the handler has read a body to its end: handlers behind kcwserve.Authenticate do so only for clients with a key. Who holds most for longest is closed first, as before.

No server uses it yet.

--- a/kcw/kcwconnlimit/limiter.go
+++ b/kcw/kcwconnlimit/limiter.go
@@ -180,6 +180,22 @@
 	return victims
 }
 
+// Release records that what a connection has received does not count as held any more.
+func (l *Limiter) Release(id ID, bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.conns[id]
+	if c == nil {
+		return
+	}
+	// Complete may have released it meanwhile.
+	bytes = min(bytes, c.held)
+	c.held -= bytes
+	if !c.isClosing {
+		l.held -= bytes
+	}
+}
+
 // Run records that a request is complete.
 func (l *Limiter) Run(id ID, now time.Time) {
 	l.mu.Lock()
--- a/kcw/kcwlisten/bound.go
+++ b/kcw/kcwlisten/bound.go
@@ -133,17 +133,30 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if r.ProtoMajor > 1 {
+			b.serveStream(c, next, w, r)
+			return
+		}
 		hasBody := r.ContentLength != 0
 		if c.beginRequest(hasBody) {
 			w.Header().Set("Connection", "close")
 		}
 		if hasBody {
-			r.Body = &body{ReadCloser: r.Body, conn: c}
+			r.Body = &body{ReadCloser: r.Body, onEnd: c.endBody}
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// serveStream serves one of several requests on a connection over HTTP/2. Once the handler has read
+// the body of one to its end, which it does only for clients that it admits, the connection is trusted.
+func (b *Bound) serveStream(c *conn, next http.Handler, w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		r.Body = &body{ReadCloser: r.Body, onEnd: c.trust}
+	}
+	next.ServeHTTP(w, r)
+}
+
 // closeAll closes connections in favor of others.
 func (b *Bound) closeAll(victims ...kcwconnlimit.ID) {
 	for _, id := range victims {
--- a/kcw/kcwlisten/conn.go
+++ b/kcw/kcwlisten/conn.go
@@ -73,6 +73,9 @@
 	// deadlines counts the calls of SetReadDeadline since the last answer was complete.
 	bufferedCost int64
 	deadlines    int
+	// frames finds the frames of a connection over HTTP/2, which are charged until isTrusted is set.
+	frames    frameScanner
+	isTrusted bool
 	// readDeadline is the deadline that the server or the handler has set.
 	readDeadline time.Time
 }
@@ -94,6 +97,16 @@
 	}
 }
 
+// trust records that the handler admits the client, over HTTP/2.
+func (c *conn) trust() {
+	c.mu.Lock()
+	cost := c.cost
+	c.isTrusted, c.cost = true, 0
+	c.mu.Unlock()
+	c.bound.limiter.Release(c.id, cost)
+	c.bound.limiter.Run(c.id, time.Now())
+}
+
 func (c *conn) beginHead(isNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -146,7 +159,7 @@
 func (c *conn) setReadDeadline(t time.Time) (cost int64, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isHead {
+	if c.isHead && !c.frames.isHTTP2() {
 		limits := c.bound.cfg.Limits()
 		timeout := limits.HeaderTimeout
 		if !c.isNew && c.headBytes == 0 {
@@ -206,9 +219,14 @@
 func (c *conn) count(data []byte, isSingle bool) (isTooLarge bool) {
 	c.mu.Lock()
 	c.hasRead = c.hasRead || !isSingle
+	frames := c.frames.scan(data)
 	var cost int64
-	isHead := c.isHead
+	isHead := c.isHead && !c.frames.isHTTP2()
 	switch {
+	case c.frames.isHTTP2():
+		if !c.isTrusted {
+			cost = frames
+		}
 	case isHead:
 		c.headBytes += len(data)
 		cost, c.bufferedCost = c.scanner.scan(data)
@@ -295,18 +313,18 @@
 	return nil
 }
 
-// body is the body of a request on a bounded connection.
+// body is the body of a request on a bounded connection. OnEnd is called once, at its end.
 type body struct {
 	io.ReadCloser
-	conn *conn
+	onEnd func()
 }
 
 // Read reads and notices the end.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && b.conn != nil {
-		b.conn.endBody()
-		b.conn = nil
+	if err == io.EOF && b.onEnd != nil {
+		b.onEnd()
+		b.onEnd = nil
 	}
 	return n, err
 }
