kcwtoken, kcwobject: read chat requests part by part

Callers with a key could end kcw-router with requests of legal size.

kcwobject reads the members of an object and the elements of an array one by one, as parts of the text, over encoding/json. The first member that would be refused anyway ends the reading, so that an object has as many entries as there are names that are admitted; messages are checked and rewritten one at a time; the printed size of tools is counted without being written. Refusals have the same codes; a request with several faults may get another of them.

TestPrintedBytes compares the count with json.Indent. TestManyParts reads requests of 100,000 parts.

--- a/kcw/kcwgateway/chat.go
+++ b/kcw/kcwgateway/chat.go
@@ -71,15 +71,19 @@
 }
 
 // decodeFields returns the members of the body. Of a member that is repeated it
-// returns the last.
+// returns the last. A body with a parameter that is not supported is refused.
 func decodeFields(body []byte, now time.Time) (map[string]json.RawMessage, *refusal) {
 	if !utf8.Valid(body) {
 		return nil, refuse(codeMalformedBody, now, "The body is not UTF-8.")
 	}
-	fields := map[string]json.RawMessage{}
-	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
+	fields, err := kcwtoken.Fields(body)
+	var failure *kcwtoken.Error
+	if errors.As(err, &failure) && failure.Kind == kcwtoken.KindMalformed {
 		return nil, refuse(codeMalformedBody, now, "The body is not a JSON object.")
 	}
+	if err != nil {
+		return nil, tokenRefusal(err, now)
+	}
 	return fields, nil
 }
 
--- a/kcw/kcwtoken/admitted.go
+++ b/kcw/kcwtoken/admitted.go
@@ -23,3 +23,6 @@
 	"tool_call_id": true, "function_call": true, "refusal": true,
 	"reasoning_content": true,
 }
+
+// admittedPartMembers lists the members that a part of a message's content has.
+var admittedPartMembers = map[string]bool{"type": true, "text": true}
--- a/kcw/kcwtoken/estimator.go
+++ b/kcw/kcwtoken/estimator.go
@@ -11,10 +11,13 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"math"
 	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
+
+	"kingcupwick.example/kcw/kcwobject"
 )
 
 const (
@@ -28,6 +31,8 @@
 	maxBound = math.MaxInt32
 	// escapeBytes is the length of a JSON escape such as \u00e9.
 	escapeBytes = 6
+	// maxNameBytes is how much of a member's name errors show.
+	maxNameBytes = 64
 	// indent is the widest indentation with which templates print tools.
 	indent = "    "
 )
@@ -64,6 +69,9 @@
 	return &Estimator{cfg: cfg}
 }
 
+// errTooLong is the error of a prompt whose bound is too large.
+var errTooLong = &Error{Op: "prompt", Kind: KindTooLong, Param: "messages", Err: eris.New("prompt has too many tokens")}
+
 // Prompt returns an upper bound on the tokens of the prompt in fields, the members of
 // a chat request. It rewrites the messages so that no member occurs twice in a
 // message. It returns an *Error of KindUnsupported for content without a bound, of
@@ -73,7 +81,7 @@
 	total := e.cfg.RequestTokens
 	for name, value := range fields {
 		if !admittedParameters[name] {
-			return 0, &Error{Op: "prompt", Kind: KindUnsupported, Param: name, Err: eris.New("parameter is not supported")}
+			return 0, &Error{Op: "prompt", Kind: KindUnsupported, Param: name[:min(len(name), maxNameBytes)], Err: eris.New("parameter is not supported")}
 		}
 		total += int64(len(name) + len(value))
 	}
@@ -90,7 +98,7 @@
 		total += added
 	}
 	if total > maxBound {
-		return 0, &Error{Op: "prompt", Kind: KindTooLong, Param: "messages", Err: eris.New("prompt has too many tokens")}
+		return 0, errTooLong
 	}
 	return total, nil
 }
@@ -145,70 +153,132 @@
 	return n, nil
 }
 
+// Fields returns the members of a chat request. Of a member that is repeated it returns the
+// last. The values are parts of body. The error is an *Error of KindMalformed if the body is no JSON
+// object, and of KindUnsupported at the first member that Prompt would refuse.
+func Fields(body []byte) (map[string]json.RawMessage, error) {
+	fields, err := members(body, admittedParameters, "")
+	var failure *Error
+	switch {
+	case errors.As(err, &failure):
+		return nil, err
+	case err != nil || bytes.Equal(bytes.TrimSpace(body), []byte("null")):
+		return nil, &Error{Op: "fields", Kind: KindMalformed, Err: eris.New("must be an object")}
+	}
+	return fields, nil
+}
+
+// members returns the members of an object. It returns an *Error of KindUnsupported at the first whose
+// name is not admitted; prefix is put before the name.
+func members(raw []byte, admitted map[string]bool, prefix string) (map[string]json.RawMessage, error) {
+	fields := map[string]json.RawMessage{}
+	err := kcwobject.Members(raw, func(name string, value json.RawMessage) error {
+		if !admitted[name] {
+			return &Error{Op: "prompt", Kind: KindUnsupported, Param: prefix + name[:min(len(name), maxNameBytes)], Err: eris.New("member is not supported")}
+		}
+		fields[name] = value
+		return nil
+	})
+	return fields, err
+}
+
 // messages returns an upper bound on the tokens that a template adds to the messages
 // beyond their bytes, and rewrites the messages as Prompt describes.
 func (e *Estimator) messages(fields map[string]json.RawMessage) (int64, error) {
-	var list []map[string]json.RawMessage
-	if err := json.Unmarshal(fields["messages"], &list); err != nil || len(list) == 0 {
-		return 0, &Error{Op: "prompt", Kind: KindMalformed, Param: "messages", Err: eris.New("must be a list of at least one message")}
-	}
 	var total int64
-	for _, message := range list {
+	var out bytes.Buffer
+	out.WriteByte('[')
+	err := kcwobject.Elements(fields["messages"], func(value json.RawMessage) error {
+		message, err := members(value, admittedMembers, "messages.")
+		if err != nil {
+			return err
+		}
 		if err := checkContent(message); err != nil {
-			return 0, err
+			return err
 		}
 		total += e.cfg.ItemTokens + printedBytes(message["tool_calls"]) + printedBytes(message["function_call"])
+		if total > maxBound {
+			return errTooLong
+		}
+		return appendElement(&out, message)
+	})
+	var failure *Error
+	switch {
+	case errors.As(err, &failure):
+		return 0, err
+	case err != nil || total == 0:
+		return 0, &Error{Op: "prompt", Kind: KindMalformed, Param: "messages", Err: eris.New("must be a list of at least one message")}
 	}
-	var out bytes.Buffer
-	encoder := json.NewEncoder(&out)
+	out.WriteByte(']')
+	fields["messages"] = out.Bytes()
+	return total, nil
+}
+
+// appendElement adds an element to the text of a JSON array, without escaping HTML characters.
+func appendElement(out *bytes.Buffer, element any) error {
+	if out.Len() > 1 {
+		out.WriteByte(',')
+	}
+	encoder := json.NewEncoder(out)
 	encoder.SetEscapeHTML(false)
-	if err := encoder.Encode(list); err != nil {
-		return 0, &Error{Op: "prompt", Kind: KindMalformed, Param: "messages", Err: eris.Wrap(err, "encode")}
+	if err := encoder.Encode(element); err != nil {
+		return err
 	}
-	fields["messages"] = bytes.TrimSpace(out.Bytes())
-	return total, nil
+	// Encode adds a newline.
+	out.Truncate(out.Len() - 1)
+	return nil
 }
 
-// tools returns an upper bound on the tokens that a template prints for the tools in
+// tools returns an upper bound on the number of tokens that a template prints for the tools in
 // raw.
 func (e *Estimator) tools(name string, raw json.RawMessage) (int64, error) {
 	if raw == nil || bytes.Equal(raw, []byte("null")) {
 		return 0, nil
 	}
-	var list []json.RawMessage
-	if err := json.Unmarshal(raw, &list); err != nil {
+	total := printedBytes(raw)
+	err := kcwobject.Elements(raw, func(json.RawMessage) error {
+		total += e.cfg.ItemTokens
+		return nil
+	})
+	if err != nil {
 		return 0, &Error{Op: "prompt", Kind: KindMalformed, Param: name, Err: eris.New("must be a list")}
 	}
-	return printedBytes(raw) + int64(len(list))*e.cfg.ItemTokens, nil
+	return total, nil
 }
 
-// checkContent returns an *Error if a message has an unknown member or content other
-// than text. It rewrites a list of text parts so that no member occurs twice in a part.
+// checkContent returns an *Error if a message has content other than text. It rewrites a list of
+// text parts so that no member occurs twice in a part.
 func checkContent(message map[string]json.RawMessage) error {
-	for name := range message {
-		if !admittedMembers[name] {
-			return &Error{Op: "prompt", Kind: KindUnsupported, Param: "messages." + name, Err: eris.New("member is not supported")}
-		}
-	}
 	content := message["content"]
 	if len(content) == 0 || content[0] != '[' {
 		return checkText(content)
 	}
-	var parts []map[string]json.RawMessage
-	if err := json.Unmarshal(content, &parts); err != nil {
-		return &Error{Op: "prompt", Kind: KindMalformed, Param: "messages.content", Err: eris.New("must be text or a list of parts")}
-	}
-	for _, part := range parts {
+	unsupported := &Error{Op: "prompt", Kind: KindUnsupported, Param: "messages.content", Err: eris.New("only text parts are supported")}
+	var out bytes.Buffer
+	out.WriteByte('[')
+	err := kcwobject.Elements(content, func(value json.RawMessage) error {
+		part, err := members(value, admittedPartMembers, "")
+		var failure *Error
+		if errors.As(err, &failure) {
+			return unsupported
+		}
+		if err != nil {
+			return err
+		}
 		var kind string
-		if err := json.Unmarshal(part["type"], &kind); err != nil || kind != "text" || len(part) != 2 || part["text"] == nil {
-			return &Error{Op: "prompt", Kind: KindUnsupported, Param: "messages.content", Err: eris.New("only text parts are supported")}
+		if err := json.Unmarshal(part["type"], &kind); err != nil || kind != "text" || part["text"] == nil {
+			return unsupported
 		}
+		return appendElement(&out, part)
+	})
+	if err == unsupported {
+		return unsupported
 	}
-	rewritten, err := json.Marshal(parts)
 	if err != nil {
-		return &Error{Op: "prompt", Kind: KindMalformed, Param: "messages.content", Err: eris.Wrap(err, "encode")}
+		return &Error{Op: "prompt", Kind: KindMalformed, Param: "messages.content", Err: eris.New("must be text or a list of parts")}
 	}
-	message["content"] = rewritten
+	out.WriteByte(']')
+	message["content"] = out.Bytes()
 	return nil
 }
 
@@ -221,20 +291,45 @@
 }
 
 // printedBytes returns an upper bound on the number of bytes that a template prints for
-// raw, with indentation and escapes.
+// raw, with indentation and escapes. It counts what json.Indent writes, which may be thousands of
+// times as long as raw.
 func printedBytes(raw json.RawMessage) int64 {
-	if len(raw) == 0 {
-		return 0
-	}
-	var out bytes.Buffer
-	if err := json.Indent(&out, raw, "", indent); err != nil {
-		return 0
-	}
-	total := int64(out.Len())
-	for _, b := range out.Bytes() {
+	var total, depth int64
+	isText, isEscaped, isOpened := false, false, false
+	line := func() { total += 1 + depth*int64(len(indent)) }
+	for _, b := range raw {
+		if !isText && (b == ' ' || b == '\t' || b == '\r' || b == '\n') {
+			continue
+		}
+		if isOpened && b != '}' && b != ']' {
+			depth++
+			line()
+			isOpened = false
+		}
+		total++
 		if b >= utf8.RuneSelf || b == '<' || b == '>' || b == '&' || b == '\'' {
 			total += escapeBytes - 1
 		}
+		switch {
+		case isEscaped:
+			isEscaped = false
+		case isText && b == '\\':
+			isEscaped = true
+		case b == '"':
+			isText = !isText
+		case isText:
+		case b == '{' || b == '[':
+			isOpened = true
+		case b == ',':
+			line()
+		case b == ':':
+			total++
+		case (b == '}' || b == ']') && !isOpened:
+			depth--
+			line()
+		case b == '}' || b == ']':
+			isOpened = false
+		}
 	}
 	return total
 }
--- a/kcw/kcwtoken/estimator_test.go
+++ b/kcw/kcwtoken/estimator_test.go
@@ -1,6 +1,7 @@
 package kcwtoken
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"strings"
@@ -104,3 +105,32 @@
 		}
 	}
 }
+
+// TestPrintedBytes checks the count against what json.Indent writes.
+func TestPrintedBytes(t *testing.T) {
+	for _, raw := range []string{
+		`{}`, `[]`, `3`, `"a"`, `[[],{}]`, `[[[1,2],3],"a, [b] {c}: \\\"d\\\\"]`, `{"a":{"b":[1,{"c":null}]},"d":""}`, ` [ 1 , 2 ] `,
+	} {
+		var out bytes.Buffer
+		if err := json.Indent(&out, []byte(strings.TrimSpace(raw)), "", indent); err != nil {
+			t.Fatalf("%s: %v", raw, err)
+		}
+		if got := printedBytes(json.RawMessage(raw)); got != int64(out.Len()) {
+			t.Errorf("%s: counted %d bytes, json.Indent writes %d", raw, got, out.Len())
+		}
+	}
+}
+
+// TestManyParts guards against a request of many short parts that is decoded whole: the first member
+// that is not supported ends it.
+func TestManyParts(t *testing.T) {
+	const parts = 100000
+	_, err := Fields([]byte(`{"messages":[],"x":1` + strings.Repeat(`,"y":1`, parts) + `}`))
+	checkKind(t, "fields", err, KindUnsupported)
+	deep := strings.Repeat("[", 1000) + "1" + strings.Repeat(",1", parts) + strings.Repeat("]", 1000)
+	bound, err := New(Config{}).Prompt(fieldsOf(t, `{"messages":[{"content":"a"}],"tools":`+deep+`}`))
+	checkKind(t, "tools", err, 0)
+	if bound < 1000*parts {
+		t.Errorf("the bound is %d", bound)
+	}
+}
