kcwmemory, kcwrouter: bodies that clients are sending are no load

Callers of a fleet's router got 503 as long as clients kept bodies open that were not complete: 300 of them in chunks of one byte, of 500 kB each, at a route.

What gives way is not load: the sample has Committed, what is held by whole bodies, answers and events. Then the request is admitted, and its body takes the memory of the one that has held most for longest.

--- a/kcw-fleet/kcwrouter/load.go
+++ b/kcw-fleet/kcwrouter/load.go
@@ -43,7 +43,8 @@
 		}
 		r.recordSample(kcwoverload.Sample{
 			At: now, Queue: queue, Processor: processorTime(), LinkLoad: r.link.Load(now), LinkDelay: r.link.Delay(now),
-			Memory: float64(r.memory.Held()) / float64(r.requestMemory()), Excess: excess,
+			// Bodies that clients are sending give way to others.
+			Memory: float64(r.memory.Committed()) / float64(r.requestMemory()), Excess: excess,
 		})
 		timer.Reset(time.Until(r.overload.Due()))
 	}
--- a/kcw/kcwmemory/account.go
+++ b/kcw/kcwmemory/account.go
@@ -56,8 +56,9 @@
 	held int64
 	// aborting is what bodies hold that were aborted and are still being read.
 	aborting int64
-	// receiving holds the bodies that clients are sending.
+	// receiving holds the bodies that clients are sending, and yielding is what they hold.
 	receiving map[*receipt]struct{}
+	yielding  int64
 	// free are chunks that are not used. They are not a part of held, and fit into the limit
 	// beside it.
 	free [][]byte
@@ -84,6 +85,14 @@
 	return a.held
 }
 
+// Committed returns the number of bytes held that can't be freed for others, that is without the
+// bodies that clients are sending.
+func (a *Account) Committed() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.held - a.yielding
+}
+
 // TryAcquire acquires the given number of bytes and reports whether the limit allowed it. If
 // need be, it aborts bodies that clients are sending. It acquires nothing if it returns false.
 func (a *Account) TryAcquire(bytes int64) bool {
@@ -92,6 +101,16 @@
 	return a.tryAcquire(bytes, nil)
 }
 
+// Acquire acquires the given number of bytes, beyond the limit if need be: they are held already, or
+// their holder can't be refused. Bodies that clients are sending are aborted for them.
+func (a *Account) Acquire(bytes int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.tryAcquire(bytes, nil) {
+		a.held += bytes
+	}
+}
+
 // Release releases the given number of bytes, which must have been acquired.
 func (a *Account) Release(bytes int64) {
 	a.mu.Lock()
@@ -117,6 +136,7 @@
 		// not more bodies are aborted than need be.
 		largest.isAborted = true
 		a.held -= largest.acquired
+		a.yielding -= largest.acquired
 		a.aborting += largest.acquired
 		delete(a.receiving, largest)
 		go largest.abort()
@@ -124,6 +144,9 @@
 	a.held += bytes
 	if body != nil {
 		body.acquired += bytes
+		if body.abort != nil {
+			a.yielding += bytes
+		}
 	}
 	// Chunks that are not used count too, so that they are dropped when others need the memory.
 	for len(a.free) > 0 && a.held+int64(len(a.free))*chunkBytes > a.limit {
@@ -181,6 +204,7 @@
 		a.aborting -= b.acquired
 		return nil, 0, &Error{Op: "receive", Kind: Full, Bytes: a.limit}
 	}
+	a.yielding -= b.acquired
 	return data, b.acquired, err
 }
 
@@ -329,7 +353,10 @@
 	b.acquired -= bytes
 	if b.isAborted {
 		a.aborting -= bytes
-	} else {
-		a.held -= bytes
+		return
+	}
+	a.held -= bytes
+	if b.abort != nil {
+		a.yielding -= bytes
 	}
 }
--- a/kcw/kcwmemory/receive_test.go
+++ b/kcw/kcwmemory/receive_test.go
@@ -169,3 +169,29 @@
 		t.Errorf("a body over the limit: %v, %d acquired, %d held", err, acquired, a.Held())
 	}
 }
+
+// TestReceivedBodiesAreNotCommitted guards against bodies that clients are sending, and that give way to
+// others, that count as load.
+func TestReceivedBodiesAreNotCommitted(t *testing.T) {
+	const limit, size = 1 << 20, 200 << 10
+	a := kcwmemory.New(limit)
+	body := newStopping(size - 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, acquired, _ := a.Receive(body, size, limit, body.abort)
+		a.Release(acquired)
+	}()
+	<-body.stopped
+	whole, acquired, err := a.Receive(bytes.NewReader(make([]byte, size)), size, limit, func() {})
+	if err != nil || a.Committed() != acquired || a.Held() < acquired+size {
+		t.Errorf("%d bytes are committed and %d held beside a body of %d, error %v", a.Committed(), a.Held(), len(whole), err)
+	}
+	// What is held beyond the limit takes the memory of the body that is being sent.
+	a.Acquire(limit)
+	<-done
+	a.Release(limit + acquired)
+	if a.Committed() != 0 || a.Held() != 0 {
+		t.Errorf("%d bytes are committed and %d held afterwards", a.Committed(), a.Held())
+	}
+}
--- a/kcw/kcwoverload/overload.go
+++ b/kcw/kcwoverload/overload.go
@@ -77,7 +77,8 @@
 	// bytes wait for it.
 	LinkLoad  float64
 	LinkDelay time.Duration
-	// Memory is the part in use of the memory that requests may hold.
+	// Memory is the part in use of the memory that requests may hold, without what can be freed
+	// for others.
 	Memory float64
 	// Excess is the ratio of the router's load to the mean load of the fleet's routers, zero
 	// if it is not known.
