kcwgateway, kcw-router: bound what clients make a router hold

A router of the own interface had no bound on what all clients together make it hold.

Cause: kcwgateway read bodies of up to MaxBodyBytes side by side, also before it looked at the path, kept those of queued requests, and no connection or head counted against a limit. The port for other routers read a message of any size before it checked the key.

Each server has the bounds of kcwlisten, derived by kcwserve.Host from [Host] MemoryMB and MaxDescriptors, which are new; zero, the default, selects half of the machine's memory and the limit of the process. Bodies, answers and what a request takes while it is parsed are held in a kcwmemory.Account of 30% of the memory: bodies that clients are sending give way to others, by what they hold and for how long. Answers that were made are delivered beyond the limit. Large bodies are parsed one at a time. A request for which there is no memory gets 503 memory_full, not run, with Retry-After; it is counted in kcw_requests and logged each 5 s. Path, method and key are checked before a body is read, and a refusal does not wait for it. A MemoryMB that a request inside the limits does not fit into is an error at the start that names both settings.

Paths with empty or dot segments now reach the gateway, which refuses them with 404; the router of kratos redirected them with 301.

--- a/kcw-proof/clients_test.go
+++ b/kcw-proof/clients_test.go
@@ -43,9 +43,10 @@
 	if err := buildPrograms(); err != nil {
 		t.Fatal(err)
 	}
+	memory := fmt.Sprintf("MemoryMB = %d", clientHost)
 	return startFleet(t, fleetConfig{
 		answerTimeout: "30s", work: "5ms", prepaid: 1 << 40, maxPrompt: 4 * ordinaryBytes, descriptors: clientDescriptors,
-		limits: "[Answers]\nMaxBytes = 4194304\n[Limits]\nMaxAnswerBytes = 4194304\nMaxBodyBytes = 3500000\n",
+		routerHost: memory, limits: "[Answers]\nMaxBytes = 4194304\n[Limits]\nMaxAnswerBytes = 4194304\nMaxBodyBytes = 3500000\n",
 	})
 }
 
--- a/kcw-proof/fleet_test.go
+++ b/kcw-proof/fleet_test.go
@@ -66,9 +66,9 @@
 	answerTimeout, work string
 	// prepaid and maxPrompt are the customer's prepaid tokens and the most tokens of a prompt.
 	prepaid, maxPrompt int64
-	// host has further settings of the hosts of ledgers and routers, and limits further sections
-	// of routers.
-	host, limits string
+	// ledgerHost and routerHost are further settings of hosts, and limits further sections of
+	// routers.
+	ledgerHost, routerHost, limits string
 	// descriptors bounds the open files of each process, zero for no bound of its own.
 	descriptors int
 }
@@ -196,7 +196,7 @@
 [Service]
 Beat = 200ms
 SilentAfter = 2s
-`, i, i, f.address(10+i, 0), f.address(10+i, 1), i, f.host)
+`, i, i, f.address(10+i, 0), f.address(10+i, 1), i, f.ledgerHost)
 	for j := range ledgers {
 		text += fmt.Sprintf("[Founder \"ledger-%d\"]\nZone = zone-%d\nAddress = %s\n", j, j, f.address(50+j, 0))
 	}
@@ -235,7 +235,7 @@
 Service = parish-desk
 Zone = zone-0
 Address = %s
-`, i, i, f.address(20+i, 0), f.address(20+i, 2), f.address(20+i, 1), i, f.host, f.address(50, 0), f.address(51, 0), f.address(52, 0), f.answerTimeout, f.address(60+i, 0), f.address(31, 0)) + spare + f.limits
+`, i, i, f.address(20+i, 0), f.address(20+i, 2), f.address(20+i, 1), i, f.routerHost, f.address(50, 0), f.address(51, 0), f.address(52, 0), f.answerTimeout, f.address(60+i, 0), f.address(31, 0)) + spare + f.limits
 }
 
 // putContract stores the customer's contract and waits until every router has it.
--- a/kcw-router/dump.go
+++ b/kcw-router/dump.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"kingcupwick.example/kcw/kcwconnlimit"
 	"kingcupwick.example/kcw/kcwmeter"
 )
 
@@ -24,6 +25,8 @@
 	// acknowledged, RefusedOutcomes the number that it refused.
 	PendingOutcomes, RefusedOutcomes int
 	Gateway                          any
+	// Connections are those of clients, by server.
+	Connections map[string]kcwconnlimit.Stats
 }
 
 func (p *process) dump(incarnation uint64) dump {
@@ -32,7 +35,7 @@
 	return dump{
 		PendingOutcomes: pending, RefusedOutcomes: refused,
 		Router: p.settings.Host.Name, Zone: p.settings.Host.Zone, Incarnation: incarnation,
-		Revision: p.catalog.Revision(), Contracts: contracts, FreshAt: freshAt, Gateway: p.gateway.Dump(),
+		Revision: p.catalog.Revision(), Contracts: contracts, FreshAt: freshAt, Gateway: p.gateway.Dump(), Connections: p.bounds.Stats(),
 	}
 }
 
--- a/kcw-router/kcwsetup/settings.go
+++ b/kcw-router/kcwsetup/settings.go
@@ -7,7 +7,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"kingcupwick.example/kcw/kcwgateway"
 	"kingcupwick.example/kcw/kcwkeyring"
+	"kingcupwick.example/kcw/kcwserve"
 	"kingcupwick.example/kcw/kcwsettings"
 )
 
@@ -42,6 +44,12 @@
 	DrainTime time.Duration `default:"5s" setting:"min=0s,max=10m"`
 	// StopTimeout bounds the wait for requests in flight during a graceful shutdown.
 	StopTimeout time.Duration `default:"15m" setting:"min=100ms,max=24h"`
+	// MemoryMB is the memory that the process may use, in MiB. Zero selects half of the machine's
+	// memory. MaxDescriptors is the number of files that the process may have open, sockets
+	// included. Zero selects the limit that the process has. The bounds of clients are fractions
+	// of both.
+	MemoryMB       float64 `default:"0" setting:"min=0,max=1048576"`
+	MaxDescriptors int     `default:"0" setting:"min=0,max=10000000"`
 }
 
 // ledgerSettings configures the client of the ledger.
@@ -169,9 +177,45 @@
 	if err := kcwsettings.Load(path, s); err != nil {
 		return nil, err
 	}
+	if err := s.checkMemory(); err != nil {
+		return nil, eris.Wrap(err, path)
+	}
 	return s, nil
 }
 
+const (
+	// requestMemory is the fraction of the memory that bodies and answers of requests may hold
+	// together.
+	requestMemory = 0.3
+	// maxAnswerMemory is the largest fraction that stored answers may hold.
+	maxAnswerMemory = 0.25
+	megabyte        = 1 << 20
+)
+
+// Process returns what the process may use.
+func (s *Settings) Process() kcwserve.Host {
+	return kcwserve.Host{MemoryMB: s.Host.MemoryMB, MaxDescriptors: s.Host.MaxDescriptors}
+}
+
+// RequestBytes returns the memory in bytes that bodies and answers of requests may hold together.
+func (s *Settings) RequestBytes() int64 { return s.Process().Bytes(requestMemory) }
+
+// checkMemory returns an error if a request inside the limits has no room in MemoryMB.
+func (s *Settings) checkMemory() error {
+	if s.Host.MemoryMB == 0 {
+		return nil
+	}
+	if need := kcwgateway.BodyCopies * s.Limits.MaxBodyBytes; need > s.RequestBytes() {
+		return eris.Errorf("[Host] MemoryMB = %v is too little for [Limits] MaxBodyBytes = %d: one request may need %d MB, %v of the memory is for requests",
+			s.Host.MemoryMB, s.Limits.MaxBodyBytes, need/megabyte, requestMemory)
+	}
+	if most := s.Process().Bytes(maxAnswerMemory); s.Answers.MaxBytes > most {
+		return eris.Errorf("[Host] MemoryMB = %v is too little for [Answers] MaxBytes = %d: stored answers may use %d bytes, %v of the memory",
+			s.Host.MemoryMB, s.Answers.MaxBytes, most, maxAnswerMemory)
+	}
+	return nil
+}
+
 // LoadKeys reads the key files. The error names the setting of the file that can't
 // be read.
 func (s *Settings) LoadKeys() (Keys, error) {
--- a/kcw-router/process.go
+++ b/kcw-router/process.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
@@ -25,8 +23,10 @@
 	"kingcupwick.example/kcw/kcwkeyring"
 	"kingcupwick.example/kcw/kcwledger"
 	"kingcupwick.example/kcw/kcwlimit"
+	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwmeter"
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwserve"
 	"kingcupwick.example/kcw/kcwupstream"
 	"kingcupwick.example/kcw/kcwwallet"
 )
@@ -61,16 +61,20 @@
 	presence *kcwpresence.Presence
 	meter    *kcwmeter.Meter
 	admin    *kcwadmin.Server
-	public   *khttp.Server
-	internal *khttp.Server
+	public   *kcwserve.Server
+	internal *kcwserve.Server
+	bounds   kcwserve.Bounds
+	// routers holds the key of other routers.
+	routers *kcwkeyring.Keyring
 	// ctx ends during close, after the gateway and the wallet have stopped.
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
 // newProcess creates the components of the router and listens at the admin
-// address. The other servers listen when they start.
+// address. At the others run listens, once the router is registered.
 func newProcess(s *kcwsetup.Settings, k kcwsetup.Keys) (*process, error) {
+	s.Process().LimitMemory()
 	p := &process{settings: s}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	incarnation, err := p.openFolder()
@@ -88,6 +92,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := p.newBounds(); err != nil {
+		return nil, err
+	}
 	if err := p.newWallet(incarnation); err != nil {
 		return nil, err
 	}
@@ -99,12 +106,10 @@
 		Address: s.Host.InternalAddress, Revision: p.catalog.Revision, Fenced: p.gateway.Fence,
 		OnHeartbeat: p.handleHeartbeat,
 	})
-	p.public = newServer(s.Host.Address.String(), "/", p.gateway)
-	path, handler := p.gateway.Answers()
-	p.internal = newServer(s.Host.InternalAddress.String(), path, handler)
 	p.admin, err = kcwadmin.New(kcwadmin.Config{
 		Address: s.Host.AdminAddress, OperatorKey: k.Operator, Ready: p.gateway.Ready,
 		Metrics: p.meter.Handler(), Dump: func(context.Context) any { return p.dump(incarnation) },
+		Bound: p.bounds[adminServer], HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
 	return p, err
 }
@@ -152,10 +157,12 @@
 
 func (p *process) newGateway(k kcwsetup.Keys, incarnation uint64) error {
 	s := p.settings
-	peers, err := kcwkeyring.New(kcwkeyring.Config{Keys: map[string]string{"router": k.Router}})
-	if err != nil {
+	var err error
+	if p.routers, err = kcwkeyring.New(kcwkeyring.Config{Keys: map[string]string{"router": k.Router}}); err != nil {
 		return err
 	}
+	memory := kcwmemory.New(s.RequestBytes())
+	p.registerBounds(memory)
 	limits, err := kcwlimit.New(kcwlimit.Config{Routers: s.Grants.Routers, Rank: s.Grants.Rank, Burst: limitBurst})
 	if err != nil {
 		return err
@@ -173,7 +180,7 @@
 		Answers: kcwanswer.New(kcwanswer.Config{
 			MaxBytes: s.Answers.MaxBytes, MaxAnswers: s.Answers.MaxAnswers, Retention: s.Answers.Retention,
 		}),
-		Peers: peers, PeerKey: k.Router,
+		Peers: p.routers, PeerKey: k.Router, Memory: memory,
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		QueueCapacity: s.Limits.QueueCapacity, UpstreamCapacity: s.Limits.UpstreamCapacity, MaxAttempts: s.Limits.MaxAttempts, FirstRetries: s.Limits.FirstRetries,
 		OpenTimeout: s.Deadlines.Open, SettleTimeout: s.Deadlines.Settle, FirstByteTimeout: s.Deadlines.FirstByte,
@@ -192,16 +199,6 @@
 	p.gateway.SetRouters(int(answer.GetRouters()))
 }
 
-// newServer returns a server for address without a timeout for requests.
-func newServer(address, prefix string, handler http.Handler) *khttp.Server {
-	server := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
-	server.HandlePrefix(prefix, handler)
-	server.ReadHeaderTimeout = headerTimeout
-	server.IdleTimeout = idleTimeout
-	server.MaxHeaderBytes = maxHeaderBytes
-	return server
-}
-
 // run serves until a signal. The router then reports for DrainTime that it isn't
 // ready, while it still accepts requests, and finally completes the requests in
 // flight.
@@ -210,6 +207,9 @@
 	if err := p.presence.Register(p.ctx); err != nil {
 		return err
 	}
+	if err := p.listen(p.routers); err != nil {
+		return err
+	}
 	go p.presence.Run(p.ctx)
 	go p.gateway.Run(p.ctx)
 	go p.wallet.Run(p.ctx)
--- a/kcw/kcwgateway/config.go
+++ b/kcw/kcwgateway/config.go
@@ -7,9 +7,11 @@
 
 	"kingcupwick.example/kcw/kcwanswer"
 	"kingcupwick.example/kcw/kcwkeyring"
+	"kingcupwick.example/kcw/kcwmemory"
 )
 
 const (
+	defaultMemory           = 1 << 30
 	defaultMaxBody          = 4 << 20
 	defaultMaxAnswer        = 16 << 20
 	defaultMaxEvent         = 1 << 20
@@ -36,6 +38,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = kcwmemory.New(defaultMemory)
+	}
 	setSize(&cfg.MaxBodyBytes, defaultMaxBody)
 	setSize(&cfg.MaxAnswerBytes, defaultMaxAnswer)
 	setCount(&cfg.MaxEventBytes, defaultMaxEvent)
--- a/kcw/kcwgateway/delivery.go
+++ b/kcw/kcwgateway/delivery.go
@@ -29,6 +29,7 @@
 	stored        []byte
 	storable      bool
 	digest        hash.Hash
+	memory        *holding
 	identity      string
 	isEventStream bool
 	lastWrite     time.Time
@@ -37,7 +38,7 @@
 func newDelivery(w http.ResponseWriter, req *request, cfg Config) *delivery {
 	return &delivery{
 		w: w, control: http.NewResponseController(w), cfg: cfg, storable: true,
-		digest: sha256.New(), identity: req.identity, isEventStream: req.wantsStream(),
+		digest: sha256.New(), memory: req.memory, identity: req.identity, isEventStream: req.wantsStream(),
 	}
 }
 
@@ -73,7 +74,9 @@
 		d.stored, d.storable = nil, false
 		return
 	}
+	before := cap(d.stored)
 	d.stored = append(d.stored, p...)
+	d.memory.acquire(int64(cap(d.stored) - before))
 }
 
 // send writes and flushes p to the caller, unless the caller has disconnected.
--- a/kcw/kcwgateway/dispatch.go
+++ b/kcw/kcwgateway/dispatch.go
@@ -335,6 +335,8 @@
 	if int64(len(body)) > g.cfg.MaxAnswerBytes {
 		return attemptResult{code: codeAnswerTooLarge, tokens: req.reservation, sent: true, ran: true}
 	}
+	// It is billed and delivered whatever others hold.
+	req.memory.acquire(int64(cap(body)))
 	res := attemptResult{complete: true, status: resp.StatusCode, header: resp.Header, withheld: body, sent: true, ran: true}
 	res.retryable = req.repeatable && isRetryableStatus(resp.StatusCode)
 	tokens, ok := answerTokens(req, resp.StatusCode, body)
--- a/kcw/kcwgateway/gateway.go
+++ b/kcw/kcwgateway/gateway.go
@@ -25,7 +25,9 @@
 	"kingcupwick.example/kcw/kcwcontract"
 	"kingcupwick.example/kcw/kcwkeyring"
 	"kingcupwick.example/kcw/kcwlimit"
+	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwserve"
 	"kingcupwick.example/kcw/kcwtoken"
 	"kingcupwick.example/kcw/kcwupstream"
 )
@@ -65,6 +67,9 @@
 	Peers *kcwkeyring.Keyring
 	// PeerKey is the key that this process presents to other routers.
 	PeerKey string
+	// Memory bounds what bodies and answers of requests hold together. If it is nil, they may hold
+	// 1 GiB.
+	Memory *kcwmemory.Account
 	// MaxBodyBytes bounds the body of a request, 4 MiB; MaxAnswerBytes an answer
 	// that is not a stream, 16 MiB; MaxEventBytes one event of a stream, 1 MiB.
 	MaxBodyBytes, MaxAnswerBytes int64
@@ -122,6 +127,12 @@
 	stopped      atomic.Bool
 	fenced       atomic.Bool
 	peers        peers
+	// parsing is held while a large body is parsed.
+	parsing sync.Mutex
+	// fullRefusals counts the requests refused for memory, of which fullLoggedAt is the last
+	// log line.
+	fullRefusals atomic.Int64
+	fullLoggedAt atomic.Pointer[time.Time]
 	// unsettled counts the claims that are closed in the background after their
 	// request ended. settling waits for the goroutines that do so.
 	unsettled atomic.Int64
@@ -237,6 +248,8 @@
 		refused = g.serve(w, r, identity, given, now)
 	}
 	if refused != nil {
+		// A refusal does not wait for the rest of a body.
+		kcwserve.SkipBody(w, r)
 		g.extendWriteDeadline(w)
 		refused.write(w, identity, g.cfg.Now())
 		g.observe("", string(refused.code), now, time.Time{}, 0)
@@ -269,34 +282,43 @@
 		serveModels(w, contract)
 		return nil
 	}
-	body, refused := g.readBody(w, r, now)
+	service, refused := findService(contract, r, now)
+	if refused != nil {
+		return refused
+	}
+	memory := &holding{account: g.cfg.Memory}
+	defer memory.releaseAll()
+	body, refused := g.readBody(w, r, memory, now)
 	if refused != nil {
 		return refused
 	}
 	req := &request{
-		contract: contract, identity: identity, identityGiven: given, startedAt: now,
+		contract: contract, identity: identity, identityGiven: given, startedAt: now, memory: memory,
 		digest:     digestOf(r.Method, r.URL.RequestURI(), body),
 		repeatable: !isNoRepeat(r.Header),
 		header:     upstreamHeader(r.Header, contract.Customer, identity),
 	}
 	req.team, _ = contract.Team(key.Team)
-	if refused := g.admit(req, r, body, now); refused != nil {
+	if service != nil {
+		admitService(req, service, r, body)
+	} else if refused := g.parseChat(req, body, now); refused != nil {
 		return refused
 	}
 	return g.startOrJoin(w, r, req)
 }
 
-// admit checks a request according to its path.
-func (g *Gateway) admit(req *request, r *http.Request, body []byte, now time.Time) *refusal {
+// findService returns the plain service that a request calls, nil for a chat completion. It refuses a
+// request by its path and method before its body is read.
+func findService(contract *kcwcontract.Contract, r *http.Request, now time.Time) (*kcwcontract.Service, *refusal) {
 	switch {
 	case r.URL.Path == chatPath && r.Method != http.MethodPost:
-		return refuse(codeMethodNotAllowed, now, "")
+		return nil, refuse(codeMethodNotAllowed, now, "")
 	case r.URL.Path == chatPath:
-		return g.admitChat(req, body, now)
+		return nil, nil
 	case strings.HasPrefix(r.URL.Path, servicesPath):
-		return g.admitService(req, r, body, now)
+		return checkService(contract, r, now)
 	default:
-		return refuse(codeUnknownPath, now, "")
+		return nil, refuse(codeUnknownPath, now, "")
 	}
 }
 
--- a/kcw/kcwgateway/refusal.go
+++ b/kcw/kcwgateway/refusal.go
@@ -47,6 +47,7 @@
 	codeBudgetExhausted      code = "budget_exhausted"
 	codeLimitReached         code = "limit_reached"
 	codeQueueFull            code = "queue_full"
+	codeMemoryFull           code = "memory_full"
 	codeNoUpstream           code = "no_upstream"
 	codeLedgerUnavailable    code = "ledger_unavailable"
 	codeContractsUnavailable code = "contracts_unavailable"
@@ -103,6 +104,7 @@
 	{codeBudgetExhausted, http.StatusPaymentRequired, typeQuota, notRun, "The prepaid budget does not cover the request.", 0},
 	{codeLimitReached, http.StatusTooManyRequests, typeRateLimit, notRun, "A limit of the contract is reached.", shortWait},
 	{codeQueueFull, http.StatusTooManyRequests, typeRateLimit, notRun, "The request cannot start before its deadline.", shortWait},
+	{codeMemoryFull, http.StatusServiceUnavailable, typeServer, notRun, "The requests in progress hold all memory that they may.", shortWait},
 	{codeNoUpstream, http.StatusServiceUnavailable, typeServer, notRun, "No upstream can take the request.", shortWait},
 	{codeLedgerUnavailable, http.StatusServiceUnavailable, typeServer, notRun, "The budget cannot be confirmed now.", shortWait},
 	{codeContractsUnavailable, http.StatusServiceUnavailable, typeServer, notRun, "The contract cannot be looked up now.", shortWait},
--- a/kcw/kcwgateway/refusal_test.go
+++ b/kcw/kcwgateway/refusal_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kingcupwick.example/kcw/kcwcontract"
+	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwpb"
 )
 
@@ -29,6 +30,8 @@
 		{name: "not UTF-8", call: call{body: "{\"model\":\"\xff\"}"}, code: codeMalformedBody, status: 400},
 		{name: "no messages", call: call{body: `{"model":"m"}`}, code: codeMalformedBody, status: 400},
 		{name: "oversized", call: call{body: long}, config: func(c *Config) { c.MaxBodyBytes = 1024 }, code: codeBodyTooLarge, status: 413},
+		{name: "no memory for the body", call: call{path: "/services/app/x", body: long}, config: func(c *Config) { c.Memory = kcwmemory.New(1024) }, code: codeMemoryFull, status: 503},
+		{name: "no memory to parse", call: call{body: chatBody}, config: func(c *Config) { c.Memory = kcwmemory.New(int64(3 * len(chatBody))) }, code: codeMemoryFull, status: 503},
 		{name: "unsupported", call: call{body: `{"model":"m","messages":[{"content":"a"}],"best_of":3}`}, code: codeUnsupported, status: 400},
 		{name: "long prompt", call: call{body: `{"model":"m","messages":[{"content":"` + long + `"}]}`}, change: func(c *kcwcontract.Contract) { c.Limits.MaxPromptTokens = 100 }, code: codeTooManyTokens, status: 400},
 		{name: "identity", call: call{body: chatBody, identity: "a b"}, code: codeInvalidIdentity, status: 400},
--- a/kcw/kcwgateway/request.go
+++ b/kcw/kcwgateway/request.go
@@ -5,11 +5,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"kingcupwick.example/kcw/kcwcontract"
+	"kingcupwick.example/kcw/kcwmemory"
 )
 
 const (
@@ -36,6 +36,8 @@
 	service    string
 	repeatable bool
 	startedAt  time.Time
+	// memory is what the request holds.
+	memory *holding
 	// reservation is an upper bound on the tokens of the request. They are reserved
 	// when its claim is opened.
 	reservation int64
@@ -108,24 +110,38 @@
 }
 
 // readBody reads the whole body, within MaxBodyBytes and ReadTimeout.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, now time.Time) ([]byte, *refusal) {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, memory *holding, now time.Time) ([]byte, *refusal) {
 	limit := g.cfg.MaxBodyBytes
 	if r.ContentLength > limit {
 		return nil, refuse(codeBodyTooLarge, now, "")
 	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
 	// Only the writers of tests don't support deadlines.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(now.Add(g.cfg.ReadTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	abort := func() { _ = control.SetReadDeadline(now) }
+	raw, acquired, err := memory.account.Receive(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, abort)
+	memory.held += acquired
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return raw, nil
+	}
+	// The read deadline may have passed, and the rest of the body is not read.
+	w.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	var full *kcwmemory.Error
+	isFull := errors.As(err, &full)
+	switch {
+	case errors.As(err, &large), isFull && full.Kind == kcwmemory.TooLarge:
 		return nil, refuse(codeBodyTooLarge, now, "")
-	}
-	if err != nil {
+	case isFull:
+		g.logFull("body")
+		return nil, refuse(codeMemoryFull, g.cfg.Now(), "")
+	default:
 		return nil, refuse(codeMalformedBody, now, "The body is incomplete.")
 	}
-	return raw, nil
 }
 
 // digestOf returns the SHA-256 of method, URI and body. Two requests with one
--- a/kcw/kcwgateway/service.go
+++ b/kcw/kcwgateway/service.go
@@ -6,24 +6,30 @@
 	"slices"
 	"strings"
 	"time"
+
+	"kingcupwick.example/kcw/kcwcontract"
 )
 
 // servicesPath is the path under which plain services are called.
 const servicesPath = "/services/"
 
-// admitService checks a call of a plain service and fills in the fields of req that
-// depend on the service.
-func (g *Gateway) admitService(req *request, r *http.Request, body []byte, now time.Time) *refusal {
+// checkService returns the plain service that a request calls, if the contract permits the call.
+func checkService(contract *kcwcontract.Contract, r *http.Request, now time.Time) (*kcwcontract.Service, *refusal) {
 	if !isCanonicalPath(r) {
-		return refuse(codeUnknownPath, now, "The path is not in its shortest form.")
+		return nil, refuse(codeUnknownPath, now, "The path is not in its shortest form.")
 	}
-	service, ok := req.contract.Service(r.URL.Path)
+	service, ok := contract.Service(r.URL.Path)
 	if !ok {
-		return refuse(codeNotPermitted, now, "")
+		return nil, refuse(codeNotPermitted, now, "")
 	}
 	if !slices.Contains(service.Methods, r.Method) {
-		return refuse(codeMethodNotAllowed, now, "")
+		return nil, refuse(codeMethodNotAllowed, now, "")
 	}
+	return &service, nil
+}
+
+// admitService fills in the fields of req that depend on the service.
+func admitService(req *request, service *kcwcontract.Service, r *http.Request, body []byte) {
 	_, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPath), "/")
 	req.service = service.Name
 	req.method = r.Method
@@ -35,7 +41,6 @@
 	req.cost = service.CostTokens
 	req.reservation = service.CostTokens
 	req.repeatable = req.repeatable && service.Repeatable(r.URL.Path)
-	return nil
 }
 
 // isCanonicalPath reports whether the path has no dot segments, empty segments,
