kcwservice, kcw-ledger: bound what clients make a ledger hold

Over HTTP/2, which routers and kcwctl speak, a client could open 250 requests at once and read no answer.

The key of a call is checked before its body is read, and messages are received whole within a quarter of the memory, of which one takes a third at most: they are held in parts, whole and decoded. Heads have 8 kB at most, idle connections are closed after 2 minutes. Replicas, routers and operators send some hundred bytes of fields, and batches of 2 MB.

--- a/kcw-ledger/dump.go
+++ b/kcw-ledger/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kingcupwick.example/kcw/kcwconnlimit"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwreplica"
 )
@@ -17,6 +18,8 @@
 	Budgets   []budgetDump
 	Grants    []grantDump
 	Routers   []routerDump
+	// Connections are those of clients, by server.
+	Connections map[string]kcwconnlimit.Stats
 }
 
 type groupDump struct {
@@ -77,7 +80,7 @@
 		Zone:      r.settings.Host.Zone,
 		Group:     dumpGroup(r.group.Status()),
 		Revision:  r.book.Revision(),
-		Contracts: len(r.book.Contracts()),
+		Contracts: len(r.book.Contracts()), Connections: r.bounds.Stats(),
 	}
 	for _, b := range r.book.Budgets() {
 		d.Budgets = append(d.Budgets, budgetDump{b.Customer, b.Prepaid, b.Billed, b.Reserved, b.Granted, b.Withheld})
--- a/kcw-ledger/kcwsetup/settings.go
+++ b/kcw-ledger/kcwsetup/settings.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwserve"
 	"kingcupwick.example/kcw/kcwsettings"
 )
 
@@ -34,6 +35,12 @@
 	// Folder holds the replica's state.
 	Folder   string `setting:"required"`
 	LogLevel string `default:"info" setting:"oneof=error|warning|info|debug|trace"`
+	// MemoryMB is the memory that the process may use, in MiB. Zero selects half of the machine's
+	// memory. The bounds of clients are fractions of it.
+	MemoryMB float64 `default:"0" setting:"min=0,max=1048576"`
+	// MaxDescriptors is the number of files that the process may have open, sockets included.
+	// Zero selects the limit that the process has.
+	MaxDescriptors int `default:"0" setting:"min=0,max=10000000"`
 }
 
 // Group configures the replicated group.
@@ -95,9 +102,20 @@
 	if s.Group.Bootstrap && len(s.Founder) == 0 {
 		return nil, eris.Errorf("%s: [Group] Bootstrap needs the sections [Founder \"name\"]", path)
 	}
+	if megabytes := s.Host.MemoryMB; megabytes != 0 && megabytes < minMemoryMB {
+		return nil, eris.Errorf("%s: [Host] MemoryMB = %v is too little: messages of replicas need at least %d", path, megabytes, minMemoryMB)
+	}
 	return s, nil
 }
 
+// minMemoryMB is the least memory in MiB whose part for messages holds a batch of log entries.
+const minMemoryMB = 48
+
+// Process returns what the process may use.
+func (s *Settings) Process() kcwserve.Host {
+	return kcwserve.Host{MemoryMB: s.Host.MemoryMB, MaxDescriptors: s.Host.MaxDescriptors}
+}
+
 // Founders returns the founding members, sorted by name.
 func (s *Settings) Founders() []*kcwpb.Member {
 	var members []*kcwpb.Member
--- a/kcw-ledger/link_test.go
+++ b/kcw-ledger/link_test.go
@@ -239,7 +239,11 @@
 	for _, links := range f.links {
 		links[i].setTarget(f.listenAddresses[i])
 	}
-	m := &member{replica: r, server: r.serverOn(listener)}
+	server, err := r.serverOn(listener)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	m := &member{replica: r, server: server}
 	go func() { _ = m.server.Start(context.Background()) }()
 	tb.Cleanup(m.stop)
 	return m
--- a/kcw-ledger/replica.go
+++ b/kcw-ledger/replica.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"k8s.io/klog/v2"
@@ -18,16 +16,15 @@
 	"kingcupwick.example/kcw/kcwfolder"
 	"kingcupwick.example/kcw/kcwgroup"
 	"kingcupwick.example/kcw/kcwlog"
+	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwmeter"
 	"kingcupwick.example/kcw/kcwnotifier"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpeer"
+	"kingcupwick.example/kcw/kcwserve"
 	"kingcupwick.example/kcw/kcwservice"
 )
 
-// headerTimeout bounds reading the header of a request.
-const headerTimeout = 10 * time.Second
-
 // replica holds the components of a running ledger replica.
 type replica struct {
 	settings *kcwsetup.Settings
@@ -37,10 +34,14 @@
 	group    *kcwgroup.Group
 	service  *kcwservice.Service
 	meter    *kcwmeter.Meter
+	bounds   kcwserve.Bounds
+	// messages is the memory that messages of processes hold.
+	messages *kcwmemory.Account
 }
 
 // serve runs a replica until a signal stops it.
 func serve(s *kcwsetup.Settings, k kcwsetup.Keys, logger *kcwlog.Logger) error {
+	s.Process().LimitMemory()
 	folder, err := kcwfolder.Open(kcwfolder.Config{Path: s.Host.Folder})
 	if err != nil {
 		return err
@@ -137,11 +138,15 @@
 		WatchInterval: r.settings.Service.Beat,
 		SilentAfter:   r.settings.Service.SilentAfter,
 		Now:           time.Now,
+		Receive:       r.receive,
 	})
 	if err != nil {
 		return err
 	}
 	r.service = service
+	if err := r.newBounds(); err != nil {
+		return err
+	}
 	r.meter, err = kcwmeter.New(kcwmeter.Config{
 		Program: "kcw-ledger",
 		Host:    r.settings.Host.Name,
@@ -151,6 +156,7 @@
 		return err
 	}
 	r.registerMetrics()
+	r.registerBounds()
 	return nil
 }
 
@@ -173,23 +179,14 @@
 }
 
 // publicServer returns the server for replicas, routers and operators.
-func (r *replica) publicServer() (*khttp.Server, error) {
-	listener, err := net.Listen("tcp", r.settings.Host.Address.String())
-	if err != nil {
-		return nil, eris.Wrap(err, "listen")
-	}
-	return r.serverOn(listener), nil
-}
+func (r *replica) publicServer() (*kcwserve.Server, error) { return r.serverOn(nil) }
 
-// serverOn returns the public server on listener.
-func (r *replica) serverOn(listener net.Listener) *khttp.Server {
-	server := khttp.NewServer(khttp.Listener(listener), khttp.Timeout(0))
-	server.ReadHeaderTimeout = headerTimeout
-	server.Protocols = &http.Protocols{}
-	server.Protocols.SetHTTP1(true)
-	server.Protocols.SetUnencryptedHTTP2(true)
-	server.HandlePrefix("/", r.service.Handler())
-	return server
+// serverOn returns the public server on listener, or on one at the replica's address if that is nil.
+func (r *replica) serverOn(listener net.Listener) (*kcwserve.Server, error) {
+	return kcwserve.New(r.settings.Host.Address, r.service.Handler(), kcwserve.Config{
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Bound: r.bounds[publicServer], HTTP2: true, Listener: listener,
+	})
 }
 
 // adminServer returns the server of the operator address.
@@ -201,6 +198,7 @@
 		Ready:       r.ready,
 		Metrics:     r.meter.Handler(),
 		Dump:        func(context.Context) any { return r.dump() },
+		Bound:       r.bounds[adminServer], HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
 }
 
--- a/kcw-proof/clients_test.go
+++ b/kcw-proof/clients_test.go
@@ -46,7 +46,7 @@
 	memory := fmt.Sprintf("MemoryMB = %d", clientHost)
 	return startFleet(t, fleetConfig{
 		answerTimeout: "30s", work: "5ms", prepaid: 1 << 40, maxPrompt: 4 * ordinaryBytes, descriptors: clientDescriptors,
-		routerHost: memory, limits: "[Answers]\nMaxBytes = 4194304\n[Limits]\nMaxAnswerBytes = 4194304\nMaxBodyBytes = 3500000\n",
+		ledgerHost: memory, routerHost: memory, limits: "[Answers]\nMaxBytes = 4194304\n[Limits]\nMaxAnswerBytes = 4194304\nMaxBodyBytes = 3500000\n",
 	})
 }
 
--- a/kcw/kcwservice/admit.go
+++ b/kcw/kcwservice/admit.go
@@ -1,10 +1,10 @@
 package kcwservice
 
 import (
-	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"errors"
+	"net/http"
 	"strings"
 
 	"connectrpc.com/connect"
@@ -16,53 +16,19 @@
 // maxMessageBytes bounds one message from another process.
 const maxMessageBytes = 16 << 20
 
-// handlerOptions returns the options of a handler that requires key.
-func handlerOptions(key string) connect.HandlerOption {
-	auth := &keyAuth{keyHash: sha256.Sum256([]byte(key))}
-	return connect.WithHandlerOptions(
-		connect.WithInterceptors(auth),
-		connect.WithReadMaxBytes(maxMessageBytes),
-	)
-}
-
 // keyAuth compares the SHA-256 of each call's bearer key with keyHash in constant
-// time, and refuses the call if they differ.
+// time.
 type keyAuth struct {
 	keyHash [sha256.Size]byte
 }
 
-func (a *keyAuth) check(authorization string) error {
-	key, ok := strings.CutPrefix(authorization, "Bearer ")
-	hash := sha256.Sum256([]byte(key))
-	if ok && subtle.ConstantTimeCompare(hash[:], a.keyHash[:]) == 1 {
-		return nil
-	}
-	return connect.NewError(connect.CodeUnauthenticated, &Error{Op: "call", Kind: Forbidden})
-}
-
-// WrapUnary implements connect.Interceptor.
-func (a *keyAuth) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
-	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-		if err := a.check(req.Header().Get("Authorization")); err != nil {
-			return nil, err
-		}
-		return next(ctx, req)
-	}
-}
-
-// WrapStreamingClient implements connect.Interceptor. A handler has no client.
-func (a *keyAuth) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
-	return next
-}
+func newKeyAuth(key string) *keyAuth { return &keyAuth{keyHash: sha256.Sum256([]byte(key))} }
 
-// WrapStreamingHandler implements connect.Interceptor.
-func (a *keyAuth) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
-	return func(ctx context.Context, conn connect.StreamingHandlerConn) error {
-		if err := a.check(conn.RequestHeader().Get("Authorization")); err != nil {
-			return err
-		}
-		return next(ctx, conn)
-	}
+// admits reports whether the header has the key.
+func (a *keyAuth) admits(header http.Header) bool {
+	key, ok := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
+	hash := sha256.Sum256([]byte(key))
+	return ok && subtle.ConstantTimeCompare(hash[:], a.keyHash[:]) == 1
 }
 
 // notLeader returns the answer of a replica that is not the leader and has applied
--- a/kcw/kcwservice/service.go
+++ b/kcw/kcwservice/service.go
@@ -15,9 +15,10 @@
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
 	"kingcupwick.example/kcw/kcwreplica"
+	"kingcupwick.example/kcw/kcwserve"
 )
 
-// Config configures a Service. Every field is required.
+// Config configures a Service. Every field but Receive is required.
 type Config struct {
 	Group group
 	Book  book
@@ -36,6 +37,9 @@
 	SilentAfter time.Duration
 	// Now returns the current time.
 	Now func() time.Time
+	// Receive returns a handler with the bound of messages. It is applied to calls that have been
+	// authenticated. If it is nil there is no bound.
+	Receive func(http.Handler) http.Handler
 }
 
 // group is the replica of the consensus group that the services use.
@@ -109,9 +113,23 @@
 // Handler returns the handler of all services.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(kcwpbconnect.NewPeerHandler(&peerService{s}, handlerOptions(s.cfg.PeerKey)))
-	mux.Handle(kcwpbconnect.NewLedgerHandler(&ledgerService{s}, handlerOptions(s.cfg.RouterKey)))
-	mux.Handle(kcwpbconnect.NewOperatorHandler(&operatorService{s}, handlerOptions(s.cfg.OperatorKey)))
+	handle := func(path string, handler http.Handler, key string) {
+		if s.cfg.Receive != nil {
+			handler = s.cfg.Receive(handler)
+		}
+		mux.Handle(path, kcwserve.Authenticate(handler, newKeyAuth(key).admits))
+	}
+	limit := connect.WithReadMaxBytes(maxMessageBytes)
+	path, handler := kcwpbconnect.NewPeerHandler(&peerService{s}, limit)
+	handle(path, handler, s.cfg.PeerKey)
+	path, handler = kcwpbconnect.NewLedgerHandler(&ledgerService{s}, limit)
+	handle(path, handler, s.cfg.RouterKey)
+	path, handler = kcwpbconnect.NewOperatorHandler(&operatorService{s}, limit)
+	handle(path, handler, s.cfg.OperatorKey)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		kcwserve.SkipBody(w, r)
+		http.NotFound(w, r)
+	})
 	return mux
 }
 
