kcwcontrol: decompress the configuration as it is sent

Each GET of the configuration held its own copy of the document, in a buffer that grows by copying, until the client had read it or 30 s had passed for one write.

The compressed document, which the log holds anyway, is decompressed into the answer. Its length is in the last field of the format.

--- a/kcw-fleet/kcwcontrol/operator.go
+++ b/kcw-fleet/kcwcontrol/operator.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net/http"
@@ -80,11 +81,11 @@
 	before := o.table.Document()
 	result, err := o.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_PutDocument{PutDocument: put}})
 	if err != nil {
-		klog.InfoS("Document not committed", "Version", document.Version, "Cause", err.Error())
+		klog.InfoS("Document not committed", "Version", put.GetVersion(), "Cause", err.Error())
 		unavailable(w, "the document may or may not be taken: "+err.Error())
 		return
 	}
-	klog.InfoS("Document acknowledged", "Version", document.Version, "Newest", result.GetVersion(), "Code", result.GetCode().String(),
+	klog.InfoS("Document acknowledged", "Version", put.GetVersion(), "Newest", result.GetVersion(), "Code", result.GetCode().String(),
 		"Routes", len(document.Routes), "Teams", len(document.Teams))
 	o.logBudgets(before, put)
 	w.WriteHeader(http.StatusOK)
@@ -158,16 +159,24 @@
 		unavailable(w, "there is no configuration yet")
 		return
 	}
-	body, err := Unpack(document)
+	// It is decompressed as it is sent. Many readers would otherwise hold a copy each.
+	body, err := gzip.NewReader(bytes.NewReader(document.GetDocument()))
 	if err != nil {
 		klog.ErrorS(err, "Failed to decompress the stored document", "Version", document.GetVersion())
 		http.Error(w, "the stored configuration can't be read", http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set("Content-Length", strconv.FormatUint(uint64(unpackedBytes(document.GetDocument())), 10))
 	// A failed write means that the operator has disconnected.
-	_, _ = w.Write(body)
+	_, _ = io.Copy(w, body)
+}
+
+// unpackedBytes returns the size of what compress has compressed. It is the last field of the
+// format, RFC 1952, section 2.3.1.
+func unpackedBytes(compressed []byte) uint32 {
+	const size = 4
+	return binary.LittleEndian.Uint32(compressed[len(compressed)-size:])
 }
 
 // redirectToLeader redirects the operator to the leader if that is another member, or
