kcwcontrol: bound the memory of documents that are parsed

The bodies were bounded, what they became was not.

Before a document is parsed its cost is estimated from its size, its objects and its commas, and acquired from 30% of the memory, waiting for others until the time of the order ends (semaphore.Weighted). A document above all of it is refused with 413, one that waited in vain with 503 and Retry-After: neither was taken. Both are counted in kcw_control_documents_unparsed and logged as other refused documents are. The cost is given back before the document is replicated.

--- a/kcw-fleet/kcwcontrol/evacuation_test.go
+++ b/kcw-fleet/kcwcontrol/evacuation_test.go
@@ -20,12 +20,13 @@
 	"kingcupwick.example/kcw/kcwfolder"
 	"kingcupwick.example/kcw/kcwgroup"
 	"kingcupwick.example/kcw/kcwpb"
+	"kingcupwick.example/kcw/kcwserve"
 )
 
 // operators returns the handler for operators of a member, which waits for the given time for a
 // commit.
 func operators(s *service, timeout time.Duration) *operator {
-	return &operator{service: s, settings: &kcwsetup.Control{
+	return &operator{service: s, parsing: newParseLimit(kcwserve.Host{}), settings: &kcwsetup.Control{
 		Host:  kcwsetup.ControlHost{Address: netip.MustParseAddrPort("10.0.0.9:8000")},
 		Group: kcwsetup.Group{MaxDocumentBytes: 100, PutTimeout: timeout},
 	}}
--- a/kcw-fleet/kcwcontrol/full_test.go
+++ b/kcw-fleet/kcwcontrol/full_test.go
@@ -20,6 +20,7 @@
 	"kingcupwick.example/kcw/kcwgroup"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwroute"
+	"kingcupwick.example/kcw/kcwserve"
 )
 
 // fullMember is a member whose disk can be full, as operators see it.
@@ -77,6 +78,7 @@
 				Host:  kcwsetup.ControlHost{Address: netip.MustParseAddrPort("10.0.0.9:7000")},
 				Group: kcwsetup.Group{MaxDocumentBytes: 100, PutTimeout: 10 * time.Second, Election: election},
 			},
+			parsing: newParseLimit(kcwserve.Host{}),
 			decode: func(body []byte) (*kcwroute.Document, error) {
 				version, err := strconv.ParseUint(string(body), 10, 64)
 				return &kcwroute.Document{Version: version}, err
--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -127,7 +127,9 @@
 		return nil, err
 	}
 	m.registerMetrics()
-	operator := &operator{service: m.service, settings: s, decode: cfg.Decode}
+	operator := &operator{service: m.service, settings: s, decode: cfg.Decode, parsing: newParseLimit(kcwserve.Host{MemoryMB: s.Host.MemoryMB})}
+	m.meter.Gauge("kcw_control_documents_unparsed", "Documents refused since the start because parsing them would take too much memory.",
+		func(observe func(int64, ...attribute.KeyValue)) { observe(operator.parsing.refused.Load()) })
 	return m, m.listen(operator, m.service.handler(), m.ready)
 }
 
--- a/kcw-fleet/kcwcontrol/operator.go
+++ b/kcw-fleet/kcwcontrol/operator.go
@@ -30,6 +30,7 @@
 	*service
 	settings *kcwsetup.Control
 	decode   func([]byte) (*kcwroute.Document, error)
+	parsing  *parseLimit
 }
 
 // ServeHTTP handles GET and PUT of the configuration, and calls at BlocksPath and
@@ -64,6 +65,13 @@
 		http.Error(w, "the document can't be read: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	release, refused := o.parsing.acquire(ctx, body)
+	if refused != nil {
+		klog.InfoS("Document refused", "Cause", refused.text, "Bytes", len(body))
+		refused.write(w)
+		return
+	}
+	defer release()
 	document, err := o.decode(body)
 	if err != nil {
 		klog.InfoS("Document refused", "Cause", err.Error(), "Bytes", len(body))
@@ -78,6 +86,8 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	routes, teams := len(document.Routes), len(document.Teams)
+	release()
 	before := o.table.Document()
 	result, err := o.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_PutDocument{PutDocument: put}})
 	if err != nil {
@@ -86,7 +96,7 @@
 		return
 	}
 	klog.InfoS("Document acknowledged", "Version", put.GetVersion(), "Newest", result.GetVersion(), "Code", result.GetCode().String(),
-		"Routes", len(document.Routes), "Teams", len(document.Teams))
+		"Routes", routes, "Teams", teams)
 	o.logBudgets(before, put)
 	w.WriteHeader(http.StatusOK)
 }
