kcwlisten: requests sent ahead don't run once their client has left

Before a request runs that was sent ahead, the kernel is asked for the state of the connection (TCP_INFO): if the client has closed it, or its side of it, the request is dropped and the connection closed. That is logged at intervals. A client that closes its own side while its only request runs is treated as before. The request that runs when the client leaves runs on. The reading of TCP_INFO, which kcwconn and kcwupstream had each, is in kcwtcpinfo.

--- a/kcw/kcwconn/pool.go
+++ b/kcw/kcwconn/pool.go
@@ -20,6 +20,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"kingcupwick.example/kcw/kcwtcpinfo"
 )
 
 // readBufferBytes is the size of a connection's read buffer in bytes, enough for several
@@ -174,7 +176,7 @@
 // ended by the upstream alone. The kernel reports a reset once: if a write has got it, a read
 // returns io.EOF.
 func (c *Conn) IsReset() bool {
-	info, err := c.tcpInfo()
+	info, err := kcwtcpinfo.Of(c.Conn)
 	return err == nil && info.State == tcpClose
 }
 
@@ -189,7 +191,7 @@
 	if now.Before(c.SilentFrom) {
 		return false
 	}
-	info, err := c.tcpInfo()
+	info, err := kcwtcpinfo.Of(c.Conn)
 	if err != nil {
 		return false
 	}
@@ -197,26 +199,6 @@
 	return lastAck >= c.silenceTimeout && (info.Unacked > 0 || info.Probes >= unansweredProbes)
 }
 
-// tcpInfo returns the state of the connection in the kernel (TCP_INFO). The error is that of the
-// system call, or syscall.EINVAL if the connection has no socket.
-func (c *Conn) tcpInfo() (*unix.TCPInfo, error) {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, syscall.EINVAL
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return nil, err
-	}
-	var info *unix.TCPInfo
-	var infoErr error
-	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err != nil {
-		return nil, err
-	}
-	return info, infoErr
-}
-
 // Pool is a pool of connections to one upstream. It is safe for concurrent use.
 type Pool struct {
 	cfg    Config
--- a/kcw/kcwlisten/bound.go
+++ b/kcw/kcwlisten/bound.go
@@ -138,7 +138,12 @@
 			return
 		}
 		hasBody := r.ContentLength != 0
-		if c.beginRequest(hasBody) {
+		isAhead, isOver := c.beginRequest(hasBody)
+		if isAhead && c.hasLeft() {
+			b.log("Requests of clients that left", nil)
+			panic(http.ErrAbortHandler)
+		}
+		if isOver {
 			w.Header().Set("Connection", "close")
 		}
 		if hasBody {
--- a/kcw/kcwlisten/bound_test.go
+++ b/kcw/kcwlisten/bound_test.go
@@ -27,6 +27,8 @@
 	release chan struct{}
 	// canceled counts the requests whose context ended while the handler waited.
 	canceled atomic.Int64
+	// runs counts the requests.
+	runs atomic.Int64
 }
 
 func newFixture(t *testing.T, change func(cfg *kcwlisten.Config), wrap func(net.Listener) net.Listener) *fixture {
@@ -59,6 +61,7 @@
 }
 
 func (f *fixture) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.runs.Add(1)
 	if r.URL.Path != "/" {
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			http.Error(w, err.Error(), http.StatusRequestTimeout)
@@ -160,6 +163,22 @@
 	}
 }
 
+// TestClientLeavesRequestsAhead guards against requests that run although their client has left.
+func TestClientLeavesRequestsAhead(t *testing.T) {
+	f := newFixture(t, nil, nil)
+	c := f.dial()
+	c.send("%s", strings.Repeat("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n", 3))
+	waitFor(t, "the first request runs", func() bool { return f.runs.Load() == 1 })
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	close(f.release)
+	waitFor(t, "the connection is closed", func() bool { return f.bound.Stats().Open == 0 })
+	if runs := f.runs.Load(); runs != 1 {
+		t.Errorf("%d requests ran", runs)
+	}
+}
+
 // TestOneAfterTheOther guards against a count of requests sent ahead that counts others too.
 func TestOneAfterTheOther(t *testing.T) {
 	f := newFixture(t, nil, nil)
--- a/kcw/kcwlisten/conn.go
+++ b/kcw/kcwlisten/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kingcupwick.example/kcw/kcwconnlimit"
+	"kingcupwick.example/kcw/kcwtcpinfo"
 )
 
 const (
@@ -114,9 +115,9 @@
 	c.headBytes, c.cost, c.scanner, c.deadlines = 0, 0, headScanner{}, 0
 }
 
-// beginRequest records that a head was read. It reports whether the client has sent too many
-// requests ahead, so that the connection must be closed after the answer.
-func (c *conn) beginRequest(hasBody bool) (isOver bool) {
+// beginRequest records that a head was read. It reports whether the request was sent ahead, and whether
+// the client has sent too many so, so that the connection must be closed after the answer.
+func (c *conn) beginRequest(hasBody bool) (isAhead, isOver bool) {
 	c.mu.Lock()
 	c.isBody = hasBody
 	if c.isAhead || !c.hasRead {
@@ -125,12 +126,19 @@
 		c.ahead = 0
 	}
 	c.isAhead, c.hasWritten = false, false
-	isOver = c.ahead > c.bound.cfg.MaxAhead
+	isAhead, isOver = c.ahead > 0, c.ahead > c.bound.cfg.MaxAhead
 	c.mu.Unlock()
 	if !hasBody {
 		c.bound.limiter.Run(c.id, time.Now())
 	}
-	return isOver
+	return isAhead, isOver
+}
+
+// hasLeft reports whether the client has closed its connection, or its own side of it. The server
+// notices that by itself only when it reads what was sent last.
+func (c *conn) hasLeft() bool {
+	info, err := kcwtcpinfo.Of(c.Conn)
+	return err == nil && (info.State == kcwtcpinfo.Close || info.State == kcwtcpinfo.CloseWait)
 }
 
 // endBody records that the body was read to its end.
--- a/kcw/kcwupstream/reset.go
+++ b/kcw/kcwupstream/reset.go
@@ -5,7 +5,7 @@
 	"net"
 	"syscall"
 
-	"golang.org/x/sys/unix"
+	"kingcupwick.example/kcw/kcwtcpinfo"
 )
 
 // callConn is the connection of a call. Unlike that of the kernel, its end is not that of the
@@ -22,21 +22,11 @@
 	return n, err
 }
 
-// tcpClose is the state CLOSED of a TCP connection in Linux (TCP_CLOSE in net/tcp_states.h). An
-// end sent by the upstream alone leads to another state.
-const tcpClose = 7
-
 // isReset reports whether the connection was reset, or closed by this process: net/http closes it
 // once the write of the request has failed.
 func (c callConn) isReset() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return true
-	}
-	var info *unix.TCPInfo
-	var infoErr error
-	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	return err != nil || infoErr == nil && info.State == tcpClose
+	info, err := kcwtcpinfo.Of(c.TCPConn)
+	return err != nil || info.State == kcwtcpinfo.Close
 }
 
 // forCall returns conn as the connection of a call.
