--- a/kcw/kcwserve/refuse_test.go
+++ b/kcw/kcwserve/refuse_test.go
@@ -16,7 +16,7 @@
 // TestAuthenticate guards against bodies that are read before the key is checked, and refusals that
 // wait for a body.
 func TestAuthenticate(t *testing.T) {
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusOK) })
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	server := httptest.NewServer(kcwserve.Authenticate(handler, func(h http.Header) bool { return h.Get("Authorization") == "Bearer k" }))
 	defer server.Close()
 	for _, test := range []struct {
