kcwgateway: the Answers handler checks the key and bounds the call itself

kcw-router wrapped the handler with both, and Fetch checked the key once more after its message was read. Answers now returns the handler with them, so that no server of it can lack them; calls count against the memory of requests.

--- a/kcw-router/bounds.go
+++ b/kcw-router/bounds.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"net/http"
 	"time"
 
-	"kingcupwick.example/kcw/kcwkeyring"
 	"kingcupwick.example/kcw/kcwlisten"
 	"kingcupwick.example/kcw/kcwmemory"
 	"kingcupwick.example/kcw/kcwserve"
@@ -25,13 +23,9 @@
 	adminServer   = "Admin"
 )
 
+// adminWriteTimeout bounds one write to an operator, and routerWriteTimeout one to another
+// router, of a part of an answer.
 const (
-	// messageMemory is the fraction of the memory that messages of other routers may hold, and
-	// maxMessageBytes the size of one, which names a request.
-	messageMemory   = 0.02
-	maxMessageBytes = 64 << 10
-	// adminWriteTimeout bounds one write to an operator, and routerWriteTimeout one to another
-	// router, of a part of an answer.
 	adminWriteTimeout  = 10 * time.Second
 	routerWriteTimeout = 30 * time.Second
 )
@@ -52,7 +46,7 @@
 }
 
 // listen opens the servers for callers and for other routers.
-func (p *process) listen(routers *kcwkeyring.Keyring) error {
+func (p *process) listen() error {
 	s := p.settings.Host
 	limits := kcwserve.Config{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, Bound: p.bounds[callersServer]}
 	var err error
@@ -61,9 +55,7 @@
 	}
 	limits.Bound = p.bounds[routersServer]
 	_, answers := p.gateway.Answers()
-	messages := kcwmemory.New(p.settings.Process().Bytes(messageMemory))
-	var handler http.Handler = kcwserve.Receive(answers, messages, maxMessageBytes)
-	p.internal, err = kcwserve.New(s.InternalAddress, kcwserve.Authenticate(handler, routers.Admits), limits)
+	p.internal, err = kcwserve.New(s.InternalAddress, answers, limits)
 	return err
 }
 
--- a/kcw-router/process.go
+++ b/kcw-router/process.go
@@ -64,8 +64,6 @@
 	public   *kcwserve.Server
 	internal *kcwserve.Server
 	bounds   kcwserve.Bounds
-	// routers holds the key of other routers.
-	routers *kcwkeyring.Keyring
 	// ctx ends during close, after the gateway and the wallet have stopped.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -157,8 +155,8 @@
 
 func (p *process) newGateway(k kcwsetup.Keys, incarnation uint64) error {
 	s := p.settings
-	var err error
-	if p.routers, err = kcwkeyring.New(kcwkeyring.Config{Keys: map[string]string{"router": k.Router}}); err != nil {
+	peers, err := kcwkeyring.New(kcwkeyring.Config{Keys: map[string]string{"router": k.Router}})
+	if err != nil {
 		return err
 	}
 	memory := kcwmemory.New(s.RequestBytes())
@@ -180,7 +178,7 @@
 		Answers: kcwanswer.New(kcwanswer.Config{
 			MaxBytes: s.Answers.MaxBytes, MaxAnswers: s.Answers.MaxAnswers, Retention: s.Answers.Retention,
 		}),
-		Peers: p.routers, PeerKey: k.Router, Memory: memory,
+		Peers: peers, PeerKey: k.Router, Memory: memory,
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxAnswerBytes: s.Limits.MaxAnswerBytes, MaxEventBytes: s.Limits.MaxEventBytes,
 		QueueCapacity: s.Limits.QueueCapacity, UpstreamCapacity: s.Limits.UpstreamCapacity, MaxAttempts: s.Limits.MaxAttempts, FirstRetries: s.Limits.FirstRetries,
 		OpenTimeout: s.Deadlines.Open, SettleTimeout: s.Deadlines.Settle, FirstByteTimeout: s.Deadlines.FirstByte,
@@ -207,7 +205,7 @@
 	if err := p.presence.Register(p.ctx); err != nil {
 		return err
 	}
-	if err := p.listen(p.routers); err != nil {
+	if err := p.listen(); err != nil {
 		return err
 	}
 	go p.presence.Run(p.ctx)
--- a/kcw-standin/kcwcrowd/kind.go
+++ b/kcw-standin/kcwcrowd/kind.go
@@ -114,6 +114,24 @@
 			}
 			return err
 		}},
+		{"body half-closed", bodyClients, true, false, func(conn net.Conn, target *Target) error {
+			err := sendBody(conn, target, LegalBodyBytes)
+			if err == nil {
+				err = conn.(*net.TCPConn).CloseWrite()
+			}
+			return err
+		}},
+		{"body announced only", headClients, true, false, func(conn net.Conn, target *Target) error {
+			_, err := fmt.Fprintf(conn, "%sExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", target.Head("POST"), LegalBodyBytes)
+			return err
+		}},
+		{"chunk extensions", bodyClients, true, false, func(conn net.Conn, target *Target) error {
+			_, err := io.WriteString(conn, target.Head("POST")+"Transfer-Encoding: chunked\r\n\r\n")
+			for sent := 0; sent+chunkBytes < LegalBodyBytes && err == nil; sent += chunkBytes {
+				_, err = fmt.Fprintf(conn, "1;%s\r\nb\r\n", Text(chunkBytes/2))
+			}
+			return err
+		}},
 		{"pipelined", 100, false, false, func(conn net.Conn, target *Target) error {
 			return sendAhead(conn, target, pipelined)
 		}},
--- a/kcw/kcwgateway/answers.go
+++ b/kcw/kcwgateway/answers.go
@@ -15,12 +15,15 @@
 	"kingcupwick.example/kcw/kcwkeyring"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+	"kingcupwick.example/kcw/kcwserve"
 )
 
 const (
 	// partBytes is the maximum size of one message of an answer sent to another
 	// router.
 	partBytes = 64 << 10
+	// maxCallBytes is the maximum size of a call of another router, which names a request.
+	maxCallBytes = 64 << 10
 	// peerIdleTimeout is the time after which an unused connection to another router
 	// is closed.
 	peerIdleTimeout = 30 * time.Second
@@ -32,9 +35,11 @@
 )
 
 // Answers returns the path and the handler of the Answers service, which is served on
-// the internal address.
+// the internal address. It reads only requests with a key of Config.Peers.
 func (g *Gateway) Answers() (string, http.Handler) {
-	return kcwpbconnect.NewAnswersHandler(&answerService{g})
+	path, handler := kcwpbconnect.NewAnswersHandler(&answerService{g})
+	admits := func(header http.Header) bool { return g.cfg.Peers != nil && g.cfg.Peers.Admits(header) }
+	return path, kcwserve.Authenticate(kcwserve.Receive(handler, g.cfg.Memory, maxCallBytes), admits)
 }
 
 // answerService serves finished answers to other routers.
@@ -44,10 +49,6 @@
 
 // Fetch waits until the answer to a request is finished and sends it.
 func (s *answerService) Fetch(ctx context.Context, req *connect.Request[kcwpb.AnswerRequest], stream *connect.ServerStream[kcwpb.AnswerPart]) error {
-	peers := s.gateway.cfg.Peers
-	if peers == nil || !peers.Admits(req.Header()) {
-		return connect.NewError(connect.CodeUnauthenticated, eris.New("unknown process key"))
-	}
 	keepAlive := func() error { return stream.Send(&kcwpb.AnswerPart{}) }
 	answer, err := s.gateway.finishedAnswer(ctx, req.Msg, keepAlive)
 	if err != nil {
