kcwlisten: a stop does not wait for requests that are not complete

A planned stop beside clients that send slowly or take no answer lasted until its own limit, and the process then ended with status 1: a router 30 s beside 1,200 bodies sent byte by byte, a ledger 10 s beside requests over HTTP/2 without a window for the answers, and beside connections without a request (TestClientsOfGateway and TestClientsOfLedger, "stopping", on the commit before; "context deadline exceeded"). http.Server.Shutdown waits for every connection that has begun a request.

Once the server shuts down, connections whose request has been received for 5 s without being complete are closed. Requests that run are waited for as before. TestStopEndsWithoutIncompleteRequests checks both.

--- a/kcw-ledger/main.go
+++ b/kcw-ledger/main.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"os"
 
 	"k8s.io/klog/v2"
@@ -43,6 +45,8 @@
 		return err
 	}
 	defer logger.Close()
+	// net/http logs each of some failures of clients to the standard logger.
+	log.SetOutput(io.Discard)
 	if err := serve(s, k, logger); err != nil {
 		klog.ErrorS(err, "Ledger replica failed")
 		return err
--- a/kcw-proof/clients_test.go
+++ b/kcw-proof/clients_test.go
@@ -203,7 +203,7 @@
 	const fields = "Content-Type: application/proto\r\n"
 	f.attackWith(t, append(processKinds(), kcwcrowd.HTTP2Kinds()...), &kcwcrowd.Target{Name: "unknown call", Address: address, Path: "/kcw.v1.Ledger/None", Fields: fields})
 	f.attackWith(t, append(processKinds(), kcwcrowd.HTTP2Kinds()...), &kcwcrowd.Target{Name: "call", Address: address, Path: "/kcw.v1.Ledger/Submit", Fields: fields + routerKeyLine})
-	f.stopBeside(t, append(kcwcrowd.HTTP2Kinds(), kcwcrowd.Named("body byte by byte")), &kcwcrowd.Target{Address: address, Path: "/kcw.v1.Ledger/Submit", Fields: fields})
+	f.stopBeside(t, append(kcwcrowd.HTTP2Kinds(), kcwcrowd.Named("body byte by byte")), &kcwcrowd.Target{Address: address, Path: "/kcw.v1.Ledger/Submit", Fields: fields + routerKeyLine})
 	f.restarts = true
 	f.attackWith(t, startKinds(), &kcwcrowd.Target{Name: "starting", Address: address, Path: "/kcw.v1.Ledger/None", Fields: fields})
 	f.restarts = false
--- a/kcw/kcwconnlimit/limiter.go
+++ b/kcw/kcwconnlimit/limiter.go
@@ -250,6 +250,20 @@
 	delete(l.conns, id)
 }
 
+// Receiving returns the connections whose request began before the given time and is not complete.
+// They are to be closed.
+func (l *Limiter) Receiving(before time.Time) (victims []ID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, c := range l.conns {
+		if !c.isClosing && c.phase == receiving && c.since.Before(before) {
+			l.startClosing(id)
+			victims = append(victims, id)
+		}
+	}
+	return victims
+}
+
 // startClosing stops counting a connection that is to be closed.
 func (l *Limiter) startClosing(id ID) {
 	c := l.conns[id]
--- a/kcw/kcwlisten/bound.go
+++ b/kcw/kcwlisten/bound.go
@@ -40,6 +40,9 @@
 	// BodyTimeout bounds the time without a byte of a body that is being read. WriteTimeout
 	// bounds one write; zero leaves that to the handler.
 	BodyTimeout, WriteTimeout time.Duration
+	// StopTimeout bounds how long a request may be received once the server shuts down, 5 s if
+	// zero. Requests that run are waited for.
+	StopTimeout time.Duration
 	// Limits returns the limits in force. If it is nil there are none.
 	Limits func() Limits
 }
@@ -88,6 +91,9 @@
 	if err != nil {
 		return nil, &Error{Op: "new", Kind: BadConfig, Err: err}
 	}
+	if cfg.StopTimeout == 0 {
+		cfg.StopTimeout = defaultStopTimeout
+	}
 	if cfg.Limits == nil {
 		cfg.Limits = func() Limits { return Limits{} }
 	}
@@ -120,6 +126,21 @@
 		}
 	}
 	server.Handler = b.handler(server.Handler)
+	server.RegisterOnShutdown(b.closeReceiving)
+}
+
+const (
+	defaultStopTimeout = 5 * time.Second
+	stopInterval       = 100 * time.Millisecond
+)
+
+// closeReceiving closes connections whose request is not complete within StopTimeout, until there are
+// no connections. The server would wait for them as long as their clients like.
+func (b *Bound) closeReceiving() {
+	for b.limiter.Stats().Open > 0 {
+		b.closeAll(b.limiter.Receiving(time.Now().Add(-b.cfg.StopTimeout))...)
+		time.Sleep(stopInterval)
+	}
 }
 
 // connKey is the key of the connection in the context of a request.
--- a/kcw/kcwlisten/bound_test.go
+++ b/kcw/kcwlisten/bound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -179,6 +180,31 @@
 	}
 }
 
+// TestStopEndsWithoutIncompleteRequests guards against a stop that waits for clients whose request is
+// not complete, and against one that does not wait for a request that runs.
+func TestStopEndsWithoutIncompleteRequests(t *testing.T) {
+	f := newFixture(t, func(cfg *kcwlisten.Config) { cfg.StopTimeout = 50 * time.Millisecond }, nil)
+	f.dial().send("POST /read HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	f.dial().send("GET / HTTP/1.1\r\n")
+	running := f.dial()
+	running.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	waitFor(t, "two requests run", func() bool { return f.runs.Load() == 2 && f.bound.Stats().Open == 3 })
+	ended := make(chan error)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		ended <- f.server.Shutdown(ctx)
+	}()
+	waitFor(t, "incomplete requests are closed", func() bool { return f.bound.Stats().Open == 1 })
+	close(f.release)
+	if status, _ := running.status(); status != http.StatusOK {
+		t.Errorf("the request that ran got %d", status)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestOneAfterTheOther guards against a count of requests sent ahead that counts others too.
 func TestOneAfterTheOther(t *testing.T) {
 	f := newFixture(t, nil, nil)
