kcw-router: MaxBodyBytes is checked against the memory in use, also without MemoryMB

Half of the machine's memory may hold no request of a large MaxBodyBytes. That was found at the first such request, which got 503; now it is an error at the start.

--- a/kcw-router/bounds.go
+++ b/kcw-router/bounds.go
@@ -8,8 +8,8 @@
 	"kingcupwick.example/kcw/kcwserve"
 )
 
-// Shares of the resources of the process that clients of its servers may use. Upstreams need most of
-// the other descriptors. Each other router keeps a few connections.
+// Shares of the resources of the process that clients of its servers may use. Connections to
+// upstreams need most of the other descriptors. Each other router keeps a few connections.
 var (
 	callerShare = kcwserve.Share{Descriptors: 0.55, ConnsPerMB: 11, Memory: 0.1}
 	routerShare = kcwserve.Share{Descriptors: 0.1, ConnsPerMB: 2, Memory: 0.03}
--- a/kcw-router/kcwsetup/settings.go
+++ b/kcw-router/kcwsetup/settings.go
@@ -189,7 +189,6 @@
 	requestMemory = 0.3
 	// maxAnswerMemory is the largest fraction that stored answers may hold.
 	maxAnswerMemory = 0.25
-	megabyte        = 1 << 20
 )
 
 // Process returns what the process may use.
@@ -200,16 +199,14 @@
 // RequestBytes returns the memory in bytes that bodies and answers of requests may hold together.
 func (s *Settings) RequestBytes() int64 { return s.Process().Bytes(requestMemory) }
 
-// checkMemory returns an error if a request inside the limits has no room in MemoryMB.
+// checkMemory returns an error if a request inside the limits has no room in the memory of the
+// process, or if the stored answers take too much of a MemoryMB that is set.
 func (s *Settings) checkMemory() error {
-	if s.Host.MemoryMB == 0 {
-		return nil
-	}
 	if need := kcwgateway.BodyCopies * s.Limits.MaxBodyBytes; need > s.RequestBytes() {
-		return eris.Errorf("[Host] MemoryMB = %v is too little for [Limits] MaxBodyBytes = %d: one request may need %d MB, %v of the memory is for requests",
-			s.Host.MemoryMB, s.Limits.MaxBodyBytes, need/megabyte, requestMemory)
+		return eris.Errorf("[Host] MemoryMB = %v is too little for [Limits] MaxBodyBytes = %d: one request may need %d bytes, and all may use %d, %v of the memory",
+			s.Host.MemoryMB, s.Limits.MaxBodyBytes, need, s.RequestBytes(), requestMemory)
 	}
-	if most := s.Process().Bytes(maxAnswerMemory); s.Answers.MaxBytes > most {
+	if most := s.Process().Bytes(maxAnswerMemory); s.Host.MemoryMB > 0 && s.Answers.MaxBytes > most {
 		return eris.Errorf("[Host] MemoryMB = %v is too little for [Answers] MaxBytes = %d: stored answers may use %d bytes, %v of the memory",
 			s.Host.MemoryMB, s.Answers.MaxBytes, most, maxAnswerMemory)
 	}
--- a/kcw-router/process.go
+++ b/kcw-router/process.go
@@ -70,7 +70,7 @@
 }
 
 // newProcess creates the components of the router and listens at the admin
-// address. At the others run listens, once the router is registered.
+// address. Method run listens at the others, once the router is registered.
 func newProcess(s *kcwsetup.Settings, k kcwsetup.Keys) (*process, error) {
 	s.Process().LimitMemory()
 	p := &process{settings: s}
--- a/kcw/kcwlisten/bound.go
+++ b/kcw/kcwlisten/bound.go
@@ -134,8 +134,8 @@
 	stopInterval       = 100 * time.Millisecond
 )
 
-// closeReceiving closes connections whose request is not complete within StopTimeout, until there are
-// no connections. The server would wait for them as long as their clients like.
+// closeReceiving closes connections whose request is not complete within StopTimeout, until no
+// connection is open. The server would wait for them as long as their clients like.
 func (b *Bound) closeReceiving() {
 	for b.limiter.Stats().Open > 0 {
 		b.closeAll(b.limiter.Receiving(time.Now().Add(-b.cfg.StopTimeout))...)
@@ -174,8 +174,8 @@
 	})
 }
 
-// serveStream serves one of several requests on a connection over HTTP/2. Once the handler has read
-// the body of one to its end, which it does only for clients that it admits, the connection is trusted.
+// serveStream serves one of several requests on a connection over HTTP/2. The connection is trusted
+// once the handler has read a body to its end, which it does only for clients that it admits.
 func (b *Bound) serveStream(c *conn, next http.Handler, w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength != 0 {
 		r.Body = &body{ReadCloser: r.Body, onEnd: c.trust}
--- a/kcw/kcwlisten/conn.go
+++ b/kcw/kcwlisten/conn.go
@@ -74,7 +74,7 @@
 	// deadlines counts the calls of SetReadDeadline since the last answer was complete.
 	bufferedCost int64
 	deadlines    int
-	// frames finds the frames of a connection over HTTP/2, which are charged until isTrusted is set.
+	// frames finds the frames of a connection over HTTP/2. They are charged until isTrusted is set.
 	frames    frameScanner
 	isTrusted bool
 	// readDeadline is the deadline that the server or the handler has set.
@@ -115,8 +115,8 @@
 	c.headBytes, c.cost, c.scanner, c.deadlines = 0, 0, headScanner{}, 0
 }
 
-// beginRequest records that a head was read. It reports whether the request was sent ahead, and whether
-// the client has sent too many so, so that the connection must be closed after the answer.
+// beginRequest records that a head was read. It reports whether the request was sent ahead, and
+// whether the client has sent too many ahead, so that the connection must be closed after the answer.
 func (c *conn) beginRequest(hasBody bool) (isAhead, isOver bool) {
 	c.mu.Lock()
 	c.isBody = hasBody
--- a/kcw/kcwmemory/account.go
+++ b/kcw/kcwmemory/account.go
@@ -101,8 +101,8 @@
 	return a.tryAcquire(bytes, nil)
 }
 
-// Acquire acquires the given number of bytes, beyond the limit if need be: they are held already, or
-// their holder can't be refused. Bodies that clients are sending are aborted for them.
+// Acquire acquires the given number of bytes, beyond the limit if need be, for what is held already.
+// Bodies that clients are sending are aborted for them.
 func (a *Account) Acquire(bytes int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/kcw/kcwobject/object.go
+++ b/kcw/kcwobject/object.go
@@ -38,9 +38,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Members calls visit for each member of the object raw, in order, also for a name that is repeated. Null
-// has no members. The value is a part of raw. Members stops at the first error of visit and returns
-// it. Other errors are an *Error.
+// Members calls visit for each member of the object raw, in order, also for a name that is
+// repeated. Null has no members. The value is a part of raw. Members stops at the first error of
+// visit and returns it. Other errors are an *Error.
 func Members(raw []byte, visit func(name string, value json.RawMessage) error) error {
 	return read("members", raw, '{', func(decoder *json.Decoder) error {
 		token, err := decoder.Token()
@@ -57,8 +57,8 @@
 	})
 }
 
-// Elements calls visit for each element of the array raw, in order. Null has no elements. The
-// value is a part of raw. Elements stops at the first error of visit and returns it. Other errors are an
+// Elements calls visit for each element of the array raw, in order. Null has no elements. The value
+// is a part of raw. Elements stops at the first error of visit and returns it. Other errors are an
 // *Error.
 func Elements(raw []byte, visit func(value json.RawMessage) error) error {
 	return read("elements", raw, '[', func(decoder *json.Decoder) error {
--- a/kcw/kcwserve/bounds.go
+++ b/kcw/kcwserve/bounds.go
@@ -36,7 +36,8 @@
 	return stats
 }
 
-// Observe returns the function that observes a value of the connections of each server for a metric.
+// Observe returns the function that observes a value of the connections of each server, for a
+// metric.
 func (b Bounds) Observe(read func(kcwconnlimit.Stats) int64) func(observe func(int64, ...attribute.KeyValue)) {
 	return func(observe func(int64, ...attribute.KeyValue)) {
 		for name, stats := range b.Stats() {
--- a/kcw/kcwserve/refuse.go
+++ b/kcw/kcwserve/refuse.go
@@ -44,8 +44,8 @@
 
 var errUnknownKey = errors.New("unknown process key")
 
-// Authenticate returns next for requests whose header has a key that is admitted. Others are refused
-// before their body is read.
+// Authenticate returns next for requests whose header is admitted, which has the key of a process.
+// Others are refused before their body is read.
 func Authenticate(next http.Handler, admits func(http.Header) bool) http.Handler {
 	writer := connect.NewErrorWriter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/kcw/kcwserve/server.go
+++ b/kcw/kcwserve/server.go
@@ -31,8 +31,8 @@
 	Listener net.Listener
 }
 
-// Bounds of a connection over HTTP/2, in bytes. A frame and what handlers have not read of bodies are
-// held for each connection.
+// Bounds of a connection over HTTP/2, in bytes: of a frame, and of what handlers have not read of
+// bodies.
 const (
 	maxFrameBytes       = 16 << 10
 	maxStreamUnread     = 64 << 10
--- a/kcw/kcwtoken/estimator.go
+++ b/kcw/kcwtoken/estimator.go
@@ -153,8 +153,8 @@
 	return n, nil
 }
 
-// Fields returns the members of a chat request. Of a member that is repeated it returns the
-// last. The values are parts of body. The error is an *Error of KindMalformed if the body is no JSON
+// Fields returns the members of a chat request. Of a member that is repeated it returns the last.
+// The values are parts of body. The error is an *Error of KindMalformed if the body is not a JSON
 // object, and of KindUnsupported at the first member that Prompt would refuse.
 func Fields(body []byte) (map[string]json.RawMessage, error) {
 	fields, err := members(body, admittedParameters, "")
