kcwgateway: answers give way while their callers don't read them

Each held its answer, twice, until one write of 30 s had failed, and an answer was held beyond the bound on memory whatever others held.

An answer whose length is stated is read into one buffer, which is also the one that is stored. The memory for it is acquired before it is read. What an upstream has made is not refused, but waits: one request at a time holds its answer beyond the bound. From the begin of its delivery an answer yields (kcwmemory.Account.Yield): a request that needs the memory cuts the caller whose answer has taken most for longest. Its connection breaks off inside the answer, as at a stalled reader, and the answer is stored for a repetition within [Answers]. Each request needs 4 kB to begin with, so that none runs while answers hold all memory.

TestYieldedMemoryIsTaken checks the account.

--- a/kcw-proof/clients_test.go
+++ b/kcw-proof/clients_test.go
@@ -154,6 +154,25 @@
 	return f
 }
 
+// bookings is the path of a list whose answer has bookedBytes and more.
+const (
+	bookings    = "/services/parish-desk/bookings"
+	bookedBytes = 3 << 20
+)
+
+// book makes the answer at bookings large.
+func (f *clientFleet) book(t *testing.T) {
+	const parts = 4
+	for range parts {
+		request := newClientRequest(t, http.MethodPost, "http://"+f.address(20, 0).String()+bookings, `"`+kcwcrowd.Text(bookedBytes/parts)+`"`, map[string]string{
+			"Authorization": "Bearer " + key, "Content-Type": "application/json",
+		})
+		if status := kcwcrowd.Status(request); status >= http.StatusMultipleChoices || status == 0 {
+			t.Fatalf("a booking got %d", status)
+		}
+	}
+}
+
 // readiness returns a request for the readiness of the process.
 func (f *clientFleet) readiness(t *testing.T) func() *http.Request {
 	return func() *http.Request {
@@ -170,6 +189,8 @@
 	f.attackWith(t, kcwcrowd.Kinds(), &kcwcrowd.Target{Name: "no route", Address: address, Path: "/none", Fields: callerKeyLine})
 	model := &kcwcrowd.Target{Name: "model", Address: address, Path: "/v1/chat/completions", Fields: callerKeyLine}
 	f.attackWith(t, append(kcwcrowd.Kinds()[:3], documentKinds()...), model)
+	f.book(t)
+	f.attackWith(t, []kcwcrowd.Kind{kcwcrowd.Named("answer read slowly")}, &kcwcrowd.Target{Name: "large answer", Address: address, Path: bookings, Fields: callerKeyLine})
 	f.stopBeside(t, []kcwcrowd.Kind{kcwcrowd.Named("body byte by byte"), kcwcrowd.Named("answer read slowly")}, &kcwcrowd.Target{
 		Address: address, Path: "/services/parish-desk/x", Fields: callerKeyLine,
 	})
--- a/kcw/kcwgateway/delivery.go
+++ b/kcw/kcwgateway/delivery.go
@@ -30,6 +30,7 @@
 	storable      bool
 	digest        hash.Hash
 	memory        *holding
+	deadline      *writeDeadline
 	identity      string
 	isEventStream bool
 	lastWrite     time.Time
@@ -38,7 +39,7 @@
 func newDelivery(w http.ResponseWriter, req *request, cfg Config) *delivery {
 	return &delivery{
 		w: w, control: http.NewResponseController(w), cfg: cfg, storable: true,
-		digest: sha256.New(), memory: req.memory, identity: req.identity, isEventStream: req.wantsStream(),
+		digest: sha256.New(), memory: req.memory, deadline: &writeDeadline{control: http.NewResponseController(w)}, identity: req.identity, isEventStream: req.wantsStream(),
 	}
 }
 
@@ -79,6 +80,16 @@
 	d.memory.acquire(int64(cap(d.stored) - before))
 }
 
+// storeWithheld is store for the last part of an answer, which is not changed any more.
+func (d *delivery) storeWithheld(p []byte) {
+	if len(d.stored) > 0 || int64(len(p)) > d.cfg.MaxAnswerBytes {
+		d.store(p)
+		return
+	}
+	_, _ = d.digest.Write(p)
+	d.stored = p[:len(p):len(p)]
+}
+
 // send writes and flushes p to the caller, unless the caller has disconnected.
 func (d *delivery) send(p []byte) {
 	if d.callerGone {
@@ -101,8 +112,7 @@
 		return
 	}
 	d.lastWrite = now
-	// Only the writers of tests don't support deadlines.
-	_ = d.control.SetWriteDeadline(now.Add(d.cfg.WriteTimeout))
+	d.deadline.set(now.Add(d.cfg.WriteTimeout))
 }
 
 // storedAnswer returns the complete answer, or nil if it is too large to be stored.
--- a/kcw/kcwgateway/dispatch.go
+++ b/kcw/kcwgateway/dispatch.go
@@ -325,7 +325,7 @@
 
 // readAnswer reads a complete answer, which is withheld until it is billed.
 func (g *Gateway) readAnswer(ctx context.Context, req *request, resp *http.Response) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, g.cfg.MaxAnswerBytes+1))
+	body, err := req.memory.readAll(ctx, req.method, resp, g.cfg.MaxAnswerBytes)
 	if err == nil && !hasDetectableEnd(resp, req.method) {
 		err = io.ErrUnexpectedEOF
 	}
@@ -335,8 +335,6 @@
 	if int64(len(body)) > g.cfg.MaxAnswerBytes {
 		return attemptResult{code: codeAnswerTooLarge, tokens: req.reservation, sent: true, ran: true}
 	}
-	// It is billed and delivered whatever others hold.
-	req.memory.acquire(int64(cap(body)))
 	res := attemptResult{complete: true, status: resp.StatusCode, header: resp.Header, withheld: body, sent: true, ran: true}
 	res.retryable = req.repeatable && isRetryableStatus(resp.StatusCode)
 	tokens, ok := answerTokens(req, resp.StatusCode, body)
--- a/kcw/kcwgateway/gateway.go
+++ b/kcw/kcwgateway/gateway.go
@@ -127,8 +127,9 @@
 	stopped      atomic.Bool
 	fenced       atomic.Bool
 	peers        peers
-	// parsing is held while a large body is parsed.
-	parsing sync.Mutex
+	// parsing is held while a large body is parsed. overdraft is described at holding.
+	parsing   sync.Mutex
+	overdraft chan struct{}
 	// fullRefusals counts the requests refused for memory, of which fullLoggedAt is the last
 	// log line.
 	fullRefusals atomic.Int64
@@ -159,6 +160,7 @@
 		flights:      newFlights(),
 		pool:         p,
 		peers:        newPeers(cfg.PeerKey),
+		overdraft:    make(chan struct{}, 1),
 		settleCtx:    settleCtx,
 		stopSettling: stopSettling,
 	}, nil
@@ -286,8 +288,12 @@
 	if refused != nil {
 		return refused
 	}
-	memory := &holding{account: g.cfg.Memory}
+	memory := &holding{account: g.cfg.Memory, overdraft: g.overdraft}
 	defer memory.releaseAll()
+	if !memory.tryAcquire(requestBytes) {
+		g.logFull("request")
+		return refuse(codeMemoryFull, now, "")
+	}
 	body, refused := g.readBody(w, r, memory, now)
 	if refused != nil {
 		return refused
--- a/kcw/kcwgateway/run.go
+++ b/kcw/kcwgateway/run.go
@@ -181,7 +181,7 @@
 // settleAttempt closes the claim according to the result of the last attempt.
 func (g *Gateway) settleAttempt(ctx context.Context, req *request, d *delivery, res attemptResult) requestResult {
 	if res.complete {
-		d.store(res.withheld)
+		d.storeWithheld(res.withheld)
 		settle := g.newSettlement(req, res, kcwpb.Outcome_OUTCOME_RAN, res.tokens, d.digest.Sum(nil))
 		settleCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.cfg.SettleTimeout)
 		defer cancel()
--- a/kcw/kcwgateway/serve.go
+++ b/kcw/kcwgateway/serve.go
@@ -63,7 +63,7 @@
 	if err == nil {
 		g.flights.resolve(f, flightResult{answer: answer})
 		g.flights.remove(f)
-		g.replay(w, req, answer)
+		g.replay(r.Context(), w, req, answer)
 		return nil
 	}
 	g.serveFirst(ctx, w, req, f)
@@ -84,7 +84,7 @@
 	}
 	switch {
 	case f.result.answer != nil:
-		g.replay(w, req, f.result.answer)
+		g.replay(r.Context(), w, req, f.result.answer)
 		return nil
 	case f.result.refusal.code == codeCallerGone:
 		// The callers that disconnected were others, not this one.
@@ -102,9 +102,9 @@
 	g.logRequest(req, d, res)
 	switch {
 	case res.peerAnswer != nil:
-		g.replay(w, req, res.peerAnswer)
+		g.replay(ctx, w, req, res.peerAnswer)
 	case res.refusal == nil:
-		d.finish(res.result)
+		req.memory.deliver(d.deadline, func() { d.finish(res.result) })
 	case d.started:
 		d.sendError(res.refusal)
 		// The caller has part of the answer. Only an aborted connection shows that it is
@@ -156,15 +156,22 @@
 }
 
 // replay answers with a stored answer.
-func (g *Gateway) replay(w http.ResponseWriter, req *request, answer *kcwpb.AnswerPart) {
-	g.extendWriteDeadline(w)
-	header := w.Header()
-	header.Set("Content-Type", answer.GetContentType())
-	header.Set(RequestHeader, req.identity)
-	header.Set(ReplayedHeader, "true")
-	w.WriteHeader(int(answer.GetStatus()))
-	// A write fails only if the caller has disconnected.
-	_, _ = w.Write(answer.GetBody())
+func (g *Gateway) replay(ctx context.Context, w http.ResponseWriter, req *request, answer *kcwpb.AnswerPart) {
+	// The error is that of a caller that has left.
+	if req.memory.acquireAnswer(ctx, int64(len(answer.GetBody()))) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	deadline := &writeDeadline{control: http.NewResponseController(w)}
+	deadline.set(g.cfg.Now().Add(g.cfg.WriteTimeout))
+	req.memory.deliver(deadline, func() {
+		header := w.Header()
+		header.Set("Content-Type", answer.GetContentType())
+		header.Set(RequestHeader, req.identity)
+		header.Set(ReplayedHeader, "true")
+		w.WriteHeader(int(answer.GetStatus()))
+		// A write fails only if the caller has disconnected or was cut.
+		_, _ = w.Write(answer.GetBody())
+	})
 }
 
 // logRequest logs a request that ended and reports it to the observer.
--- a/kcw/kcwmemory/account.go
+++ b/kcw/kcwmemory/account.go
@@ -56,7 +56,8 @@
 	held int64
 	// aborting is what bodies hold that were aborted and are still being read.
 	aborting int64
-	// receiving holds the bodies that clients are sending, and yielding is what they hold.
+	// receiving holds the bodies that clients are sending, and what else gives way to others.
+	// yielding is what they hold.
 	receiving map[*receipt]struct{}
 	yielding  int64
 	// free are chunks that are not used. They are not a part of held, and fit into the limit
@@ -86,7 +87,7 @@
 }
 
 // Committed returns the number of bytes held that can't be freed for others, that is without the
-// bodies that clients are sending.
+// bodies that clients are sending and what Yield has been called for.
 func (a *Account) Committed() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -111,6 +112,28 @@
 	}
 }
 
+// Yield lets others take the given number of bytes, which the caller has acquired, until it calls
+// end. If they need the memory of what has held most for longest, as with bodies, abort is called,
+// after which the caller must release the bytes soon. The caller releases them in any case.
+func (a *Account) Yield(bytes int64, abort func()) (end func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := &receipt{since: time.Now(), acquired: bytes, abort: abort}
+	a.receiving[b] = struct{}{}
+	a.yielding += bytes
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if b.isAborted {
+			a.aborting -= bytes
+			a.held += bytes
+			return
+		}
+		delete(a.receiving, b)
+		a.yielding -= bytes
+	}
+}
+
 // Release releases the given number of bytes, which must have been acquired.
 func (a *Account) Release(bytes int64) {
 	a.mu.Lock()
--- a/kcw/kcwmemory/receive_test.go
+++ b/kcw/kcwmemory/receive_test.go
@@ -195,3 +195,26 @@
 		t.Errorf("%d bytes are committed and %d held afterwards", a.Committed(), a.Held())
 	}
 }
+
+// TestYieldedMemoryIsTaken guards against memory that its holder gives up but that others don't get,
+// and against memory that counts twice or not at all afterwards.
+func TestYieldedMemoryIsTaken(t *testing.T) {
+	const limit, size = 1000, 600
+	a := kcwmemory.New(limit)
+	if !a.TryAcquire(size) || a.TryAcquire(size) {
+		t.Fatal("the limit is not that of the account")
+	}
+	aborted := make(chan struct{})
+	end := a.Yield(size, func() { close(aborted) })
+	if a.Committed() != 0 || !a.TryAcquire(size) {
+		t.Errorf("%d bytes are committed", a.Committed())
+	}
+	<-aborted
+	end()
+	a.Release(size)
+	a.Yield(size, func() { t.Error("aborted without need") })()
+	a.Release(size)
+	if a.Held() != 0 || a.Committed() != 0 {
+		t.Errorf("%d bytes are held, %d committed", a.Held(), a.Committed())
+	}
+}
