kcwcrowd: bodies in chunks of one byte come after the other bodies

What stays resident after a case is the begin of the next one's highest value. Kinds, crowds and bounds are the same; connections without a byte follow now.

--- a/kcw-standin/kcwcrowd/kind.go
+++ b/kcw-standin/kcwcrowd/kind.go
@@ -85,20 +85,6 @@
 			}
 			return err
 		}},
-		{"body in chunks of one byte", tinyClients, true, false, func(conn net.Conn, target *Target) error {
-			_, err := io.WriteString(conn, target.Head("POST")+"Transfer-Encoding: chunked\r\n\r\n")
-			const chunk = "1\r\nb\r\n"
-			chunks := strings.Repeat(chunk, tinyChunks)
-			for sent := 0; sent < tinyWrites && err == nil; sent++ {
-				_, err = io.WriteString(conn, chunks)
-			}
-			// The body goes on, so that no limit on its pauses ends it.
-			for err == nil {
-				time.Sleep(tinyPause)
-				_, err = io.WriteString(conn, chunk)
-			}
-			return err
-		}},
 		{"body without end", bodyClients, true, false, func(conn net.Conn, target *Target) error {
 			_, err := io.WriteString(conn, target.Head("POST")+"Transfer-Encoding: chunked\r\n\r\n")
 			for err == nil {
@@ -141,6 +127,20 @@
 			_ = conn.Close()
 			return err
 		}},
+		{"body in chunks of one byte", tinyClients, true, false, func(conn net.Conn, target *Target) error {
+			_, err := io.WriteString(conn, target.Head("POST")+"Transfer-Encoding: chunked\r\n\r\n")
+			const chunk = "1\r\nb\r\n"
+			chunks := strings.Repeat(chunk, tinyChunks)
+			for sent := 0; sent < tinyWrites && err == nil; sent++ {
+				_, err = io.WriteString(conn, chunks)
+			}
+			// The body goes on, so that no limit on its pauses ends it.
+			for err == nil {
+				time.Sleep(tinyPause)
+				_, err = io.WriteString(conn, chunk)
+			}
+			return err
+		}},
 		{"connection without a byte", manyClients, true, false, func(net.Conn, *Target) error { return nil }},
 		{"head that stops", manyClients, true, false, func(conn net.Conn, target *Target) error {
 			_, err := io.WriteString(conn, target.Head("GET"))
