kcwgateway: a large request whose caller has left is not parsed

Large bodies are parsed one at a time. A request whose caller has left is dropped when its turn comes; it has not run.

--- a/kcw/kcwgateway/gateway.go
+++ b/kcw/kcwgateway/gateway.go
@@ -307,7 +307,7 @@
 	req.team, _ = contract.Team(key.Team)
 	if service != nil {
 		admitService(req, service, r, body)
-	} else if refused := g.parseChat(req, body, now); refused != nil {
+	} else if refused := g.parseChat(r.Context(), req, body, now); refused != nil {
 		return refused
 	}
 	return g.startOrJoin(w, r, req)
--- a/kcw/kcwgateway/memory.go
+++ b/kcw/kcwgateway/memory.go
@@ -158,12 +158,15 @@
 }
 
 // parseChat is admitChat within the bound on memory. Large bodies are parsed one at a time, as what
-// is left of one is collected later.
-func (g *Gateway) parseChat(req *request, body []byte, now time.Time) *refusal {
+// is left of one is collected later; ctx ends when the caller leaves meanwhile.
+func (g *Gateway) parseChat(ctx context.Context, req *request, body []byte, now time.Time) *refusal {
 	size := int64(len(body))
 	if size > largeBody {
 		g.parsing.Lock()
 		defer g.parsing.Unlock()
+		if ctx.Err() != nil {
+			return refuse(codeCallerGone, g.cfg.Now(), "").withOutcome(notRun, req.repeatable)
+		}
 	}
 	if !req.memory.tryAcquire((BodyCopies - 1) * size) {
 		g.logFull("parse")
