--- a/kcw-proof/clients_test.go
+++ b/kcw-proof/clients_test.go
@@ -92,7 +92,7 @@
 // stopBeside checks that the process ends by a planned stop beside a crowd, and starts it again.
 func (f *clientFleet) stopBeside(t *testing.T, kinds []kcwcrowd.Kind, target *kcwcrowd.Target) {
 	for _, kind := range kinds {
-		t.Run("stopping, "+kind.Name, func(t *testing.T) {
+		t.Run("stopping, "+target.Name+", "+kind.Name, func(t *testing.T) {
 			crowd := kcwcrowd.Start(kind, target)
 			defer crowd.End()
 			waitFor(t, "the crowd has begun", crowd.HasBegun)
@@ -194,7 +194,7 @@
 	f.book(t)
 	f.attackWith(t, []kcwcrowd.Kind{kcwcrowd.Named("answer read slowly")}, &kcwcrowd.Target{Name: "large answer", Address: address, Path: bookings, Fields: callerKeyLine})
 	f.stopBeside(t, []kcwcrowd.Kind{kcwcrowd.Named("body byte by byte"), kcwcrowd.Named("answer read slowly")}, &kcwcrowd.Target{
-		Address: address, Path: "/services/parish-desk/x", Fields: callerKeyLine,
+		Name: "service", Address: address, Path: "/services/parish-desk/x", Fields: callerKeyLine,
 	})
 	f.restarts = true
 	model.Name = "starting"
@@ -226,7 +226,12 @@
 	const fields = "Content-Type: application/proto\r\n"
 	f.attackWith(t, append(processKinds(), kcwcrowd.HTTP2Kinds()...), &kcwcrowd.Target{Name: "unknown call", Address: address, Path: "/kcw.v1.Ledger/None", Fields: fields})
 	f.attackWith(t, append(processKinds(), kcwcrowd.HTTP2Kinds()...), &kcwcrowd.Target{Name: "call", Address: address, Path: "/kcw.v1.Ledger/Submit", Fields: fields + routerKeyLine})
-	f.stopBeside(t, append(kcwcrowd.HTTP2Kinds(), kcwcrowd.Named("body byte by byte")), &kcwcrowd.Target{Address: address, Path: "/kcw.v1.Ledger/Submit", Fields: fields + routerKeyLine})
+	for _, target := range []kcwcrowd.Target{
+		{Name: "without a key", Address: address, Path: "/kcw.v1.Ledger/Submit", Fields: fields},
+		{Name: "with a key", Address: address, Path: "/kcw.v1.Ledger/Submit", Fields: fields + routerKeyLine},
+	} {
+		f.stopBeside(t, append(kcwcrowd.HTTP2Kinds(), kcwcrowd.Named("body byte by byte")), &target)
+	}
 	f.restarts = true
 	f.attackWith(t, startKinds(), &kcwcrowd.Target{Name: "starting", Address: address, Path: "/kcw.v1.Ledger/None", Fields: fields})
 	f.restarts = false
