kcwroute: a document with an empty list of teams accepts no key

Cause: the platform's decoder gave a missing field and an empty list the same value, and the forwarder took a document without teams for one that needs no key.

An empty list and null accept no key. Authorize decides, in kcwroute, next to Match; the zero value of a document is the closed one.

--- a/kcw-fleet/kcwcontrol/operator.go
+++ b/kcw-fleet/kcwcontrol/operator.go
@@ -86,7 +86,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	routes, teams := len(document.Routes), len(document.Teams)
+	routes, teams, isKeyless := len(document.Routes), len(document.Teams), document.Keyless
 	release()
 	before := o.table.Document()
 	result, err := o.propose(ctx, &kcwpb.FleetCommand{Op: &kcwpb.FleetCommand_PutDocument{PutDocument: put}})
@@ -96,7 +96,7 @@
 		return
 	}
 	klog.InfoS("Document acknowledged", "Version", put.GetVersion(), "Newest", result.GetVersion(), "Code", result.GetCode().String(),
-		"Routes", routes, "Teams", teams)
+		"Routes", routes, "Teams", teams, "Keyless", isKeyless)
 	o.logBudgets(before, put)
 	w.WriteHeader(http.StatusOK)
 }
--- a/kcw-fleet/kcwrouter/reporter.go
+++ b/kcw-fleet/kcwrouter/reporter.go
@@ -351,7 +351,7 @@
 	p.documentFrom, p.documentAt = host, time.Now()
 	p.mu.Unlock()
 	p.quota.SetDocument(document)
-	klog.InfoS("Document in force", "Version", document.Version, "Before", before, "From", host, "ContactGap", gap.String(), "Routes", len(document.Routes), "Teams", len(document.Teams))
+	klog.InfoS("Document in force", "Version", document.Version, "Before", before, "From", host, "ContactGap", gap.String(), "Routes", len(document.Routes), "Teams", len(document.Teams), "Keyless", document.Keyless)
 }
 
 // applyCoreList applies the core's list, or, if the answer has none, confirms the
--- a/kcw/kcwforward/admit.go
+++ b/kcw/kcwforward/admit.go
@@ -194,14 +194,13 @@
 
 // authenticate looks up the team by the caller's key.
 func (c *call) authenticate() *refusal {
-	if len(c.document.Teams) == 0 || c.route.Public {
-		return nil
-	}
-	c.team = c.document.Team(c.request.Key)
-	if c.request.Key == "" || c.team == nil {
+	team, isAllowed := c.document.Authorize(c.route, c.request.Key)
+	if !isAllowed {
 		return &refusal{status: http.StatusUnauthorized, outcome: "UnknownKey", cause: "no team holds the key"}
 	}
-	c.event.Team = c.team.Name
+	if team != nil {
+		c.team, c.event.Team = team, team.Name
+	}
 	return nil
 }
 
--- a/kcw/kcwroute/document.go
+++ b/kcw/kcwroute/document.go
@@ -116,8 +116,12 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
-	Teams    []Team
-	Limits   Limits
+	// Teams hold the keys of callers. With no team no key is accepted, unless the document is
+	// Keyless.
+	Teams []Team
+	// Keyless is set if requests need no key. Such a document has no teams.
+	Keyless bool
+	Limits  Limits
 
 	hosts    map[string]map[string]*Route // by lowercase host, then by path prefix
 	services map[string]*Service
@@ -165,6 +169,9 @@
 
 // indexTeams validates the teams and indexes them by key.
 func (d *Document) indexTeams() error {
+	if d.Keyless && len(d.Teams) > 0 {
+		return invalid("a keyless document has %d teams", len(d.Teams))
+	}
 	d.keys = make(map[string]*Team)
 	names := make(map[string]bool, len(d.Teams))
 	for i := range d.Teams {
@@ -257,6 +264,19 @@
 // Team returns the team that owns key, or nil if there is none.
 func (d *Document) Team(key string) *Team { return d.keys[key] }
 
+// Authorize reports whether a request to r with the given key, empty if it has none, is allowed,
+// and returns the team that it belongs to. The team is nil if r is public or d is keyless.
+func (d *Document) Authorize(r *Route, key string) (team *Team, isAllowed bool) {
+	if d.Keyless || r.Public {
+		return nil, true
+	}
+	if key == "" {
+		return nil, false
+	}
+	team = d.Team(key)
+	return team, team != nil
+}
+
 // ChooseService returns one of r's services, chosen in proportion to their weights.
 // The random number draw is uniform in [0, 1).
 func (r *Route) ChooseService(draw float64) string {
--- a/kcw/kcwroute/document_test.go
+++ b/kcw/kcwroute/document_test.go
@@ -75,6 +75,7 @@
 		{"shared key", func(d *kcwroute.Document) { d.Teams[1].Keys[0] = "k1" }, "share a key"},
 		{"team twice", func(d *kcwroute.Document) { d.Teams[1].Name = "one" }, "name of its own"},
 		{"service twice", func(d *kcwroute.Document) { d.Services[1].Name = "s" }, "name of its own"},
+		{"keyless with teams", func(d *kcwroute.Document) { d.Keyless = true }, "keyless"},
 		{"negative budget", func(d *kcwroute.Document) { d.Teams[0].Prepaid = -1 }, "negative prepaid"},
 	} {
 		err := document(test.modify).Index()
@@ -84,6 +85,46 @@
 	}
 }
 
+// TestAuthorize guards against a document without teams that accepts every key.
+func TestAuthorize(t *testing.T) {
+	withoutTeams := func(d *kcwroute.Document) { d.Teams = nil }
+	for _, test := range []struct {
+		name     string
+		modify   func(*kcwroute.Document)
+		isPublic bool
+		key      string
+		team     string
+		want     bool
+	}{
+		{"own key", nil, false, "k2", "two", true},
+		{"unknown key", nil, false, "k3", "", false},
+		{"no key", nil, false, "", "", false},
+		{"no key, and a team with an empty one", func(d *kcwroute.Document) { d.Teams[0].Keys[0] = "" }, false, "", "", false},
+		{"public, own key", nil, true, "k2", "", true},
+		{"public, no key", nil, true, "", "", true},
+		{"no teams, a former key", withoutTeams, false, "k2", "", false},
+		{"no teams, no key", withoutTeams, false, "", "", false},
+		{"no teams, public", withoutTeams, true, "", "", true},
+		{"keyless, a key", func(d *kcwroute.Document) { d.Teams, d.Keyless = nil, true }, false, "k3", "", true},
+		{"keyless, no key", func(d *kcwroute.Document) { d.Teams, d.Keyless = nil, true }, false, "", "", true},
+	} {
+		d := document(test.modify)
+		d.Routes[0].Public = test.isPublic
+		if err := d.Index(); err != nil {
+			t.Errorf("%s: %v", test.name, err)
+			continue
+		}
+		team, got := d.Authorize(&d.Routes[0], test.key)
+		name := ""
+		if team != nil {
+			name = team.Name
+		}
+		if got != test.want || name != test.team {
+			t.Errorf("%s: got %v and team %q, want %v and %q", test.name, got, name, test.want, test.team)
+		}
+	}
+}
+
 func TestSplit(t *testing.T) {
 	r := kcwroute.Route{Backends: []kcwroute.Backend{{Service: "a", Weight: 90}, {Service: "none", Weight: 0}, {Service: "b", Weight: 10}}}
 	for _, test := range []struct {
