kcwgroup: a founder begins its log before it accepts entries

What could be seen: commands acknowledged right after a group was founded were lost with the leader, although two of three replicas were left.

Cause: a founder that still lacked a confirmation accepted entries, and replaced its log by the first entry when the confirmation came.

Fix: the first message of the group begins the log. It shows that all founders have confirmed the set.

--- a/kcw/kcwgroup/found.go
+++ b/kcw/kcwgroup/found.go
@@ -185,6 +185,20 @@
 	return g.start(firstTerm, 0, first)
 }
 
+// endFounding ends the founding because a message of an existing group has come. That group has
+// been founded by the set that this replica has persisted, since another one needs a confirmation
+// that this replica does not give. If it has persisted none, it has been added as a learner. The log
+// begins before the message is handled: entries that this replica acknowledges must not be replaced
+// by the first one later.
+func (g *Group) endFounding() error {
+	klog.InfoS("founding ended by a message of the group", "Group", g.cfg.Group, "Replica", g.identity.ID, "Founders", len(g.founding.persisted))
+	if len(g.founding.persisted) > 0 {
+		return g.beginLog()
+	}
+	g.founding = nil
+	return nil
+}
+
 // tickFounding sends a request to the other founders once per heartbeat interval
 // until the log is started.
 func (g *Group) tickFounding(now time.Time) error {
--- a/kcw/kcwgroup/loop.go
+++ b/kcw/kcwgroup/loop.go
@@ -95,6 +95,11 @@
 	if m.Kind == foundKind {
 		return g.handleFound(m)
 	}
+	if g.founding != nil && m.To == g.identity.ID {
+		if err := g.endFounding(); err != nil {
+			return err
+		}
+	}
 	for _, member := range m.Membership.GetMembers() {
 		g.contacts[member.Id] = member
 	}
