kcwgroup: a founder without a disk chooses a substitute

Callers saw: at the first start one of the three seeds, which all serve control, had no disk.

Cause: the founders were the seeds, and each waits for the identity and the confirmation of all others. A seed without a disk runs no replica and has neither.

Fix: such a seed chooses, once, a host with a disk that founds the group in its place (Delegator, pure code beside the founding). The steps of the founding stay: identities, one persisted set, the confirmation of all.

--- a/kcw-fleet/kcwcontrol/member.go
+++ b/kcw-fleet/kcwcontrol/member.go
@@ -68,6 +68,9 @@
 	maxHeaderBytes = 64 << 10
 	// founding is the role of a replica whose group does not exist yet.
 	founding = "founding"
+	// substituteWait is how long a founder without a disk waits for the hosts among which it
+	// chooses its substitute. All hosts start together when the group is founded.
+	substituteWait = time.Second
 )
 
 // Config configures a Member. Every field is needed.
@@ -119,8 +122,11 @@
 	if m.meter, err = kcwmeter.New(kcwmeter.Config{Program: "kcw-control", Host: s.Host.Name, Zone: s.Host.Zone}); err != nil {
 		return nil, err
 	}
+	if m.sender, err = kcwpeer.New(kcwpeer.Config{Group: groupName, Timeout: s.Group.Election / 2}); err != nil {
+		return nil, err
+	}
 	if s.Host.Folder == "" {
-		r := &redirector{settings: s, client: m.client}
+		r := newDisklessHost(s, m.client, m.sender, time.Now())
 		return m, m.listen(r, r.handler(), r.ready)
 	}
 	if err := m.openService(); err != nil {
@@ -140,9 +146,6 @@
 	if m.folder, err = kcwfolder.Open(kcwfolder.Config{Path: s.Host.Folder}); err != nil {
 		return err
 	}
-	if m.sender, err = kcwpeer.New(kcwpeer.Config{Group: groupName, Timeout: s.Group.Election / 2}); err != nil {
-		return err
-	}
 	table := kcwallowance.New()
 	notifier := kcwnotifier.New(kcwnotifier.Config{Machine: table, Revision: table.Version})
 	group, err := m.openGroup(notifier)
@@ -199,18 +202,28 @@
 	}
 }
 
-// openGroup starts the replica. Members are named by their addresses, because the
+// founders returns the seeds as founders. Members are named by their addresses, because the
 // settings of the founders hold nothing else about each other.
-func (m *Member) openGroup(machine *kcwnotifier.Notifier) (*kcwgroup.Group, error) {
-	s := m.cfg.Settings
-	own := s.Host.PeerAddress
+func founders(s *kcwsetup.Control) []*kcwpb.Member {
 	var founders []*kcwpb.Member
 	for _, seed := range s.PeerAddresses() {
 		founders = append(founders, &kcwpb.Member{Name: seed.String(), Address: seed.String()})
 	}
+	return founders
+}
+
+// maySubstitute reports whether this host may found the group in place of a seed without a disk.
+func maySubstitute(s *kcwsetup.Control) bool {
+	return s.Group.Bootstrap && !slices.Contains(s.PeerAddresses(), s.Host.PeerAddress)
+}
+
+// openGroup starts the replica.
+func (m *Member) openGroup(machine *kcwnotifier.Notifier) (*kcwgroup.Group, error) {
+	s := m.cfg.Settings
+	own := s.Host.PeerAddress
 	return kcwgroup.NewWhenRoom(m.ctx, kcwgroup.Config{
 		Folder: m.folder, Group: groupName, Name: own.String(), Zone: s.Host.Zone, Address: own,
-		Founders: founders, Bootstrap: s.Group.Bootstrap && slices.Contains(s.PeerAddresses(), own),
+		Founders: founders(s), Bootstrap: s.Group.Bootstrap, Substitute: maySubstitute(s),
 		Machine: machine, Send: m.sender.Send,
 		Heartbeat: s.Group.Heartbeat, Election: s.Group.Election,
 		SnapshotEntries: s.Group.SnapshotEntries, SnapshotBytes: s.Group.SnapshotBytes,
@@ -373,8 +386,8 @@
 		err = closeErr
 	}
 	m.client.Close()
+	_ = m.sender.Close()
 	if m.service != nil {
-		_ = m.sender.Close()
 		_ = m.folder.Close()
 	}
 	return err
@@ -424,7 +437,9 @@
 	}
 	election := m.cfg.Settings.Group.Election
 	inForce := kcwreplica.IsVoter(status.GetMembership(), status.GetId()) && now.Sub(m.freshAt) <= 2*election
-	if status.GetId() == 0 || inForce || status.GetRole() == founding || m.leaving.Load() {
+	// A host that may substitute for a founder need not be one: the group may exist already.
+	isFounding := status.GetRole() == founding && !maySubstitute(m.cfg.Settings)
+	if status.GetId() == 0 || inForce || isFounding || m.leaving.Load() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, election)
--- a/kcw-fleet/kcwcontrol/redirect.go
+++ b/kcw-fleet/kcwcontrol/redirect.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,10 +14,13 @@
 	"k8s.io/klog/v2"
 
 	"kingcupwick.example/kcw-fleet/kcwcore"
+	"kingcupwick.example/kcw-fleet/kcwdirectory"
 	"kingcupwick.example/kcw-fleet/kcwsetup"
+	"kingcupwick.example/kcw/kcwgroup"
 	"kingcupwick.example/kcw/kcwlog"
 	"kingcupwick.example/kcw/kcwpb"
 	"kingcupwick.example/kcw/kcwpb/kcwpbconnect"
+	"kingcupwick.example/kcw/kcwpeer"
 )
 
 const (
@@ -37,6 +42,46 @@
 	// mu is held while the leader is located, so that concurrent callers share the
 	// result.
 	mu sync.Mutex
+
+	// delegator chooses the host that founds the group in place of this one. It is nil unless this
+	// host is a founder and the group does not exist yet. DelegatorMu guards it.
+	delegatorMu sync.Mutex
+	delegator   *kcwgroup.Delegator
+	sender      *kcwpeer.Sender
+}
+
+// newDisklessHost returns the redirector of a host that starts at now.
+func newDisklessHost(s *kcwsetup.Control, client *kcwcore.Client, sender *kcwpeer.Sender, now time.Time) *redirector {
+	r := &redirector{settings: s, client: client, sender: sender}
+	if s.Group.Bootstrap && slices.Contains(s.PeerAddresses(), s.Host.PeerAddress) {
+		own := s.Host.PeerAddress.String()
+		r.delegator = kcwgroup.NewDelegator(kcwgroup.DelegatorConfig{
+			Group: groupName, Name: own, Zone: s.Host.Zone, Address: own, Founders: founders(s), ChooseAt: now.Add(substituteWait),
+		})
+	}
+	return r
+}
+
+// Exchange handles the messages of a founding. There is no replica to which others could be
+// addressed.
+func (r *redirector) Exchange(_ context.Context, req *connect.Request[kcwpb.ExchangeRequest]) (*connect.Response[kcwpb.ExchangeResponse], error) {
+	if req.Msg.GetGroup() != groupName {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("message of another group"))
+	}
+	r.delegatorMu.Lock()
+	defer r.delegatorMu.Unlock()
+	if r.delegator != nil && knowsMembers(r.client.View()) {
+		r.delegator.EndChoice()
+	}
+	for _, m := range req.Msg.GetMessages() {
+		if r.delegator == nil {
+			break
+		}
+		if to, reply := r.delegator.Step(m, time.Now()); reply != nil {
+			r.sender.Send(to, []*kcwpb.Message{reply})
+		}
+	}
+	return connect.NewResponse(&kcwpb.ExchangeResponse{}), nil
 }
 
 // locate returns the leader's address for routers and members. The address is not valid
@@ -106,6 +151,11 @@
 	return exchangeViews(r.client, req.Msg)
 }
 
+// knowsMembers reports whether a view holds members of the core, so that the core exists.
+func knowsMembers(view kcwdirectory.View) bool {
+	return view.Leader.IsValid() || slices.ContainsFunc(view.Hosts, func(h kcwdirectory.Host) bool { return h.Member })
+}
+
 // ready returns nil if a leader can be located.
 func (r *redirector) ready() error {
 	if !r.locate(context.Background()).IsValid() {
@@ -116,6 +166,9 @@
 
 // handler returns the handler for routers and other members.
 func (r *redirector) handler() http.Handler {
-	_, handler := kcwpbconnect.NewFleetHandler(r, connect.WithReadMaxBytes(maxMessageBytes))
-	return handler
+	mux := http.NewServeMux()
+	options := []connect.HandlerOption{connect.WithReadMaxBytes(maxMessageBytes)}
+	mux.Handle(kcwpbconnect.NewFleetHandler(r, options...))
+	mux.Handle(kcwpbconnect.NewPeerHandler(r, options...))
+	return mux
 }
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -277,8 +277,10 @@
 // Group configures the replicated log.
 type Group struct {
 	// Seeds are the founding members if Bootstrap is set, and otherwise hosts through
-	// which the member finds the others. Their ports are not used.
-	Seeds     []netip.AddrPort `setting:"required"`
+	// which the member finds the others. Their ports are not used. A seed without a disk
+	// chooses another host that founds in its place.
+	Seeds []netip.AddrPort `setting:"required"`
+	// Bootstrap is set only at the first start of the whole fleet, with empty folders.
 	Bootstrap bool
 	// Losses is the number of members that may be lost at once. 2*Losses+1 members keep
 	// their votes unless a successor takes one over.
--- a/kcw/kcwgroup/config.go
+++ b/kcw/kcwgroup/config.go
@@ -50,10 +50,13 @@
 	// this one.
 	Address netip.AddrPort
 	// Founders holds the name, zone and address of all founding replicas,
-	// including this one. Each founder creates its own identity and sends it to
-	// the others. Founders is used only if Bootstrap is set and the folder is
-	// empty.
+	// including this one unless it may be a substitute. Each founder creates its own
+	// identity and sends it to the others. A founder without a disk runs a Delegator in place
+	// of a Group. Founders is used only if Bootstrap is set and the folder is empty.
 	Founders []*kcwpb.Member
+	// Substitute is set at a replica that is not among the founders, and that founds the
+	// group in place of one without a disk if that founder's Delegator chooses it.
+	Substitute bool
 	// Bootstrap lets a replica with an empty folder found the group together with
 	// the other founders, once all of them have confirmed that their folders were
 	// empty too. If Bootstrap is not set, or the group already exists, a replica
@@ -158,7 +161,10 @@
 		}
 		names[m.GetName()] = true
 	}
-	if !names[cfg.Name] {
+	switch {
+	case cfg.Substitute && names[cfg.Name]:
+		return invalid(op, cfg.Name+" is a founder and can't be a substitute")
+	case !cfg.Substitute && !names[cfg.Name]:
 		return invalid(op, cfg.Name+" is not among the founders")
 	}
 	return nil
--- a/kcw/kcwgroup/found.go
+++ b/kcw/kcwgroup/found.go
@@ -21,6 +21,12 @@
 //
 // If a founder finds its own name with another identity in a persisted set, its
 // disk was lost. It then stops founding and waits to be added as a learner.
+//
+// A founder without a disk can't persist anything. It names another host that founds the group
+// in its place, its substitute, and never names a second one (Delegator). The set of founders is
+// that of the configured ones, each replaced by its substitute if it has one. Two sets in force
+// would therefore differ in each place: every founder would have lost its disk, or have
+// restarted and named another substitute.
 const foundKind = kcwpb.MessageKind_MESSAGE_KIND_FOUND
 
 // Values of Message.hint in a message of foundKind.
@@ -33,6 +39,9 @@
 	// hintMember means that the membership is that of an existing group, of which
 	// the sender is a member.
 	hintMember
+	// hintSubstitute means that the sender is a founder without a disk. The membership is
+	// the sender, and its substitute if that has been chosen.
+	hintSubstitute
 )
 
 // replyRequested in Message.round requests a reply.
@@ -40,10 +49,15 @@
 
 // foundingState is the state of a founding in progress.
 type foundingState struct {
-	self     *kcwpb.Member
+	self *kcwpb.Member
+	// founders are the configured founders, and once the set is persisted, those in it.
 	founders []*kcwpb.Member
-	// identities holds the founders whose identity is known, by name.
+	// identities holds the founders whose identity is known, by the name of the configured
+	// founder. For one without a disk it holds the substitute.
 	identities map[string]*kcwpb.Member
+	// adopted is a set that another founder has persisted and that holds this replica, nil if
+	// none is known.
+	adopted []*kcwpb.Member
 	// persisted is the set of founders that this replica has persisted, nil
 	// before that.
 	persisted []*kcwpb.Member
@@ -73,8 +87,14 @@
 		return errors.New("the group already exists")
 	case m.Hint == hintIdentity && len(f.persisted) == 0:
 		f.identities[sender.Name] = sender
+	case m.Hint == hintSubstitute && len(f.persisted) == 0:
+		for _, other := range members {
+			if other.Id != sender.Id {
+				f.identities[sender.Name] = other
+			}
+		}
 	case m.Hint == hintPersisted && len(f.persisted) == 0:
-		return f.handlePersisted(members)
+		f.adopted = members
 	case m.Hint == hintPersisted && sameMembers(f.persisted, members):
 		f.confirmed[sender.Name] = true
 	case m.Hint == hintPersisted:
@@ -83,31 +103,56 @@
 	return nil
 }
 
-func (f *foundingState) handlePersisted(members []*kcwpb.Member) error {
-	for _, m := range members {
-		if m.Name == f.self.Name && m.Id != f.self.Id {
-			return errors.New("a persisted set of founders holds this founder's name with another identity")
-		}
+// set returns the set of founders, and nil while an identity in it is unknown. The error means that
+// the set does not hold this replica, which must then stop founding.
+func (f *foundingState) set() ([]*kcwpb.Member, error) {
+	members := f.adopted
+	if members == nil {
+		members = f.complete()
+	}
+	if members == nil {
+		return nil, nil
 	}
 	for _, m := range members {
-		f.identities[m.Name] = m
+		switch {
+		case m.Name != f.self.Name:
+		case m.Id == f.self.Id:
+			return members, nil
+		default:
+			return nil, errLostDisk
+		}
 	}
-	return nil
+	return nil, errNotFounder
 }
 
-// complete returns the founders with their identities, and false if an identity is
-// still unknown.
-func (f *foundingState) complete() ([]*kcwpb.Member, bool) {
+// The reasons for which a replica stops founding once the set of founders is known.
+var (
+	errLostDisk   = errors.New("the set of founders holds this founder's name with another identity")
+	errNotFounder = errors.New("other replicas found the group")
+)
+
+// complete returns the configured founders with their identities, or those of their substitutes. It
+// returns nil if an identity is still unknown, or if two are known for one host. A host that is the
+// substitute of two founders counts once.
+func (f *foundingState) complete() []*kcwpb.Member {
 	var members []*kcwpb.Member
+	byName := map[string]uint64{}
 	for _, founder := range f.founders {
 		m := f.identities[founder.Name]
 		if m == nil {
-			return nil, false
+			return nil
+		}
+		id, isKnown := byName[m.Name]
+		switch {
+		case isKnown && id != m.Id:
+			return nil
+		case !isKnown:
+			byName[m.Name] = m.Id
+			members = append(members, m)
 		}
-		members = append(members, m)
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].Id < members[j].Id })
-	return members, true
+	return members
 }
 
 func (f *foundingState) isConfirmed() bool {
@@ -125,12 +170,7 @@
 
 // handleFound handles a message of foundKind from another replica.
 func (g *Group) handleFound(m *kcwpb.Message) error {
-	var sender *kcwpb.Member
-	for _, member := range m.Membership.GetMembers() {
-		if member.Id == m.From {
-			sender = member
-		}
-	}
+	sender := senderOf(m)
 	if sender == nil || m.From == g.identity.ID {
 		return nil
 	}
@@ -141,23 +181,42 @@
 		return nil
 	}
 	if err := g.founding.handle(m, sender); err != nil {
-		klog.ErrorS(err, "founding given up; waiting to be added as a learner", "Group", g.cfg.Group, "Replica", g.identity.ID, "Heard", sender.Name)
-		g.founding = nil
+		g.giveUpFounding(err)
 		return nil
 	}
 	return g.advanceFounding()
 }
 
+// senderOf returns the member that sent m, a message of foundKind, or nil if m does not hold it.
+func senderOf(m *kcwpb.Message) *kcwpb.Member {
+	for _, member := range m.Membership.GetMembers() {
+		if member.Id == m.From {
+			return member
+		}
+	}
+	return nil
+}
+
+// giveUpFounding ends the founding at a replica that is not one of the founders.
+func (g *Group) giveUpFounding(cause error) {
+	g.founding = nil
+	klog.InfoS("founding given up; waiting to be added as a learner", "Group", g.cfg.Group, "Replica", g.identity.ID, "Cause", cause.Error())
+}
+
 // advanceFounding performs the next steps of the founding whose conditions are
 // met: it persists the founders and starts the log.
 func (g *Group) advanceFounding() error {
 	f := g.founding
-	members, ok := f.complete()
-	if ok && len(f.persisted) == 0 {
+	members, err := f.set()
+	if err != nil && len(f.persisted) == 0 {
+		g.giveUpFounding(err)
+		return nil
+	}
+	if members != nil && len(f.persisted) == 0 {
 		if err := g.retryWhileFull(func() error { return storeFounders(g.cfg.Folder, members) }); err != nil {
 			return err
 		}
-		f.persisted = members
+		f.persisted, f.founders = members, members
 		g.founders = members
 	}
 	if !f.isConfirmed() {
--- a/kcw/kcwgroup/full_random_test.go
+++ b/kcw/kcwgroup/full_random_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -322,15 +320,8 @@
 
 // After disks were full one after the other, changes must not stay refused or unanswered.
 func TestChangesGoOnAfterFullDisksInTurn(t *testing.T) {
-	sequences := int64(6)
-	if text := os.Getenv("KCW_SEQUENCES"); text != "" {
-		var err error
-		if sequences, err = strconv.ParseInt(text, 10, 64); err != nil {
-			t.Fatal(err)
-		}
-	}
 	first := seed(t, 1)
-	for s := first; s < first+sequences; s++ {
+	for s := first; s < first+sequences(t, 6); s++ {
 		t.Run(fmt.Sprintf("seed %d", s), func(t *testing.T) {
 			t.Parallel()
 			playFullDisks(t, s)
--- a/kcw/kcwgroup/helper_test.go
+++ b/kcw/kcwgroup/helper_test.go
@@ -32,17 +32,28 @@
 // seed returns the seed of a randomized test: the value of KCW_SEED if that is set, and
 // fixed otherwise.
 func seed(t testing.TB, fixed int64) int64 {
-	if text := os.Getenv("KCW_SEED"); text != "" {
-		parsed, err := strconv.ParseInt(text, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		fixed = parsed
-	}
+	fixed = setting(t, "KCW_SEED", fixed)
 	t.Logf("seed %d", fixed)
 	return fixed
 }
 
+// sequences returns how many random sequences a test plays: the value of KCW_SEQUENCES if that is
+// set, and fixed otherwise.
+func sequences(t testing.TB, fixed int64) int64 { return setting(t, "KCW_SEQUENCES", fixed) }
+
+// setting returns the number in the variable name, or fixed if it is not set.
+func setting(t testing.TB, name string, fixed int64) int64 {
+	text := os.Getenv(name)
+	if text == "" {
+		return fixed
+	}
+	parsed, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed
+}
+
 // counter is a state machine whose state is the list of all commands. The result of a
 // command is their number.
 type counter struct {
