--- a/kcw/kcwgroup/found.go
+++ b/kcw/kcwgroup/found.go
@@ -197,10 +197,16 @@
 	return nil
 }
 
-// giveUpFounding ends the founding at a replica that is not one of the founders.
+// giveUpFounding ends the founding at a replica that is not one of the founders. That is expected
+// unless it is configured as one.
 func (g *Group) giveUpFounding(cause error) {
+	const text = "founding given up; waiting to be added as a learner"
 	g.founding = nil
-	klog.InfoS("founding given up; waiting to be added as a learner", "Group", g.cfg.Group, "Replica", g.identity.ID, "Cause", cause.Error())
+	if g.cfg.Substitute {
+		klog.InfoS(text, "Group", g.cfg.Group, "Replica", g.identity.ID, "Cause", cause.Error())
+		return
+	}
+	klog.ErrorS(cause, text, "Group", g.cfg.Group, "Replica", g.identity.ID)
 }
 
 // advanceFounding performs the next steps of the founding whose conditions are
