--- a/kcw-fleet/kcwcontrol/redirect.go
+++ b/kcw-fleet/kcwcontrol/redirect.go
@@ -54,9 +54,9 @@
 func newDisklessHost(s *kcwsetup.Control, client *kcwcore.Client, sender *kcwpeer.Sender, now time.Time) *redirector {
 	r := &redirector{settings: s, client: client, sender: sender}
 	if s.Group.Bootstrap && slices.Contains(s.PeerAddresses(), s.Host.PeerAddress) {
-		own := s.Host.PeerAddress.String()
+		own := s.Host.PeerAddress
 		r.delegator = kcwgroup.NewDelegator(kcwgroup.DelegatorConfig{
-			Group: groupName, Name: own, Zone: s.Host.Zone, Address: own, Founders: founders(s), ChooseAt: now.Add(substituteWait),
+			Group: groupName, Name: own.String(), Zone: s.Host.Zone, Address: own, Founders: founders(s), ChooseAt: now.Add(substituteWait),
 		})
 	}
 	return r
--- a/kcw/kcwgroup/delegator.go
+++ b/kcw/kcwgroup/delegator.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -17,7 +18,8 @@
 // DelegatorConfig configures a Delegator. Every field is needed.
 type DelegatorConfig struct {
 	// Group, Name, Zone and Address are those of Config for a founder without a disk.
-	Group, Name, Zone, Address string
+	Group, Name, Zone string
+	Address           netip.AddrPort
 	// Founders are the configured founders, as in Config.
 	Founders []*kcwpb.Member
 	// ChooseAt is when the substitute is chosen. Hosts that have not called by then do not
@@ -44,7 +46,7 @@
 
 // NewDelegator returns a Delegator that has chosen no substitute.
 func NewDelegator(cfg DelegatorConfig) *Delegator {
-	self := &kcwpb.Member{Id: max(1, rand.Uint64()), Name: cfg.Name, Zone: cfg.Zone, Address: cfg.Address}
+	self := &kcwpb.Member{Id: max(1, rand.Uint64()), Name: cfg.Name, Zone: cfg.Zone, Address: cfg.Address.String()}
 	return &Delegator{cfg: cfg, self: self, candidates: map[string]*kcwpb.Member{}}
 }
 
--- a/kcw/kcwgroup/delegator_test.go
+++ b/kcw/kcwgroup/delegator_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -48,7 +49,7 @@
 		{"a group exists", "n1", []heard{{hintMember, "d2", "a", 2, 0}, {hintIdentity, "d1", "a", 1, time.Second}}, ""},
 	} {
 		founders := []*kcwpb.Member{{Name: "n1"}, {Name: "n2"}, {Name: "n3"}}
-		d := NewDelegator(DelegatorConfig{Group: "g", Name: test.self, Zone: "z", Address: test.self, Founders: founders, ChooseAt: chooseAt})
+		d := NewDelegator(DelegatorConfig{Group: "g", Name: test.self, Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:40001"), Founders: founders, ChooseAt: chooseAt})
 		got := ""
 		for _, h := range test.heard {
 			to, reply := d.Step(foundingMessage(h.hint, h.name, h.zone, h.id), start.Add(h.at))
@@ -116,7 +117,7 @@
 	delete(s.delegators, name)
 	if bootstrap {
 		s.delegators[name] = NewDelegator(DelegatorConfig{
-			Group: "test", Name: name, Zone: "z-" + name, Address: s.hosts[name].address, Founders: s.founderMembers(), ChooseAt: time.Now().Add(30 * time.Millisecond),
+			Group: "test", Name: name, Zone: "z-" + name, Address: netip.MustParseAddrPort(s.hosts[name].address), Founders: s.founderMembers(), ChooseAt: time.Now().Add(30 * time.Millisecond),
 		})
 	}
 }
