--- a/kcw/kcwforward/unstated_test.go
+++ b/kcw/kcwforward/unstated_test.go
@@ -124,6 +124,8 @@
 			}
 			writeHead(e, http.StatusServiceUnavailable, "Content-Length: 3\r\n")
 		}, good))
+		f.cfg.UsedWithin = longTime
+		f.serve(t)
 		for i, want := range []int{http.StatusBadGateway, http.StatusOK} {
 			// A connection carries no identity twice.
 			if response, _, err := f.call(t, http.MethodPost, "", "Attempt", strconv.Itoa(i)); err != nil || response.StatusCode != want {
