kcwgroup: the log states for whom a founding waits

Each 50 heartbeats the log names the founders whose identity is unknown and those that have not confirmed.

--- a/kcw/kcwgroup/found.go
+++ b/kcw/kcwgroup/found.go
@@ -63,8 +63,9 @@
 	persisted []*kcwpb.Member
 	// confirmed holds the names of the founders that have persisted the same set.
 	confirmed map[string]bool
-	// requestAt is when the next request to the other founders is due.
-	requestAt time.Time
+	// requestAt is when the next request to the other founders is due, and reportAt when the log
+	// states next for whom the founding waits.
+	requestAt, reportAt time.Time
 }
 
 func newFoundingState(self *kcwpb.Member, founders, persisted []*kcwpb.Member) *foundingState {
@@ -164,6 +165,20 @@
 	return len(f.persisted) > 0
 }
 
+// awaited returns the names of the founders whose identity is unknown, and of those that have not
+// confirmed the set that this replica has persisted.
+func (f *foundingState) awaited() (unknown, unconfirmed []string) {
+	for _, founder := range f.founders {
+		switch {
+		case len(f.persisted) > 0 && !f.confirmed[founder.Name]:
+			unconfirmed = append(unconfirmed, founder.Name)
+		case len(f.persisted) == 0 && f.identities[founder.Name] == nil:
+			unknown = append(unknown, founder.Name)
+		}
+	}
+	return unknown, unconfirmed
+}
+
 func sameMembers(a, b []*kcwpb.Member) bool {
 	return proto.Equal(&kcwpb.Membership{Members: a}, &kcwpb.Membership{Members: b})
 }
@@ -272,6 +287,7 @@
 		return nil
 	}
 	f.requestAt = now.Add(g.cfg.Heartbeat)
+	g.reportFounding(now)
 	for _, founder := range f.founders {
 		if founder.Name == g.cfg.Name {
 			continue
@@ -283,6 +299,24 @@
 	return g.advanceFounding()
 }
 
+// reportHeartbeats is the number of heartbeat intervals between two lines of the log that state for
+// whom the founding waits.
+const reportHeartbeats = 50
+
+// reportFounding logs for whom the founding waits, if that is due.
+func (g *Group) reportFounding(now time.Time) {
+	f := g.founding
+	switch {
+	case f.reportAt.IsZero():
+	case now.Before(f.reportAt):
+		return
+	default:
+		unknown, unconfirmed := f.awaited()
+		klog.InfoS("founding waits", "Group", g.cfg.Group, "Replica", g.identity.ID, "Unknown", unknown, "Unconfirmed", unconfirmed)
+	}
+	f.reportAt = now.Add(reportHeartbeats * g.cfg.Heartbeat)
+}
+
 func (g *Group) replyFound(to *kcwpb.Member) {
 	if m := g.foundMessage(); m != nil {
 		g.cfg.Send(to, []*kcwpb.Message{m})
