--- a/kcw-fleet/kcwcontrol/blocks.go
+++ b/kcw-fleet/kcwcontrol/blocks.go
@@ -204,7 +204,7 @@
 	for _, block := range blocks {
 		granted, inProgress := k.trials[kcwblocklist.Key(block)]
 		switch {
-		case inProgress && k.detector.BegunSince(block.GetParts(), granted):
+		case inProgress && k.detector.WholeSince(block.GetParts(), granted):
 			klog.InfoS("Parts no longer blocked: a trial succeeded", "Parts", block.GetParts())
 			k.detector.Forget(block.GetParts())
 		case inProgress && k.detector.CutSince(block.GetParts(), granted):
--- a/kcw-fleet/kcwcontrol/blocks_test.go
+++ b/kcw-fleet/kcwcontrol/blocks_test.go
@@ -254,6 +254,11 @@
 	begun := func() *kcwpb.PartEvidence {
 		return &kcwpb.PartEvidence{Begun: []*kcwpb.BegunPart{{Part: "crashing", Answers: 1}}, Answers: 1}
 	}
+	whole := func() *kcwpb.PartEvidence {
+		evidence := begun()
+		evidence.Begun[0].WholeAgeNanos = 1
+		return evidence
+	}
 	grant := func(f *keeperFixture, after time.Duration, want string) {
 		t.Helper()
 		f.now = f.now.Add(after)
@@ -272,7 +277,11 @@
 	grant(f, testTrialAfter, "")
 	grant(f, trialFactor*testTrialAfter, "crashing")
 	f.now = f.now.Add(time.Second)
-	if response, err := f.report("r", &kcwpb.FleetSyncRequest{Evidence: begun()}); err != nil || response.GetBlocksVersion() != 3 || len(response.GetBlocks()) > 0 {
+	if response, err := f.report("r", &kcwpb.FleetSyncRequest{Evidence: begun()}); err != nil || response.GetBlocksVersion() != 2 {
+		t.Errorf("after an answer that has only begun: got %v, %v", response, err)
+	}
+	f.now = f.now.Add(time.Second)
+	if response, err := f.report("r", &kcwpb.FleetSyncRequest{Evidence: whole()}); err != nil || response.GetBlocksVersion() != 3 || len(response.GetBlocks()) > 0 {
 		t.Errorf("after a trial that succeeded: got %v, %v", response, err)
 	}
 
@@ -345,7 +354,7 @@
 	}
 	for i := range 40 {
 		for range 50 {
-			guard.Begin([]string{"class", "subject" + strconv.Itoa(i)})
+			guard.Complete([]string{"class", "subject" + strconv.Itoa(i)}, true)
 		}
 		if i%4 == 0 {
 			cut("class", "rare"+strconv.Itoa(i))
@@ -357,7 +366,7 @@
 	cut("class", "crashing")
 	report(before)
 	for range 3 {
-		guard.Begin([]string{"class"})
+		guard.Complete([]string{"class"}, true)
 		report(after)
 	}
 	cut("class", "crashing")
@@ -365,7 +374,7 @@
 	cut("class", "crashing")
 	for range 3 {
 		for range 5 {
-			guard.Begin([]string{"class"})
+			guard.Complete([]string{"class"}, true)
 		}
 		report(after)
 	}
--- a/kcw-fleet/kcwcontrol/restart_test.go
+++ b/kcw-fleet/kcwcontrol/restart_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -40,8 +41,9 @@
 	// afterwards.
 	restartTime time.Duration
 	keepsID     bool
-	// badFirst is set if badPart is the first part of its prompts.
-	badFirst bool
+	// badFirst is set if badPart is the first part of its prompts, and crashesWithin if it crashes
+	// upstreams within the answer.
+	badFirst, crashesWithin bool
 	// subjects is the number of different second parts of sound prompts. If hasOther is set,
 	// answers of another service begin too.
 	subjects int
@@ -61,6 +63,7 @@
 // crashingUpstream is an upstream of a crashingFleet.
 type crashingUpstream struct {
 	name       string
+	address    netip.AddrPort
 	generation int
 	upAt       time.Time
 	// crashEvery is the mean time between crashes by itself, zero for none.
@@ -72,7 +75,8 @@
 type crashingRequest struct {
 	router *kcwguard.Guard
 	cut    kcwdetector.Cut
-	dueAt  time.Time
+	// dueAt is when the answer begins, and endsAt when it ends.
+	dueAt, endsAt time.Time
 }
 
 const (
@@ -100,7 +104,7 @@
 		f.routers = append(f.routers, guard)
 	}
 	for i := range upstreams {
-		f.upstreams = append(f.upstreams, &crashingUpstream{name: "u" + strconv.Itoa(i)})
+		f.upstreams = append(f.upstreams, &crashingUpstream{name: "u" + strconv.Itoa(i), address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)})
 	}
 	return f
 }
@@ -147,9 +151,10 @@
 		f.arrivals = append(f.arrivals, f.keeper.now)
 	}
 	name := strconv.Itoa(f.serial)
+	dueAt := f.keeper.now.Add(30*time.Millisecond + time.Duration(f.random.IntN(200))*time.Millisecond)
 	u.running = append(u.running, &crashingRequest{
-		router: router, dueAt: f.keeper.now.Add(30*time.Millisecond + time.Duration(f.random.IntN(200))*time.Millisecond),
-		cut: kcwdetector.Cut{Request: name, Upstream: f.id(u), Prompt: name, Parts: parts},
+		router: router, dueAt: dueAt, endsAt: dueAt.Add(20*time.Millisecond + time.Duration(f.random.IntN(500))*time.Millisecond),
+		cut: kcwdetector.Cut{Request: name, Upstream: f.id(u), Address: u.address, Prompt: name, Parts: parts},
 	})
 }
 
@@ -171,12 +176,20 @@
 		if f.keeper.now.Before(r.dueAt) {
 			continue
 		}
-		if slices.Contains(r.cut.Parts, badPart) {
+		isBad := slices.Contains(r.cut.Parts, badPart)
+		if isBad && (!f.crashesWithin || !f.keeper.now.Before(r.endsAt)) {
 			f.crashes = append(f.crashes, f.keeper.now)
 			f.crash(u)
 			return
 		}
-		r.router.Begin(r.cut.Parts)
+		if !r.cut.Begun {
+			r.cut.Begun = true
+			r.router.Begin(r.cut.Parts)
+		}
+		if f.keeper.now.Before(r.endsAt) {
+			continue
+		}
+		r.router.Complete(r.cut.Parts, true)
 		u.running = slices.Delete(u.running, i, i+1)
 		i--
 	}
@@ -195,7 +208,7 @@
 			f.send(false)
 		}
 		if f.hasOther {
-			f.routers[f.random.IntN(len(f.routers))].Begin([]string{"other"})
+			f.routers[f.random.IntN(len(f.routers))].Complete([]string{"other"}, true)
 		}
 		if badEvery > 0 && elapsed > 0 && elapsed%badEvery == 0 {
 			f.send(true)
@@ -279,9 +292,9 @@
 	parameters.MinSuccessfulTests, parameters.Workers = 120, 4
 	properties := gopter.NewProperties(parameters)
 	properties.Property("only the part that crashes upstreams is blocked, and soon", prop.ForAll(
-		func(seed uint64, routers, upstreams, restartTenths, badTenths, selfTenths int, keepsID, badFirst, isRare, hasOther bool) string {
+		func(seed uint64, routers, upstreams, restartTenths, badTenths, selfTenths int, keepsID, badFirst, crashesWithin, isRare, hasOther bool) string {
 			f := newCrashingFleet(t, seed, routers, upstreams)
-			f.restartTime, f.keepsID, f.badFirst = time.Duration(restartTenths)*time.Second/10, keepsID, badFirst
+			f.restartTime, f.keepsID, f.badFirst, f.crashesWithin = time.Duration(restartTenths)*time.Second/10, keepsID, badFirst, crashesWithin
 			f.excusesAlone = excusesAlone
 			f.subjects, f.hasOther = map[bool]int{false: 20, true: 400}[isRare], hasOther
 			if selfTenths > 0 {
@@ -291,7 +304,7 @@
 			return f.fault()
 		},
 		gen.UInt64(), gen.IntRange(1, 10), gen.OneGenOf(gen.IntRange(1, 3), gen.IntRange(4, 18)), gen.IntRange(1, 30), gen.OneGenOf(gen.Const(0), gen.IntRange(15, 60)),
-		gen.OneGenOf(gen.Const(0), gen.IntRange(crashTenths, 60)), gen.Bool(), gen.Bool(), gen.Bool(), gen.Bool(),
+		gen.OneGenOf(gen.Const(0), gen.IntRange(crashTenths, 60)), gen.Bool(), gen.Bool(), gen.Bool(), gen.Bool(), gen.Bool(),
 	))
 	properties.TestingRun(t)
 }
--- a/kcw-fleet/kcwguard/guard.go
+++ b/kcw-fleet/kcwguard/guard.go
@@ -56,27 +56,23 @@
 
 // evidence is a router's evidence that the core does not have.
 type evidence struct {
-	cuts    []kcwdetector.Cut
-	begun   map[string]begun
+	cuts []kcwdetector.Cut
+	// parts describes the answers by the parts of their prompts, answers is the number of those
+	// that have ended.
+	parts   map[string]kcwdetector.Answers
 	answers uint32
 }
 
 const (
-	// maxCutsInReport and maxBegunInReport bound the evidence in one report, to some KB. It
+	// maxCutsInReport and maxPartsInReport bound the evidence in one report, to some KB. It
 	// grows while the core does not answer, and the reports of hundreds of routers must fit the
 	// link of the leader that answers then. The rest follows with the next reports.
 	maxCutsInReport  = 16
-	maxBegunInReport = 128
+	maxPartsInReport = 128
 	// maxBlocksInReport bounds the blocks decided without the core in one report.
 	maxBlocksInReport = 8
 )
 
-// begun describes the answers that have begun on prompts with a part.
-type begun struct {
-	answers uint32
-	last    time.Time
-}
-
 // New returns a Guard without blocks. The error is a *kcwdetector.Error or a
 // *kcwsuspicion.Error.
 func New(cfg Config) (*Guard, error) {
@@ -110,33 +106,46 @@
 
 // Begin implements kcwforward.PartGuard.
 func (g *Guard) Begin(parts []string) {
+	now := g.cfg.Now()
+	g.detector.Begin(parts, now)
+	g.suspicions.Begin(parts)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, part := range parts {
+		g.pending.answer(part, kcwdetector.Answers{BegunAt: now})
+	}
+}
+
+// Complete implements kcwforward.PartGuard.
+func (g *Guard) Complete(parts []string, isWhole bool) {
 	if len(parts) == 0 {
 		return
 	}
 	now := g.cfg.Now()
-	g.detector.Begin(parts, now)
-	g.suspicions.Begin(parts)
+	g.detector.Complete(parts, isWhole, now)
+	answers := kcwdetector.Answers{Count: 1}
+	if isWhole {
+		answers.BegunAt, answers.WholeAt = now, now
+		g.suspicions.Complete(parts)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pending.answers++
 	for _, part := range parts {
-		g.pending.begin(part, begun{1, now})
+		g.pending.answer(part, answers)
 	}
 }
 
-func (e *evidence) begin(part string, b begun) {
-	if e.begun == nil {
-		e.begun = map[string]begun{}
+// answer adds answers to prompts with a part.
+func (e *evidence) answer(part string, more kcwdetector.Answers) {
+	if e.parts == nil {
+		e.parts = map[string]kcwdetector.Answers{}
 	}
-	before, found := e.begun[part]
-	if !found && len(e.begun) == kcwdetector.MaxBegunInMessage {
+	before, found := e.parts[part]
+	if !found && len(e.parts) == kcwdetector.MaxBegunInMessage {
 		return
 	}
-	b.answers += before.answers
-	if before.last.After(b.last) {
-		b.last = before.last
-	}
-	e.begun[part] = b
+	e.parts[part] = before.Add(more)
 }
 
 // Cut implements kcwforward.PartGuard.
@@ -151,12 +160,12 @@
 	g.pending.cut(cut)
 }
 
-// suspect adds a cut to the suspicions, with those of its parts on whose prompts no answer of
-// this router has begun since.
+// suspect adds a cut to the suspicions, with those of its parts that no answer of this router has
+// ruled out since.
 func (g *Guard) suspect(cut kcwdetector.Cut) {
 	for _, part := range cut.Parts {
-		if !g.detector.BegunSince([]string{part}, cut.At) {
-			g.suspicions.Cut(part, cut.Upstream, cut.At)
+		if !g.detector.IsRuledOut(part, cut.Begun, cut.At) {
+			g.suspicions.Cut(part, cut.Upstream, cut.Begun, cut.At)
 		}
 	}
 }
@@ -188,7 +197,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sent = g.pending.take()
-	if len(g.sent.cuts) > 0 || g.sent.answers > 0 || len(g.sent.begun) > 0 {
+	if len(g.sent.cuts) > 0 || g.sent.answers > 0 || len(g.sent.parts) > 0 {
 		req.Evidence = g.sent.encode(now)
 	}
 	if err := kcwdetector.Check(req.GetEvidence()); err != nil {
@@ -206,12 +215,12 @@
 // parts, which can rule these out, and as many on other parts as fit.
 func (e *evidence) take() evidence {
 	at := max(0, len(e.cuts)-maxCutsInReport)
-	taken := evidence{cuts: slices.Clone(e.cuts[at:]), begun: map[string]begun{}, answers: e.answers}
+	taken := evidence{cuts: slices.Clone(e.cuts[at:]), parts: map[string]kcwdetector.Answers{}, answers: e.answers}
 	e.cuts, e.answers = e.cuts[:at], 0
 	move := func(part string) {
-		if b, found := e.begun[part]; found {
-			taken.begun[part] = b
-			delete(e.begun, part)
+		if a, found := e.parts[part]; found {
+			taken.parts[part] = a
+			delete(e.parts, part)
 		}
 	}
 	for _, c := range taken.cuts {
@@ -219,8 +228,8 @@
 			move(part)
 		}
 	}
-	for part := range e.begun {
-		if len(taken.begun) >= maxBegunInReport {
+	for part := range e.parts {
+		if len(taken.parts) >= maxPartsInReport {
 			break
 		}
 		move(part)
@@ -233,8 +242,8 @@
 	for _, c := range e.cuts {
 		message.Cuts = append(message.Cuts, c.Encode(now))
 	}
-	for part, b := range e.begun {
-		message.Begun = append(message.Begun, &kcwpb.BegunPart{Part: part, Answers: b.answers, AgeNanos: max(0, int64(now.Sub(b.last)))})
+	for part, a := range e.parts {
+		message.Begun = append(message.Begun, a.Encode(part, now))
 	}
 	return message
 }
@@ -243,10 +252,10 @@
 func decode(message *kcwpb.PartEvidence, now time.Time) evidence {
 	e := evidence{answers: message.GetAnswers()}
 	for _, c := range message.GetCuts() {
-		e.cut(kcwdetector.Cut{Request: c.GetRequest(), Upstream: c.GetUpstream(), Prompt: c.GetPrompt(), Parts: c.GetParts(), At: now.Add(-time.Duration(c.GetAgeNanos()))})
+		e.cut(kcwdetector.DecodeCut(c, now))
 	}
 	for _, b := range message.GetBegun() {
-		e.begin(b.GetPart(), begun{b.GetAnswers(), now.Add(-time.Duration(b.GetAgeNanos()))})
+		e.answer(b.GetPart(), kcwdetector.DecodeAnswers(b, now))
 	}
 	return e
 }
@@ -276,7 +285,7 @@
 	g.cutsVersion = response.GetCutsVersion()
 	for _, c := range response.GetCuts() {
 		g.pending.drop(c)
-		g.suspect(kcwdetector.Cut{Upstream: c.GetUpstream(), Parts: c.GetParts(), At: now.Add(-time.Duration(c.GetAgeNanos()))})
+		g.suspect(kcwdetector.DecodeCut(c, now))
 	}
 	g.blocks.DropLocal(req.GetLocalBlocks())
 	if response.GetBlocksVersion() != req.GetBlocksVersion() {
@@ -292,12 +301,12 @@
 	since := g.pending
 	cuts := append(since.cuts, e.cuts...)
 	slices.SortStableFunc(cuts, func(a, b kcwdetector.Cut) int { return a.At.Compare(b.At) })
-	g.pending = evidence{begun: maps.Clone(e.begun), answers: e.answers + since.answers}
+	g.pending = evidence{parts: maps.Clone(e.parts), answers: e.answers + since.answers}
 	for _, c := range cuts {
 		g.pending.cut(c)
 	}
-	for part, b := range since.begun {
-		g.pending.begin(part, b)
+	for part, a := range since.parts {
+		g.pending.answer(part, a)
 	}
 }
 
--- a/kcw-fleet/kcwguard/guard_test.go
+++ b/kcw-fleet/kcwguard/guard_test.go
@@ -47,7 +47,9 @@
 // serve records answers to prompts without the crashing part.
 func (r *router) serve(answers int) {
 	for i := range answers {
-		r.Begin([]string{"class", fmt.Sprintf("subject%d", i)})
+		parts := []string{"class", fmt.Sprintf("subject%d", i)}
+		r.Begin(parts)
+		r.Complete(parts, true)
 	}
 }
 
@@ -79,6 +81,9 @@
 		t.Errorf("after a lost report: got %v", req.GetEvidence())
 	}
 	for _, b := range req.GetEvidence().GetBegun() {
+		if b.GetWholeAgeNanos() == 0 {
+			t.Errorf("%s: the whole answers are not reported", b.GetPart())
+		}
 		want := map[string]uint32{"class": 5, "subject0": 2, "subject1": 2, "subject2": 1}[b.GetPart()]
 		if b.GetAnswers() != want {
 			t.Errorf("%s: got %d answers, want %d", b.GetPart(), b.GetAnswers(), want)
@@ -122,6 +127,21 @@
 			r.Begin([]string{"crashing"})
 			r.Begin([]string{"class"})
 		}, nil},
+		{"an answer that has begun since a cut within one", func(r *router) {
+			within := cut("v", 0)
+			within.Begun = true
+			r.EndReport(&kcwpb.FleetSyncRequest{}, &kcwpb.FleetSyncResponse{Cuts: []*kcwpb.CutAttempt{within}})
+			r.now = r.now.Add(time.Second)
+			r.Begin(parts)
+			r.Complete(parts, false)
+		}, []string{"v"}},
+		{"a whole answer since a cut within one", func(r *router) {
+			within := cut("v", 0)
+			within.Begun = true
+			r.EndReport(&kcwpb.FleetSyncRequest{}, &kcwpb.FleetSyncResponse{Cuts: []*kcwpb.CutAttempt{within}})
+			r.now = r.now.Add(time.Second)
+			r.Complete(parts, true)
+		}, nil},
 		{"an answer between a cut and the news of it", func(r *router) {
 			r.Begin(parts)
 			r.EndReport(&kcwpb.FleetSyncRequest{}, &kcwpb.FleetSyncResponse{Cuts: []*kcwpb.CutAttempt{cut("v", time.Second)}})
--- a/kcw/kcwdetector/decide.go
+++ b/kcw/kcwdetector/decide.go
@@ -10,12 +10,12 @@
 	"kingcupwick.example/kcw/kcwpb"
 )
 
-// Suspect is a part that was in cut prompts and in no prompt whose answer has begun since.
+// Suspect is a part that was in cut prompts and that no answer has ruled out since.
 type Suspect struct {
 	Part string
 	// Moments, Upstreams and Prompts are the numbers of different ones among its cuts.
 	Moments, Upstreams, Prompts int
-	// Answers is the number of answers that have begun on its prompts.
+	// Answers is the number of answers to its prompts that have ended.
 	Answers uint64
 	// LastAt is the time of its latest cut.
 	LastAt time.Time
@@ -92,26 +92,27 @@
 func (d *Detector) markEnds(marks []bool, cuts []int) {
 	ends := map[string][]time.Time{}
 	for _, i := range cuts {
-		ends[d.cuts[i].Upstream] = append(ends[d.cuts[i].Upstream], d.cuts[i].At)
+		place := d.cuts[i].place()
+		ends[place] = append(ends[place], d.cuts[i].At)
 	}
 	for i, c := range d.cuts {
-		marks[i] = marks[i] || slices.ContainsFunc(ends[c.Upstream], func(end time.Time) bool { return c.At.Sub(end).Abs() <= d.cfg.EndSpan })
+		marks[i] = marks[i] || slices.ContainsFunc(ends[c.place()], func(end time.Time) bool { return c.At.Sub(end).Abs() <= d.cfg.EndSpan })
 	}
 }
 
 // shareCut estimates the share of recent attempts that were cut, apart from the cuts that
 // are marked, by Laplace's rule of succession.
 func (d *Detector) shareCut(marks []bool, now time.Time) float64 {
-	cuts, begun := 0.0, float64(d.recentAnswers(now))
+	cuts, answers := 0.0, float64(d.recentAnswers(now))
 	for i, c := range d.cuts {
 		if now.Sub(c.At) < rateSeconds*time.Second && !marks[i] {
 			cuts++
 		}
 	}
-	return (cuts + 1) / (cuts + begun + 2)
+	return (cuts + 1) / (cuts + answers + 2)
 }
 
-// recentAnswers returns the number of answers that began in the last rateSeconds.
+// recentAnswers returns the number of answers that ended in the last rateSeconds.
 func (d *Detector) recentAnswers(now time.Time) uint64 {
 	n := uint64(0)
 	for _, bin := range d.recent {
@@ -132,7 +133,7 @@
 }
 
 // suspicions returns, for each part, the indices of the settled cuts of prompts with the
-// part since an answer on it last began.
+// part that no answer has ruled out since.
 func (d *Detector) suspicions(now time.Time) map[string][]int {
 	suspicions := map[string][]int{}
 	for i, c := range d.cuts {
@@ -150,8 +151,8 @@
 type tally struct {
 	Suspect
 	cuts []int
-	// othersBegun is the number of answers that have begun since the first cut.
-	othersBegun uint64
+	// otherAnswers is the number of answers that have ended since the first cut.
+	otherAnswers uint64
 }
 
 // tally returns the evidence of the cuts with the given indices against a part.
@@ -161,25 +162,25 @@
 	if len(indices) == 0 {
 		return s
 	}
-	// ends holds the time of the last end of each upstream. One that starts again under its ID
-	// has several.
+	// ends holds the time of the last end of each upstream. One that starts again has several.
 	ends, prompts := map[string]time.Time{}, map[string]bool{}
 	var moment time.Time
 	for _, i := range indices {
 		c := d.cuts[i]
 		prompts[c.Prompt] = true
 		s.LastAt = c.At
-		if end, found := ends[c.Upstream]; found && c.At.Sub(end) <= d.cfg.EndSpan {
+		place := c.place()
+		if end, found := ends[place]; found && c.At.Sub(end) <= d.cfg.EndSpan {
 			continue
 		}
-		ends[c.Upstream] = c.At
+		ends[place] = c.At
 		if s.Moments == 0 || c.At.Sub(moment) > d.cfg.MomentSpan {
 			s.Moments++
 			moment = c.At
 		}
 	}
 	s.Upstreams, s.Prompts = len(ends), len(prompts)
-	s.othersBegun = d.answers - d.cuts[indices[0]].answers
+	s.otherAnswers = d.answers - d.cuts[indices[0]].answers
 	return s
 }
 
@@ -224,7 +225,7 @@
 		minMoments++
 	}
 	missing := max(0, d.cfg.MinUpstreams-s.Upstreams)
-	if s.Moments < minMoments+missing+bits.Len64(s.Answers) || s.othersBegun < uint64(d.cfg.MinAnswers) {
+	if s.Moments < minMoments+missing+bits.Len64(s.Answers) || s.otherAnswers < uint64(d.cfg.MinAnswers) {
 		return false
 	}
 	return s.Upstreams > 1 || d.cfg.MinUpstreams == 1 || s.Moments > d.endsWithout(s)
@@ -235,10 +236,10 @@
 func (d *Detector) endsWithout(s *tally) int {
 	marks := make([]bool, len(d.cuts))
 	d.markEnds(marks, s.cuts)
-	upstream, n := d.cuts[s.cuts[0]].Upstream, 0
+	place, n := d.cuts[s.cuts[0]].place(), 0
 	var last time.Time
 	for i, c := range d.cuts {
-		if !marks[i] && c.Upstream == upstream && (n == 0 || c.At.Sub(last) > d.cfg.EndSpan) {
+		if !marks[i] && c.place() == place && (n == 0 || c.At.Sub(last) > d.cfg.EndSpan) {
 			n++
 			last = c.At
 		}
--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -3,12 +3,13 @@
 // package does no I/O and reads no clock.
 //
 // The evidence is of two kinds. An attempt is cut if its upstream closes the connection
-// before an event of the answer has arrived, and an answer begins with its first event.
-// A part that crashes each upstream is never in a prompt whose answer begins, so an
-// answer rules out all parts of its prompt for the time before it. Of the other parts,
-// the one is chosen that was present at most of the moments at which upstreams ended. It
-// accounts for these ends, so that other parts whose requests were cut by them are not
-// suspected because of them.
+// before the answer is whole: before its first event, or within the answer. An upstream
+// that crashes on a part does so on each prompt with it, so an answer that gets further
+// than a cut one rules out the parts that both prompts have, for the time before: one that
+// begins rules them out for the cuts before a first event, and one that is whole for all
+// cuts. Of the other parts, the one is chosen that was present at most of the moments at
+// which upstreams ended. It accounts for these ends, so that other parts whose requests
+// were cut by them are not suspected because of them.
 //
 // The load for which the decision is made is that of a fleet: the evidence of hundreds
 // of routers that each see few of the ends, among dozens of other requests that a crash
@@ -16,6 +17,7 @@
 package kcwdetector
 
 import (
+	"net/netip"
 	"slices"
 	"sort"
 	"sync"
@@ -29,7 +31,7 @@
 // Config configures a Detector. Every field must be positive, and MaxChance less than one.
 type Config struct {
 	// MinMoments is the number of separate moments at which upstreams must have ended
-	// with a part before it is blocked. For a part on whose prompts n answers have begun
+	// with a part before it is blocked. For a part on whose prompts n answers have ended
 	// earlier, the number is higher by the bits of n.
 	MinMoments int
 	// MomentSpan is the time within which ends count as one moment, since one cause may
@@ -40,19 +42,19 @@
 	EndSpan time.Duration
 	// MinUpstreams and MinPrompts are the numbers of different upstreams and prompts
 	// that must have been cut. With one prompt less, one moment more is needed, and one more for
-	// each upstream less, since one that starts again may keep its ID. A part that was cut at
-	// one upstream alone must have been at most of its ends: one that ends again and again by
-	// itself shows nothing about a part.
+	// each upstream less, since one that starts again keeps its ID or its address. A part that
+	// was cut at one upstream alone must have been at most of its ends: one that ends again and
+	// again by itself shows nothing about a part.
 	MinUpstreams, MinPrompts int
 	// MaxChance is the largest probability that all attempts of a part's prompts were cut
 	// by chance, by ends of upstreams that have nothing to do with them. The more attempts
 	// other ends cut, the more moments are needed.
 	MaxChance float64
-	// MinAnswers is the number of answers to other prompts that must have begun in the
-	// meantime. If none begin, all prompts fail and no part can be the cause.
+	// MinAnswers is the number of answers to other prompts that must have ended in the
+	// meantime. If none do, all prompts fail and no part can be the cause.
 	MinAnswers int
 	// Settle is the age at which a cut counts. It covers the delay of reports of answers
-	// that began at other routers.
+	// at other routers.
 	Settle time.Duration
 	// Window is the age up to which a cut counts.
 	Window time.Duration
@@ -60,32 +62,55 @@
 	MaxParts, MaxCuts int
 }
 
-// Cut is an attempt whose upstream closed the connection before an event of the answer
-// had arrived.
+// Cut is an attempt whose upstream closed the connection before the answer was whole.
 type Cut struct {
 	Request, Upstream string
+	// Address is that of the upstream, not valid if it is not known. It tells an upstream that
+	// starts again under another ID from others.
+	Address netip.AddrPort
 	// Prompt identifies the last part of the prompt, and Parts those that other requests
 	// may share.
 	Prompt string
 	Parts  []string
-	At     time.Time
+	// Begun is set if an event of the answer had arrived.
+	Begun bool
+	At    time.Time
 }
 
 // cut is a stored Cut.
 type cut struct {
 	Cut
-	// suspected are those of Parts on which no answer has begun since.
+	// suspected are those of Parts that no answer has ruled out since.
 	suspected []string
-	// answers is the number of answers that had begun before.
+	// answers is the number of answers that had ended before.
 	answers uint64
 	// serial is the position of the cut in the order in which cuts were added, from one.
 	serial uint64
 }
 
-// history describes the answers that have begun on prompts with a part.
+// place identifies the upstream over its restarts, as far as that is known.
+func (c Cut) place() string {
+	if c.Address.IsValid() {
+		return c.Address.String()
+	}
+	return c.Upstream
+}
+
+// history describes the answers to prompts with a part.
 type history struct {
+	// answers is the number of answers that have ended.
 	answers uint64
-	last    time.Time
+	// begun is when the last answer began or ended whole, and whole when one ended whole.
+	begun, whole time.Time
+}
+
+// ruledOutUntil returns the time up to which the answers rule out the part for cuts within an
+// answer, if isBegun is set, or else before one.
+func (h history) ruledOutUntil(isBegun bool) time.Time {
+	if isBegun {
+		return h.whole
+	}
+	return h.begun
 }
 
 // attemptKey identifies an attempt.
@@ -106,7 +131,7 @@
 	exportedTo int
 	// suspected counts the cuts in which each part is suspected.
 	suspected map[string]int
-	// recent counts the answers that have begun in each of the last seconds, at the index
+	// recent counts the answers that have ended in each of the last seconds, at the index
 	// of the Unix time modulo its length.
 	recent [rateSeconds]answersInSecond
 }
@@ -115,7 +140,7 @@
 // taken.
 const rateSeconds = 60
 
-// answersInSecond is the number of answers that began in one second of Unix time.
+// answersInSecond is the number of answers that ended in one second of Unix time.
 type answersInSecond struct {
 	second  int64
 	answers uint64
@@ -180,7 +205,7 @@
 	d.serial++
 	stored := cut{Cut: c, answers: d.answers, serial: d.serial}
 	for _, part := range c.Parts {
-		if h, _ := d.parts.Peek(part); c.At.After(h.last) && !slices.Contains(stored.suspected, part) {
+		if h, _ := d.parts.Peek(part); c.At.After(h.ruledOutUntil(c.Begun)) && !slices.Contains(stored.suspected, part) {
 			stored.suspected = append(stored.suspected, part)
 			d.suspected[part]++
 		}
@@ -189,13 +214,16 @@
 	return true
 }
 
-// clearPart ends the suspicion of a part in the cuts up to a time.
-func (d *Detector) clearPart(part string, until time.Time) {
+// clearPart ends the suspicion of a part in the cuts that its answers rule out.
+func (d *Detector) clearPart(part string, h history) {
 	for i := range d.cuts {
 		c := &d.cuts[i]
-		if c.At.After(until) {
+		if c.At.After(h.begun) {
 			break
 		}
+		if c.At.After(h.ruledOutUntil(c.Begun)) {
+			continue
+		}
 		if at := slices.Index(c.suspected, part); at >= 0 {
 			c.suspected = slices.Delete(c.suspected, at, at+1)
 			d.release(part)
@@ -228,15 +256,30 @@
 
 // Begin records that the answer to a prompt with the given parts began at a time.
 func (d *Detector) Begin(parts []string, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, part := range parts {
+		d.answer(part, history{begun: at})
+	}
+}
+
+// Complete records that the answer to a prompt with the given parts ended at a time. If isWhole is
+// not set, it may have been broken off unnoticed, as one whose end is that of its connection. It
+// then counts, and rules out no more than its beginning does.
+func (d *Detector) Complete(parts []string, isWhole bool, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.addAnswers(1, at)
+	h := history{answers: 1}
+	if isWhole {
+		h.begun, h.whole = at, at
+	}
 	for _, part := range parts {
-		d.begin(part, 1, at)
+		d.answer(part, h)
 	}
 }
 
-// addAnswers counts answers that began at a time.
+// addAnswers counts answers that ended at a time.
 func (d *Detector) addAnswers(n uint64, at time.Time) {
 	d.answers += n
 	bin := &d.recent[uint64(at.Unix())%rateSeconds]
@@ -246,26 +289,36 @@
 	bin.answers += n
 }
 
-// begin records answers on prompts with a part, the last of which began at a time.
-func (d *Detector) begin(part string, answers uint64, at time.Time) {
+// answer adds answers to prompts with a part, and ends its suspicion in the cuts that they rule out.
+func (d *Detector) answer(part string, more history) {
 	h, _ := d.parts.Get(part)
-	h.answers += answers
-	if at.After(h.last) {
-		h.last = at
+	h.answers += more.answers
+	if more.begun.After(h.begun) {
+		h.begun = more.begun
+	}
+	if more.whole.After(h.whole) {
+		h.whole = more.whole
 	}
 	d.parts.Add(part, h)
 	if d.suspected[part] > 0 {
-		d.clearPart(part, at)
+		d.clearPart(part, h)
 	}
 }
 
-// BegunSince reports whether answers on prompts with each of the parts have begun at or
-// after a time.
-func (d *Detector) BegunSince(parts []string, since time.Time) bool {
+// IsRuledOut reports whether an answer rules out that the part was the cause of a cut at a time,
+// within an answer if isBegun is set, or else before one.
+func (d *Detector) IsRuledOut(part string, isBegun bool, at time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	h, _ := d.parts.Peek(part)
+	return !h.ruledOutUntil(isBegun).Before(at)
+}
+
+// WholeSince reports whether whole answers to prompts with each of the parts have ended at or
+// after a time.
+func (d *Detector) WholeSince(parts []string, since time.Time) bool {
 	for _, part := range parts {
-		if h, _ := d.parts.Peek(part); h.last.Before(since) {
+		if !d.IsRuledOut(part, true, since) {
 			return false
 		}
 	}
@@ -280,8 +333,8 @@
 }
 
 // CutsSince returns the cuts that were added since a version, the latest ones if there are more
-// than limit, and the version that they lead to. Their Parts are those on which no answer has
-// begun since; cuts without any are left out.
+// than limit, and the version that they lead to. Their Parts are those that no answer has ruled
+// out since; cuts without any are left out.
 func (d *Detector) CutsSince(version uint64, limit int) (cuts []Cut, latest uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/kcw/kcwdetector/detector_test.go
+++ b/kcw/kcwdetector/detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -30,8 +31,8 @@
 	return d
 }
 
-// step is one event of a test: a cut at an upstream, or, if upstream is empty, an answer
-// that begins.
+// step is one event of a test: a cut at an upstream, written as ID or as ID@ADDRESS, or, if
+// upstream is empty, a whole answer.
 type step struct {
 	at       time.Duration
 	upstream string
@@ -39,6 +40,21 @@
 	parts    string
 }
 
+// The prompts of steps whose answer has begun and goes on, or has ended with its connection.
+const (
+	begins   = "begins"
+	unproven = "unproven"
+)
+
+// within returns the steps with cuts that are within an answer, which begins just before.
+func within(steps []step) []step {
+	var all []step
+	for _, s := range steps {
+		all = append(all, step{s.at - 20*time.Millisecond, "", begins, s.parts}, step{s.at, s.upstream, s.prompt + begins, s.parts})
+	}
+	return all
+}
+
 // others are answers to prompts without any part of the tests, at the given time.
 func others(at time.Duration) []step {
 	var steps []step
@@ -60,11 +76,20 @@
 func play(d *kcwdetector.Detector, steps []step) {
 	for i, s := range steps {
 		parts := strings.Fields(s.parts)
-		if s.upstream == "" {
-			d.Begin(parts, start.Add(s.at))
-			continue
+		at := start.Add(s.at)
+		switch {
+		case s.upstream != "":
+			id, address, _ := strings.Cut(s.upstream, "@")
+			c := kcwdetector.Cut{Request: strconv.Itoa(i), Upstream: id, Prompt: s.prompt, Parts: parts, Begun: strings.HasSuffix(s.prompt, begins), At: at}
+			if address != "" {
+				c.Address = netip.MustParseAddrPort(address)
+			}
+			d.Cut(c)
+		case s.prompt == begins:
+			d.Begin(parts, at)
+		default:
+			d.Complete(parts, s.prompt != unproven, at)
 		}
-		d.Cut(kcwdetector.Cut{Request: strconv.Itoa(i), Upstream: s.upstream, Prompt: s.prompt, Parts: parts, At: start.Add(s.at)})
 	}
 }
 
@@ -92,6 +117,25 @@
 	}{
 		{name: "no evidence"},
 		{name: "three ends", steps: slices.Concat(three, others(second), []step{{3 * second, "", "", "class"}}), want: []string{"crashing"}},
+		{name: "three ends within the answer", steps: slices.Concat(within(three), others(second), []step{{3 * second, "", "", "class"}}), want: []string{"crashing"}},
+		{
+			name:  "an answer that has only begun does not rule out parts for a cut within one",
+			steps: slices.Concat(within(three), others(second), []step{{3 * second, "", begins, "class crashing"}}), want: []string{"class,crashing"},
+		},
+		{
+			name:  "an answer that has begun rules out parts for the cuts before one",
+			steps: slices.Concat(three, others(second), []step{{3 * second, "", begins, "class"}}), want: []string{"crashing"},
+		},
+		{
+			name:  "an answer that ends with its connection may have been broken off",
+			steps: slices.Concat(within(three), others(second), []step{{3 * second, "", unproven, "crashing"}, {3 * second, "", "", "class"}}),
+		},
+		{
+			name: "more ends than answers that end with their connection",
+			steps: slices.Concat(within(three), others(second), []step{{3 * second, "", unproven, "crashing"}, {3 * second, "", "", "class"}},
+				within([]step{{4 * second, "u4", "p4", "crashing"}})),
+			want: []string{"crashing"},
+		},
 		{name: "parts in common that the evidence does not tell apart", steps: slices.Concat(three, others(second)), want: []string{"class,crashing"}},
 		{name: "the cause of an outage of all upstreams is not known", steps: three},
 		{name: "the last cut is not settled", steps: slices.Concat(three, others(second)), at: 2*second + 300*time.Millisecond},
@@ -118,6 +162,19 @@
 				{0, "u1", "p1", "crashing"}, {2 * second, "u1", "p2", "crashing"}, {4 * second, "u1", "p3", "crashing"},
 			}, others(second)),
 		},
+		{
+			name: "three ends of one upstream that starts again under other IDs",
+			steps: slices.Concat([]step{
+				{0, "u1@10.0.0.1:80", "p1", "crashing"}, {2 * second, "u2@10.0.0.1:80", "p2", "crashing"}, {4 * second, "u3@10.0.0.1:80", "p3", "crashing"},
+			}, others(second)),
+		},
+		{
+			name: "three ends at different addresses",
+			steps: slices.Concat([]step{
+				{0, "u1@10.0.0.1:80", "p1", "crashing"}, {2 * second, "u2@10.0.0.2:80", "p2", "crashing"}, {4 * second, "u3@10.0.0.3:80", "p3", "crashing"},
+			}, others(second)),
+			want: []string{"crashing"},
+		},
 		{
 			name: "five ends of one upstream that starts again",
 			steps: slices.Concat([]step{
@@ -282,7 +339,7 @@
 	if got := blocked(d.Decide(start.Add(3 * time.Second))); !slices.Equal(got, []string{"crashing,subject"}) {
 		t.Errorf("got %q", got)
 	}
-	d.Begin([]string{"subject"}, start.Add(3*time.Second))
+	d.Complete([]string{"subject"}, true, start.Add(3*time.Second))
 	if got := blocked(d.Decide(start.Add(4 * time.Second))); !slices.Equal(got, []string{"crashing"}) {
 		t.Errorf("after an answer: got %q", got)
 	}
@@ -352,6 +409,7 @@
 		{"many parts", cut(func(c *kcwpb.CutAttempt) { c.Parts = strings.Split(strings.Repeat("x,", 100), ",") })},
 		{"a negative age", cut(func(c *kcwpb.CutAttempt) { c.AgeNanos = -1 })},
 		{"a begun part without a name", &kcwpb.PartEvidence{Begun: []*kcwpb.BegunPart{{Answers: 1}}}},
+		{"a part with a negative age of its whole answer", &kcwpb.PartEvidence{Begun: []*kcwpb.BegunPart{{Part: "a", WholeAgeNanos: -1}}}},
 		{"a begun part with a negative age", &kcwpb.PartEvidence{Begun: []*kcwpb.BegunPart{{Part: "a", AgeNanos: -1}}}},
 		{"too many cuts", &kcwpb.PartEvidence{Cuts: make([]*kcwpb.CutAttempt, kcwdetector.MaxCutsInMessage+1)}},
 		{"too many begun parts", &kcwpb.PartEvidence{Begun: make([]*kcwpb.BegunPart, kcwdetector.MaxBegunInMessage+1)}},
@@ -399,7 +457,7 @@
 	for i := range 10_000 {
 		n := strconv.Itoa(i)
 		d.Cut(kcwdetector.Cut{Request: n, Upstream: "u" + n, Prompt: n, Parts: []string{"a" + n, "b" + n}, At: start})
-		d.Begin([]string{"c" + n, "d" + n}, start)
+		d.Complete([]string{"c" + n, "d" + n}, true, start)
 	}
 	if n := len(d.ExportAll(start).GetCuts()); n != config().MaxCuts {
 		t.Errorf("%d cuts are kept, want %d", n, config().MaxCuts)
@@ -407,7 +465,7 @@
 	if d.CutSince([]string{"a0"}, start) {
 		t.Error("the earliest cut is kept")
 	}
-	if d.BegunSince([]string{"c0"}, start) || !d.BegunSince([]string{"c9999", "d9999"}, start) {
+	if d.WholeSince([]string{"c0"}, start) || !d.WholeSince([]string{"c9999", "d9999"}, start) {
 		t.Error("the parts used least recently are kept")
 	}
 }
@@ -424,7 +482,7 @@
 	for i := range 4 {
 		at, n := start.Add(time.Duration(i)*time.Second), strconv.Itoa(i)
 		d.Cut(kcwdetector.Cut{Request: n, Upstream: "u" + n, Prompt: n, Parts: []string{"sound"}, At: at})
-		d.Begin([]string{"sound"}, at.Add(500*time.Millisecond))
+		d.Complete([]string{"sound"}, true, at.Add(500*time.Millisecond))
 		play(d, others(time.Duration(i)*time.Second))
 	}
 	if got := blocked(d.Decide(start.Add(5 * time.Second))); len(got) > 0 {
@@ -432,12 +490,53 @@
 	}
 }
 
+// TestEvidenceOfFormerVersions checks what the reports of a member show that tells neither cuts
+// within an answer nor whole answers: that answers have begun.
+func TestEvidenceOfFormerVersions(t *testing.T) {
+	now := start.Add(4 * time.Second)
+	former := &kcwpb.PartEvidence{Begun: []*kcwpb.BegunPart{{Part: "crashing", Answers: 1}, {Part: "class", Answers: 40}}, Answers: 40}
+	ends := []step{
+		{0, "u1", "p1", "class crashing"},
+		{time.Second, "u2", "p2", "class crashing"},
+		{2 * time.Second, "u3", "p3", "class crashing"},
+		{3 * time.Second, "u4", "p4", "class crashing"},
+	}
+	for _, test := range []struct {
+		name  string
+		steps []step
+		want  []string
+	}{
+		{"cuts before an answer", ends, nil},
+		{"cuts within an answer", within(ends), []string{"crashing"}},
+	} {
+		d := newDetector(t)
+		play(d, slices.Concat(others(0), test.steps, []step{{3500 * time.Millisecond, "", "", "class"}}))
+		if _, err := d.Merge(former, now); err != nil {
+			t.Fatal(err)
+		}
+		if got := blocked(d.Decide(now.Add(time.Second))); !slices.Equal(got, test.want) {
+			t.Errorf("%s: got %q, want %q", test.name, got, test.want)
+		}
+		if d.WholeSince([]string{"crashing"}, start) {
+			t.Errorf("%s: an answer that has only begun ends a trial", test.name)
+		}
+	}
+	// A member of a former version takes what it knows of these messages.
+	d := newDetector(t)
+	play(d, []step{{0, "u1", "p1", "a"}, {time.Second, "", "", "a"}})
+	for _, b := range d.ExportAll(now).GetBegun() {
+		if b.GetAnswers() != 1 || time.Duration(b.GetAgeNanos()) != 3*time.Second {
+			t.Errorf("got %v", b)
+		}
+	}
+}
+
 // TestClockBeforeEpoch checks that a host whose clock is set before 1970 counts answers.
 func TestClockBeforeEpoch(t *testing.T) {
 	d := newDetector(t)
 	at := time.Unix(-12345, 0)
-	d.Begin([]string{"a"}, at)
-	if !d.BegunSince([]string{"a"}, at) {
+	d.Complete([]string{"a"}, true, at)
+	if !d.WholeSince([]string{"a"}, at) {
 		t.Error("the answer is not known")
 	}
 }
--- a/kcw/kcwdetector/evidence.go
+++ b/kcw/kcwdetector/evidence.go
@@ -1,6 +1,7 @@
 package kcwdetector
 
 import (
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -23,7 +24,66 @@
 
 // Encode returns the message for a cut. Its age is that at now.
 func (c *Cut) Encode(now time.Time) *kcwpb.CutAttempt {
-	return &kcwpb.CutAttempt{Request: c.Request, Upstream: c.Upstream, Prompt: c.Prompt, Parts: c.Parts, AgeNanos: max(0, int64(now.Sub(c.At)))}
+	m := &kcwpb.CutAttempt{
+		Request: c.Request, Upstream: c.Upstream, Prompt: c.Prompt, Parts: c.Parts, Begun: c.Begun, AgeNanos: max(0, int64(now.Sub(c.At))),
+	}
+	if c.Address.IsValid() {
+		m.Address = c.Address.String()
+	}
+	return m
+}
+
+// DecodeCut returns the cut in a message that was received at now. An address that can't be parsed
+// is not known.
+func DecodeCut(m *kcwpb.CutAttempt, now time.Time) Cut {
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		address = netip.AddrPort{}
+	}
+	return Cut{
+		Request: m.GetRequest(), Upstream: m.GetUpstream(), Address: address, Prompt: m.GetPrompt(), Parts: m.GetParts(), Begun: m.GetBegun(),
+		At: now.Add(-time.Duration(m.GetAgeNanos())),
+	}
+}
+
+// Answers describes the answers to prompts with a part. It is the form in which they are reported.
+type Answers struct {
+	// Count is the number of answers that have ended.
+	Count uint32
+	// BegunAt is when the last of them began or ended whole, and WholeAt when the last whole one
+	// ended, zero if there is none.
+	BegunAt, WholeAt time.Time
+}
+
+// Add returns a description of these answers and more.
+func (a Answers) Add(more Answers) Answers {
+	a.Count += more.Count
+	if more.BegunAt.After(a.BegunAt) {
+		a.BegunAt = more.BegunAt
+	}
+	if more.WholeAt.After(a.WholeAt) {
+		a.WholeAt = more.WholeAt
+	}
+	return a
+}
+
+// Encode returns the message for the answers to prompts with a part. Their ages are those at now.
+func (a Answers) Encode(part string, now time.Time) *kcwpb.BegunPart {
+	m := &kcwpb.BegunPart{Part: part, Answers: a.Count, AgeNanos: max(0, int64(now.Sub(a.BegunAt)))}
+	if !a.WholeAt.IsZero() {
+		m.WholeAgeNanos = max(1, int64(now.Sub(a.WholeAt)))
+	}
+	return m
+}
+
+// DecodeAnswers returns the answers in a message that was received at now. Those that a member of a
+// former version reports have begun, and none is known to be whole.
+func DecodeAnswers(m *kcwpb.BegunPart, now time.Time) Answers {
+	a := Answers{Count: m.GetAnswers(), BegunAt: now.Add(-time.Duration(m.GetAgeNanos()))}
+	if m.GetWholeAgeNanos() > 0 {
+		a.WholeAt = now.Add(-time.Duration(m.GetWholeAgeNanos()))
+	}
+	return a
 }
 
 // latestInExchange and othersInExchange bound the cuts in one message to another router. Routers
@@ -34,7 +94,7 @@
 )
 
 // Export returns, for another router, the latest cuts that the detector holds, from all
-// sources, some of the earlier ones in turn, and when answers last began on their parts. It has
+// sources, some of the earlier ones in turn, and when their parts were last answered. It has
 // no numbers of answers, which an exchange in a circle would raise.
 func (d *Detector) Export(now time.Time) *kcwpb.PartEvidence {
 	d.mu.Lock()
@@ -78,7 +138,7 @@
 				continue
 			}
 			exported[part] = true
-			evidence.Begun = append(evidence.Begun, &kcwpb.BegunPart{Part: part, Answers: uint32(h.answers), AgeNanos: max(0, int64(now.Sub(h.last)))})
+			evidence.Begun = append(evidence.Begun, Answers{uint32(h.answers), h.begun, h.whole}.Encode(part, now))
 		}
 	}
 	return evidence
@@ -96,14 +156,14 @@
 	d.addAnswers(uint64(evidence.GetAnswers()), now)
 	var added []Cut
 	for _, m := range evidence.GetCuts() {
-		age := time.Duration(m.GetAgeNanos())
-		c := Cut{Request: m.GetRequest(), Upstream: m.GetUpstream(), Prompt: m.GetPrompt(), Parts: m.GetParts(), At: now.Add(-age)}
-		if age <= d.cfg.Window && d.addCut(c) {
+		c := DecodeCut(m, now)
+		if now.Sub(c.At) <= d.cfg.Window && d.addCut(c) {
 			added = append(added, c)
 		}
 	}
 	for _, b := range evidence.GetBegun() {
-		d.begin(b.GetPart(), uint64(b.GetAnswers()), now.Add(-time.Duration(b.GetAgeNanos())))
+		a := DecodeAnswers(b, now)
+		d.answer(b.GetPart(), history{uint64(a.Count), a.BegunAt, a.WholeAt})
 	}
 	return added, nil
 }
@@ -120,7 +180,7 @@
 		}
 	}
 	for _, b := range evidence.GetBegun() {
-		if b.GetAgeNanos() < 0 || !isName(b.GetPart()) {
+		if b.GetAgeNanos() < 0 || b.GetWholeAgeNanos() < 0 || !isName(b.GetPart()) {
 			return malformed("a part has no valid name or age")
 		}
 	}
--- a/kcw/kcwdetector/simulation_test.go
+++ b/kcw/kcwdetector/simulation_test.go
@@ -12,52 +12,116 @@
 	"kingcupwick.example/kcw/kcwdetector"
 )
 
+// crashPoint is where upstreams crash on a part.
+type crashPoint int
+
+const (
+	beforeAnswer crashPoint = iota
+	afterFirstEvent
+	withinAnswer
+)
+
+// crashCase is a part that crashes upstreams, and how prompts with it come.
+type crashCase struct {
+	name  string
+	point crashPoint
+	// share is that of prompts with the part. They come in batches of the given size, with pause
+	// between two batches, if batch is not zero.
+	share float64
+	batch int
+	pause time.Duration
+}
+
+var crashCases = []crashCase{
+	{name: "before the answer", share: 0.05},
+	{name: "after the first event", point: afterFirstEvent, share: 0.05},
+	{name: "within the answer", point: withinAnswer, share: 0.05},
+}
+
+// simulationSeed returns KCW_SEED, 1 if it is not set.
+func simulationSeed(t *testing.T) uint64 {
+	t.Helper()
+	text := os.Getenv("KCW_SEED")
+	if text == "" {
+		return 1
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return seed
+}
+
 // TestUnrelatedCrashesBlockNoPart simulates fleets whose upstreams crash for reasons
-// unrelated to prompts: no part may be blocked. In the second half of each run one part
-// crashes upstreams. It must be the only one blocked, and soon enough after the fifth end
-// for the decision to reach all routers within the time allowed.
+// unrelated to prompts, one by one, several or a whole zone at once: no part may be blocked. In
+// the second half of each run one part crashes upstreams. It must be the only one blocked, and
+// soon enough after the fifth end for the decision to reach all routers within the time allowed.
 func TestUnrelatedCrashesBlockNoPart(t *testing.T) {
-	seed := uint64(1)
-	if text := os.Getenv("KCW_SEED"); text != "" {
+	seed := simulationSeed(t)
+	runs := uint64(3)
+	if text := os.Getenv("KCW_RUNS"); text != "" {
 		n, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
 			t.Fatal(err)
 		}
-		seed = n
+		runs = n
 	}
-	const runs = 9
 	// reactionTime is the time allowed for the whole fleet after the fifth end, and
 	// spreadTime that for two reports of routers.
 	const reactionTime, spreadTime = 3 * time.Second, 750 * time.Millisecond
 	// subjects are the numbers of different second parts of a class's prompts.
 	subjects := []int{10, 120, 3000}
-	for run := range uint64(runs) {
-		s := &simulation{random: rand.New(rand.NewPCG(seed, run)), detector: newDetector(t), now: start, subjects: subjects[run%uint64(len(subjects))]}
-		s.run(t, 60*time.Second, 0)
-		if got := blocked(s.detector.Decide(s.now)); len(got) > 0 {
-			t.Fatalf("KCW_SEED=%d, run %d: %q blocked without a crashing part", seed, run, got)
-		}
-		s.run(t, 20*time.Second, 0.05)
-		if !slices.Equal(s.blocked, []string{"crashing"}) {
-			t.Fatalf("KCW_SEED=%d, run %d: got %q, want only the crashing part", seed, run, s.blocked)
-		}
-		if len(s.crashEnds) < 5 {
-			continue
+	for _, c := range crashCases {
+		unrelated, other, late := 0, 0, 0
+		for run := range runs * uint64(len(subjects)) {
+			s := &simulation{random: rand.New(rand.NewPCG(seed, run)), detector: newDetector(t), now: start, subjects: subjects[run%uint64(len(subjects))], crashCase: c}
+			s.run(60*time.Second, false)
+			unrelated += len(s.blocked)
+			s.blocked = nil
+			s.run(20*time.Second, true)
+			other += len(slices.DeleteFunc(slices.Clone(s.blocked), func(set string) bool { return set == "crashing" }))
+			isBlocked := slices.Contains(s.blocked, "crashing")
+			if len(s.crashEnds) < 5 {
+				continue
+			}
+			after := s.blockedAt.Sub(s.crashEnds[4])
+			if !isBlocked || after > reactionTime-spreadTime {
+				late++
+				t.Logf("run %d: blocked %q, %v after the fifth of %d ends", run, s.blocked, after, len(s.crashEnds))
+			}
 		}
-		if late := s.blockedAt.Sub(s.crashEnds[4]); late > reactionTime-spreadTime {
-			t.Errorf("KCW_SEED=%d, run %d: blocked %v after the fifth end, want %v at most", seed, run, late, reactionTime-spreadTime)
+		t.Logf("%s: %d sound sets blocked without and %d beside the crashing part, %d late decisions in %d runs", c.name, unrelated, other, late, runs*uint64(len(subjects)))
+		if unrelated+other+late > 0 {
+			t.Errorf("KCW_SEED=%d, %s: %d sound sets blocked without and %d beside the crashing part, %d late decisions; want none", seed, c.name, unrelated, other, late)
 		}
 	}
 }
 
-// simulation is a fleet of 20 upstreams with 150 prompts a second of three classes. Each
-// prompt takes 300 ms until its answer begins.
+const (
+	simulationTick = 10 * time.Millisecond
+	// decideInterval is the time between two decisions of the core.
+	decideInterval = 100 * time.Millisecond
+	upstreamZones  = 3
+)
+
+// simulatedPrompt is a prompt at an upstream.
+type simulatedPrompt struct {
+	cut kcwdetector.Cut
+	// beginsAt and endsAt are the times of the first event and of the end of its answer, and
+	// leavesAt that at which its caller leaves.
+	beginsAt, endsAt, leavesAt time.Time
+}
+
+// simulation is a fleet of 20 upstreams in three zones, with 150 prompts a second of three classes.
+// Each prompt takes 300 ms until its answer begins. The answers of a class are up to 0.3, 1 or 4 s
+// long, and one caller in ten leaves within its answer.
 type simulation struct {
+	crashCase
 	random   *rand.Rand
 	detector *kcwdetector.Detector
 	now      time.Time
 	serial   int
-	waiting  [20][]kcwdetector.Cut
+	running  [20][]simulatedPrompt
 	// downUntil is when a crashed upstream is back, generation how often it has started.
 	downUntil  [20]time.Time
 	generation [20]int
@@ -68,34 +132,25 @@
 	subjects  int
 }
 
-// run plays the given time, with a share of prompts that have the crashing part.
-func (s *simulation) run(t *testing.T, length time.Duration, crashing float64) {
-	t.Helper()
-	const tick, prefill = 10 * time.Millisecond, 300 * time.Millisecond
-	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(tick) {
+// run plays the given time, with the crashing part if isCrashing is set.
+func (s *simulation) run(length time.Duration, isCrashing bool) {
+	begin := s.now
+	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(simulationTick) {
 		for s.random.Float64() < 0.6 {
-			s.send(s.random.Float64() < crashing)
+			s.send(isCrashing && s.batch == 0 && s.random.Float64() < s.share)
 		}
-		for u := range s.waiting {
-			// Upstreams crash of themselves about every 20 s each, sometimes several at
-			// once.
-			if s.random.Float64() < 0.0005 {
-				s.crash(u)
-				for s.random.Float64() < 0.5 {
-					s.crash(s.random.IntN(len(s.waiting)))
-				}
-			}
-			for len(s.waiting[u]) > 0 && s.now.Sub(s.waiting[u][0].At) >= prefill {
-				first := s.waiting[u][0]
-				if slices.Contains(first.Parts, "crashing") {
-					s.crashEnds = append(s.crashEnds, s.now)
-					s.crash(u)
-					break
-				}
-				s.waiting[u] = s.waiting[u][1:]
-				s.detector.Begin(first.Parts, s.now)
+		if isCrashing && s.batch > 0 && s.now.Sub(begin)%s.pause == 0 {
+			for range s.batch {
+				s.send(true)
 			}
 		}
+		s.crashByAccident()
+		for u := range s.running {
+			s.step(u)
+		}
+		if s.now.Sub(begin)%decideInterval != 0 {
+			continue
+		}
 		for _, set := range blocked(s.detector.Decide(s.now)) {
 			if !slices.Contains(s.blocked, set) {
 				s.blocked, s.blockedAt = append(s.blocked, set), s.now
@@ -104,6 +159,61 @@
 	}
 }
 
+// crashByAccident crashes upstreams: each of itself about every 20 s, sometimes several at once,
+// and a whole zone about every 30 s.
+func (s *simulation) crashByAccident() {
+	for u := range s.running {
+		if s.random.Float64() < 0.0005 {
+			s.crash(u)
+			for s.random.Float64() < 0.5 {
+				s.crash(s.random.IntN(len(s.running)))
+			}
+		}
+	}
+	if s.random.Float64() < 0.0003 {
+		zone := s.random.IntN(upstreamZones)
+		for u := range s.running {
+			if u%upstreamZones == zone {
+				s.crash(u)
+			}
+		}
+	}
+}
+
+// step plays one tick of an upstream.
+func (s *simulation) step(u int) {
+	for i := 0; i < len(s.running[u]); i++ {
+		p := &s.running[u][i]
+		isBad := slices.Contains(p.cut.Parts, "crashing")
+		if !p.cut.Begun && !s.now.Before(p.beginsAt) {
+			if isBad && s.point == beforeAnswer {
+				s.crashOnPart(u)
+				return
+			}
+			p.cut.Begun = true
+			s.detector.Begin(p.cut.Parts, s.now)
+		}
+		switch {
+		case isBad && s.point == afterFirstEvent && s.now.Sub(p.beginsAt) >= 2*simulationTick, isBad && p.cut.Begun && !s.now.Before(p.endsAt):
+			s.crashOnPart(u)
+			return
+		case !s.now.Before(p.leavesAt):
+		case !s.now.Before(p.endsAt):
+			s.detector.Complete(p.cut.Parts, true, s.now)
+		default:
+			continue
+		}
+		s.running[u] = slices.Delete(s.running[u], i, i+1)
+		i--
+	}
+}
+
+// crashOnPart ends an upstream on the crashing part.
+func (s *simulation) crashOnPart(u int) {
+	s.crashEnds = append(s.crashEnds, s.now)
+	s.crash(u)
+}
+
 // send sends a new prompt to an upstream that listens, if there is one.
 func (s *simulation) send(isCrashing bool) {
 	s.serial++
@@ -115,32 +225,48 @@
 		}
 		parts = slices.Insert(parts, 1, "crashing")
 	}
-	c := kcwdetector.Cut{Request: strconv.Itoa(s.serial), Prompt: strconv.Itoa(s.serial), Parts: parts, At: s.now}
-	for range len(s.waiting) {
-		if u := s.random.IntN(len(s.waiting)); !s.now.Before(s.downUntil[u]) {
-			s.waiting[u] = append(s.waiting[u], c)
+	for range len(s.running) {
+		if u := s.random.IntN(len(s.running)); s.begin(u, kcwdetector.Cut{Request: strconv.Itoa(s.serial), Prompt: strconv.Itoa(s.serial), Parts: parts}, class) {
 			return
 		}
 	}
 }
 
-// crash ends an upstream, cuts its prompts and sends them once more elsewhere.
+// begin sends a prompt of a class to an upstream, unless it is down.
+func (s *simulation) begin(u int, c kcwdetector.Cut, class int) bool {
+	const prefill = 300 * time.Millisecond
+	if s.now.Before(s.downUntil[u]) {
+		return false
+	}
+	longest := []time.Duration{300 * time.Millisecond, time.Second, 4 * time.Second}[class]
+	beginsAt := s.now.Add(prefill)
+	p := simulatedPrompt{cut: c, beginsAt: beginsAt, endsAt: beginsAt.Add(time.Duration(s.random.Int64N(int64(longest)))), leavesAt: s.now.Add(time.Hour)}
+	if slices.Contains(c.Parts, "crashing") && s.point == withinAnswer {
+		p.endsAt = beginsAt.Add(time.Duration(s.random.Int64N(int64(500 * time.Millisecond))))
+	}
+	if s.random.Float64() < 0.1 {
+		p.leavesAt = beginsAt.Add(time.Duration(s.random.Int64N(int64(longest))))
+	}
+	s.running[u] = append(s.running[u], p)
+	return true
+}
+
+// crash ends an upstream, cuts its prompts and sends half of them once more elsewhere.
 func (s *simulation) crash(u int) {
-	cuts := s.waiting[u]
-	s.waiting[u] = nil
-	for _, c := range cuts {
+	cut := s.running[u]
+	s.running[u] = nil
+	for _, p := range cut {
+		c := p.cut
 		c.At, c.Upstream = s.now, fmt.Sprintf("u%d-%d", u, s.generation[u])
 		s.detector.Cut(c)
 	}
 	s.generation[u]++
 	s.downUntil[u] = s.now.Add(3 * time.Second)
-	for _, c := range cuts {
-		if slices.Contains(c.Parts, "crashing") && len(s.blocked) > 0 || s.random.Float64() < 0.5 {
+	for _, p := range cut {
+		if slices.Contains(p.cut.Parts, "crashing") && len(s.blocked) > 0 || s.random.Float64() < 0.5 {
 			continue
 		}
-		other := s.random.IntN(len(s.waiting))
-		if !s.now.Before(s.downUntil[other]) {
-			s.waiting[other] = append(s.waiting[other], kcwdetector.Cut{Request: c.Request, Prompt: c.Prompt, Parts: c.Parts, At: s.now})
-		}
+		class := int(p.cut.Parts[0][len("class")] - '0')
+		s.begin(s.random.IntN(len(s.running)), kcwdetector.Cut{Request: p.cut.Request, Prompt: p.cut.Prompt, Parts: p.cut.Parts}, class)
 	}
 }
--- a/kcw/kcwforward/answer.go
+++ b/kcw/kcwforward/answer.go
@@ -46,14 +46,14 @@
 		// Callers request unencoded bodies, so an encoding is a sign of damage.
 		return a.endBroken("the answer is damaged", errors.New("it has an encoding"))
 	}
+	a.isSuccess, a.isCloseDelimited = response.StatusCode < http.StatusMultipleChoices, isCloseDelimited(response)
 	if a.resumed != nil {
 		if err := checkResumption(response); err != nil {
 			return a.endBroken("the stream can't be resumed", err)
 		}
 		return a.relay(response)
 	}
-	isSuccess := response.StatusCode < http.StatusMultipleChoices
-	if isSuccess && a.route.Kind == kcwroute.Stream && isStream(response) {
+	if a.isSuccess && a.route.Kind == kcwroute.Stream && isStream(response) {
 		return a.relay(response)
 	}
 	answer, err := a.bufferAnswer(response)
@@ -68,7 +68,7 @@
 	if !a.claim() {
 		return replaced, kcwroster.Replaced
 	}
-	if isSuccess {
+	if a.isSuccess {
 		a.begin()
 		a.isUnmeasured = len(answer.body) > 0
 	}
--- a/kcw/kcwforward/attempt.go
+++ b/kcw/kcwforward/attempt.go
@@ -96,6 +96,9 @@
 	// cut is set if the upstream closed the connection before the answer was whole, and
 	// begun once an event of the answer, or all of another answer, has arrived.
 	cut, begun bool
+	// isSuccess is set if the answer has a status of success, and isCloseDelimited if only the end
+	// of the connection ends it.
+	isSuccess, isCloseDelimited bool
 }
 
 // do makes the attempt and returns how it ended.
@@ -142,12 +145,24 @@
 	// begun to work on it also ends in this way when its caller leaves.
 	a.isCharged = a.mayHaveRun && (a.isAnswered || a.waitWritten())
 	a.ticket.Done(outcome)
-	if res == unknownRun && a.cut && !a.begun && a.waitWritten() {
+	a.reportEvidence(res)
+	return res
+}
+
+// reportEvidence tells the guard what the end of the attempt shows about the parts of the prompt.
+func (a *attempt) reportEvidence(res result) {
+	end := attemptEnd{
+		result: res, isCut: a.cut, isWritten: a.cut && a.waitWritten(), isSuccess: a.isSuccess, isCloseDelimited: a.isCloseDelimited,
+	}
+	switch what := end.evidence(); what {
+	case evidenceAgainst:
 		a.f.cfg.Guard.Cut(kcwdetector.Cut{
-			Request: a.request.RequestID, Upstream: a.ticket.ID(), Prompt: a.request.Prompt, Parts: a.request.Parts, At: a.f.cfg.Now(),
+			Request: a.request.RequestID, Upstream: a.ticket.ID(), Address: a.ticket.Address(), Prompt: a.request.Prompt, Parts: a.request.Parts,
+			Begun: a.begun, At: a.f.cfg.Now(),
 		})
+	case evidenceFor, weakEvidenceFor:
+		a.f.cfg.Guard.Complete(a.request.Parts, what == evidenceFor)
 	}
-	return res
 }
 
 // begin records that the answer has begun.
--- a/kcw/kcwforward/fixture_test.go
+++ b/kcw/kcwforward/fixture_test.go
@@ -173,6 +173,8 @@
 	trials int
 	begun  [][]string
 	cuts   []kcwdetector.Cut
+	// whole and unproven count the answers that have ended, the latter with their connection.
+	whole, unproven int
 	// avoided holds the upstreams that prompts with a part avoid.
 	avoided map[string][]string
 }
@@ -214,6 +216,16 @@
 	g.begun = append(g.begun, parts)
 }
 
+func (g *guard) Complete(_ []string, isWhole bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if isWhole {
+		g.whole++
+	} else {
+		g.unproven++
+	}
+}
+
 func (g *guard) Cut(cut kcwdetector.Cut) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/kcw/kcwforward/forwarder.go
+++ b/kcw/kcwforward/forwarder.go
@@ -114,11 +114,14 @@
 	// Match is like Admit for a request that is under way already and is no trial.
 	Match(parts []string) (blocked []string)
 	// Avoided returns the upstreams at which prompts with any of these parts were cut, as
-	// long as no answer to one has begun. Others are tried first.
+	// long as no answer to one has got further. Others are tried first.
 	Avoided(parts []string) (upstreams []string)
 	// Begin records that the answer to a prompt with these parts has begun.
 	Begin(parts []string)
-	// Cut records an attempt whose upstream closed the connection before that.
+	// Complete records that the answer has ended. If isWhole is not set, it ended with its
+	// connection, which may have been broken off unnoticed.
+	Complete(parts []string, isWhole bool)
+	// Cut records an attempt whose upstream closed the connection before the answer was whole.
 	Cut(cut kcwdetector.Cut)
 }
 
--- a/kcw/kcwforward/parts_test.go
+++ b/kcw/kcwforward/parts_test.go
@@ -1,6 +1,7 @@
 package kcwforward_test
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -41,37 +42,60 @@
 	}
 }
 
-// TestPartEvidence checks which ends of attempts are evidence against the parts of a
-// prompt, and which are evidence for them.
+// TestPartEvidence guards against parts that crash upstreams within the answer and are never
+// refused, because the beginning of an answer was taken for its end. It checks which ends of
+// attempts are evidence against the parts of a prompt, and which are evidence for them.
 func TestPartEvidence(t *testing.T) {
 	const event = "id: 1\ndata: a\n\n"
+	closeDelimited := func(body string) func(e *exchange) {
+		return func(e *exchange) {
+			fmt.Fprintf(e.conn, "HTTP/1.1 200 OK\r\nAttempt: %s\r\n%s\r\n%s", e.Header.Get("Attempt"), eventStream, body)
+			e.closeConn()
+		}
+	}
 	for _, test := range []struct {
-		name        string
-		route       kcwroute.Route
-		script      func(e *exchange)
-		cuts, begun int
+		name   string
+		route  kcwroute.Route
+		script func(e *exchange)
+		// cuts are those before an event of the answer, cutsWithin those after it.
+		cuts, cutsWithin, begun, whole, unproven int
 	}{
-		{"whole stream", stream, func(e *exchange) { e.events(true, event) }, 0, 1},
-		{"closed without an answer", stream, func(e *exchange) { e.closeConn() }, 1, 0},
-		{"closed before the first event", stream, func(e *exchange) { e.events(false); e.closeConn() }, 1, 0},
-		{"closed in the first event", stream, func(e *exchange) { e.events(false, event[:4]); e.closeConn() }, 1, 0},
-		{"closed after the first event", stream, func(e *exchange) { e.events(false, event); e.closeConn() }, 0, 1},
-		{"whole answer", repeatable, func(e *exchange) { e.answer(200, "", "x") }, 0, 1},
-		{"failure", repeatable, func(e *exchange) { e.answer(500, "", "x") }, 0, 0},
-		{"not run", repeatable, func(e *exchange) { e.answer(503, "Not-Run: 1\r\n", "x") }, 0, 0},
-		{"resumed elsewhere", resumable, first(func(e *exchange) { e.closeConn() }, func(e *exchange) { e.events(true, event) }), 1, 1},
+		{name: "whole stream", route: stream, script: func(e *exchange) { e.events(true, event) }, begun: 1, whole: 1},
+		{name: "closed without an answer", route: stream, script: func(e *exchange) { e.closeConn() }, cuts: 1},
+		{name: "closed before the first event", route: stream, script: func(e *exchange) { e.events(false); e.closeConn() }, cuts: 1},
+		{name: "closed in the first event", route: stream, script: func(e *exchange) { e.events(false, event[:4]); e.closeConn() }, cuts: 1},
+		{name: "closed after the first event", route: stream, script: func(e *exchange) { e.events(false, event); e.closeConn() }, cutsWithin: 1, begun: 1},
+		{name: "ends with its connection", route: stream, script: closeDelimited(event), begun: 1, unproven: 1},
+		{name: "ends with its connection within an event", route: stream, script: closeDelimited(event + event[:4]), cutsWithin: 1, begun: 1},
+		{name: "whole answer", route: repeatable, script: func(e *exchange) { e.answer(200, "", "x") }, begun: 1, whole: 1},
+		{name: "failure", route: repeatable, script: func(e *exchange) { e.answer(500, "", "x") }},
+		{name: "not run", route: repeatable, script: func(e *exchange) { e.answer(503, "Not-Run: 1\r\n", "x") }},
+		{
+			name: "resumed elsewhere", route: resumable, script: first(func(e *exchange) { e.closeConn() }, func(e *exchange) { e.events(true, event) }),
+			cuts: 1, begun: 1, whole: 1,
+		},
+		{
+			name: "resumed elsewhere after the first event", route: resumable,
+			script:     first(func(e *exchange) { e.events(false, event); e.closeConn() }, func(e *exchange) { e.events(true, "id: 2\ndata: b\n\n") }),
+			cutsWithin: 1, begun: 2, whole: 1,
+		},
 	} {
 		f := newFixture(t, 2, test.route, test.script)
 		_, _, _ = f.call(t, http.MethodPost, "", "Parts", "class subject", "Prompt-Part", "own")
 		f.guard.mu.Lock()
-		if len(f.guard.cuts) != test.cuts || len(f.guard.begun) != test.begun {
-			t.Errorf("%s: got %d cuts and %d begun answers, want %d and %d", test.name, len(f.guard.cuts), len(f.guard.begun), test.cuts, test.begun)
-		}
+		within := 0
 		for _, c := range f.guard.cuts {
-			if c.Request != "id-1" || c.Prompt != "own" || !strings.HasPrefix(c.Upstream, "u") || !slices.Equal(c.Parts, []string{"class", "subject"}) || c.At.IsZero() {
+			if c.Begun {
+				within++
+			}
+			if c.Request != "id-1" || c.Prompt != "own" || !strings.HasPrefix(c.Upstream, "u") || !slices.Equal(c.Parts, []string{"class", "subject"}) || c.At.IsZero() || !c.Address.IsValid() {
 				t.Errorf("%s: got cut %+v", test.name, c)
 			}
 		}
+		if got, want := [...]int{len(f.guard.cuts) - within, within, len(f.guard.begun), f.guard.whole, f.guard.unproven},
+			[...]int{test.cuts, test.cutsWithin, test.begun, test.whole, test.unproven}; got != want {
+			t.Errorf("%s: got %v, want %v cuts before and within an answer, begun, whole and unproven answers", test.name, got, want)
+		}
 		f.guard.mu.Unlock()
 	}
 }
--- a/kcw/kcwroster/attempt.go
+++ b/kcw/kcwroster/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"kingcupwick.example/kcw/kcwconn"
@@ -23,6 +24,9 @@
 // ID returns the upstream's ID.
 func (a *Attempt) ID() string { return a.upstream.ID }
 
+// Address returns the address of the upstream.
+func (a *Attempt) Address() netip.AddrPort { return a.upstream.Address }
+
 // Pool returns the pool of connections to the upstream.
 func (a *Attempt) Pool() *kcwconn.Pool { return a.upstream.pool }
 
--- a/kcw/kcwsuspicion/table.go
+++ b/kcw/kcwsuspicion/table.go
@@ -1,5 +1,5 @@
 // Package kcwsuspicion keeps at which upstreams prompts with a part were cut, for as long as no
-// answer to a prompt with the part has begun. A part that may crash upstreams is tried at
+// answer to a prompt with the part has got further. A part that may crash upstreams is tried at
 // another one next: an answer there shows that the part is sound and its upstream was not, and
 // another end shows the opposite. Otherwise placement by the parts of a prompt sends the next
 // one to the same upstream, which can't tell the two apart. The package does no I/O and reads
@@ -31,9 +31,14 @@
 	cfg Config
 
 	mu sync.Mutex
-	// parts holds, for each suspected part, when a prompt with it was last cut at each
-	// upstream.
-	parts *simplelru.LRU[string, map[string]time.Time]
+	// parts holds, for each suspected part, the last cut of a prompt with it at each upstream.
+	parts *simplelru.LRU[string, map[string]cut]
+}
+
+// cut is a cut of a prompt, within the answer if begun is set, or else before it.
+type cut struct {
+	at    time.Time
+	begun bool
 }
 
 // Error is the error type of this package.
@@ -55,24 +60,25 @@
 
 // New returns an empty Table. The error is an *Error of kind Invalid.
 func New(cfg Config) (*Table, error) {
-	parts, err := simplelru.NewLRU[string, map[string]time.Time](cfg.MaxParts, nil)
+	parts, err := simplelru.NewLRU[string, map[string]cut](cfg.MaxParts, nil)
 	if err != nil || cfg.Window <= 0 {
 		return nil, &Error{Op: "new", Kind: Invalid}
 	}
 	return &Table{cfg: cfg, parts: parts}, nil
 }
 
-// Cut records that a prompt with the part was cut at an upstream.
-func (t *Table) Cut(part, upstream string, at time.Time) {
+// Cut records that a prompt with the part was cut at an upstream, within the answer if isBegun is
+// set, or else before it.
+func (t *Table) Cut(part, upstream string, isBegun bool, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cuts, found := t.parts.Get(part)
 	if !found {
-		cuts = map[string]time.Time{}
+		cuts = map[string]cut{}
 		t.parts.Add(part, cuts)
 	}
-	if at.After(cuts[upstream]) {
-		cuts[upstream] = at
+	if at.After(cuts[upstream].at) {
+		cuts[upstream] = cut{at, isBegun}
 	}
 	if len(cuts) > maxUpstreams {
 		delete(cuts, earliest(cuts))
@@ -80,18 +86,41 @@
 }
 
 // earliest returns the upstream whose cut is the earliest.
-func earliest(cuts map[string]time.Time) string {
-	return slices.MinFunc(slices.Sorted(maps.Keys(cuts)), func(a, b string) int { return cuts[a].Compare(cuts[b]) })
+func earliest(cuts map[string]cut) string {
+	return slices.MinFunc(slices.Sorted(maps.Keys(cuts)), func(a, b string) int { return cuts[a].at.Compare(cuts[b].at) })
 }
 
 // Begin records that an answer to a prompt with the parts has begun, which ends the suspicion of
-// each of them.
+// each of them for cuts before an answer.
 func (t *Table) Begin(parts []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
+		t.drop(part, func(_ string, c cut) bool { return !c.begun })
+	}
+}
+
+// Complete records that an answer to a prompt with the parts was whole, which ends the suspicion of
+// each of them.
+func (t *Table) Complete(parts []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range parts {
+		t.parts.Remove(part)
+	}
+}
+
+// drop drops the cuts of a part for which isOver reports true, and returns the others.
+func (t *Table) drop(part string, isOver func(upstream string, c cut) bool) map[string]cut {
+	cuts, found := t.parts.Peek(part)
+	if !found {
+		return nil
+	}
+	maps.DeleteFunc(cuts, isOver)
+	if len(cuts) == 0 {
 		t.parts.Remove(part)
 	}
+	return cuts
 }
 
 // Avoided returns the upstreams, in the order of their names, at which prompts with any of the
@@ -101,15 +130,7 @@
 	defer t.mu.Unlock()
 	var avoided []string
 	for _, part := range parts {
-		cuts, found := t.parts.Peek(part)
-		if !found {
-			continue
-		}
-		maps.DeleteFunc(cuts, func(_ string, at time.Time) bool { return now.Sub(at) > t.cfg.Window })
-		if len(cuts) == 0 {
-			t.parts.Remove(part)
-			continue
-		}
+		cuts := t.drop(part, func(_ string, c cut) bool { return now.Sub(c.at) > t.cfg.Window })
 		avoided = slices.AppendSeq(avoided, maps.Keys(cuts))
 	}
 	slices.Sort(avoided)
--- a/kcw/kcwsuspicion/table_test.go
+++ b/kcw/kcwsuspicion/table_test.go
@@ -30,27 +30,37 @@
 		want  []string
 	}{
 		{"nothing known", func(*kcwsuspicion.Table) {}, 0, []string{"a"}, nil},
-		{"no parts", func(table *kcwsuspicion.Table) { table.Cut("a", "u", start) }, 0, nil, nil},
-		{"other parts", func(table *kcwsuspicion.Table) { table.Cut("a", "u", start) }, 0, []string{"b"}, nil},
+		{"no parts", func(table *kcwsuspicion.Table) { table.Cut("a", "u", false, start) }, 0, nil, nil},
+		{"other parts", func(table *kcwsuspicion.Table) { table.Cut("a", "u", false, start) }, 0, []string{"b"}, nil},
 		{"each upstream once", func(table *kcwsuspicion.Table) {
-			table.Cut("a", "v", start)
-			table.Cut("a", "u", start)
-			table.Cut("b", "u", start)
+			table.Cut("a", "v", false, start)
+			table.Cut("a", "u", false, start)
+			table.Cut("b", "u", false, start)
 		}, 0, []string{"b", "a"}, []string{"u", "v"}},
 		{"an answer ends the suspicion", func(table *kcwsuspicion.Table) {
-			table.Cut("a", "u", start)
-			table.Cut("b", "v", start)
+			table.Cut("a", "u", false, start)
+			table.Cut("b", "v", false, start)
 			table.Begin([]string{"a"})
 		}, 0, []string{"a", "b"}, []string{"v"}},
-		{"at the end of the window", func(table *kcwsuspicion.Table) { table.Cut("a", "u", start) }, time.Minute, []string{"a"}, []string{"u"}},
-		{"after the window", func(table *kcwsuspicion.Table) { table.Cut("a", "u", start) }, time.Minute + 1, []string{"a"}, nil},
+		{"an answer that begins does not end that of a cut within one", func(table *kcwsuspicion.Table) {
+			table.Cut("a", "u", false, start)
+			table.Cut("a", "v", true, start)
+			table.Begin([]string{"a"})
+		}, 0, []string{"a"}, []string{"v"}},
+		{"a whole answer ends that of all cuts", func(table *kcwsuspicion.Table) {
+			table.Cut("a", "u", false, start)
+			table.Cut("a", "v", true, start)
+			table.Complete([]string{"a"})
+		}, 0, []string{"a"}, nil},
+		{"at the end of the window", func(table *kcwsuspicion.Table) { table.Cut("a", "u", false, start) }, time.Minute, []string{"a"}, []string{"u"}},
+		{"after the window", func(table *kcwsuspicion.Table) { table.Cut("a", "u", false, start) }, time.Minute + 1, []string{"a"}, nil},
 		{"the latest cut counts", func(table *kcwsuspicion.Table) {
-			table.Cut("a", "u", start.Add(time.Second))
-			table.Cut("a", "u", start)
+			table.Cut("a", "u", false, start.Add(time.Second))
+			table.Cut("a", "u", false, start)
 		}, time.Minute + 1, []string{"a"}, []string{"u"}},
 		{"the parts used last are kept", func(table *kcwsuspicion.Table) {
 			for i := range 10 {
-				table.Cut(strconv.Itoa(i), "u"+strconv.Itoa(i), start)
+				table.Cut(strconv.Itoa(i), "u"+strconv.Itoa(i), false, start)
 			}
 		}, 0, []string{"0", "5", "6", "9"}, []string{"u6", "u9"}},
 	} {
@@ -66,7 +76,7 @@
 func TestUpstreamsOfPartAreBounded(t *testing.T) {
 	table := newTable(t)
 	for i := range 1000 {
-		table.Cut("a", strconv.Itoa(i), start.Add(time.Duration(i)*time.Millisecond))
+		table.Cut("a", strconv.Itoa(i), false, start.Add(time.Duration(i)*time.Millisecond))
 	}
 	got := table.Avoided([]string{"a"}, start)
 	if len(got) != 64 || !slices.Contains(got, "999") || slices.Contains(got, "0") {
