kcwdetector: a part is seen behind many others

Cause: kcwheader kept the first 16 shared parts, and kcwdetector took no cut with more. The lines of the cut attempts name 16 parts, without the one in question.

Routers now tell 512 parts of a prompt apart. Reports stay as small as before: a cut travels with the parts that no answer at its router has ruled out, first those without a whole answer there, in 4 kB for all cuts of a report, and answers on suspected parts go before others. The core keeps as many parts of cuts together as before (16,384). Members of former versions find at most 16 parts in the field that they read, since they would refuse the whole report otherwise. Parts that are kept no longer hold the memory of the header that they came in. The test of the bound on the header asks for 512 in place of 16.

Evidence: with 16 parts TestPartBehindManyOthers fails, and the property of TestRestartsUnderOneIDAreDifferentEnds with 18 and 100 further parts, which passes now.

--- a/kcw-fleet/kcwguard/guard.go
+++ b/kcw-fleet/kcwguard/guard.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 	"unicode/utf8"
@@ -61,6 +62,8 @@
 	// that have ended.
 	parts   map[string]kcwdetector.Answers
 	answers uint32
+	// urgent holds those of parts that were suspected until their answer.
+	urgent map[string]bool
 	// took is how long these answers took together.
 	took time.Duration
 }
@@ -71,6 +74,11 @@
 	// link of the leader that answers then. The rest follows with the next reports.
 	maxCutsInReport  = 16
 	maxPartsInReport = 128
+	// maxCutBytesInReport bounds the parts of the cuts in one report, in bytes. A cut that does not
+	// fit with all its suspected parts waits, unless it is the only one.
+	maxCutBytesInReport = 4 << 10
+	// maxUrgent bounds the parts whose answers go before others.
+	maxUrgent = 1024
 	// maxBlocksInReport bounds the blocks decided without the core in one report.
 	maxBlocksInReport = 8
 )
@@ -110,9 +118,10 @@
 func (g *Guard) Begin(parts []string) {
 	now := g.cfg.Now()
 	g.detector.Begin(parts, now)
-	g.suspicions.Begin(parts)
+	suspected := g.suspicions.Begin(parts)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.pending.hurry(suspected)
 	for _, part := range parts {
 		g.pending.answer(part, kcwdetector.Answers{BegunAt: now})
 	}
@@ -126,12 +135,14 @@
 	now := g.cfg.Now()
 	g.detector.Complete(parts, isWhole, sentAt, now)
 	answers := kcwdetector.Answers{Count: 1}
+	var suspected []string
 	if isWhole {
 		answers.BegunAt, answers.WholeAt = now, now
-		g.suspicions.Complete(parts)
+		suspected = g.suspicions.Complete(parts)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.pending.hurry(suspected)
 	g.pending.answers++
 	g.pending.took += max(0, now.Sub(sentAt))
 	for _, part := range parts {
@@ -139,14 +150,30 @@
 	}
 }
 
-// answer adds answers to prompts with a part.
+// hurry lets the answers on parts that were suspected go before others.
+func (e *evidence) hurry(parts []string) {
+	for _, part := range parts {
+		if e.urgent == nil {
+			e.urgent = map[string]bool{}
+		}
+		if len(e.urgent) < maxUrgent {
+			e.urgent[strings.Clone(part)] = true
+		}
+	}
+}
+
+// answer adds answers to prompts with a part. Beyond the bound it keeps only urgent ones.
 func (e *evidence) answer(part string, more kcwdetector.Answers) {
 	if e.parts == nil {
 		e.parts = map[string]kcwdetector.Answers{}
 	}
 	before, found := e.parts[part]
-	if !found && len(e.parts) == kcwdetector.MaxBegunInMessage {
-		return
+	if !found {
+		if len(e.parts) >= kcwdetector.MaxBegunInMessage && !e.urgent[part] {
+			return
+		}
+		// The part must not keep the memory of the header that it was read from.
+		part = strings.Clone(part)
 	}
 	e.parts[part] = before.Add(more)
 }
@@ -154,6 +181,11 @@
 // Cut implements kcwforward.PartGuard.
 func (g *Guard) Cut(cut kcwdetector.Cut) {
 	cut.Request, cut.Prompt = callerName(cut.Request), callerName(cut.Prompt)
+	cut.Parts = slices.Clone(cut.Parts)
+	for i, part := range cut.Parts {
+		// It must not keep the memory of the header that it was read from.
+		cut.Parts[i] = strings.Clone(part)
+	}
 	if !g.detector.Cut(cut) {
 		return
 	}
@@ -199,7 +231,7 @@
 	now := g.cfg.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sent = g.pending.take()
+	g.sent = g.pending.take(g.detector.MostSuspected)
 	if len(g.sent.cuts) > 0 || g.sent.answers > 0 || len(g.sent.parts) > 0 {
 		req.Evidence = g.sent.encode(now)
 	}
@@ -214,14 +246,27 @@
 	req.CutsVersion = g.cutsVersion
 }
 
-// take removes the evidence for one report and returns it: the latest cuts, the answers on their
-// parts, which can rule these out, and as many on other parts as fit.
-func (e *evidence) take() evidence {
-	at := max(0, len(e.cuts)-maxCutsInReport)
-	taken := evidence{cuts: slices.Clone(e.cuts[at:]), parts: map[string]kcwdetector.Answers{}, answers: e.answers, took: e.took}
-	e.cuts, e.answers, e.took = e.cuts[:at], 0, 0
+// take removes the evidence for one report and returns it: the latest cuts, with the parts that
+// mostSuspected returns, and the answers on as many parts as fit. Those on parts of these cuts, and
+// on parts that others suspect, come first, since they can rule these out.
+func (e *evidence) take(mostSuspected func(c kcwdetector.Cut, bytes int) []string) evidence {
+	taken := evidence{parts: map[string]kcwdetector.Answers{}, answers: e.answers, took: e.took}
+	e.answers, e.took = 0, 0
+	for left := maxCutBytesInReport; len(e.cuts) > 0 && len(taken.cuts) < maxCutsInReport; {
+		c := e.cuts[len(e.cuts)-1]
+		c.Parts = mostSuspected(c, maxCutBytesInReport)
+		for _, part := range c.Parts {
+			left -= len(part)
+		}
+		if left < 0 && len(taken.cuts) > 0 {
+			break
+		}
+		taken.cuts = append(taken.cuts, c)
+		e.cuts = e.cuts[:len(e.cuts)-1]
+	}
+	slices.Reverse(taken.cuts)
 	move := func(part string) {
-		if a, found := e.parts[part]; found {
+		if a, found := e.parts[part]; found && len(taken.parts) < maxPartsInReport {
 			taken.parts[part] = a
 			delete(e.parts, part)
 		}
@@ -231,6 +276,10 @@
 			move(part)
 		}
 	}
+	for part := range e.urgent {
+		move(part)
+	}
+	clear(e.urgent)
 	for part := range e.parts {
 		if len(taken.parts) >= maxPartsInReport {
 			break
--- a/kcw-fleet/kcwrouter/observe.go
+++ b/kcw-fleet/kcwrouter/observe.go
@@ -76,13 +76,16 @@
 		"Document", e.Document, "ListAge", e.ListAge.String(), "Tokens", e.Tokens, "Used", e.Used, "Cut", e.Cut, "CloseDelimited", e.CloseDelimited, "Surplus", e.Surplus, "Parts", loggedParts(e))
 }
 
-// loggedParts returns the parts of the prompt of a request whose upstream closed the
+// maxLoggedParts bounds the parts in one line of the log.
+const maxLoggedParts = 64
+
+// loggedParts returns the first parts of the prompt of a request whose upstream closed the
 // connection, and none for other requests.
 func loggedParts(e kcwforward.Event) []string {
 	if !e.Cut {
 		return nil
 	}
-	return e.Parts
+	return e.Parts[:min(len(e.Parts), maxLoggedParts)]
 }
 
 // logRetry logs a failed attempt that is followed by another.
--- a/kcw-fleet/kcwsetup/settings.go
+++ b/kcw-fleet/kcwsetup/settings.go
@@ -238,6 +238,8 @@
 	partBatchSettle    = 2 * time.Second
 	maxParts           = 16384
 	maxPartCuts        = 1024
+	// maxCutParts bounds the memory for cuts of prompts with many parts, to a few MB.
+	maxCutParts = 16384
 )
 
 // Detector returns the configuration of a detector of parts that crash upstreams.
@@ -245,7 +247,7 @@
 	return kcwdetector.Config{
 		MinMoments: p.MinMoments, MomentSpan: partMomentSpan, EndSpan: partEndSpan, MinUpstreams: p.MinMoments, MinPrompts: p.MinPrompts, MaxChance: partMaxChance,
 		Batch:      kcwdetector.Batch{MinEnds: partMinEnds, EndShare: partEndShare, MaxChance: partMaxBatchChance, Settle: partBatchSettle},
-		MinAnswers: partMinAnswers, Settle: partSettle, Window: p.Window, MaxParts: maxParts, MaxCuts: maxPartCuts,
+		MinAnswers: partMinAnswers, Settle: partSettle, Window: p.Window, MaxParts: maxParts, MaxCuts: maxPartCuts, MaxCutParts: maxCutParts,
 	}
 }
 
--- a/kcw/kcwdetector/decide.go
+++ b/kcw/kcwdetector/decide.go
@@ -80,6 +80,11 @@
 		slices.Sort(parts)
 		d.markEnds(assumed, lead.cuts)
 		chance := d.chance(lead, d.shareCut(assumed, now), now)
+		if len(parts) > maxBlockParts {
+			// Another cut or answer must tell the parts apart first.
+			removeAssumed()
+			continue
+		}
 		isCertain := d.isEnough(lead) && chance <= d.cfg.MaxChance
 		if isCertain || d.isBatch(lead, now) && chance*math.Pow(d.cfg.Batch.EndShare, float64(lead.ends-lead.Moments)) <= d.cfg.Batch.MaxChance {
 			block := d.block(parts, lead)
@@ -158,11 +163,16 @@
 // part that no answer has ruled out since.
 func (d *Detector) suspicions(now time.Time) map[string][]int {
 	suspicions := map[string][]int{}
+	// Most parts are in one cut only, which is too few for any decision.
+	fewest := min(2, d.cfg.MinMoments)
 	for i, c := range d.cuts {
 		if now.Sub(c.At) < d.cfg.Settle {
 			break
 		}
 		for _, part := range c.suspected {
+			if d.suspected[part] < fewest {
+				continue
+			}
 			suspicions[part] = append(suspicions[part], i)
 		}
 	}
--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -20,6 +20,7 @@
 	"net/netip"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -61,8 +62,9 @@
 	Settle time.Duration
 	// Window is the age up to which a cut counts.
 	Window time.Duration
-	// MaxParts and MaxCuts bound the parts and the cuts that are remembered.
-	MaxParts, MaxCuts int
+	// MaxParts and MaxCuts bound the parts and the cuts that are remembered. The cuts have at
+	// most MaxCutParts parts together.
+	MaxParts, MaxCuts, MaxCutParts int
 }
 
 // Batch configures when a part is blocked provisionally, although upstreams have ended with it
@@ -147,11 +149,13 @@
 type Detector struct {
 	cfg Config
 
-	mu      sync.Mutex
-	parts   *simplelru.LRU[string, history]
-	cuts    []cut
-	known   map[attemptKey]bool
-	answers uint64
+	mu    sync.Mutex
+	parts *simplelru.LRU[string, history]
+	cuts  []cut
+	// cutParts is the number of parts of all cuts.
+	cutParts int
+	known    map[attemptKey]bool
+	answers  uint64
 	// serial is that of the cut added last.
 	serial uint64
 	// exportedTo is the index of the last of the earlier cuts that Export has returned.
@@ -200,7 +204,7 @@
 // New returns a Detector without evidence. The error is an *Error of kind Invalid if a
 // field of cfg is out of range.
 func New(cfg Config) (*Detector, error) {
-	if min(cfg.MinMoments, cfg.MinUpstreams, cfg.MinPrompts, cfg.MinAnswers, cfg.MaxParts, cfg.MaxCuts) <= 0 || min(cfg.MomentSpan, cfg.EndSpan, cfg.Settle, cfg.Window) <= 0 ||
+	if min(cfg.MinMoments, cfg.MinUpstreams, cfg.MinPrompts, cfg.MinAnswers, cfg.MaxParts, cfg.MaxCuts, cfg.MaxCutParts) <= 0 || min(cfg.MomentSpan, cfg.EndSpan, cfg.Settle, cfg.Window) <= 0 ||
 		!(cfg.MaxChance > 0 && cfg.MaxChance < 1) || !cfg.Batch.isValid() {
 		return nil, &Error{Op: "new", Kind: Invalid, Detail: "a field of Config is out of range"}
 	}
@@ -225,9 +229,13 @@
 	if d.known[key] || !c.isValid() {
 		return false
 	}
-	if len(d.cuts) == d.cfg.MaxCuts {
+	if len(c.Parts) > d.cfg.MaxCutParts {
+		return false
+	}
+	for len(d.cuts) == d.cfg.MaxCuts || d.cutParts+len(c.Parts) > d.cfg.MaxCutParts {
 		d.dropCuts(1)
 	}
+	d.cutParts += len(c.Parts)
 	d.known[key] = true
 	// Cuts are kept in the order of their times. Those of other hosts arrive late.
 	at := sort.Search(len(d.cuts), func(i int) bool { return d.cuts[i].At.After(c.At) })
@@ -278,6 +286,7 @@
 // forgetCut removes a cut from the indices of the detector.
 func (d *Detector) forgetCut(c cut) {
 	delete(d.known, attemptKey{c.Request, c.Upstream})
+	d.cutParts -= len(c.Parts)
 	for _, part := range c.suspected {
 		d.release(part)
 	}
@@ -321,7 +330,11 @@
 
 // answer adds answers to prompts with a part, and ends its suspicion in the cuts that they rule out.
 func (d *Detector) answer(part string, more history) {
-	h, _ := d.parts.Get(part)
+	h, found := d.parts.Get(part)
+	if !found {
+		// The part must not keep the memory of the header that it was read from.
+		part = strings.Clone(part)
+	}
 	h.answers += more.answers
 	if more.begun.After(h.begun) {
 		h.begun = more.begun
@@ -364,7 +377,8 @@
 
 // CutsSince returns the cuts that were added since a version, the latest ones if there are more
 // than limit, and the version that they lead to. Their Parts are those that no answer has ruled
-// out since; cuts without any are left out.
+// out since, at most maxBlockParts of them: those that are suspected in most cuts. Cuts without any
+// are left out.
 func (d *Detector) CutsSince(version uint64, limit int) (cuts []Cut, latest uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -378,6 +392,8 @@
 		if c.serial > version && len(c.suspected) > 0 {
 			suspected := c.Cut
 			suspected.Parts = slices.Clone(c.suspected)
+			slices.SortStableFunc(suspected.Parts, func(a, b string) int { return d.suspected[b] - d.suspected[a] })
+			suspected.Parts = suspected.Parts[:min(len(suspected.Parts), maxBlockParts)]
 			cuts = append(cuts, suspected)
 		}
 	}
--- a/kcw/kcwdetector/evidence.go
+++ b/kcw/kcwdetector/evidence.go
@@ -1,6 +1,7 @@
 package kcwdetector
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -19,16 +20,22 @@
 // maxTook bounds the mean time of the answers in a message.
 const maxTook = 24 * time.Hour
 
+// MaxParts bounds the parts of one prompt that are told apart.
+const MaxParts = 512
+
 const (
-	// maxParts bounds the parts of one prompt, and maxNameBytes each name in a message.
-	maxParts     = 16
-	maxNameBytes = 128
+	// maxBlockParts bounds the parts of a block, and those of a cut in the field that members of
+	// former versions read. MaxNameBytes bounds each name in a message.
+	maxBlockParts = 16
+	maxNameBytes  = 128
 )
 
 // Encode returns the message for a cut. Its age is that at now.
 func (c *Cut) Encode(now time.Time) *kcwpb.CutAttempt {
+	first := min(len(c.Parts), maxBlockParts)
 	m := &kcwpb.CutAttempt{
-		Request: c.Request, Upstream: c.Upstream, Prompt: c.Prompt, Parts: c.Parts, Begun: c.Begun, AgeNanos: max(0, int64(now.Sub(c.At))),
+		Request: c.Request, Upstream: c.Upstream, Prompt: c.Prompt, Parts: c.Parts[:first], MoreParts: c.Parts[first:], Begun: c.Begun,
+		AgeNanos: max(0, int64(now.Sub(c.At))),
 	}
 	if !c.SentAt.IsZero() {
 		m.SentAgeNanos = max(1, int64(now.Sub(c.SentAt)))
@@ -47,7 +54,7 @@
 		address = netip.AddrPort{}
 	}
 	c := Cut{
-		Request: m.GetRequest(), Upstream: m.GetUpstream(), Address: address, Prompt: m.GetPrompt(), Parts: m.GetParts(), Begun: m.GetBegun(),
+		Request: m.GetRequest(), Upstream: m.GetUpstream(), Address: address, Prompt: m.GetPrompt(), Parts: slices.Concat(m.GetParts(), m.GetMoreParts()), Begun: m.GetBegun(),
 		At: now.Add(-time.Duration(m.GetAgeNanos())),
 	}
 	if m.GetSentAgeNanos() > 0 {
@@ -101,6 +108,8 @@
 const (
 	latestInExchange = 16
 	othersInExchange = 16
+	// maxExchangeBytes bounds the parts of all these cuts together.
+	maxExchangeBytes = 2 << 10
 )
 
 // Export returns, for another router, the latest cuts that the detector holds, from all
@@ -117,7 +126,7 @@
 		d.exportedTo = (d.exportedTo + 1) % at
 		chosen = append(chosen, cuts[d.exportedTo])
 	}
-	evidence := d.export(chosen, now)
+	evidence := d.export(chosen, maxExchangeBytes, now)
 	for _, b := range evidence.GetBegun() {
 		b.Answers = 0
 	}
@@ -131,19 +140,24 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
-	evidence := d.export(d.cuts[max(0, len(d.cuts)-MaxCutsInMessage):], now)
+	evidence := d.export(d.cuts[max(0, len(d.cuts)-MaxCutsInMessage):], math.MaxInt, now)
 	answers, took := d.recentAnswers(now)
 	evidence.Answers, evidence.TookNanos = uint32(answers), int64(took)
 	return evidence
 }
 
-// export returns cuts and the answers on their parts. The caller holds the lock.
-func (d *Detector) export(cuts []cut, now time.Time) *kcwpb.PartEvidence {
+// export returns cuts, with as many of their parts as fit into bytes, and the answers on these
+// parts. The caller holds the lock.
+func (d *Detector) export(cuts []cut, bytes int, now time.Time) *kcwpb.PartEvidence {
 	evidence := &kcwpb.PartEvidence{}
 	exported := map[string]bool{}
-	for _, c := range cuts {
-		evidence.Cuts = append(evidence.Cuts, c.Encode(now))
-		for _, part := range c.Parts {
+	for i, c := range cuts {
+		chosen := c.Cut
+		// Each cut gets an equal part of what those before it have left.
+		chosen.Parts = d.mostSuspected(c.Cut, bytes/(len(cuts)-i))
+		bytes -= partBytes(chosen.Parts)
+		evidence.Cuts = append(evidence.Cuts, chosen.Encode(now))
+		for _, part := range chosen.Parts {
 			h, found := d.parts.Peek(part)
 			if !found || exported[part] || len(evidence.Begun) == MaxBegunInMessage {
 				continue
@@ -155,6 +169,48 @@
 	return evidence
 }
 
+// MostSuspected returns the parts of a cut prompt to report, at least one and as many as fit into
+// bytes: those that no answer has ruled out since, first those without any whole answer and then
+// those with the earliest.
+func (d *Detector) MostSuspected(c Cut, bytes int) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mostSuspected(c, bytes)
+}
+
+func (d *Detector) mostSuspected(c Cut, bytes int) []string {
+	wholeAt := make(map[string]time.Time, len(c.Parts))
+	var suspected []string
+	for _, part := range c.Parts {
+		h, _ := d.parts.Peek(part)
+		wholeAt[part] = h.whole
+		if c.At.After(h.ruledOutUntil(c.Begun)) {
+			suspected = append(suspected, part)
+		}
+	}
+	if len(suspected) == 0 {
+		return c.Parts[:min(1, len(c.Parts))]
+	}
+	slices.SortStableFunc(suspected, func(a, b string) int { return wholeAt[a].Compare(wholeAt[b]) })
+	n := 1
+	for left := bytes - partBytes(suspected[:1]); n < len(suspected); n++ {
+		if left -= partBytes(suspected[n : n+1]); left < 0 {
+			break
+		}
+	}
+	return suspected[:n]
+}
+
+// partBytes returns the size of parts in a message, in bytes.
+func partBytes(parts []string) int {
+	const fieldBytes = 2
+	n := 0
+	for _, part := range parts {
+		n += len(part) + fieldBytes
+	}
+	return n
+}
+
 // Merge adds evidence from another host that was received at now. It returns the cuts that
 // were not known. The error is an *Error of kind Malformed if any of it is damaged; nothing
 // is added then.
@@ -188,7 +244,7 @@
 		return malformed("there are " + strconv.Itoa(len(evidence.GetCuts())) + " cuts and " + strconv.Itoa(len(evidence.GetBegun())) + " parts")
 	}
 	for _, c := range evidence.GetCuts() {
-		decoded := Cut{Request: c.GetRequest(), Upstream: c.GetUpstream(), Prompt: c.GetPrompt(), Parts: c.GetParts()}
+		decoded := Cut{Request: c.GetRequest(), Upstream: c.GetUpstream(), Prompt: c.GetPrompt(), Parts: slices.Concat(c.GetParts(), c.GetMoreParts())}
 		if c.GetAgeNanos() < 0 || c.GetSentAgeNanos() < 0 || !decoded.isValid() {
 			return malformed("a cut attempt has no valid request, upstream, prompt, parts or age")
 		}
@@ -202,9 +258,11 @@
 }
 
 // CheckParts returns an *Error of kind Malformed unless there are parts, within the
-// bounds of a message.
-func CheckParts(parts []string) error {
-	if len(parts) == 0 || len(parts) > maxParts || slices.ContainsFunc(parts, func(part string) bool { return !isName(part) }) {
+// bounds of a block.
+func CheckParts(parts []string) error { return checkParts(parts, maxBlockParts) }
+
+func checkParts(parts []string, limit int) error {
+	if len(parts) == 0 || len(parts) > limit || slices.ContainsFunc(parts, func(part string) bool { return !isName(part) }) {
 		return malformed("a set of parts is empty, too large or has an invalid name")
 	}
 	return nil
@@ -212,7 +270,7 @@
 
 // isValid reports whether the names of the cut fit into a message.
 func (c *Cut) isValid() bool {
-	return isName(c.Request) && isName(c.Upstream) && (c.Prompt == "" || isName(c.Prompt)) && CheckParts(c.Parts) == nil
+	return isName(c.Request) && isName(c.Upstream) && (c.Prompt == "" || isName(c.Prompt)) && checkParts(c.Parts, MaxParts) == nil
 }
 
 // isName reports whether text can be a name in a message, which is UTF-8.
--- a/kcw/kcwsuspicion/table.go
+++ b/kcw/kcwsuspicion/table.go
@@ -91,23 +91,31 @@
 }
 
 // Begin records that an answer to a prompt with the parts has begun, which ends the suspicion of
-// each of them for cuts before an answer.
-func (t *Table) Begin(parts []string) {
+// each of them for cuts before an answer. It returns those that were suspected because of such cuts.
+func (t *Table) Begin(parts []string) (suspected []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
-		t.drop(part, func(_ string, c cut) bool { return !c.begun })
+		before, _ := t.parts.Peek(part)
+		count := len(before)
+		if after := t.drop(part, func(_ string, c cut) bool { return !c.begun }); len(after) < count {
+			suspected = append(suspected, part)
+		}
 	}
+	return suspected
 }
 
 // Complete records that an answer to a prompt with the parts was whole, which ends the suspicion of
-// each of them.
-func (t *Table) Complete(parts []string) {
+// each of them. It returns those that were suspected.
+func (t *Table) Complete(parts []string) (suspected []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
-		t.parts.Remove(part)
+		if t.parts.Remove(part) {
+			suspected = append(suspected, part)
+		}
 	}
+	return suspected
 }
 
 // drop drops the cuts of a part for which isOver reports true, and returns the others.
