kcwdetector: few answers to other prompts are enough with more ends

Cause: ten answers to other prompts had to end since the first cut, so that an outage of all upstreams blocks nothing.

With two answers at least, the share of other attempts that were cut since the first cut is used now if it is the larger one, and prompts that the same ends cut count in it: in an outage they are many, in a quiet hour there are none. TestDecide has few answers with few ends, with many, beside cuts by other ends and by the same; the second failed before.

--- a/kcw/kcwdetector/decide.go
+++ b/kcw/kcwdetector/decide.go
@@ -79,12 +79,12 @@
 		}
 		slices.Sort(parts)
 		d.markEnds(assumed, lead.cuts)
-		chance := d.chance(lead, d.shareCut(assumed, now), now)
 		if len(parts) > maxBlockParts {
 			// Another cut or answer must tell the parts apart first.
 			removeAssumed()
 			continue
 		}
+		chance := d.chance(lead, d.share(lead, assumed, now), now)
 		isCertain := d.isEnough(lead) && chance <= d.cfg.MaxChance
 		if isCertain || d.isBatch(lead, now) && chance*math.Pow(d.cfg.Batch.EndShare, float64(lead.ends-lead.Moments)) <= d.cfg.Batch.MaxChance {
 			block := d.block(parts, lead)
@@ -109,13 +109,28 @@
 	}
 }
 
-// shareCut estimates the share of recent attempts that were cut, apart from the cuts that
-// are marked, by Laplace's rule of succession.
-func (d *Detector) shareCut(marks []bool, now time.Time) float64 {
+// share returns the share of other attempts that were cut, apart from the cuts that are assumed to be
+// accounted for.
+func (d *Detector) share(s *tally, assumed []bool, now time.Time) float64 {
 	n, _ := d.recentAnswers(now)
+	share := d.shareCut(assumed, now.Add(-rateSeconds*time.Second), n)
+	if s.otherAnswers >= uint64(d.cfg.MinAnswers) {
+		return share
+	}
+	// In an outage the same ends cut other prompts, so that these are no less evidence.
+	own := make([]bool, len(d.cuts))
+	for _, i := range s.cuts {
+		own[i] = true
+	}
+	return max(share, d.shareCut(own, d.cuts[s.cuts[0]].At, s.otherAnswers))
+}
+
+// shareCut estimates the share of attempts that were cut after a time, apart from the cuts that
+// are marked, by Laplace's rule of succession. n is the number of answers since.
+func (d *Detector) shareCut(marks []bool, since time.Time, n uint64) float64 {
 	cuts, answers := 0.0, float64(n)
 	for i, c := range d.cuts {
-		if now.Sub(c.At) < rateSeconds*time.Second && !marks[i] {
+		if c.At.After(since) && !marks[i] {
 			cuts++
 		}
 	}
@@ -256,6 +271,10 @@
 	return best
 }
 
+// minAnswers is the number of answers to other prompts below which there may be an outage of all
+// upstreams.
+const minAnswers = 2
+
 // isEnough reports whether the evidence on a part is enough, chance aside.
 func (d *Detector) isEnough(s *tally) bool {
 	minMoments := d.cfg.MinMoments
@@ -270,7 +289,7 @@
 		minMoments++
 	}
 	missing := max(0, d.cfg.MinUpstreams-s.Upstreams)
-	if s.Moments < minMoments+missing+bits.Len64(s.Answers) || s.otherAnswers < uint64(d.cfg.MinAnswers) {
+	if s.Moments < minMoments+missing+bits.Len64(s.Answers) || s.otherAnswers < min(minAnswers, uint64(d.cfg.MinAnswers)) {
 		return false
 	}
 	return s.Upstreams > 1 || d.cfg.MinUpstreams == 1 || s.Moments > d.endsWithout(s)
--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -55,7 +55,9 @@
 	// Batch configures the decision on parts whose prompts come many at a time.
 	Batch Batch
 	// MinAnswers is the number of answers to other prompts that must have ended in the
-	// meantime. If none do, all prompts fail and no part can be the cause.
+	// meantime. If none do, all prompts fail and no part can be the cause. With fewer, two at
+	// least, the share of attempts that are cut is that of the other prompts in this time, if it
+	// is larger.
 	MinAnswers int
 	// Settle is the age at which a cut counts. It covers the delay of reports of answers
 	// at other routers.
--- a/kcw/kcwdetector/detector_test.go
+++ b/kcw/kcwdetector/detector_test.go
@@ -109,6 +109,14 @@
 	three := []step{
 		{0, "u1", "p1", "class crashing a"}, {second, "u2", "p2", "class crashing b"}, {2 * second, "u3", "p3", "class crashing c"},
 	}
+	ends := func(n int) []step {
+		var steps []step
+		for i := range n {
+			name := strconv.Itoa(i)
+			steps = append(steps, step{time.Duration(i) * second, "u" + name, "p" + name, "class crashing " + name})
+		}
+		return steps
+	}
 	four := append(slices.Clone(three), step{3 * second, "u4", "p4", "class crashing d"})
 	for _, test := range []struct {
 		name  string
@@ -141,6 +149,13 @@
 		},
 		{name: "parts in common that the evidence does not tell apart", steps: slices.Concat(three, others(second)), want: []string{"class,crashing"}},
 		{name: "the cause of an outage of all upstreams is not known", steps: three},
+		{name: "few answers to other prompts, and few ends", steps: slices.Concat(three, others(second)[:4])},
+		{name: "few answers to other prompts, and many ends", steps: slices.Concat(ends(9), others(second)[:4]), want: []string{"class,crashing"}},
+		{name: "one answer to another prompt, and many ends", steps: slices.Concat(ends(9), others(second)[:1])},
+		{name: "few answers beside cuts of other prompts", steps: slices.Concat(ends(9), others(second)[:4], manyCuts(4))},
+		{name: "few answers beside cuts of other prompts by the same ends", steps: slices.Concat(ends(9), others(second)[:4], []step{
+			{5 * second, "u5", "q5", "q5"}, {6 * second, "u6", "q6", "q6"}, {7 * second, "u7", "q7", "q7"}, {8 * second, "u8", "q8", "q8"},
+		})},
 		{name: "the last cut is not settled", steps: slices.Concat(three, others(second)), at: 2*second + 300*time.Millisecond},
 		{name: "the window is over", steps: slices.Concat(three, others(second)), at: 12 * time.Minute},
 		{
