kcwdetector: a report of very many answers is accepted

A router that has not reached the core for long reports how long all its answers took. It divides now. TestEvidenceOfManyAnswers failed before.

--- a/kcw/kcwdetector/detector.go
+++ b/kcw/kcwdetector/detector.go
@@ -304,8 +304,8 @@
 }
 
 // Complete records that the answer to a prompt with the given parts, which was sent at a time, ended
-// at another. If isWhole is not set, it may have been broken off unnoticed, as one whose end is that of its connection. It
-// then counts, and rules out no more than its beginning does.
+// at another. If isWhole is not set, it may have been broken off unnoticed, as one whose end is that
+// of its connection. It then counts, and rules out no more than its beginning does.
 func (d *Detector) Complete(parts []string, isWhole bool, sentAt, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/kcw/kcwdetector/detector_test.go
+++ b/kcw/kcwdetector/detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -499,6 +500,8 @@
 		{"a begun part without a name", &kcwpb.PartEvidence{Begun: []*kcwpb.BegunPart{{Answers: 1}}}},
 		{"a part with a negative age of its whole answer", &kcwpb.PartEvidence{Begun: []*kcwpb.BegunPart{{Part: "a", WholeAgeNanos: -1}}}},
 		{"a begun part with a negative age", &kcwpb.PartEvidence{Begun: []*kcwpb.BegunPart{{Part: "a", AgeNanos: -1}}}},
+		{"answers that took longer than a day", &kcwpb.PartEvidence{Answers: 1, TookNanos: int64(25 * time.Hour)}},
+		{"answers that took a negative time", &kcwpb.PartEvidence{Answers: 1, TookNanos: -1}},
 		{"too many cuts", &kcwpb.PartEvidence{Cuts: make([]*kcwpb.CutAttempt, kcwdetector.MaxCutsInMessage+1)}},
 		{"too many begun parts", &kcwpb.PartEvidence{Begun: make([]*kcwpb.BegunPart, kcwdetector.MaxBegunInMessage+1)}},
 	} {
@@ -511,6 +514,14 @@
 	}
 }
 
+// TestEvidenceOfManyAnswers checks that a router that has not reached the core for long may report all
+// its answers.
+func TestEvidenceOfManyAnswers(t *testing.T) {
+	if err := kcwdetector.Check(&kcwpb.PartEvidence{Answers: math.MaxUint32, TookNanos: math.MaxUint32 * int64(time.Second)}); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestExportsHaveAllCutsInTurn checks that another router gets few cuts at a time, the latest
 // first, and all of them over some exchanges.
 func TestExportsHaveAllCutsInTurn(t *testing.T) {
--- a/kcw/kcwdetector/evidence.go
+++ b/kcw/kcwdetector/evidence.go
@@ -237,7 +237,7 @@
 
 // Check returns an *Error of kind Malformed if evidence from another host is damaged.
 func Check(evidence *kcwpb.PartEvidence) error {
-	if evidence.GetTookNanos() < 0 || evidence.GetTookNanos() > int64(evidence.GetAnswers())*int64(maxTook) {
+	if evidence.GetTookNanos() < 0 || evidence.GetTookNanos()/max(1, int64(evidence.GetAnswers())) > int64(maxTook) {
 		return malformed("the answers took an invalid time")
 	}
 	if len(evidence.GetCuts()) > MaxCutsInMessage || len(evidence.GetBegun()) > MaxBegunInMessage {
