kcwupstream: the test of a refused connection holds its port

It closed a listener and took its port for one that refuses; any listener may get that port again, also the silent one that the test opens next.

The port stays bound now, by a socket that does not listen: connections are refused until the test ends, and no listener gets it. What is checked is unchanged.

--- a/kcw/kcwupstream/upstream_test.go
+++ b/kcw/kcwupstream/upstream_test.go
@@ -13,6 +13,7 @@
 	"reflect"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -101,14 +102,29 @@
 	}
 }
 
-func TestSendFailures(t *testing.T) {
-	closed := listen(t, func(conn net.Conn, _ int64) { _ = conn.Close() })
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
+// refusingAddress returns an address that refuses connections until the test ends. Its port stays
+// bound, without a listener, so that no listener of this or another process gets it.
+func refusingAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	loopback := netip.MustParseAddr("127.0.0.1")
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: loopback.As4()}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	refusing := netip.MustParseAddrPort(dead.Addr().String())
-	_ = dead.Close()
+	return netip.AddrPortFrom(loopback, uint16(bound.(*syscall.SockaddrInet4).Port))
+}
+
+func TestSendFailures(t *testing.T) {
+	closed := listen(t, func(conn net.Conn, _ int64) { _ = conn.Close() })
+	refusing := refusingAddress(t)
 	silent := listen(t, func(conn net.Conn, _ int64) { _, _ = io.Copy(io.Discard, conn) })
 	pausing := listen(t, func(conn net.Conn, _ int64) {
 		_, _ = bufio.NewReader(conn).ReadString('\n')
