--- a/kcw/kcwdetector/simulation_test.go
+++ b/kcw/kcwdetector/simulation_test.go
@@ -111,8 +111,6 @@
 
 const (
 	simulationTick = 10 * time.Millisecond
-	// decideInterval is the time between two decisions of the core.
-	decideInterval = 100 * time.Millisecond
 	upstreamZones  = 3
 )
 
@@ -161,9 +159,6 @@
 		for u := range s.running {
 			s.step(u)
 		}
-		if s.now.Sub(begin)%decideInterval != 0 {
-			continue
-		}
 		for _, set := range blocked(s.detector.Decide(s.now)) {
 			if !slices.Contains(s.blocked, set) {
 				s.blocked = append(s.blocked, set)
